--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ManualTimerService.java
@@ -0,0 +1,83 @@
+package org.ebonypond.junit;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.ebonypond.time.TimerService;
+
+/**
+ * A timer service whose time moves only when a test moves it. Tasks run on the caller's thread, in
+ * order of their time and, at the same time, of their subscription. Not thread-safe.
+ */
+public final class ManualTimerService implements TimerService {
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparingLong((Task t) -> t.due).thenComparing(t -> t.order));
+  private long now;
+  private long nextOrder;
+
+  @Override
+  public long nowMillis() {
+    return now;
+  }
+
+  @Override
+  public Subscription after(long delayMillis, Runnable task) {
+    return add(delayMillis, 0, task);
+  }
+
+  @Override
+  public Subscription every(long periodMillis, Runnable task) {
+    if (periodMillis <= 0) {
+      throw new IllegalArgumentException("period must be positive: " + periodMillis);
+    }
+    return add(periodMillis, periodMillis, task);
+  }
+
+  /**
+   * Moves the time forward and runs every task that falls due on the way.
+   *
+   * @param millis the time to add, in milliseconds
+   */
+  public void advance(long millis) {
+    long end = now + millis;
+    while (!tasks.isEmpty() && tasks.peek().due <= end) {
+      Task t = tasks.remove();
+      now = Math.max(now, t.due);
+      if (t.cancelled) {
+        continue;
+      }
+      if (t.period > 0) {
+        t.due += t.period;
+        t.order = nextOrder++;
+        tasks.add(t);
+      }
+      t.body.run();
+    }
+    now = end;
+  }
+
+  private Subscription add(long delay, long period, Runnable body) {
+    Task t = new Task(now + Math.max(0, delay), nextOrder++, period, body);
+    tasks.add(t);
+    return t;
+  }
+
+  private static final class Task implements Subscription {
+    private final long period;
+    private final Runnable body;
+    private long due;
+    private long order;
+    private boolean cancelled;
+
+    Task(long due, long order, long period, Runnable body) {
+      this.due = due;
+      this.order = order;
+      this.period = period;
+      this.body = body;
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/resources/features/document.feature
@@ -0,0 +1,10 @@
+Feature: Service document
+
+  Scenario: A document with an unknown key is rejected with its line
+    Given the document
+      """
+      version = 1
+      colour = "red"
+      """
+    When the document is parsed
+    Then it is rejected with "document-unknown-key" on line 2
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/StateMachine.java
@@ -0,0 +1,23 @@
+package org.ebonypond.consensus;
+
+/** A deterministic state machine that a replicated log drives. Calls are serialized. */
+public interface StateMachine {
+  /**
+   * Applies one committed command.
+   *
+   * @param index the log index of the command, rising by one for each entry
+   * @param command the encoded command
+   * @return the encoded result for the proposer; the same on every replica
+   */
+  byte[] apply(long index, byte[] command);
+
+  /** Returns the encoded state after the last applied command. */
+  byte[] snapshot();
+
+  /**
+   * Replaces the state.
+   *
+   * @param snapshot a value of {@link #snapshot()}
+   */
+  void restore(byte[] snapshot);
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/ControlView.java
@@ -0,0 +1,35 @@
+package org.ebonypond.control;
+
+import java.util.Map;
+import java.util.Set;
+import org.ebonypond.document.ServiceDocument;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An immutable view of the control state after one applied command.
+ *
+ * @param index the log index of the last applied command
+ * @param document the document in force, or null before the first
+ * @param documentAuthor the operation that applied the document, or an empty string
+ * @param zonesOut the availability zones that operators took out of service
+ * @param instances the registered instances by name
+ * @param groups the groups by name
+ */
+public record ControlView(
+    long index,
+    @Nullable ServiceDocument document,
+    String documentAuthor,
+    Set<String> zonesOut,
+    Map<String, InstanceRecord> instances,
+    Map<String, GroupRecord> groups) {
+  /** Copies the collections. */
+  public ControlView {
+    zonesOut = Set.copyOf(zonesOut);
+    instances = Map.copyOf(instances);
+    groups = Map.copyOf(groups);
+  }
+
+  /** The view before the first command. */
+  public static final ControlView EMPTY =
+      new ControlView(0, null, "", Set.of(), Map.of(), Map.of());
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/InstanceRecord.java
@@ -0,0 +1,32 @@
+package org.ebonypond.control;
+
+/**
+ * A registered backend server instance.
+ *
+ * @param instance the instance's name, unique
+ * @param boot the boot identity; a new one after each restart
+ * @param address host and port of its HTTP interface
+ * @param zone the availability zone
+ * @param domain the fabric domain
+ * @param kind engine or plain service
+ * @param flavor the engine kind or the service name that the instance announces
+ * @param status whether it is up
+ * @param registeredIndex the log index of the registration of this boot
+ */
+public record InstanceRecord(
+    String instance,
+    String boot,
+    String address,
+    String zone,
+    String domain,
+    InstanceKind kind,
+    String flavor,
+    InstanceStatus status,
+    long registeredIndex) {
+
+  /** Returns a copy with another status. */
+  public InstanceRecord withStatus(InstanceStatus s) {
+    return new InstanceRecord(
+        instance, boot, address, zone, domain, kind, flavor, s, registeredIndex);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/document/ServiceDocument.java
@@ -0,0 +1,52 @@
+package org.ebonypond.document;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The document by which operators declare what runs; immutable and valid.
+ *
+ * @param version the version, one above the version that it replaces
+ * @param models the models
+ * @param services the plain services
+ * @param engineKinds the engine kinds
+ * @param workspaces the workspaces
+ * @param limits limits over all workspaces
+ * @param source the TOML text as it was applied
+ */
+public record ServiceDocument(
+    long version,
+    List<ModelSpec> models,
+    List<ServiceSpec> services,
+    List<EngineKindSpec> engineKinds,
+    List<WorkspaceSpec> workspaces,
+    LimitsSpec limits,
+    String source) {
+  /** Copies the lists. */
+  public ServiceDocument {
+    models = List.copyOf(models);
+    services = List.copyOf(services);
+    engineKinds = List.copyOf(engineKinds);
+    workspaces = List.copyOf(workspaces);
+  }
+
+  /** Returns the model of a name. */
+  public Optional<ModelSpec> model(String name) {
+    return models.stream().filter(m -> m.name().equals(name)).findFirst();
+  }
+
+  /** Returns the plain service of a name. */
+  public Optional<ServiceSpec> service(String name) {
+    return services.stream().filter(s -> s.name().equals(name)).findFirst();
+  }
+
+  /** Returns the workspace of a name. */
+  public Optional<WorkspaceSpec> workspace(String name) {
+    return workspaces.stream().filter(w -> w.name().equals(name)).findFirst();
+  }
+
+  /** Returns whether engines of the kind refuse old fencing numbers; unknown kinds do not. */
+  public boolean checksFencing(String engineKind) {
+    return engineKinds.stream().anyMatch(k -> k.name().equals(engineKind) && k.checksFencing());
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/document/ServiceSpec.java
@@ -0,0 +1,35 @@
+package org.ebonypond.document;
+
+import java.util.List;
+
+/**
+ * A plain service that the document declares.
+ *
+ * @param name the service's name, unique
+ * @param maxConcurrency the most calls that a warm backend server runs at once
+ * @param coldCeiling the most calls that a starting backend server runs at once
+ * @param warmSeconds the time in seconds over which a starting backend server reaches its full
+ *     concurrency
+ * @param idempotent the calls that may be repeated; every other call runs at most once
+ */
+public record ServiceSpec(
+    String name,
+    int maxConcurrency,
+    int coldCeiling,
+    int warmSeconds,
+    List<RoutePattern> idempotent) {
+  /** Copies the list. */
+  public ServiceSpec {
+    idempotent = List.copyOf(idempotent);
+  }
+
+  /**
+   * Returns whether a call may be repeated.
+   *
+   * @param method the HTTP method, upper case
+   * @param path the path below the service, with a leading slash
+   */
+  public boolean isIdempotent(String method, String path) {
+    return idempotent.stream().anyMatch(p -> p.matches(method, path));
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/time/TimerService.java
@@ -0,0 +1,31 @@
+package org.ebonypond.time;
+
+/** The one source of time and timers of a process. Implementations are thread-safe. */
+public interface TimerService {
+  /** Returns the monotonic time in milliseconds; only differences are meaningful. */
+  long nowMillis();
+
+  /**
+   * Runs a task once.
+   *
+   * @param delayMillis the delay in milliseconds, not negative
+   * @param task the task; must not block
+   * @return the subscription, to cancel the task
+   */
+  Subscription after(long delayMillis, Runnable task);
+
+  /**
+   * Runs a task repeatedly.
+   *
+   * @param periodMillis the period in milliseconds, positive
+   * @param task the task; must not block
+   * @return the subscription, to stop the task
+   */
+  Subscription every(long periodMillis, Runnable task);
+
+  /** A handle on a scheduled task. */
+  interface Subscription {
+    /** Stops the task; has no effect when it has already run or was cancelled. */
+    void cancel();
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/wire/MessagePackCodec.java
@@ -0,0 +1,49 @@
+package org.ebonypond.wire;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Encodes records as MessagePack. Sealed interfaces carry {@code @JsonTypeInfo}. Unknown fields are
+ * ignored, so that processes of neighbouring versions understand each other during an upgrade.
+ */
+public final class MessagePackCodec {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper(new MessagePackFactory())
+          .setSerializationInclusion(JsonInclude.Include.NON_NULL)
+          .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+  private MessagePackCodec() {}
+
+  /**
+   * Encodes a value.
+   *
+   * @throws EbonypondException {@code frame-invalid} if the type cannot be encoded
+   */
+  public static byte[] encode(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new EbonypondException(e, ErrorCode.FRAME_INVALID, e.getOriginalMessage());
+    }
+  }
+
+  /**
+   * Decodes a value.
+   *
+   * @throws EbonypondException {@code frame-invalid} if the bytes are not a value of the type
+   */
+  public static <T> T decode(byte[] bytes, Class<T> type) {
+    try {
+      return MAPPER.readValue(bytes, type);
+    } catch (IOException e) {
+      throw new EbonypondException(e, ErrorCode.FRAME_INVALID, String.valueOf(e.getMessage()));
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/wire/package-info.java
@@ -0,0 +1,5 @@
+/** The MessagePack codec of messages between processes and of log entries. */
+@NullMarked
+package org.ebonypond.wire;
+
+import org.jspecify.annotations.NullMarked;
