--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
@@ -0,0 +1,227 @@
+package org.ebonypond.server.backend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import java.net.ConnectException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.ebonypond.errors.EbonypondException;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+import ratpack.exec.ExecController;
+import ratpack.http.client.HttpClient;
+import ratpack.http.client.StreamedResponse;
+
+/** Runs completions over HTTP with server-sent events. */
+public final class RatpackEngineClient implements EngineClient {
+  /** The header that names the request. */
+  public static final String REQUEST_ID = "Ebonypond-Request-Id";
+
+  /** The header that names the boot identity. */
+  public static final String BOOT = "Ebonypond-Boot";
+
+  /** The header by which a backend server states that it did not run a request. */
+  public static final String NOT_RUN = "Ebonypond-Not-Run";
+
+  private static final String DONE = "[DONE]";
+  private static final int CONFLICT = 409;
+  private static final int TOO_MANY = 429;
+  private static final int CLIENT_ERROR = 400;
+  private static final int SERVER_ERROR = 500;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+  private final ExecController controller;
+  private final HttpClient client;
+
+  /**
+   * Creates a client.
+   *
+   * @param controller runs the calls
+   * @param client the HTTP client
+   */
+  public RatpackEngineClient(ExecController controller, HttpClient client) {
+    this.controller = controller;
+    this.client = client;
+  }
+
+  @Override
+  public Attempt start(EngineRequest request, EngineListener listener) {
+    RunningAttempt a = new RunningAttempt(request, listener);
+    controller.fork().onError(t -> a.fail(kindOf(t), String.valueOf(t))).start(e -> a.run());
+    return a;
+  }
+
+  /** Returns whether a failure of a call shows that nothing was sent. */
+  static FailureKind kindOf(Throwable t) {
+    for (Throwable c = t; c != null; c = c.getCause()) {
+      boolean connecting =
+          c instanceof ConnectException || c instanceof io.netty.channel.ConnectTimeoutException;
+      if (connecting) {
+        return FailureKind.NOT_SENT;
+      }
+    }
+    return FailureKind.BROKEN;
+  }
+
+  private void cancelOnEngine(EngineRequest request) {
+    URI uri =
+        URI.create(
+            "http://" + request.address() + "/v1/requests/" + request.requestId() + "/cancel");
+    controller
+        .fork()
+        .onError(t -> {})
+        .start(e -> client.request(uri, spec -> spec.post()).then(r -> {}));
+  }
+
+  private final class RunningAttempt implements Attempt, Subscriber<ByteBuf> {
+    private final EngineRequest request;
+    private final EngineListener listener;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final SseParser parser = new SseParser(this::event);
+    private volatile @Nullable Subscription subscription;
+
+    RunningAttempt(EngineRequest request, EngineListener listener) {
+      this.request = request;
+      this.listener = listener;
+    }
+
+    void run() {
+      URI uri = URI.create("http://" + request.address() + "/v1/chat/completions");
+      client
+          .requestStream(
+              uri,
+              spec ->
+                  spec.post()
+                      .connectTimeout(CONNECT_TIMEOUT)
+                      .readTimeout(Duration.ofMinutes(10))
+                      .headers(
+                          h ->
+                              h.set("Content-Type", "application/json")
+                                  .set(REQUEST_ID, request.requestId())
+                                  .set(BOOT, request.boot())
+                                  .set("Ebonypond-Resume-Offset", request.resumeOffset())
+                                  .set("Ebonypond-Priority", request.priority()))
+                      .body(b -> b.text(request.body())))
+          .onError(t -> fail(kindOf(t), String.valueOf(t)))
+          .then(this::answered);
+    }
+
+    private void answered(StreamedResponse r) {
+      int status = r.getStatusCode();
+      if (status >= CLIENT_ERROR) {
+        refused(r, status);
+        return;
+      }
+      String boot = r.getHeaders().get(BOOT);
+      if (boot != null && !boot.equals(request.boot())) {
+        // An engine that does not check the expected boot identity may have run it after a restart.
+        r.getBody().subscribe(new Discard());
+        fail(FailureKind.OTHER_BOOT, "boot identity " + boot);
+        return;
+      }
+      r.getBody().subscribe(this);
+    }
+
+    private void refused(StreamedResponse r, int status) {
+      boolean notRun = "true".equals(r.getHeaders().get(NOT_RUN));
+      String boot = r.getHeaders().get(BOOT);
+      boolean otherBoot = boot != null && !boot.equals(request.boot());
+      r.getBody().subscribe(new Discard());
+      if (status == CONFLICT && otherBoot) {
+        fail(FailureKind.OTHER_BOOT, "boot identity " + boot);
+      } else if (notRun || status == TOO_MANY) {
+        fail(FailureKind.NOT_RUN, "status " + status);
+      } else if (status < SERVER_ERROR) {
+        fail(FailureKind.REJECTED, "status " + status);
+      } else {
+        fail(FailureKind.BROKEN, "status " + status);
+      }
+    }
+
+    private void event(SseEvent e) {
+      if (ended.get()) {
+        return;
+      }
+      if (e.data().equals(DONE)) {
+        if (ended.compareAndSet(false, true)) {
+          listener.onDone();
+        }
+        return;
+      }
+      listener.onChunk(Long.parseLong(e.id()), e.data());
+    }
+
+    @Override
+    public void onSubscribe(Subscription s) {
+      subscription = s;
+      s.request(Long.MAX_VALUE);
+      if (ended.get()) {
+        s.cancel();
+      }
+    }
+
+    @Override
+    public void onNext(ByteBuf buf) {
+      byte[] bytes = ByteBufUtil.getBytes(buf);
+      buf.release();
+      try {
+        parser.feed(bytes);
+      } catch (EbonypondException | NumberFormatException e) {
+        fail(FailureKind.BROKEN, String.valueOf(e.getMessage()));
+      }
+    }
+
+    @Override
+    public void onError(Throwable t) {
+      fail(FailureKind.BROKEN, String.valueOf(t));
+    }
+
+    @Override
+    public void onComplete() {
+      fail(FailureKind.BROKEN, "the answer ended early");
+    }
+
+    void fail(FailureKind kind, String detail) {
+      if (ended.compareAndSet(false, true)) {
+        cancelSubscription();
+        listener.onFailure(kind, detail);
+      }
+    }
+
+    @Override
+    public void stop() {
+      if (ended.compareAndSet(false, true)) {
+        cancelSubscription();
+        cancelOnEngine(request);
+      }
+    }
+
+    private void cancelSubscription() {
+      Subscription s = subscription;
+      if (s != null) {
+        s.cancel();
+      }
+    }
+  }
+
+  /** Reads a body to its end without keeping it, so that the connection can be used again. */
+  private static final class Discard implements Subscriber<ByteBuf> {
+    @Override
+    public void onSubscribe(Subscription s) {
+      s.request(Long.MAX_VALUE);
+    }
+
+    @Override
+    public void onNext(ByteBuf buf) {
+      buf.release();
+    }
+
+    @Override
+    public void onError(Throwable t) {}
+
+    @Override
+    public void onComplete() {}
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/SseParser.java
@@ -0,0 +1,88 @@
+package org.ebonypond.server.backend;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+
+/** An incremental parser of server-sent events; bytes may be split anywhere. */
+public final class SseParser {
+  private static final int MAX_LINE_BYTES = 1 << 20;
+
+  private final Consumer<SseEvent> sink;
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final StringBuilder data = new StringBuilder();
+  private String id = "";
+  private boolean hasData;
+  private boolean lastWasCarriageReturn;
+
+  /**
+   * Creates a parser.
+   *
+   * @param sink takes each whole event
+   */
+  public SseParser(Consumer<SseEvent> sink) {
+    this.sink = sink;
+  }
+
+  /**
+   * Takes the next bytes.
+   *
+   * @throws EbonypondException {@code upstream-failed} if a line is longer than 1 MiB
+   */
+  public void feed(byte[] bytes) {
+    for (byte b : bytes) {
+      if (b == '\n' && lastWasCarriageReturn) {
+        lastWasCarriageReturn = false;
+        continue;
+      }
+      lastWasCarriageReturn = b == '\r';
+      if (b == '\n' || b == '\r') {
+        endLine();
+        continue;
+      }
+      if (line.size() >= MAX_LINE_BYTES) {
+        throw new EbonypondException(ErrorCode.UPSTREAM_FAILED, "event line above 1 MiB");
+      }
+      line.write(b);
+    }
+  }
+
+  private void endLine() {
+    String text = line.toString(StandardCharsets.UTF_8);
+    line.reset();
+    if (text.isEmpty()) {
+      endEvent();
+      return;
+    }
+    int colon = text.indexOf(':');
+    if (colon == 0) {
+      return;
+    }
+    String field = colon < 0 ? text : text.substring(0, colon);
+    String value = colon < 0 ? "" : text.substring(colon + 1);
+    value = value.startsWith(" ") ? value.substring(1) : value;
+    switch (field) {
+      case "id" -> id = value;
+      case "data" -> {
+        if (hasData) {
+          data.append('\n');
+        }
+        data.append(value);
+        hasData = true;
+      }
+      default -> {
+        // Fields that the engines do not use are skipped, as the format asks.
+      }
+    }
+  }
+
+  private void endEvent() {
+    if (hasData) {
+      sink.accept(new SseEvent(id, data.toString()));
+    }
+    data.setLength(0);
+    hasData = false;
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/package-info.java
@@ -0,0 +1,5 @@
+/** The HTTP interfaces for callers, operators and backend servers. */
+@NullMarked
+package org.ebonypond.server.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/settings/package-info.java
@@ -0,0 +1,5 @@
+/** The checked settings of the daemon. */
+@NullMarked
+package org.ebonypond.server.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/timer/package-info.java
@@ -0,0 +1,5 @@
+/** The timer service of the daemon. */
+@NullMarked
+package org.ebonypond.server.timer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameCodec.java
@@ -0,0 +1,57 @@
+package org.ebonypond.server.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.MessageToMessageCodec;
+import java.io.IOException;
+import java.util.List;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Translates between frames and their MessagePack form: an array of seven fields. */
+final class FrameCodec extends MessageToMessageCodec<ByteBuf, Frame> {
+  private static final int FIELDS = 7;
+  private static final FrameType[] TYPES = FrameType.values();
+
+  @Override
+  protected void encode(ChannelHandlerContext ctx, Frame f, List<Object> out) throws IOException {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      p.packArrayHeader(FIELDS);
+      p.packInt(f.type().ordinal());
+      p.packString(f.from());
+      p.packString(f.channel());
+      p.packLong(f.correlation());
+      p.packLong(f.wallMillis());
+      p.packInt(f.counter());
+      p.packBinaryHeader(f.payload().length);
+      p.writePayload(f.payload());
+      out.add(ctx.alloc().buffer().writeBytes(p.toByteArray()));
+    }
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+      throws IOException {
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(ByteBufUtil.getBytes(in))) {
+      int fields = u.unpackArrayHeader();
+      if (fields < FIELDS) {
+        throw new EbonypondException(ErrorCode.FRAME_INVALID, fields + " fields");
+      }
+      int type = u.unpackInt();
+      if (type < 0 || type >= TYPES.length) {
+        throw new EbonypondException(ErrorCode.FRAME_INVALID, "type " + type);
+      }
+      String from = u.unpackString();
+      String channel = u.unpackString();
+      long correlation = u.unpackLong();
+      long wall = u.unpackLong();
+      int counter = u.unpackInt();
+      byte[] payload = u.readPayload(u.unpackBinaryHeader());
+      out.add(new Frame(TYPES[type], from, channel, correlation, wall, counter, payload));
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameHandler.java
@@ -0,0 +1,14 @@
+package org.ebonypond.server.transport;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Handles the frames of one kind. Called on an I/O thread; must not block. */
+public interface FrameHandler {
+  /**
+   * Handles a frame.
+   *
+   * @param frame the received frame
+   * @return the payload of the answer; ignored when the frame expects none
+   */
+  CompletableFuture<byte[]> handle(Frame frame);
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/package-info.java
@@ -0,0 +1,5 @@
+/** Framed MessagePack messages over TCP between the processes of the system. */
+@NullMarked
+package org.ebonypond.server.transport;
+
+import org.jspecify.annotations.NullMarked;
