Add the control commands and the control state machine

The control log needs a deterministic state machine. ControlState applies documents by compare-and-set, zone changes, the instance registry and the life cycle of groups, and checks the invariants of everything that a command touched after each command. A group's epoch is the log index of the command that last changed it; GroupReady confirms an epoch and does not raise it, so the epoch stays the fencing number of the orders in force.

Group names end in a rising number. A single counter then shows that a name is never reused, where a set of used names would grow without bound.

--- a/org.ebonypond/src/main/java/org/ebonypond/control/ControlView.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/ControlView.java
@@ -14,6 +14,8 @@
  * @param zonesOut the availability zones that operators took out of service
  * @param instances the registered instances by name
  * @param groups the groups by name
+ * @param groupSequence the highest number in which a group's name ended so far, or 0; a new group's
+ *     name ends in a higher number, so that names are never reused
  */
 public record ControlView(
     long index,
@@ -21,7 +23,8 @@
     String documentAuthor,
     Set<String> zonesOut,
     Map<String, InstanceRecord> instances,
-    Map<String, GroupRecord> groups) {
+    Map<String, GroupRecord> groups,
+    long groupSequence) {
   /** Copies the collections. */
   public ControlView {
     zonesOut = Set.copyOf(zonesOut);
@@ -29,6 +32,17 @@
     groups = Map.copyOf(groups);
   }
 
+  /** Creates a view in which no group name has been used. */
+  public ControlView(
+      long index,
+      @Nullable ServiceDocument document,
+      String documentAuthor,
+      Set<String> zonesOut,
+      Map<String, InstanceRecord> instances,
+      Map<String, GroupRecord> groups) {
+    this(index, document, documentAuthor, zonesOut, instances, groups, 0);
+  }
+
   /** The view before the first command. */
   public static final ControlView EMPTY =
       new ControlView(0, null, "", Set.of(), Map.of(), Map.of());
--- a/org.ebonypond/src/main/java/org/ebonypond/control/GroupRecord.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/GroupRecord.java
@@ -12,9 +12,11 @@
  * @param domain the fabric domain of all members
  * @param members the members by rank; rank 0 takes the requests
  * @param state the life cycle state
- * @param epoch the log index of the command that last changed the members or the state; the fencing
- *     number of the group's orders
+ * @param epoch the log index of the command that last changed the members or the state, except for
+ *     the change to ready, which confirms an epoch; the fencing number of the group's orders
  * @param readyIndex the log index at which the group last became ready, or 0
+ * @param adapters the adapters that are loaded with the model
+ * @param reason why the group is draining or down, or an empty string
  */
 public record GroupRecord(
     String group,
@@ -25,14 +27,62 @@
     List<GroupMember> members,
     GroupState state,
     long epoch,
-    long readyIndex) {
-  /** Copies the member list. */
+    long readyIndex,
+    List<String> adapters,
+    String reason) {
+  /** The reason of a group that drains because its availability zone is out of service. */
+  public static final String ZONE_OUT = "zone-out";
+
+  /** Copies the lists. */
   public GroupRecord {
     members = List.copyOf(members);
+    adapters = List.copyOf(adapters);
+  }
+
+  /** Creates a group without adapters. */
+  public GroupRecord(
+      String group,
+      String model,
+      String version,
+      String zone,
+      String domain,
+      List<GroupMember> members,
+      GroupState state,
+      long epoch,
+      long readyIndex) {
+    this(group, model, version, zone, domain, members, state, epoch, readyIndex, List.of(), "");
+  }
+
+  /** Returns a copy with another state, epoch and reason. */
+  public GroupRecord withState(GroupState s, long index, String why) {
+    return new GroupRecord(
+        group, model, version, zone, domain, members, s, index, readyIndex, adapters, why);
+  }
+
+  /** Returns a copy whose current epoch became ready at a log index. */
+  public GroupRecord withReady(long index) {
+    return new GroupRecord(
+        group, model, version, zone, domain, members, GroupState.READY, epoch, index, adapters, "");
+  }
+
+  /** Returns a copy with other members, state and epoch. */
+  public GroupRecord withMembers(List<GroupMember> list, GroupState s, long index, String why) {
+    return new GroupRecord(
+        group, model, version, zone, domain, list, s, index, readyIndex, adapters, why);
   }
 
   /** Returns whether the instance is a member. */
   public boolean hasMember(String instance) {
-    return members.stream().anyMatch(m -> m.instance().equals(instance));
+    return rankOf(instance) >= 0;
+  }
+
+  /** Returns the rank of an instance, or -1 if it is not a member. */
+  public int rankOf(String instance) {
+    for (int i = 0; i < members.size(); i++) {
+      if (members.get(i).instance().equals(instance)) {
+        return i;
+      }
+    }
+    return -1;
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/control/InstanceRecord.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/InstanceRecord.java
@@ -12,6 +12,8 @@
  * @param flavor the engine kind or the service name that the instance announces
  * @param status whether it is up
  * @param registeredIndex the log index of the registration of this boot
+ * @param releasedIndex the log index at which it last left a group, or 0; the fencing number of an
+ *     unload order
  */
 public record InstanceRecord(
     String instance,
@@ -22,11 +24,31 @@
     InstanceKind kind,
     String flavor,
     InstanceStatus status,
-    long registeredIndex) {
+    long registeredIndex,
+    long releasedIndex) {
+  /** Creates an instance that has left no group. */
+  public InstanceRecord(
+      String instance,
+      String boot,
+      String address,
+      String zone,
+      String domain,
+      InstanceKind kind,
+      String flavor,
+      InstanceStatus status,
+      long registeredIndex) {
+    this(instance, boot, address, zone, domain, kind, flavor, status, registeredIndex, 0);
+  }
 
   /** Returns a copy with another status. */
   public InstanceRecord withStatus(InstanceStatus s) {
     return new InstanceRecord(
-        instance, boot, address, zone, domain, kind, flavor, s, registeredIndex);
+        instance, boot, address, zone, domain, kind, flavor, s, registeredIndex, releasedIndex);
+  }
+
+  /** Returns a copy that left a group at a log index. */
+  public InstanceRecord withReleased(long index) {
+    return new InstanceRecord(
+        instance, boot, address, zone, domain, kind, flavor, status, registeredIndex, index);
   }
 }
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/InvariantCheck.java
@@ -0,0 +1,79 @@
+package org.ebonypond.control;
+
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+
+/** Asserts the invariants of the control state. */
+final class InvariantCheck {
+  private InvariantCheck() {}
+
+  /**
+   * Checks the groups and instances that the current command touched.
+   *
+   * @throws EbonypondException {@code invariant-violated}
+   */
+  static void touched(ControlTables t) {
+    t.touchedGroups().forEach(name -> group(t, name));
+    t.touchedInstances().forEach(name -> instance(t, name));
+  }
+
+  /**
+   * Checks every group and instance.
+   *
+   * @throws EbonypondException {@code invariant-violated}
+   */
+  static void all(ControlTables t) {
+    t.groups().keySet().forEach(name -> group(t, name));
+    t.instances().keySet().forEach(name -> instance(t, name));
+  }
+
+  private static void instance(ControlTables t, String name) {
+    String group = t.groupOf(name);
+    if (group == null) {
+      return;
+    }
+    check(t.instance(name) != null, "group %s has unregistered member %s", group, name);
+    GroupRecord g = t.group(group);
+    check(g != null && g.hasMember(name), "instance %s is not in group %s", name, group);
+    group(t, group);
+  }
+
+  private static void group(ControlTables t, String name) {
+    GroupRecord g = t.group(name);
+    if (g == null) {
+      return;
+    }
+    check(!g.members().isEmpty(), "group %s has no member", name);
+    check(g.epoch() <= t.index, "group %s has an epoch after the log", name);
+    for (GroupMember m : g.members()) {
+      String owner = t.groupOf(m.instance());
+      check(name.equals(owner), "instance %s is in groups %s and %s", m.instance(), name, owner);
+      InstanceRecord r = t.instance(m.instance());
+      check(r != null, "group %s has unregistered member %s", name, m.instance());
+      check(
+          g.state() != GroupState.READY || serves(g, m, r),
+          "group %s is ready while member %s is missing",
+          name,
+          m.instance());
+    }
+    check(
+        g.state() != GroupState.READY || !t.zonesOut.contains(g.zone()),
+        "group %s is ready while zone %s is out",
+        name,
+        g.zone());
+  }
+
+  /** Returns whether a member is up, or leaving with its requests, in the boot that joined. */
+  static boolean serves(GroupRecord g, GroupMember m, InstanceRecord r) {
+    return r.status() != InstanceStatus.DOWN
+        && r.boot().equals(m.boot())
+        && r.zone().equals(g.zone())
+        && r.domain().equals(g.domain());
+  }
+
+  private static void check(boolean holds, String pattern, Object... arguments) {
+    if (!holds) {
+      throw new EbonypondException(ErrorCode.INVARIANT_VIOLATED, String.format(pattern, arguments));
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/Rejection.java
@@ -0,0 +1,23 @@
+package org.ebonypond.control;
+
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Messages;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Why a command changes nothing.
+ *
+ * @param code the stable code
+ * @param message the user message
+ */
+record Rejection(ErrorCode code, String message) {
+  /** Returns a rejection with the bundle's message for the code. */
+  static Rejection of(ErrorCode code, Object... arguments) {
+    return new Rejection(code, Messages.format(code, arguments));
+  }
+
+  /** Returns a {@code command-rejected} rejection with a reason. */
+  static Rejection because(String pattern, @Nullable Object... arguments) {
+    return of(ErrorCode.COMMAND_REJECTED, String.format(pattern, arguments));
+  }
+}
