Add the proposal client and the messages of view polls

Proposals are repeated until a leader has applied them, so every command must recognize its repetition.

--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/EntryInfo.java
@@ -0,0 +1,11 @@
+package org.ebonypond.server.control;
+
+/**
+ * A process of the system as the control leader knows it.
+ *
+ * @param node the name of the process
+ * @param zone its availability zone
+ * @param address host and port of its HTTP interface
+ * @param ready whether it serves callers
+ */
+public record EntryInfo(String node, String zone, String address, boolean ready) {}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
@@ -0,0 +1,126 @@
+package org.ebonypond.server.control;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.server.settings.ReplicaAddress;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Brings commands to the leader of a replicated log. A command may be sent more than once when an
+ * answer is lost, so commands must recognize their own repetition.
+ */
+public final class ProposalClient {
+  private static final long ATTEMPT_TIMEOUT_MILLIS = 1_500;
+  private static final long RETRY_DELAY_MILLIS = 100;
+
+  private final PeerNetwork network;
+  private final TimerService timers;
+  private final List<ReplicaAddress> replicas;
+  private final Map<String, Integer> leaderOf = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a client.
+   *
+   * @param network carries the proposals
+   * @param timers delays attempts
+   * @param replicas every control replica
+   */
+  public ProposalClient(PeerNetwork network, TimerService timers, List<ReplicaAddress> replicas) {
+    this.network = network;
+    this.timers = timers;
+    this.replicas = List.copyOf(replicas);
+  }
+
+  /**
+   * Proposes a command until a leader has applied it.
+   *
+   * @param channel the replicated log
+   * @param command the encoded command
+   * @param timeoutMillis the time in milliseconds after which no further attempt is made
+   * @return the applied command; fails with {@code no-quorum} if no leader answered in time, in which
+   *     case the command may still be applied, or not at all if {@link ProposalFailure#notSent()}
+   */
+  public CompletableFuture<ProposalReply> propose(
+      String channel, byte[] command, long timeoutMillis) {
+    Proposal p = new Proposal(channel, command, timers.nowMillis() + timeoutMillis);
+    p.attempt();
+    return p.done;
+  }
+
+  /** The failure of a proposal. */
+  public static final class ProposalFailure extends EbonypondException {
+    private static final long serialVersionUID = 1L;
+
+    private final boolean notSent;
+
+    ProposalFailure(boolean notSent) {
+      super(ErrorCode.NO_QUORUM);
+      this.notSent = notSent;
+    }
+
+    /** Returns whether no leader can have received the command. */
+    public boolean notSent() {
+      return notSent;
+    }
+  }
+
+  private final class Proposal {
+    private final String channel;
+    private final byte[] command;
+    private final long giveUpMillis;
+    private final CompletableFuture<ProposalReply> done = new CompletableFuture<>();
+    private boolean mayBeAccepted;
+
+    Proposal(String channel, byte[] command, long giveUpMillis) {
+      this.channel = channel;
+      this.command = command;
+      this.giveUpMillis = giveUpMillis;
+    }
+
+    void attempt() {
+      long left = giveUpMillis - timers.nowMillis();
+      if (left <= 0) {
+        done.completeExceptionally(new ProposalFailure(!mayBeAccepted));
+        return;
+      }
+      int target = leaderOf.getOrDefault(channel, 0) % replicas.size();
+      InetSocketAddress to = replicas.get(target).address();
+      network
+          .ask(to, FrameType.PROPOSE, channel, command, Math.min(left, ATTEMPT_TIMEOUT_MILLIS))
+          .thenApply(b -> MessagePackCodec.decode(b, ProposalReply.class))
+          .whenComplete((reply, failure) -> answered(target, reply, failure));
+    }
+
+    private void answered(
+        int target,
+        @Nullable ProposalReply reply,
+        @Nullable Throwable failure) {
+      if (reply != null && reply.failure() == null) {
+        done.complete(reply);
+        return;
+      }
+      boolean refused = reply != null && reply.failure() == ErrorCode.NOT_LEADER;
+      mayBeAccepted |= !refused;
+      leaderOf.put(channel, next(target, reply == null ? null : reply.leader()));
+      timers.after(RETRY_DELAY_MILLIS, this::attempt);
+    }
+
+    private int next(int target, @Nullable String leader) {
+      for (int i = 0; i < replicas.size(); i++) {
+        if (replicas.get(i).name().equals(leader) && i != target) {
+          return i;
+        }
+      }
+      return (target + 1) % replicas.size();
+    }
+  }
+}
