Add the replicated log, its file storage and the replica driver

The daemon needs the surface of the log before its tests are complete.

One record holds what one sync made durable, and truncations are records too: a crash can then leave only the last record incomplete, so an incomplete record with a complete one behind it is always damage.

--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
@@ -0,0 +1,225 @@
+package org.ebonypond.server.replica;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.ebonypond.consensus.CommittedEntries;
+import org.ebonypond.consensus.ProposalResult;
+import org.ebonypond.consensus.RaftMessage;
+import org.ebonypond.consensus.RaftNode;
+import org.ebonypond.consensus.RaftOutput;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one replica on its own thread. Each round drains the inbox, flushes once, sends the messages
+ * and completes the proposals, so all proposals that wait during a sync share the next one.
+ */
+public final class ReplicaDriver implements AutoCloseable {
+  /** The longest pause between two ticks, in milliseconds; a tenth of the heartbeat interval. */
+  private static final long TICK_MILLIS = 10;
+
+  private final String channel;
+  private final RaftNode node;
+  private final RaftTransport transport;
+  private final TimerService timers;
+  private final ReplicaListener listener;
+  private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  private final Map<Long, CompletableFuture<ProposalResult>> proposals = new HashMap<>();
+  private final List<Runnable> reads = new ArrayList<>();
+  private final Thread thread;
+  private long nextProposal;
+  private volatile boolean stopped;
+  private volatile @Nullable Throwable failure;
+  private volatile ReplicaStatus status;
+
+  /**
+   * Creates a driver; the thread runs after {@link #start()}.
+   *
+   * @param channel the name of the group, for example {@code control}
+   */
+  public ReplicaDriver(
+      String channel,
+      RaftNode node,
+      RaftTransport transport,
+      TimerService timers,
+      ReplicaListener listener) {
+    this.channel = channel;
+    this.node = node;
+    this.transport = transport;
+    this.timers = timers;
+    this.listener = listener;
+    this.status = ReplicaStatus.of(node);
+    this.thread = new Thread(this::run, "raft-" + channel);
+    thread.setDaemon(true);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Returns the state after the last round. */
+  public ReplicaStatus status() {
+    return status;
+  }
+
+  /**
+   * Takes a message of another replica; a message that cannot be decoded is dropped.
+   *
+   * @param fromReplica the name of the sending replica
+   * @param payload the encoded message
+   * @throws EbonypondException {@code frame-invalid} if the payload is not a message
+   */
+  public void receive(String fromReplica, byte[] payload) {
+    RaftMessage m = MessagePackCodec.decode(payload, RaftMessage.class);
+    inbox.add(() -> node.receive(timers.nowMillis(), fromReplica, m));
+  }
+
+  /**
+   * Proposes a command.
+   *
+   * @return the end of the proposal; a refused or unknown outcome is a result, not an exception
+   */
+  public CompletableFuture<ProposalResult> propose(byte[] command) {
+    CompletableFuture<ProposalResult> future = new CompletableFuture<>();
+    submit(
+        future,
+        () -> {
+          long id = nextProposal++;
+          proposals.put(id, future);
+          node.propose(timers.nowMillis(), id, command);
+        });
+    return future;
+  }
+
+  /**
+   * Reads the state machine on the thread of the replica, if this replica certainly leads, so that
+   * the result reflects every proposal that completed before the call.
+   *
+   * @return the value; fails with {@code not-leader} if this replica may not act as the leader
+   */
+  public <T> CompletableFuture<T> read(Supplier<T> reader) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    submit(future, () -> reads.add(() -> finishRead(future, reader)));
+    return future;
+  }
+
+  /** Returns committed entries, see {@link RaftNode#entriesAfter}. */
+  public CompletableFuture<CommittedEntries> entriesAfter(long index, int max) {
+    return inspect(n -> n.entriesAfter(index, max));
+  }
+
+  /** Evaluates a function on the thread of the replica, after a flush. */
+  public <T> CompletableFuture<T> inspect(Function<RaftNode, T> function) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    submit(future, () -> reads.add(() -> future.complete(function.apply(node))));
+    return future;
+  }
+
+  /** Runs one round without waiting; called by the thread, or by a test instead of the thread. */
+  public void runOnce() {
+    List<Runnable> batch = new ArrayList<>();
+    inbox.drainTo(batch);
+    runRound(batch);
+  }
+
+  /** Stops the thread; proposals that have not ended get an unknown outcome. */
+  @Override
+  public void close() {
+    stopped = true;
+    inbox.add(() -> {});
+    if (Thread.currentThread() == thread || !thread.isAlive()) {
+      return;
+    }
+    try {
+      thread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void submit(CompletableFuture<?> future, Runnable task) {
+    inbox.add(task);
+    // The thread may have ended before the task was added; nobody would complete the future then.
+    if (stopped || failure != null) {
+      future.completeExceptionally(new EbonypondException(ErrorCode.SHUTTING_DOWN));
+    }
+  }
+
+  private void run() {
+    try {
+      while (!stopped && failure == null) {
+        List<Runnable> batch = new ArrayList<>();
+        Runnable first = inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
+        if (first != null) {
+          batch.add(first);
+          inbox.drainTo(batch);
+        }
+        runRound(batch);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      stopped = true;
+      abandon();
+    }
+  }
+
+  private void runRound(List<Runnable> batch) {
+    try {
+      // The tick comes first: a leader that was frozen steps down before it handles anything.
+      node.tick(timers.nowMillis());
+      batch.forEach(Runnable::run);
+      RaftOutput output = node.flush(timers.nowMillis());
+      status = ReplicaStatus.of(node);
+      output
+          .messages()
+          .forEach(m -> transport.send(channel, m.to(), MessagePackCodec.encode(m.message())));
+      output.completed().forEach(this::complete);
+      output.roleChanges().forEach(listener::roleChanged);
+      reads.forEach(Runnable::run);
+      reads.clear();
+    } catch (RuntimeException | Error e) {
+      fail(e);
+    }
+  }
+
+  private void complete(ProposalResult r) {
+    CompletableFuture<ProposalResult> future = proposals.remove(r.proposalId());
+    if (future != null) {
+      future.complete(r);
+    }
+  }
+
+  private <T> void finishRead(CompletableFuture<T> future, Supplier<T> reader) {
+    if (!node.mayLead(timers.nowMillis())) {
+      String hint = String.valueOf(node.leaderHint());
+      future.completeExceptionally(new EbonypondException(ErrorCode.NOT_LEADER, hint));
+      return;
+    }
+    T value = reader.get();
+    future.complete(value);
+  }
+
+  private void fail(Throwable cause) {
+    failure = cause;
+    abandon();
+    listener.failed(cause);
+  }
+
+  private void abandon() {
+    proposals.forEach(
+        (id, f) -> f.complete(ProposalResult.failed(id, ErrorCode.OUTCOME_UNKNOWN, null)));
+    proposals.clear();
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
@@ -0,0 +1,45 @@
+package org.ebonypond.server.replica;
+
+import org.ebonypond.consensus.RaftNode;
+import org.ebonypond.consensus.RaftRole;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The state of a replica after a flush.
+ *
+ * @param role the role
+ * @param term the term
+ * @param leader the name of the presumed leader, or null
+ * @param voter whether the replica is a voter in its latest configuration
+ * @param lastDurableIndex the index of the last durable entry
+ * @param commitIndex the last index that is known to be committed
+ * @param appliedIndex the last applied index
+ * @param leaseHeldUntil the monotonic time in milliseconds until which the replica may act as the
+ *     leader; {@code Long.MIN_VALUE} if it may not
+ */
+public record ReplicaStatus(
+    RaftRole role,
+    long term,
+    @Nullable String leader,
+    boolean voter,
+    long lastDurableIndex,
+    long commitIndex,
+    long appliedIndex,
+    long leaseHeldUntil) {
+  static ReplicaStatus of(RaftNode n) {
+    return new ReplicaStatus(
+        n.role(),
+        n.term(),
+        n.leaderHint(),
+        n.isVoter(),
+        n.lastDurableIndex(),
+        n.commitIndex(),
+        n.appliedIndex(),
+        n.leaseHeldUntil());
+  }
+
+  /** Returns whether the replica may act as the leader at a time. */
+  public boolean mayLead(long nowMillis) {
+    return nowMillis < leaseHeldUntil;
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/Disk.java
@@ -0,0 +1,31 @@
+package org.ebonypond.consensus;
+
+import java.io.IOException;
+import java.util.List;
+
+/** A flat folder of files below a {@link LogStorage}. Calls are serialized. */
+public interface Disk extends AutoCloseable {
+  /** Returns the names of all files, sorted. */
+  List<String> list() throws IOException;
+
+  /** Returns the content of a file. */
+  byte[] read(String file) throws IOException;
+
+  /** Appends to a file, which is created if it does not exist; durable after {@link #sync}. */
+  void append(String file, byte[] data) throws IOException;
+
+  /** Makes the content of a file and its entry in the folder durable. */
+  void sync(String file) throws IOException;
+
+  /** Replaces a file by new content, atomically and durably. */
+  void replace(String file, byte[] content) throws IOException;
+
+  /** Cuts a file to a length in bytes, durably. */
+  void truncate(String file, long length) throws IOException;
+
+  /** Deletes a file durably. */
+  void delete(String file) throws IOException;
+
+  @Override
+  void close() throws IOException;
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/DiskLogStorage.java
@@ -0,0 +1,179 @@
+package org.ebonypond.consensus;
+
+import java.io.IOException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.ebonypond.consensus.internal.SegmentedLog;
+import org.ebonypond.consensus.internal.StorageFiles;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventSink;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A {@link LogStorage} on a {@link Disk}: a file with identity, term and vote, a snapshot file, and
+ * log segments. All entries that are held on the disk are also held in memory.
+ */
+public final class DiskLogStorage implements LogStorage {
+  /** The size after which a new log segment is started, in bytes. */
+  public static final int DEFAULT_SEGMENT_BYTES = 16 << 20;
+
+  private final Disk disk;
+  private final StorageFiles files;
+  private final SegmentedLog log;
+  private final String replica;
+  private final String identity;
+  private HardState hard;
+  private boolean hardChanged;
+  private @Nullable Snapshot snapshot;
+  private @Nullable EbonypondException failure;
+
+  /**
+   * Opens the storage; creates it with a random identity if the disk is empty.
+   *
+   * @param replica the name of the replica
+   * @param random the source of the identity
+   * @param segmentBytes the size after which a new log segment is started, in bytes
+   * @throws EbonypondException {@code log-corrupt} if a file is damaged other than by an incomplete
+   *     last write; {@code identity-mismatch} if the disk belongs to another replica; {@code
+   *     storage-failed} if the disk cannot be read or written
+   */
+  public DiskLogStorage(
+      Disk disk, String replica, RandomGenerator random, EventSink events, int segmentBytes) {
+    this.disk = disk;
+    this.replica = replica;
+    try {
+      files = new StorageFiles(disk);
+      StorageFiles.Identity stored = files.readIdentity();
+      if (stored == null) {
+        byte[] id = new byte[16];
+        random.nextBytes(id);
+        stored =
+            new StorageFiles.Identity(replica, HexFormat.of().formatHex(id), HardState.INITIAL);
+        files.writeIdentity(stored);
+      }
+      if (!stored.replica().equals(replica)) {
+        throw new EbonypondException(ErrorCode.IDENTITY_MISMATCH, stored.replica(), replica);
+      }
+      identity = stored.identity();
+      hard = stored.hardState();
+      snapshot = files.readSnapshot();
+      log = new SegmentedLog(disk, "replica/" + replica, events, segmentBytes, snapshot);
+    } catch (IOException e) {
+      throw new EbonypondException(e, ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()));
+    }
+  }
+
+  @Override
+  public String identity() {
+    return identity;
+  }
+
+  @Override
+  public HardState hardState() {
+    return hard;
+  }
+
+  @Override
+  public void saveHardState(HardState state) {
+    requireUsable();
+    hardChanged |= !state.equals(hard);
+    hard = state;
+  }
+
+  @Override
+  public @Nullable Snapshot snapshot() {
+    return snapshot;
+  }
+
+  @Override
+  public void saveSnapshot(Snapshot s, long firstKept) {
+    write(
+        () -> {
+          files.writeSnapshot(s);
+          log.dropBefore(firstKept);
+        });
+    snapshot = s;
+  }
+
+  @Override
+  public void resetTo(Snapshot s) {
+    write(
+        () -> {
+          files.writeSnapshot(s);
+          log.reset(s.index() + 1);
+        });
+    snapshot = s;
+  }
+
+  @Override
+  public long firstIndex() {
+    return log.firstIndex();
+  }
+
+  @Override
+  public long lastIndex() {
+    return log.lastIndex();
+  }
+
+  @Override
+  public LogEntry entry(long index) {
+    return log.entry(index);
+  }
+
+  @Override
+  public void append(List<LogEntry> entries) {
+    requireUsable();
+    log.append(entries);
+  }
+
+  @Override
+  public void truncateFrom(long index) {
+    requireUsable();
+    log.truncateFrom(index);
+  }
+
+  @Override
+  public void sync() {
+    // The term precedes the entries, so that a crash in between leaves no entry of a later term.
+    write(
+        () -> {
+          if (hardChanged) {
+            files.writeIdentity(new StorageFiles.Identity(replica, identity, hard));
+            hardChanged = false;
+          }
+          log.sync();
+        });
+  }
+
+  @Override
+  public void close() {
+    try {
+      disk.close();
+    } catch (IOException e) {
+      throw new EbonypondException(e, ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()));
+    }
+  }
+
+  private void requireUsable() {
+    if (failure != null) {
+      throw failure;
+    }
+  }
+
+  private void write(Write action) {
+    requireUsable();
+    try {
+      action.run();
+    } catch (IOException e) {
+      failure = new EbonypondException(e, ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()));
+      throw failure;
+    }
+  }
+
+  /** A group of writes. */
+  private interface Write {
+    void run() throws IOException;
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/EntryType.java
@@ -0,0 +1,11 @@
+package org.ebonypond.consensus;
+
+/** The kind of a log entry. */
+public enum EntryType {
+  /** A command for the state machine. */
+  COMMAND,
+  /** The empty entry with which a leader starts its term. */
+  NOOP,
+  /** An encoded {@link Membership}. */
+  MEMBERSHIP
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/Membership.java
@@ -0,0 +1,56 @@
+package org.ebonypond.consensus;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The voting replicas of a group.
+ *
+ * @param members the identity of each voter by replica name
+ */
+public record Membership(Map<String, String> members) {
+  /** The membership of a replica that has never received a configuration. */
+  public static final Membership NONE = new Membership(Map.of());
+
+  /** Copies the map so that the membership is immutable. */
+  public Membership {
+    members = Collections.unmodifiableMap(new TreeMap<>(members));
+  }
+
+  /** Returns whether this is a voter: the name is a member under exactly this identity. */
+  public boolean contains(String name, String identity) {
+    return identity.equals(members.get(name));
+  }
+
+  /** Returns the identity of a voter, or an empty string if the name is no voter. */
+  public String identityOf(String name) {
+    return members.getOrDefault(name, "");
+  }
+
+  /** Returns the number of voters that form a quorum. */
+  public int quorum() {
+    return members.size() / 2 + 1;
+  }
+
+  /** Returns whether there is no voter. */
+  @JsonIgnore
+  public boolean isEmpty() {
+    return members.isEmpty();
+  }
+
+  /** Returns this membership with one more voter. */
+  public Membership with(String name, String identity) {
+    Map<String, String> m = new TreeMap<>(members);
+    m.put(name, identity);
+    return new Membership(m);
+  }
+
+  /** Returns this membership without one voter. */
+  public Membership without(String name) {
+    Map<String, String> m = new TreeMap<>(members);
+    m.remove(name);
+    return new Membership(m);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftConfig.java
@@ -0,0 +1,58 @@
+package org.ebonypond.consensus;
+
+import java.util.Collections;
+import java.util.List;
+
+/**
+ * The settings of one replica of a group.
+ *
+ * @param self the name of this replica
+ * @param replicas the names of all configured replicas, this one included
+ * @param heartbeatMillis the time between two heartbeats of a leader, in milliseconds
+ * @param electionMinMillis the shortest election timeout, in milliseconds; also the time without
+ *     contact to a quorum after which a leader steps down
+ * @param electionMaxMillis the longest election timeout, in milliseconds
+ * @param compactAfter the number of applied entries after which a snapshot replaces them
+ * @param keepEntries the number of entries before a snapshot that stay readable
+ * @param maxBatchBytes the size in bytes after which an append message takes no further entry
+ * @param chunkBytes the largest part of a snapshot in one message, in bytes
+ */
+public record RaftConfig(
+    String self,
+    List<String> replicas,
+    long heartbeatMillis,
+    long electionMinMillis,
+    long electionMaxMillis,
+    int compactAfter,
+    int keepEntries,
+    int maxBatchBytes,
+    int chunkBytes) {
+  private static final int MEGABYTE = 1 << 20;
+
+  /** Checks and copies the values. */
+  public RaftConfig {
+    replicas = List.copyOf(replicas);
+    if (!replicas.contains(self)) {
+      throw new IllegalArgumentException("replicas " + replicas + " do not contain " + self);
+    }
+    if (heartbeatMillis <= 0 || electionMinMillis <= 2 * heartbeatMillis) {
+      throw new IllegalArgumentException("the election timeout must exceed two heartbeats");
+    }
+    if (electionMaxMillis <= electionMinMillis || compactAfter <= 0 || keepEntries < 0) {
+      throw new IllegalArgumentException("election timeout or compaction out of range");
+    }
+    if (maxBatchBytes <= 0 || chunkBytes <= 0 || chunkBytes > MEGABYTE) {
+      throw new IllegalArgumentException("message size out of range");
+    }
+  }
+
+  /** Returns the settings of the design page. */
+  public static RaftConfig standard(String self, List<String> replicas) {
+    return new RaftConfig(self, replicas, 100, 500, 1000, 10_000, 1_000, MEGABYTE, MEGABYTE);
+  }
+
+  /** Returns the smallest replica name, whose replica forms the first configuration. */
+  public String smallestName() {
+    return Collections.min(replicas);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/Snapshot.java
@@ -0,0 +1,11 @@
+package org.ebonypond.consensus;
+
+/**
+ * The state after a prefix of the log.
+ *
+ * @param index the last log index that the snapshot covers
+ * @param term the term of that entry
+ * @param membership the membership in force at that index
+ * @param data the encoded state, see {@link StateMachine#snapshot()}
+ */
+public record Snapshot(long index, long term, Membership membership, byte[] data) {}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -0,0 +1,224 @@
+package org.ebonypond.consensus.internal;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.ebonypond.consensus.EntryType;
+import org.ebonypond.consensus.LogEntry;
+import org.ebonypond.consensus.Membership;
+import org.ebonypond.consensus.RaftConfig;
+import org.ebonypond.consensus.RaftMessage;
+import org.ebonypond.consensus.Snapshot;
+import org.ebonypond.wire.MessagePackCodec;
+
+/** The state of a leader for one term: what it has sent to each replica and what came back. */
+public final class Replication {
+  /** A learner that is behind by at most this many entries is admitted as a voter. */
+  private static final long ADMISSION_LAG = 100;
+
+  private final RaftConfig config;
+  private final RaftLog log;
+  private final long term;
+  private final BiConsumer<String, RaftMessage> out;
+  private final Map<String, Progress> peers = new TreeMap<>();
+  private long nextHeartbeat;
+
+  /**
+   * Starts a leader's term; the first heartbeat is due at once.
+   *
+   * @param out takes the messages, with the name of the receiver
+   */
+  public Replication(
+      RaftConfig config, RaftLog log, long term, BiConsumer<String, RaftMessage> out, long now) {
+    this.config = config;
+    this.log = log;
+    this.term = term;
+    this.out = out;
+    this.nextHeartbeat = now;
+    Membership m = log.membership();
+    for (String name : config.replicas()) {
+      if (!name.equals(config.self())) {
+        peers.put(name, new Progress(m.identityOf(name), log.lastIndex() + 1));
+      }
+    }
+  }
+
+  /** Sends a heartbeat to every replica if it is due. */
+  public void heartbeat(long now, long commit) {
+    if (now < nextHeartbeat) {
+      return;
+    }
+    nextHeartbeat = now + config.heartbeatMillis();
+    peers.forEach(
+        (name, p) -> {
+          if (p.awaited >= 0 && now - p.awaitedSince >= 2 * config.heartbeatMillis()) {
+            p.awaited = -1;
+          }
+          send(name, p, now, commit, true);
+        });
+  }
+
+  /** Sends new entries to every replica that has answered the last ones. */
+  public void sendEntries(long now, long commit) {
+    peers.forEach((name, p) -> send(name, p, now, commit, false));
+  }
+
+  private void send(String name, Progress p, long now, long commit, boolean heartbeat) {
+    boolean known = !p.identity.isEmpty();
+    if (known && p.awaited < 0 && p.snapshot == null && log.term(p.next - 1) < 0) {
+      p.snapshot = log.snapshot();
+      p.offset = 0;
+    }
+    if (known && p.awaited < 0 && p.snapshot != null) {
+      sendPart(name, p, p.snapshot, now);
+      return;
+    }
+    boolean entries = known && p.awaited < 0 && p.snapshot == null && p.next <= log.lastIndex();
+    if (!entries && !heartbeat) {
+      return;
+    }
+    // A heartbeat to a replica that is receiving a snapshot names an index that the log still
+    // holds; the answer is not used to move the position.
+    long prev = log.term(p.next - 1) < 0 ? log.lastIndex() : p.next - 1;
+    List<LogEntry> batch =
+        entries ? log.slice(p.next, log.lastIndex(), config.maxBatchBytes()) : List.of();
+    if (!batch.isEmpty()) {
+      p.awaited = prev + batch.size();
+      p.awaitedSince = now;
+    }
+    out.accept(
+        name,
+        new RaftMessage.AppendRequest(
+            term, log.identity(), p.identity, prev, log.term(prev), commit, now, batch));
+  }
+
+  private void sendPart(String name, Progress p, Snapshot s, long now) {
+    int end = Math.min(s.data().length, p.offset + config.chunkBytes());
+    p.awaited = s.index();
+    p.awaitedSince = now;
+    out.accept(
+        name,
+        new RaftMessage.SnapshotRequest(
+            term,
+            log.identity(),
+            p.identity,
+            s.index(),
+            s.term(),
+            s.membership(),
+            p.offset,
+            s.data().length,
+            Arrays.copyOfRange(s.data(), p.offset, end),
+            now));
+  }
+
+  /** Takes the answer to an append or to the last part of a snapshot. */
+  public void onReply(String name, RaftMessage.AppendReply r) {
+    Progress p = peers.get(name);
+    if (p == null) {
+      return;
+    }
+    if (!p.identity.equals(r.from())) {
+      // The replica has another data folder than expected: it lost its disk and is a learner.
+      peers.put(
+          name, new Progress(r.from(), Math.min(Math.max(1, r.index()), log.lastIndex() + 1)));
+      return;
+    }
+    p.ackedSentAt = Math.max(p.ackedSentAt, r.sentAt());
+    if (!r.success()) {
+      if (p.snapshot == null) {
+        p.next = Math.max(1, Math.min(r.index(), log.lastIndex() + 1));
+        p.match = Math.min(p.match, p.next - 1);
+        p.awaited = -1;
+      }
+      return;
+    }
+    p.match = Math.max(p.match, r.index());
+    p.next = Math.max(p.next, p.match + 1);
+    if (p.awaited >= 0 && p.match >= p.awaited) {
+      p.awaited = -1;
+    }
+    if (p.snapshot != null && p.match >= p.snapshot.index()) {
+      p.snapshot = null;
+    }
+  }
+
+  /** Takes the answer to a part of a snapshot. */
+  public void onReply(String name, RaftMessage.SnapshotReply r) {
+    Progress p = peers.get(name);
+    if (p == null || !p.identity.equals(r.from())) {
+      return;
+    }
+    p.ackedSentAt = Math.max(p.ackedSentAt, r.sentAt());
+    Snapshot s = p.snapshot;
+    if (s != null && s.index() == r.index() && r.nextOffset() <= s.data().length) {
+      p.offset = r.nextOffset();
+      p.awaited = -1;
+    }
+  }
+
+  /** Returns the largest index that is durable on a quorum. */
+  public long quorumMatch() {
+    return quorum(log.durableIndex(), true);
+  }
+
+  /** Returns the latest time since which a quorum has certainly heard from this leader. */
+  public long quorumContact(long now) {
+    return quorum(now, false);
+  }
+
+  private long quorum(long own, boolean match) {
+    Membership m = log.membership();
+    long[] values =
+        m.members().entrySet().stream()
+            .mapToLong(e -> value(e.getKey(), e.getValue(), own, match))
+            .sorted()
+            .toArray();
+    return values[values.length - m.quorum()];
+  }
+
+  private long value(String name, String identity, long own, boolean match) {
+    if (name.equals(config.self())) {
+      return own;
+    }
+    Progress p = peers.get(name);
+    if (p == null || !p.identity.equals(identity)) {
+      return match ? 0 : Long.MIN_VALUE;
+    }
+    return match ? p.match : p.ackedSentAt;
+  }
+
+  /**
+   * Replaces the identity of a caught-up learner, in two changes: removing the old identity, then
+   * adding the new one. Replacing it in one change would allow two quorums that do not overlap, for
+   * example {a, b1} of {a, b1, c} and {b2, c} of {a, b2, c}.
+   *
+   * @param now the time in milliseconds
+   * @param commit the commit index
+   * @return whether a membership entry was appended
+   */
+  public boolean reconfigure(long now, long commit) {
+    Membership m = log.membership();
+    if (log.membershipIndex() > commit || log.term(commit) != term) {
+      return false;
+    }
+    for (Map.Entry<String, Progress> e : peers.entrySet()) {
+      String name = e.getKey();
+      Progress p = e.getValue();
+      boolean caughtUp =
+          !p.identity.isEmpty()
+              && p.match > 0
+              && p.match + ADMISSION_LAG >= log.lastIndex()
+              && p.ackedSentAt != Long.MIN_VALUE
+              && now - p.ackedSentAt < config.electionMinMillis();
+      if (!caughtUp || m.contains(name, p.identity)) {
+        continue;
+      }
+      Membership next = m.identityOf(name).isEmpty() ? m.with(name, p.identity) : m.without(name);
+      log.append(term, EntryType.MEMBERSHIP, MessagePackCodec.encode(next));
+      return true;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/SegmentedLog.java
@@ -0,0 +1,199 @@
+package org.ebonypond.consensus.internal;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ebonypond.consensus.Disk;
+import org.ebonypond.consensus.LogEntry;
+import org.ebonypond.consensus.Snapshot;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventCode;
+import org.ebonypond.events.EventSink;
+import org.jspecify.annotations.Nullable;
+
+/** The log entries of a replica, in segment files and in memory. */
+public final class SegmentedLog {
+  private static final String PREFIX = "log-";
+  private static final long CLEAN = Long.MAX_VALUE;
+
+  private final Disk disk;
+  private final String subject;
+  private final EventSink events;
+  private final int segmentBytes;
+  private final EntryWindow window;
+
+  /** The segments by number, with the largest index of an entry in each. */
+  private final TreeMap<Long, Long> segments = new TreeMap<>();
+
+  private long currentSize;
+  private boolean startSegment;
+  private long changedFrom = CLEAN;
+
+  /**
+   * Reads the segments.
+   *
+   * @param subject the subject of events
+   * @param segmentBytes the size after which a new segment is started, in bytes
+   * @param snapshot the snapshot that precedes the log, or null
+   */
+  public SegmentedLog(
+      Disk disk, String subject, EventSink events, int segmentBytes, @Nullable Snapshot snapshot)
+      throws IOException {
+    this.disk = disk;
+    this.subject = subject;
+    this.events = events;
+    this.segmentBytes = segmentBytes;
+    this.window = new EntryWindow(1);
+    for (String file : disk.list()) {
+      if (isSegment(file)) {
+        segments.put(Long.parseLong(file.substring(PREFIX.length())), 0L);
+      }
+    }
+    boolean first = true;
+    for (long number : List.copyOf(segments.keySet())) {
+      first = readSegment(number, first);
+    }
+    join(snapshot);
+  }
+
+  static boolean isSegment(String file) {
+    return file.startsWith(PREFIX);
+  }
+
+  private boolean readSegment(long number, boolean firstRecord) throws IOException {
+    String file = name(number);
+    byte[] content = disk.read(file);
+    boolean first = firstRecord;
+    int offset = 0;
+    while (offset < content.length) {
+      LogRecord r = LogRecord.decode(content, offset);
+      if (r == null) {
+        cutTail(number, content, offset);
+        break;
+      }
+      if (first) {
+        window.reset(r.firstIndex());
+        first = false;
+      }
+      if (r.firstIndex() < window.first() || r.firstIndex() > window.last() + 1) {
+        throw new EbonypondException(ErrorCode.LOG_CORRUPT, file, offset);
+      }
+      window.truncateFrom(r.firstIndex());
+      r.entries().forEach(window::add);
+      segments.merge(number, window.last(), Math::max);
+      offset += r.size();
+    }
+    currentSize = offset;
+    return first;
+  }
+
+  private void cutTail(long number, byte[] content, int offset) throws IOException {
+    String file = name(number);
+    if (number != segments.lastKey() || LogRecord.existsFrom(content, offset + 1)) {
+      throw new EbonypondException(ErrorCode.LOG_CORRUPT, file, offset);
+    }
+    disk.truncate(file, offset);
+    events.emit(
+        EventCode.LOG_TAIL_CUT,
+        subject,
+        Map.of(
+            "segment", file,
+            "offset", String.valueOf(offset),
+            "bytes", String.valueOf(content.length - offset)));
+  }
+
+  /** Drops the entries if they do not agree with the snapshot. */
+  private void join(@Nullable Snapshot s) throws IOException {
+    long index = s == null ? 0 : s.index();
+    if (window.first() > index + 1) {
+      throw new EbonypondException(ErrorCode.LOG_CORRUPT, name(segments.firstKey()), 0);
+    }
+    if (s == null) {
+      return;
+    }
+    // The replica stopped after it had stored a snapshot of the leader, and before it had deleted
+    // the entries that the snapshot replaces.
+    boolean replaced =
+        window.last() < index || (window.first() <= index && window.get(index).term() != s.term());
+    if (replaced) {
+      reset(index + 1);
+    }
+  }
+
+  /** Returns the index of the first entry. */
+  public long firstIndex() {
+    return window.first();
+  }
+
+  /** Returns the index of the last entry. */
+  public long lastIndex() {
+    return window.last();
+  }
+
+  /** Returns an entry. */
+  public LogEntry entry(long index) {
+    return window.get(index);
+  }
+
+  /** Appends entries; durable after the next sync. */
+  public void append(List<LogEntry> entries) {
+    if (entries.isEmpty()) {
+      return;
+    }
+    changedFrom = Math.min(changedFrom, entries.get(0).index());
+    entries.forEach(window::add);
+  }
+
+  /** Drops all entries from an index on; durable after the next sync. */
+  public void truncateFrom(long index) {
+    changedFrom = Math.min(changedFrom, index);
+    window.truncateFrom(index);
+  }
+
+  /** Writes all changes as one record and syncs it. */
+  public void sync() throws IOException {
+    if (changedFrom == CLEAN) {
+      return;
+    }
+    if (segments.isEmpty() || startSegment || currentSize >= segmentBytes) {
+      segments.put(segments.isEmpty() ? 1 : segments.lastKey() + 1, 0L);
+      currentSize = 0;
+      startSegment = false;
+    }
+    byte[] record = LogRecord.encode(changedFrom, window.from(changedFrom));
+    String file = name(segments.lastKey());
+    disk.append(file, record);
+    disk.sync(file);
+    currentSize += record.length;
+    segments.merge(segments.lastKey(), window.last(), Math::max);
+    changedFrom = CLEAN;
+  }
+
+  /** Drops entries before an index and the segments that hold no other entries. */
+  public void dropBefore(long index) throws IOException {
+    window.dropBefore(index);
+    // The next record starts a segment, so that the current one can be deleted as a whole later.
+    startSegment = !segments.isEmpty();
+    while (segments.size() > 1 && segments.firstEntry().getValue() < index) {
+      disk.delete(name(segments.firstKey()));
+      segments.pollFirstEntry();
+    }
+  }
+
+  /** Drops all entries; the next one has the given index. */
+  public void reset(long next) throws IOException {
+    window.reset(next);
+    changedFrom = CLEAN;
+    // The newest segment goes first: the remaining ones then never have a gap.
+    while (!segments.isEmpty()) {
+      disk.delete(name(segments.lastKey()));
+      segments.pollLastEntry();
+    }
+  }
+
+  private static String name(long number) {
+    return String.format("%s%012d", PREFIX, number);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/StorageFiles.java
@@ -0,0 +1,67 @@
+package org.ebonypond.consensus.internal;
+
+import java.io.IOException;
+import java.util.List;
+import org.ebonypond.consensus.Disk;
+import org.ebonypond.consensus.HardState;
+import org.ebonypond.consensus.Snapshot;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.jspecify.annotations.Nullable;
+
+/** The files of a replica that are replaced as a whole. */
+public final class StorageFiles {
+  private static final String IDENTITY = "replica";
+  private static final String SNAPSHOT = "snapshot";
+
+  private final Disk disk;
+
+  /** Creates an accessor of the files on a disk. */
+  public StorageFiles(Disk disk) {
+    this.disk = disk;
+  }
+
+  /**
+   * Returns the identity, or null if the disk is empty.
+   *
+   * @throws EbonypondException {@code log-corrupt} if the file is damaged, or if it is missing
+   *     although there are other files
+   */
+  public @Nullable Identity readIdentity() throws IOException {
+    List<String> names = disk.list();
+    if (names.contains(IDENTITY)) {
+      return CheckedFile.decode(IDENTITY, disk.read(IDENTITY), Identity.class);
+    }
+    if (names.contains(SNAPSHOT) || names.stream().anyMatch(SegmentedLog::isSegment)) {
+      throw new EbonypondException(ErrorCode.LOG_CORRUPT, IDENTITY, 0);
+    }
+    return null;
+  }
+
+  /** Replaces the identity, term and vote. */
+  public void writeIdentity(Identity identity) throws IOException {
+    disk.replace(IDENTITY, CheckedFile.encode(identity));
+  }
+
+  /** Returns the snapshot, or null if there is none. */
+  public @Nullable Snapshot readSnapshot() throws IOException {
+    if (!disk.list().contains(SNAPSHOT)) {
+      return null;
+    }
+    return CheckedFile.decode(SNAPSHOT, disk.read(SNAPSHOT), Snapshot.class);
+  }
+
+  /** Replaces the snapshot. */
+  public void writeSnapshot(Snapshot snapshot) throws IOException {
+    disk.replace(SNAPSHOT, CheckedFile.encode(snapshot));
+  }
+
+  /**
+   * The content of the identity file.
+   *
+   * @param replica the name of the replica
+   * @param identity the random identity of the data folder
+   * @param hardState the term and the vote
+   */
+  public record Identity(String replica, String identity, HardState hardState) {}
+}
