--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/ledger/CallAction.java
@@ -0,0 +1,49 @@
+package org.ebonypond.ledger;
+
+import org.ebonypond.errors.ErrorCode;
+
+/** What an entry must do for an {@link AtMostOnceCall}, in the order of the list. */
+public sealed interface CallAction {
+  /** Propose an intent; report the reply with {@link AtMostOnceCall#onIntentResult}. */
+  record ProposeIntent(LedgerCommand.RecordIntent command) implements CallAction {}
+
+  /** Propose an outcome, release or loss; report to {@link AtMostOnceCall#onRecordResult}. */
+  record ProposeRecord(LedgerCommand command) implements CallAction {}
+
+  /**
+   * Look the key up on any replica of its shard, without a log entry; report the reply with {@link
+   * AtMostOnceCall#onPollResult}.
+   *
+   * @param workspace the workspace
+   * @param key the idempotency key
+   */
+  record PollLedger(String workspace, String key) implements CallAction {}
+
+  /** Send the request to a backend server, once. */
+  record Dispatch() implements CallAction {}
+
+  /**
+   * Send the caller the whole answer.
+   *
+   * @param answer the answer
+   * @param replayed whether it comes from the ledger
+   */
+  record AnswerWhole(StoredAnswer answer, boolean replayed) implements CallAction {}
+
+  /**
+   * Tell the caller that the call was done and that its answer was too large to keep.
+   *
+   * @param status the HTTP status of the answer that was not kept
+   */
+  record AnswerNotKept(int status) implements CallAction {}
+
+  /**
+   * Send the caller a problem body.
+   *
+   * @param outcome the outcome
+   * @param code the code
+   * @param retryAfterSeconds the value of {@code Retry-After}, in seconds
+   */
+  record AnswerProblem(CallOutcome outcome, ErrorCode code, int retryAfterSeconds)
+      implements CallAction {}
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/ledger/LedgerClock.java
@@ -0,0 +1,74 @@
+package org.ebonypond.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The time of a ledger: the lower median of the wall times that entries sent last. One entry with a
+ * wrong clock can thus neither expire records early nor keep them for ever. Never steps back.
+ */
+final class LedgerClock {
+  /**
+   * The median is recomputed once in this many commands, which bounds the cost with many entries.
+   */
+  private static final int COMMANDS_PER_UPDATE = 64;
+
+  /** An entry that sent none of this many commands is no longer counted; it may be gone. */
+  private static final long SILENT_COMMANDS = 10_000;
+
+  private final TreeMap<String, Reading> readings = new TreeMap<>();
+  private long commands;
+  private long now;
+
+  /**
+   * The last wall time of an entry.
+   *
+   * @param timeMillis the wall time
+   * @param command the number of the command that carried it
+   */
+  record Reading(long timeMillis, long command) {}
+
+  /**
+   * The state for a snapshot.
+   *
+   * @param readings the last wall time of each entry
+   * @param commands the number of commands so far
+   * @param now the time
+   */
+  record State(Map<String, Reading> readings, long commands, long now) {}
+
+  /** Takes the wall time of one command. */
+  void observe(String entry, long timeMillis) {
+    commands++;
+    boolean added = readings.put(entry, new Reading(timeMillis, commands)) == null;
+    if (added || commands % COMMANDS_PER_UPDATE == 0 || readings.size() == 1) {
+      update();
+    }
+  }
+
+  /** Returns the time in milliseconds since 1970, or 0 before the first command. */
+  long now() {
+    return now;
+  }
+
+  State state() {
+    return new State(new TreeMap<>(readings), commands, now);
+  }
+
+  void restore(State state) {
+    readings.clear();
+    readings.putAll(state.readings());
+    commands = state.commands();
+    now = state.now();
+  }
+
+  private void update() {
+    readings.values().removeIf(r -> r.command() <= commands - SILENT_COMMANDS);
+    List<Long> times = new ArrayList<>();
+    readings.values().forEach(r -> times.add(r.timeMillis()));
+    times.sort(null);
+    now = Math.max(now, times.get((times.size() - 1) / 2));
+  }
+}
