Add routing and admission of an entry

An entry needs to choose a group or a plain service instance for each request and to decide which requests it takes at all; the daemon builds on these classes.

All take the time as an argument and hold no thread, file or socket.

--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/AdmissionController.java
@@ -0,0 +1,246 @@
+package org.ebonypond.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.ebonypond.admission.FairQueue.Waiting;
+import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.document.WorkspaceSpec;
+import org.ebonypond.errors.ErrorCode;
+
+/**
+ * Admits, queues or refuses the requests of an entry. A refusal is returned at the moment at which
+ * it is certain, never held back. Thread-safe; each pool has its own queue under its own lock.
+ *
+ * @param <R> the reservation that an admitted request holds
+ */
+public final class AdmissionController<R> {
+  /**
+   * The time in milliseconds that requests wait while no target of their pool is in service. It
+   * covers a failed connection that proves wrong; a repair takes longer than most deadlines.
+   */
+  public static final long NO_TARGET_GRACE_MILLIS = 1_000;
+
+  private final SlotSource<R> slots;
+  private final ServiceRates rates;
+  private final Map<String, Pool> pools = new ConcurrentHashMap<>();
+  private volatile List<WorkspaceSpec> workspaces = List.of();
+
+  /** Creates a controller that takes capacity from a source and estimates from measured rates. */
+  public AdmissionController(SlotSource<R> slots, ServiceRates rates) {
+    this.slots = slots;
+    this.rates = rates;
+  }
+
+  /** Takes over the workspaces of a document. */
+  public void configure(ServiceDocument document) {
+    workspaces = document.workspaces();
+  }
+
+  /**
+   * Decides on a new request.
+   *
+   * @param r the request
+   * @param nowMillis the monotonic time in milliseconds
+   */
+  public Decision<R> arrive(AdmissionRequest r, long nowMillis) {
+    Pool p = pool(r.pool());
+    synchronized (p) {
+      p.configure();
+      if (!p.queue.knows(r.workspace())) {
+        return new Decision.Refused<>(r, ErrorCode.UNKNOWN_WORKSPACE, 1, 0);
+      }
+      if (p.isOut(nowMillis)) {
+        return noCapacity(r);
+      }
+      long service = rates.serviceMillis(r.pool(), r.tokens());
+      long remaining = r.deadlineMillis() - nowMillis;
+      if (remaining <= 0 || service > remaining) {
+        return tooClose(r, service, remaining);
+      }
+      if (p.queue.size() == 0) {
+        Optional<R> slot = slots.tryAcquire(r, nowMillis);
+        if (slot.isPresent()) {
+          p.queue.charge(r);
+          rates.onDispatched(r.pool(), r.tokens(), nowMillis);
+          return new Decision.Admitted<>(r, slot.get(), 0);
+        }
+      }
+      return enqueue(p, r, service, nowMillis);
+    }
+  }
+
+  private Decision<R> enqueue(Pool p, AdmissionRequest r, long service, long now) {
+    long ahead = p.queue.tokensAhead(r.workspace(), r.priority());
+    long wait = rates.waitMillis(r.pool(), ahead + rates.meanTokens(r.pool()), now);
+    long remaining = r.deadlineMillis() - now;
+    if (wait + service > remaining) {
+      return tooClose(r, wait + service, remaining);
+    }
+    if (!p.queue.offer(r, now)) {
+      return new Decision.Refused<>(
+          r, ErrorCode.QUEUE_FULL, RetryAfter.seconds(wait), wait + service);
+    }
+    rates.onBacklog(r.pool(), p.queue.queuedTokens(), now);
+    return new Decision.Queued<>(r, wait);
+  }
+
+  /**
+   * Serves waiting requests after capacity was freed or a report arrived.
+   *
+   * @param pool the model or the service
+   * @param nowMillis the monotonic time in milliseconds
+   * @return the requests admitted or refused, in order
+   */
+  public List<Decision<R>> onCapacity(String pool, long nowMillis) {
+    Pool p = pools.get(pool);
+    if (p == null) {
+      return List.of();
+    }
+    synchronized (p) {
+      p.configure();
+      p.isOut(nowMillis);
+      if (p.queue.size() == 0) {
+        return List.of();
+      }
+      List<Decision<R>> out = new ArrayList<>();
+      refuseHopeless(p, out, nowMillis);
+      serve(p, out, nowMillis);
+      rates.onBacklog(pool, p.queue.queuedTokens(), nowMillis);
+      return out;
+    }
+  }
+
+  private void refuseHopeless(Pool p, List<Decision<R>> out, long now) {
+    if (p.isOut(now)) {
+      p.queue.removeIf(w -> true).forEach(w -> out.add(noCapacity(w.request())));
+      return;
+    }
+    for (Waiting w :
+        p.queue.removeIf(
+            w -> now + Math.max(1, service(w.request())) > w.request().deadlineMillis())) {
+      AdmissionRequest r = w.request();
+      out.add(tooClose(r, service(r), r.deadlineMillis() - now));
+    }
+  }
+
+  private void serve(Pool p, List<Decision<R>> out, long now) {
+    while (true) {
+      Optional<Waiting> next = p.queue.peek(now);
+      if (next.isEmpty()) {
+        return;
+      }
+      AdmissionRequest r = next.get().request();
+      Optional<R> slot = slots.tryAcquire(r, now);
+      if (slot.isEmpty()) {
+        return;
+      }
+      p.queue.serve(next.get());
+      rates.onDispatched(r.pool(), r.tokens(), now);
+      out.add(new Decision.Admitted<>(r, slot.get(), now - next.get().sinceMillis()));
+    }
+  }
+
+  /**
+   * Serves and refuses the waiting requests of every pool. To be called at least every 100 ms, so
+   * that a request that can no longer meet its deadline is refused at that moment.
+   */
+  public List<Decision<R>> tick(long nowMillis) {
+    List<Decision<R>> out = new ArrayList<>();
+    pools.keySet().forEach(pool -> out.addAll(onCapacity(pool, nowMillis)));
+    return out;
+  }
+
+  /** Removes a waiting request whose caller is gone; returns whether it was waiting. */
+  public boolean cancel(String pool, String id, long nowMillis) {
+    Pool p = pools.get(pool);
+    if (p == null) {
+      return false;
+    }
+    synchronized (p) {
+      boolean found = p.queue.cancel(id);
+      rates.onBacklog(pool, p.queue.queuedTokens(), nowMillis);
+      return found;
+    }
+  }
+
+  /**
+   * Records the complete answer to an admitted request.
+   *
+   * @param r the request
+   * @param actualTokens the tokens that it took
+   * @param serviceMillis the time in milliseconds from dispatch to the end of the answer
+   */
+  public void onCompleted(AdmissionRequest r, long actualTokens, double serviceMillis) {
+    rates.onCompleted(r.pool(), r.tokens(), actualTokens, serviceMillis);
+    Pool p = pool(r.pool());
+    synchronized (p) {
+      p.queue.correct(r.workspace(), actualTokens - r.tokens());
+    }
+  }
+
+  /** Records that an admitted request ended without a complete answer. */
+  public void onAbandoned(AdmissionRequest r) {
+    rates.onAbandoned(r.pool(), r.tokens());
+  }
+
+  /** Returns the number of waiting requests of a pool. */
+  public int waiting(String pool) {
+    Pool p = pools.get(pool);
+    if (p == null) {
+      return 0;
+    }
+    synchronized (p) {
+      return p.queue.size();
+    }
+  }
+
+  private long service(AdmissionRequest r) {
+    return rates.serviceMillis(r.pool(), r.tokens());
+  }
+
+  private Decision<R> noCapacity(AdmissionRequest r) {
+    return new Decision.Refused<>(r, ErrorCode.NO_CAPACITY, RetryAfter.seconds(2_000), 0);
+  }
+
+  /** The request fits once the estimated time has shrunk to the time that it allows. */
+  private Decision<R> tooClose(AdmissionRequest r, long expected, long remaining) {
+    return new Decision.Refused<>(
+        r, ErrorCode.DEADLINE_TOO_CLOSE, RetryAfter.seconds(expected - remaining), expected);
+  }
+
+  private Pool pool(String name) {
+    return pools.computeIfAbsent(name, Pool::new);
+  }
+
+  /** Guarded by itself. */
+  private final class Pool {
+    private final String name;
+    private final FairQueue queue = new FairQueue();
+    private List<WorkspaceSpec> configured = List.of();
+    private long outSince = Long.MAX_VALUE;
+
+    Pool(String name) {
+      this.name = name;
+    }
+
+    void configure() {
+      List<WorkspaceSpec> w = workspaces;
+      if (w != configured) {
+        configured = w;
+        queue.configure(w);
+      }
+    }
+
+    boolean isOut(long now) {
+      if (slots.inService(name)) {
+        outSince = Long.MAX_VALUE;
+        return false;
+      }
+      outSince = Math.min(outSince, now);
+      return now - outSince >= NO_TARGET_GRACE_MILLIS;
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/RetryPolicy.java
@@ -0,0 +1,74 @@
+package org.ebonypond.admission;
+
+import org.ebonypond.errors.ErrorCode;
+
+/** Decides whether a failed attempt is repeated at another target. Thread-safe. */
+public final class RetryPolicy {
+  /** The most attempts of a request; a request that fails everywhere is more likely at fault. */
+  public static final int MAX_ATTEMPTS = 3;
+
+  private final RetryBudget budget;
+  private final ServiceRates rates;
+
+  /** Creates a policy that takes its retries from a budget. */
+  public RetryPolicy(RetryBudget budget, ServiceRates rates) {
+    this.budget = budget;
+    this.rates = rates;
+  }
+
+  /**
+   * Decides on a failed attempt; a retry is charged to the budget.
+   *
+   * @param f the failed attempt
+   * @param nowMillis the monotonic time in milliseconds
+   */
+  public RetryDecision decide(FailedAttempt f, long nowMillis) {
+    if (f.failure() == FailureKind.CALLER_ERROR) {
+      return end(ErrorCode.BAD_REQUEST, Outcome.FAILED, f, nowMillis);
+    }
+    Outcome outcome = outcome(f);
+    if (!repeatable(f.call(), f.failure()) || f.attempts() >= MAX_ATTEMPTS) {
+      ErrorCode code =
+          outcome == Outcome.OUTCOME_UNKNOWN
+              ? ErrorCode.OUTCOME_UNKNOWN
+              : ErrorCode.UPSTREAM_FAILED;
+      return end(code, outcome, f, nowMillis);
+    }
+    long needed = rates.serviceMillis(f.pool(), f.remainingTokens());
+    if (nowMillis + Math.max(1, needed) > f.deadlineMillis()) {
+      return end(ErrorCode.DEADLINE_TOO_CLOSE, outcome, f, nowMillis);
+    }
+    if (!budget.tryRetry(f.workspace(), nowMillis)) {
+      return end(ErrorCode.RETRY_BUDGET_EXHAUSTED, outcome, f, nowMillis);
+    }
+    return new RetryDecision.Retry();
+  }
+
+  /** Returns whether a call may run again after a failure, whatever the budget and the deadline. */
+  public static boolean repeatable(CallKind call, FailureKind failure) {
+    if (failure == FailureKind.CALLER_ERROR) {
+      return false;
+    }
+    return switch (call) {
+      case IDEMPOTENT, MODEL_STREAM -> true;
+      case NON_IDEMPOTENT -> failure == FailureKind.NOT_DISPATCHED;
+      case NON_IDEMPOTENT_WITHOUT_KEY -> false;
+    };
+  }
+
+  private static Outcome outcome(FailedAttempt f) {
+    // An earlier attempt may have run even if the last one did not.
+    boolean notRun =
+        f.failure() == FailureKind.NOT_DISPATCHED || f.failure() == FailureKind.REFUSED_NOT_RUN;
+    boolean harmless = f.call() == CallKind.IDEMPOTENT || f.call() == CallKind.MODEL_STREAM;
+    if (harmless) {
+      return notRun && f.attempts() <= 1 ? Outcome.NOT_RUN : Outcome.FAILED;
+    }
+    // Attempts of a non-idempotent call are repeated only if none was dispatched.
+    return notRun ? Outcome.NOT_RUN : Outcome.OUTCOME_UNKNOWN;
+  }
+
+  private RetryDecision end(ErrorCode code, Outcome outcome, FailedAttempt f, long now) {
+    return new RetryDecision.Final(code, outcome, rates.retryAfter(f.pool(), now));
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/CacheEvent.java
@@ -0,0 +1,10 @@
+package org.ebonypond.routing;
+
+/**
+ * A change of an engine's prefix cache.
+ *
+ * @param seq the sequence number, rising by one within a boot
+ * @param stored whether the prefix was stored; otherwise it was removed
+ * @param prefix the blocks of the prefix
+ */
+public record CacheEvent(long seq, boolean stored, PromptBlocks prefix) {}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/LeastOutstandingPolicy.java
@@ -0,0 +1,21 @@
+package org.ebonypond.routing;
+
+import java.util.List;
+
+/** Takes the target with the fewest requests, any of them when several have as few; a baseline. */
+public final class LeastOutstandingPolicy implements RoutingPolicy {
+  @Override
+  public String name() {
+    return "least-outstanding";
+  }
+
+  @Override
+  public List<Target> rank(RouteRequest request, List<Target> usable, Context context) {
+    return Ranking.byCost(usable, t -> context.load(t).requests(), context.random());
+  }
+
+  @Override
+  public boolean prefersSubset() {
+    return false;
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/LoadEstimator.java
@@ -0,0 +1,266 @@
+package org.ebonypond.routing;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Estimates the load of each target from its last report and from the entry's own requests. A
+ * report covers the requests that were at the target when it was measured, so the estimate adds the
+ * own requests that started later and subtracts the own requests that ended later. It is never
+ * below the own requests in flight. Thread-safe; the targets are sharded.
+ */
+public final class LoadEstimator {
+  /** The time in milliseconds after which a report is no longer used. */
+  public static final long REPORT_TTL_MILLIS = 5_000;
+
+  /** Bounds the memory for ended requests that a late report may still cover. */
+  private static final int MAX_ENDED = 256;
+
+  private static final int SHARDS = 64;
+
+  private final Shard[] shards = new Shard[SHARDS];
+
+  /** Creates an estimator without targets. */
+  public LoadEstimator() {
+    for (int i = 0; i < SHARDS; i++) {
+      shards[i] = new Shard();
+    }
+  }
+
+  private Shard shard(String key) {
+    int h = key.hashCode();
+    return shards[(h ^ (h >>> 16)) & (SHARDS - 1)];
+  }
+
+  /**
+   * Counts a request at a target unless its maximum concurrency is reached.
+   *
+   * @param target the target
+   * @param tokens the tokens promised to the request
+   * @param nowMillis the monotonic time in milliseconds
+   * @return the handle of the request, or null if the target is full
+   */
+  public @Nullable Ticket tryStart(Target target, long tokens, long nowMillis) {
+    Shard s = shard(target.key());
+    synchronized (s) {
+      State st = s.current(target.key(), target.boot());
+      if (st.estimate(nowMillis).requests() >= target.maxConcurrency()) {
+        return null;
+      }
+      Ticket t = new Ticket(s, st, Math.max(0, tokens), nowMillis);
+      st.start(t);
+      return t;
+    }
+  }
+
+  /**
+   * Ends a request.
+   *
+   * @param ticket the handle; must not have ended before
+   * @param nowMillis the monotonic time in milliseconds
+   * @throws EbonypondException {@code invariant-violated} if the request has already ended
+   */
+  public void end(Ticket ticket, long nowMillis) {
+    synchronized (ticket.shard) {
+      ticket.state.end(ticket, nowMillis);
+    }
+  }
+
+  /** Takes a load report of a target. A report that is older than the last one is ignored. */
+  public void onReport(Target target, LoadReport report) {
+    if (!report.boot().equals(target.boot())) {
+      return;
+    }
+    Shard s = shard(target.key());
+    synchronized (s) {
+      s.current(target.key(), target.boot()).report(report);
+    }
+  }
+
+  /** Returns the estimated load of a target. */
+  public LoadEstimate estimate(Target target, long nowMillis) {
+    Shard s = shard(target.key());
+    synchronized (s) {
+      State st = s.states.get(target.key());
+      return st == null || !st.boot.equals(target.boot())
+          ? new LoadEstimate(0, 0)
+          : st.estimate(nowMillis);
+    }
+  }
+
+  /** Returns the own requests in flight at a target, over all its boot identities. */
+  public int inFlight(String key) {
+    Shard s = shard(key);
+    synchronized (s) {
+      return s.inFlight.getOrDefault(key, 0);
+    }
+  }
+
+  /** Forgets the targets that are not in the set. */
+  public void retain(Set<String> keys) {
+    for (Shard s : shards) {
+      synchronized (s) {
+        s.states.keySet().retainAll(keys);
+      }
+    }
+  }
+
+  private static final class Shard {
+    private final Map<String, State> states = new HashMap<>();
+    private final Map<String, Integer> inFlight = new HashMap<>();
+
+    State current(String key, String boot) {
+      State st = states.get(key);
+      if (st == null || !st.boot.equals(boot)) {
+        st = new State(this, key, boot);
+        states.put(key, st);
+      }
+      return st;
+    }
+  }
+
+  /** The load of one boot of a target; guarded by its shard. */
+  private static final class State {
+    private final Shard shard;
+    private final String key;
+    private final String boot;
+    private final Set<Ticket> running = new LinkedHashSet<>();
+    private final ArrayDeque<Ended> ended = new ArrayDeque<>();
+    private long ownTokens;
+    private @Nullable LoadReport report;
+    private int newer;
+    private long newerTokens;
+    private int gone;
+    private long goneTokens;
+
+    State(Shard shard, String key, String boot) {
+      this.shard = shard;
+      this.key = key;
+      this.boot = boot;
+    }
+
+    void start(Ticket t) {
+      running.add(t);
+      shard.inFlight.merge(key, 1, Integer::sum);
+      ownTokens += t.remaining;
+      t.newer = true;
+      newer++;
+      newerTokens += t.remaining;
+    }
+
+    void progress(Ticket t, long tokens) {
+      long n = Math.min(t.remaining, Math.max(0, tokens));
+      if (!running.contains(t)) {
+        return;
+      }
+      t.remaining -= n;
+      ownTokens -= n;
+      if (t.newer) {
+        newerTokens -= n;
+      } else {
+        goneTokens += n;
+      }
+    }
+
+    void end(Ticket t, long now) {
+      if (!running.remove(t)) {
+        throw new EbonypondException(ErrorCode.INVARIANT_VIOLATED, key + ": a request ended twice");
+      }
+      int left = shard.inFlight.merge(key, -1, Integer::sum);
+      if (left == 0) {
+        shard.inFlight.remove(key);
+      }
+      ownTokens -= t.remaining;
+      if (left < 0 || ownTokens < 0) {
+        throw new EbonypondException(
+            ErrorCode.INVARIANT_VIOLATED, key + ": negative own load " + left + "/" + ownTokens);
+      }
+      if (t.newer) {
+        newer--;
+        newerTokens -= t.remaining;
+      } else {
+        gone++;
+        goneTokens += t.remaining;
+      }
+      ended.addLast(new Ended(t.startedAt, now, t.remaining));
+      if (ended.size() > MAX_ENDED) {
+        ended.removeFirst();
+      }
+    }
+
+    void report(LoadReport r) {
+      if (report != null && r.measuredAtMillis() <= report.measuredAtMillis()) {
+        return;
+      }
+      report = r;
+      newer = 0;
+      newerTokens = 0;
+      for (Ticket t : running) {
+        t.newer = t.startedAt >= r.measuredAtMillis();
+        if (t.newer) {
+          newer++;
+          newerTokens += t.remaining;
+        }
+      }
+      gone = 0;
+      goneTokens = 0;
+      ended.removeIf(e -> e.endedAt < r.measuredAtMillis());
+      for (Iterator<Ended> i = ended.iterator(); i.hasNext(); ) {
+        Ended e = i.next();
+        if (e.startedAt < r.measuredAtMillis()) {
+          gone++;
+          goneTokens += e.remaining;
+        }
+      }
+    }
+
+    LoadEstimate estimate(long now) {
+      LoadReport r = report;
+      if (r == null || now - r.measuredAtMillis() > REPORT_TTL_MILLIS) {
+        return new LoadEstimate(running.size(), ownTokens);
+      }
+      int requests = Math.max(0, r.active() + r.waiting() - gone) + newer;
+      long tokens = Math.max(0, r.tokens() - goneTokens) + newerTokens;
+      return new LoadEstimate(Math.max(running.size(), requests), Math.max(ownTokens, tokens));
+    }
+  }
+
+  private record Ended(long startedAt, long endedAt, long remaining) {}
+
+  /** The handle of a request that is counted at a target. */
+  public static final class Ticket {
+    private final Shard shard;
+    private final State state;
+    private final long promised;
+    private final long startedAt;
+    private long remaining;
+    private boolean newer;
+
+    private Ticket(Shard shard, State state, long tokens, long startedAt) {
+      this.shard = shard;
+      this.state = state;
+      this.promised = tokens;
+      this.remaining = tokens;
+      this.startedAt = startedAt;
+    }
+
+    /** Returns the tokens promised at the start. */
+    public long promised() {
+      return promised;
+    }
+
+    /** Records tokens processed or produced since the last call. */
+    public void progress(long tokens) {
+      synchronized (shard) {
+        state.progress(this, tokens);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/LocalSuspicion.java
@@ -0,0 +1,96 @@
+package org.ebonypond.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupMember;
+import org.ebonypond.control.InstanceRecord;
+
+/**
+ * The instances that this entry skips before the control view shows that they are down: a
+ * connection failed, or an answer carried another boot identity. An instance is used again once the
+ * view shows a new boot or the suspected boot is confirmed up. Thread-safe.
+ */
+public final class LocalSuspicion {
+  private final Map<String, Suspicion> byInstance = new ConcurrentHashMap<>();
+
+  /**
+   * A suspected instance.
+   *
+   * @param instance the instance's name
+   * @param boot the boot identity that is suspected to be gone
+   * @param sinceMillis the time of the last failure, in milliseconds of the entry's clock
+   */
+  public record Suspicion(String instance, String boot, long sinceMillis) {}
+
+  /**
+   * Suspects a boot of an instance. A suspicion of a boot that the view no longer shows has no
+   * effect beyond the next view.
+   *
+   * @return whether the boot was not suspected before, so that it is reported once
+   */
+  public boolean suspect(String instance, String boot, long nowMillis) {
+    Suspicion before = byInstance.put(instance, new Suspicion(instance, boot, nowMillis));
+    return before == null || !before.boot().equals(boot);
+  }
+
+  /**
+   * Compares the boot identity of an answer with the one that the dispatch named.
+   *
+   * @return whether they differ and the expected boot was not suspected before
+   */
+  public boolean onAnswer(String instance, String expected, String seen, long nowMillis) {
+    return !expected.equals(seen) && suspect(instance, expected, nowMillis);
+  }
+
+  /**
+   * Ends the suspicion of a boot that was seen up.
+   *
+   * @param instance the instance's name
+   * @param boot the boot identity seen
+   * @param observedAtMillis a time at which the boot was certainly up, in milliseconds of the
+   *     entry's clock: when the answered probe was sent, or the arrival of the announcement less
+   *     its age. Observations from before the failure have no effect.
+   */
+  public void confirmUp(String instance, String boot, long observedAtMillis) {
+    byInstance.computeIfPresent(
+        instance, (k, s) -> s.boot().equals(boot) && observedAtMillis > s.sinceMillis() ? null : s);
+  }
+
+  /** Forgets the suspicions of instances that are gone from the view or have a new boot there. */
+  public void onView(ControlView view) {
+    byInstance
+        .values()
+        .removeIf(
+            s -> {
+              InstanceRecord i = view.instances().get(s.instance());
+              return i == null || !i.boot().equals(s.boot());
+            });
+  }
+
+  /** Returns whether a boot of an instance is suspected. */
+  public boolean isSuspected(String instance, String boot) {
+    Suspicion s = byInstance.get(instance);
+    return s != null && s.boot().equals(boot);
+  }
+
+  /** Returns whether a member of a target is suspected. */
+  public boolean isSuspected(Target t) {
+    if (byInstance.isEmpty()) {
+      return false;
+    }
+    for (GroupMember m : t.members()) {
+      if (isSuspected(m.instance(), m.boot())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the suspected instances, for probes. */
+  public List<Suspicion> suspected() {
+    return new ArrayList<>(byInstance.values());
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/OutputLengths.java
@@ -0,0 +1,40 @@
+package org.ebonypond.routing;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Estimates the length of an answer from past answers to the same workspace for the same model,
+ * then from all answers of the model. Thread-safe.
+ */
+public final class OutputLengths {
+  /** The length in tokens that is assumed before the first answer. */
+  public static final double INITIAL_TOKENS = 256;
+
+  /** The weight of a new answer. */
+  private static final double ALPHA = 0.05;
+
+  private record Key(String pool, String workspace) {}
+
+  private final Map<Key, Double> byWorkspace = new ConcurrentHashMap<>();
+  private final Map<String, Double> byPool = new ConcurrentHashMap<>();
+
+  /** Records the tokens of an answer. */
+  public void record(String pool, String workspace, int tokens) {
+    byWorkspace.merge(new Key(pool, workspace), (double) tokens, OutputLengths::blend);
+    byPool.merge(pool, (double) tokens, OutputLengths::blend);
+  }
+
+  private static double blend(double mean, double value) {
+    return mean + ALPHA * (value - mean);
+  }
+
+  /** Returns the expected tokens of an answer. */
+  public long expected(String pool, String workspace) {
+    Double w = byWorkspace.get(new Key(pool, workspace));
+    if (w == null) {
+      w = byPool.getOrDefault(pool, INITIAL_TOKENS);
+    }
+    return Math.round(w);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Reservation.java
@@ -0,0 +1,110 @@
+package org.ebonypond.routing;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * A chosen target and the capacity taken there for one attempt. Exactly one of the closing methods
+ * takes effect; later calls do nothing. Thread-safe.
+ */
+public final class Reservation {
+  private final RouteRequest request;
+  private final Target target;
+  private final long startedAtMillis;
+  private final Closer closer;
+  private final LoadEstimator.Ticket ticket;
+  private final AtomicBoolean open = new AtomicBoolean(true);
+
+  Reservation(
+      RouteRequest request,
+      Target target,
+      long startedAtMillis,
+      LoadEstimator.Ticket ticket,
+      Closer closer) {
+    this.request = request;
+    this.target = target;
+    this.startedAtMillis = startedAtMillis;
+    this.ticket = ticket;
+    this.closer = closer;
+  }
+
+  /** Returns the request. */
+  public RouteRequest request() {
+    return request;
+  }
+
+  /** Returns the chosen group or instance. */
+  public Target target() {
+    return target;
+  }
+
+  /** Returns when the target was chosen, in milliseconds of the entry's clock. */
+  public long startedAtMillis() {
+    return startedAtMillis;
+  }
+
+  /** Returns the tokens that the attempt was expected to take, prompt and answer. */
+  public long promisedTokens() {
+    return ticket.promised();
+  }
+
+  /**
+   * Records tokens that the target has processed or produced, which lowers its outstanding load.
+   *
+   * @param tokens the tokens since the last call
+   */
+  public void progress(long tokens) {
+    if (open.get()) {
+      ticket.progress(tokens);
+    }
+  }
+
+  /**
+   * Ends an answered attempt.
+   *
+   * @param outputTokens the tokens of the answer
+   * @param latencyMillis what the target is compared by with its peers: the time to the first token
+   *     of a model stream, or the time of a plain call
+   * @param nowMillis the monotonic time in milliseconds
+   */
+  public void complete(int outputTokens, double latencyMillis, long nowMillis) {
+    if (open.compareAndSet(true, false)) {
+      closer.completed(this, outputTokens, latencyMillis, nowMillis);
+    }
+  }
+
+  /**
+   * Ends an attempt that the target failed or left unanswered.
+   *
+   * @param nowMillis the monotonic time in milliseconds
+   */
+  public void fail(long nowMillis) {
+    if (open.compareAndSet(true, false)) {
+      closer.failed(this, nowMillis);
+    }
+  }
+
+  /**
+   * Ends an attempt that says nothing about the target, for example a request that its caller
+   * cancelled or that was never dispatched.
+   *
+   * @param nowMillis the monotonic time in milliseconds
+   */
+  public void release(long nowMillis) {
+    if (open.compareAndSet(true, false)) {
+      closer.released(this, nowMillis);
+    }
+  }
+
+  LoadEstimator.Ticket ticket() {
+    return ticket;
+  }
+
+  /** Returns capacity to the router. */
+  interface Closer {
+    void completed(Reservation r, int outputTokens, double latencyMillis, long nowMillis);
+
+    void failed(Reservation r, long nowMillis);
+
+    void released(Reservation r, long nowMillis);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/StragglerDetector.java
@@ -0,0 +1,246 @@
+package org.ebonypond.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Ejects targets that answer slowly more often than their peers. An answer is slow when it takes
+ * more than {@link #SLOW_FACTOR} times the median of the pool, so that no target is ejected when
+ * all are slow. Ejected targets get single probe requests and return after several answers in time.
+ * Thread-safe; each pool has its own lock.
+ */
+public final class StragglerDetector {
+  /** An answer above this multiple of the pool's median latency is slow. */
+  public static final double SLOW_FACTOR = 2;
+
+  /** The time in milliseconds over which answers count. */
+  public static final long WINDOW_MILLIS = 30_000;
+
+  /** The time in milliseconds between two probes of an ejected target. */
+  public static final long PROBE_MILLIS = 1_000;
+
+  /** The answers in time, in a row, after which an ejected target returns. */
+  public static final int PROBES_TO_RESTORE = 3;
+
+  /** The most targets of a pool that are ejected, as a share; at least one of three or more. */
+  public static final double MAX_EJECTED_SHARE = 0.2;
+
+  /** The share of slow answers from which a target is ejected. */
+  private static final double EJECT_SHARE = 0.5;
+
+  /** The share of slow answers by which a target exceeds its peers when it is ejected. */
+  private static final double EXCESS_SHARE = 0.3;
+
+  /** The least answers in the window before a target is judged. */
+  private static final int MIN_SAMPLES = 8;
+
+  private final Map<String, Pool> pools = new ConcurrentHashMap<>();
+
+  /**
+   * A target that was ejected or restored.
+   *
+   * @param key the target
+   * @param ejected whether it was ejected; otherwise it was restored
+   * @param slowShare the share of its answers that were slow
+   */
+  public record Change(String key, boolean ejected, double slowShare) {}
+
+  /**
+   * Records an answer.
+   *
+   * @param pool the pool of targets that are compared with each other
+   * @param key the target
+   * @param latencyMillis the latency in milliseconds, infinite for an attempt without an answer
+   * @param nowMillis the monotonic time in milliseconds
+   */
+  public void record(String pool, String key, double latencyMillis, long nowMillis) {
+    Pool p = pools.computeIfAbsent(pool, k -> new Pool());
+    synchronized (p) {
+      p.record(key, latencyMillis, nowMillis);
+    }
+  }
+
+  /**
+   * Compares the targets of a pool; to be called about once per second.
+   *
+   * @param pool the pool
+   * @param inService the targets that are in service now; others are forgotten
+   * @param nowMillis the monotonic time in milliseconds
+   * @return the targets ejected and restored since the last call
+   */
+  public List<Change> evaluate(String pool, Set<String> inService, long nowMillis) {
+    Pool p = pools.get(pool);
+    if (p == null) {
+      return List.of();
+    }
+    synchronized (p) {
+      return p.evaluate(inService, nowMillis);
+    }
+  }
+
+  /** Returns the ejected targets of a pool. */
+  public Set<String> ejected(String pool) {
+    Pool p = pools.get(pool);
+    return p == null ? Set.of() : p.ejectedKeys;
+  }
+
+  /** Returns whether a probe of an ejected target is due, and if so counts it as sent. */
+  public boolean tryProbe(String pool, String key, long nowMillis) {
+    Pool p = pools.get(pool);
+    if (p == null) {
+      return false;
+    }
+    synchronized (p) {
+      Ejection e = p.ejections.get(key);
+      if (e == null || nowMillis - e.lastProbe < PROBE_MILLIS) {
+        return false;
+      }
+      e.lastProbe = nowMillis;
+      return true;
+    }
+  }
+
+  private static double median(double[] sorted) {
+    int n = sorted.length;
+    return n % 2 == 1 ? sorted[n / 2] : (sorted[n / 2 - 1] + sorted[n / 2]) / 2;
+  }
+
+  private record Share(String key, double share) {}
+
+  private static final class Ejection {
+    private long lastProbe;
+    private int inTime;
+    private final double slowShare;
+
+    Ejection(long now, double slowShare) {
+      this.lastProbe = now;
+      this.slowShare = slowShare;
+    }
+  }
+
+  /** The last answers of a target. */
+  private static final class Samples {
+    private static final int MAX = 64;
+    private final double[] latencies = new double[MAX];
+    private final long[] times = new long[MAX];
+    private int next;
+    private int count;
+
+    void add(double latency, long now) {
+      latencies[next] = latency;
+      times[next] = now;
+      next = (next + 1) % MAX;
+      count = Math.min(MAX, count + 1);
+    }
+
+    double[] sorted(long now) {
+      double[] out = new double[count];
+      int n = 0;
+      for (int i = 0; i < count; i++) {
+        if (now - times[i] <= WINDOW_MILLIS) {
+          out[n++] = latencies[i];
+        }
+      }
+      double[] recent = Arrays.copyOf(out, n);
+      Arrays.sort(recent);
+      return recent;
+    }
+  }
+
+  /** Guarded by itself, except the published set. */
+  private static final class Pool {
+    private final Map<String, Samples> samples = new HashMap<>();
+    private final Map<String, Ejection> ejections = new LinkedHashMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private volatile Set<String> ejectedKeys = Set.of();
+    private double slowAbove = Double.POSITIVE_INFINITY;
+
+    void record(String key, double latency, long now) {
+      Ejection e = ejections.get(key);
+      if (e == null) {
+        samples.computeIfAbsent(key, k -> new Samples()).add(latency, now);
+        return;
+      }
+      // Infinite latency is never in time, not even while the pool has no median.
+      e.inTime = latency <= slowAbove && Double.isFinite(latency) ? e.inTime + 1 : 0;
+      if (e.inTime >= PROBES_TO_RESTORE) {
+        restore(key, e.slowShare);
+      }
+    }
+
+    List<Change> evaluate(Set<String> inService, long now) {
+      samples.keySet().retainAll(inService);
+      if (ejections.keySet().retainAll(inService)) {
+        publish();
+      }
+      Map<String, double[]> recent = new LinkedHashMap<>();
+      for (Map.Entry<String, Samples> s : samples.entrySet()) {
+        double[] v = s.getValue().sorted(now);
+        if (v.length >= MIN_SAMPLES) {
+          recent.put(s.getKey(), v);
+        }
+      }
+      int limit = limit(inService.size());
+      while (ejections.size() > limit) {
+        String first = ejections.keySet().iterator().next();
+        restore(first, ejections.get(first).slowShare);
+      }
+      // Two targets have no majority that says which of them is slow.
+      if (recent.size() >= 3) {
+        eject(recent, limit, now);
+      }
+      List<Change> out = List.copyOf(changes);
+      changes.clear();
+      return out;
+    }
+
+    private static int limit(int targets) {
+      return targets < 3 ? 0 : Math.max(1, (int) (targets * MAX_EJECTED_SHARE));
+    }
+
+    private void eject(Map<String, double[]> recent, int limit, long now) {
+      double[] medians =
+          recent.values().stream().mapToDouble(StragglerDetector::median).sorted().toArray();
+      slowAbove = SLOW_FACTOR * median(medians);
+      List<Share> shares = new ArrayList<>();
+      recent.forEach(
+          (k, v) -> {
+            long slow = Arrays.stream(v).filter(x -> x > slowAbove).count();
+            shares.add(new Share(k, (double) slow / v.length));
+          });
+      double usual = median(shares.stream().mapToDouble(Share::share).sorted().toArray());
+      shares.sort(
+          (a, b) -> {
+            int c = Double.compare(b.share(), a.share());
+            return c != 0 ? c : a.key().compareTo(b.key());
+          });
+      for (Share s : shares) {
+        if (ejections.size() >= limit
+            || s.share() < EJECT_SHARE
+            || s.share() - usual < EXCESS_SHARE) {
+          return;
+        }
+        ejections.put(s.key(), new Ejection(now, s.share()));
+        samples.remove(s.key());
+        changes.add(new Change(s.key(), true, s.share()));
+        publish();
+      }
+    }
+
+    private void restore(String key, double share) {
+      ejections.remove(key);
+      changes.add(new Change(key, false, share));
+      publish();
+    }
+
+    private void publish() {
+      ejectedKeys = Set.copyOf(ejections.keySet());
+    }
+  }
+}
