Add stand-ins of a model engine and a plain service

The daemon needs backend servers to be tried against, and later tests need judges of what the backend servers saw.

Their decisions (batching, prefix cache, cold ceiling, fencing, members, execution counts) are plain classes that take the time as an argument.

--- /dev/null
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Arguments.java
@@ -0,0 +1,89 @@
+package org.ebonypond.junit.http;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Command-line arguments of the form {@code --key=value}. */
+public final class Arguments {
+  private final Map<String, String> values;
+  private final Set<String> read = new TreeSet<>();
+
+  private Arguments(Map<String, String> values) {
+    this.values = values;
+  }
+
+  /**
+   * Parses arguments.
+   *
+   * @param args the arguments
+   * @throws IllegalArgumentException if one does not have the form {@code --key=value}
+   */
+  public static Arguments parse(String... args) {
+    Map<String, String> values = new HashMap<>();
+    for (String a : args) {
+      int eq = a.indexOf('=');
+      if (!a.startsWith("--") || eq < 3) {
+        throw new IllegalArgumentException(a + ": write arguments as --key=value");
+      }
+      values.put(a.substring(2, eq), a.substring(eq + 1));
+    }
+    return new Arguments(values);
+  }
+
+  /** Returns a value that must be present. */
+  public String text(String key) {
+    read.add(key);
+    String v = values.get(key);
+    if (v == null || v.isEmpty()) {
+      throw new IllegalArgumentException("--" + key + " is missing; add --" + key + "=VALUE");
+    }
+    return v;
+  }
+
+  /** Returns a value or its default. */
+  public String text(String key, String fallback) {
+    read.add(key);
+    return values.getOrDefault(key, fallback);
+  }
+
+  /** Returns a value without a sign, or its default. */
+  public long number(String key, long fallback) {
+    String v = text(key, String.valueOf(fallback));
+    if (!v.matches("[0-9]{1,15}")) {
+      throw new IllegalArgumentException("--" + key + "=" + v + ": use a whole number from 0");
+    }
+    return Long.parseLong(v);
+  }
+
+  /** Returns a share from 0 to 1, or its default. */
+  public double share(String key, double fallback) {
+    double d = Double.parseDouble(text(key, String.valueOf(fallback)));
+    if (!(d >= 0 && d <= 1)) {
+      throw new IllegalArgumentException("--" + key + "=" + d + ": use a share from 0 to 1");
+    }
+    return d;
+  }
+
+  /** Returns the elements of a comma-separated value; empty if the key is absent. */
+  public List<String> list(String key) {
+    String v = text(key, "");
+    return v.isEmpty() ? List.of() : Arrays.asList(v.split(","));
+  }
+
+  /**
+   * Rejects arguments that nothing has read.
+   *
+   * @throws IllegalArgumentException if there is an unknown key
+   */
+  public void rejectUnknown() {
+    for (String k : values.keySet()) {
+      if (!read.contains(k)) {
+        throw new IllegalArgumentException("--" + k + " is not known; use one of " + read);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Content.java
@@ -0,0 +1,87 @@
+package org.ebonypond.junit.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The content of answers as a pure function of the request, so that a judge can compute the whole
+ * expected answer.
+ */
+public final class Content {
+  private static final int PREFIX_BLOCK_CHARS = 64;
+  private static final int DEFAULT_MAX_TOKENS = 32;
+
+  private Content() {}
+
+  /** Returns the prompt of a request: one line {@code role: content} for each message. */
+  public static String prompt(JsonNode request) {
+    StringBuilder b = new StringBuilder();
+    for (JsonNode m : request.path("messages")) {
+      b.append(m.path("role").asText()).append(": ");
+      b.append(m.path("content").asText()).append('\n');
+    }
+    return b.toString();
+  }
+
+  /** Returns the number of tokens that the answer to a request has. */
+  public static int length(JsonNode request) {
+    return Math.max(0, request.path("max_tokens").asInt(DEFAULT_MAX_TOKENS));
+  }
+
+  /**
+   * Returns one token of an answer.
+   *
+   * @param prompt the prompt
+   * @param index the position of the token, from 0
+   */
+  public static String token(String prompt, int index) {
+    long h = mix(hash(prompt) + 0x9E3779B97F4A7C15L * (index + 1L));
+    return "t" + Long.toString(h >>> 24, 36) + " ";
+  }
+
+  /**
+   * Returns a range of an answer.
+   *
+   * @param prompt the prompt
+   * @param from the first position
+   * @param to the position after the last
+   */
+  public static String text(String prompt, int from, int to) {
+    StringBuilder b = new StringBuilder();
+    for (int i = from; i < to; i++) {
+      b.append(token(prompt, i));
+    }
+    return b.toString();
+  }
+
+  /** Returns the number of whole blocks of a prompt that the prefix cache can hold. */
+  public static int prefixBlocks(String prompt) {
+    return prompt.length() / PREFIX_BLOCK_CHARS;
+  }
+
+  /**
+   * Returns the name under which cache events report a prefix.
+   *
+   * @param prompt the prompt
+   * @param blocks the length of the prefix, in blocks of 64 characters
+   */
+  public static String prefix(String prompt, int blocks) {
+    String text = prompt.substring(0, blocks * PREFIX_BLOCK_CHARS);
+    return blocks + "-" + Long.toHexString(hash(text));
+  }
+
+  /** Returns the FNV-1a hash of a text in UTF-8, mixed so that all bits depend on all bytes. */
+  static long hash(String text) {
+    long h = 0xcbf29ce484222325L;
+    for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+      h = (h ^ (b & 0xff)) * 0x100000001b3L;
+    }
+    return mix(h);
+  }
+
+  private static long mix(long v) {
+    long h = (v ^ (v >>> 30)) * 0xBF58476D1CE4E5B9L;
+    h = (h ^ (h >>> 27)) * 0x94D049BB133111EBL;
+    return h ^ (h >>> 31);
+  }
+}
--- /dev/null
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/ContinuousBatch.java
@@ -0,0 +1,123 @@
+package org.ebonypond.junit.http;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Predicate;
+
+/**
+ * Continuous batching: requests join the running batch as soon as there is room, urgent ones first.
+ * Not thread-safe.
+ */
+public final class ContinuousBatch {
+  private final int maxBatch;
+  private final long stepMillis;
+  private final long prefillMillisPerBlock;
+  private final List<Run> running = new ArrayList<>();
+  private final PriorityQueue<Run> waiting =
+      new PriorityQueue<>(
+          Comparator.comparingInt((Run r) -> -r.request.priority()).thenComparing(r -> r.order));
+  private long nextOrder;
+
+  /**
+   * Creates an empty batch.
+   *
+   * @param maxBatch the largest number of requests that run together
+   * @param stepMillis the time between two tokens of a request, in milliseconds
+   * @param prefillMillisPerBlock the time to process a prompt block that is not cached
+   */
+  public ContinuousBatch(int maxBatch, long stepMillis, long prefillMillisPerBlock) {
+    this.maxBatch = maxBatch;
+    this.stepMillis = Math.max(1, stepMillis);
+    this.prefillMillisPerBlock = prefillMillisPerBlock;
+  }
+
+  /** Adds a request that waits for room. */
+  public void add(EngineRequest request) {
+    waiting.add(new Run(request, nextOrder++));
+  }
+
+  /**
+   * Moves waiting requests into the batch and produces the tokens that are due.
+   *
+   * @param now the time
+   * @param slowFactor how much slower than usual the engine is
+   * @param cache the prefix cache
+   * @return the requests that ended
+   */
+  public List<EngineRequest> advance(long now, double slowFactor, PrefixCache cache) {
+    List<EngineRequest> ended = new ArrayList<>();
+    for (Run r : List.copyOf(running)) {
+      if (r.produce(now, (long) (stepMillis * slowFactor))) {
+        running.remove(r);
+        ended.add(r.request);
+        r.request.sink().end();
+      }
+    }
+    while (running.size() < maxBatch && !waiting.isEmpty()) {
+      Run r = waiting.remove();
+      String prompt = r.request.prompt();
+      int missed = Content.prefixBlocks(prompt) - cache.hit(prompt);
+      cache.store(prompt, now);
+      r.nextTokenAt = now + (long) ((stepMillis + missed * prefillMillisPerBlock) * slowFactor);
+      running.add(r);
+    }
+    return ended;
+  }
+
+  /** Removes requests without ending their answers and returns them. */
+  public List<EngineRequest> remove(Predicate<EngineRequest> which) {
+    List<EngineRequest> removed = new ArrayList<>();
+    Predicate<Run> take = r -> which.test(r.request) && removed.add(r.request);
+    running.removeIf(take);
+    waiting.removeIf(take);
+    return removed;
+  }
+
+  /** Returns the number of requests that run. */
+  public int running() {
+    return running.size();
+  }
+
+  /** Returns the number of requests that wait. */
+  public int waiting() {
+    return waiting.size();
+  }
+
+  /** Returns the number of tokens that are still to be produced. */
+  public long tokens() {
+    long sum = 0;
+    for (Run r : running) {
+      sum += r.request.length() - r.next;
+    }
+    for (Run r : waiting) {
+      sum += r.request.length() - r.next;
+    }
+    return sum;
+  }
+
+  private static final class Run {
+    private final EngineRequest request;
+    private final long order;
+    private int next;
+    private long nextTokenAt;
+
+    Run(EngineRequest request, long order) {
+      this.request = request;
+      this.order = order;
+      this.next = Math.min(request.offset(), request.length());
+    }
+
+    /** Produces the tokens that are due; returns whether the answer is complete. */
+    boolean produce(long now, long step) {
+      while (next < request.length() && nextTokenAt <= now) {
+        boolean last = next + 1 == request.length();
+        request.sink().token(next, Content.token(request.prompt(), next), last);
+        next++;
+        nextTokenAt += Math.max(1, step);
+      }
+      return next >= request.length();
+    }
+  }
+}
