--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/AnnouncementRelay.java
@@ -0,0 +1,90 @@
+package org.ebonypond.server.control;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.ebonypond.server.settings.ReplicaAddress;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Forwards announcements to the control leader in batches. While the leader is not known, every
+ * replica gets them, since one of them may be the leader already. Thread-safe.
+ */
+public final class AnnouncementRelay {
+  private static final long FLUSH_MILLIS = 200;
+
+  private final PeerNetwork network;
+  private final TimerService timers;
+  private final List<ReplicaAddress> replicas;
+  private final Supplier<@Nullable String> leader;
+  private final Map<String, Waiting> waiting = new LinkedHashMap<>();
+
+  /**
+   * Creates a relay.
+   *
+   * @param network carries the reports
+   * @param timers runs the flushes
+   * @param replicas every control replica
+   * @param leader gives the name of the presumed leader, or null
+   */
+  public AnnouncementRelay(
+      PeerNetwork network,
+      TimerService timers,
+      List<ReplicaAddress> replicas,
+      Supplier<@Nullable String> leader) {
+    this.network = network;
+    this.timers = timers;
+    this.replicas = List.copyOf(replicas);
+    this.leader = leader;
+  }
+
+  /** Starts the periodic flush. */
+  public void start() {
+    timers.every(FLUSH_MILLIS, this::flush);
+  }
+
+  /** Takes an announcement; a newer one of the same instance replaces it. */
+  public synchronized void add(InstanceReport.Item item) {
+    waiting.put(item.announcement().instance(), new Waiting(item, timers.nowMillis()));
+  }
+
+  private void flush() {
+    List<InstanceReport.Item> items = new ArrayList<>();
+    long now = timers.nowMillis();
+    synchronized (this) {
+      for (Waiting w : waiting.values()) {
+        ReportedLoad load = w.item.load().olderBy(now - w.since);
+        items.add(new InstanceReport.Item(w.item.announcement(), load));
+      }
+      waiting.clear();
+    }
+    if (items.isEmpty()) {
+      return;
+    }
+    byte[] payload = MessagePackCodec.encode(new InstanceReport(items));
+    for (InetSocketAddress to : targets()) {
+      network.send(to, FrameType.INSTANCE_REPORT, ReplicaChannels.CONTROL, payload);
+    }
+  }
+
+  private List<InetSocketAddress> targets() {
+    String name = leader.get();
+    List<InetSocketAddress> all = new ArrayList<>();
+    for (ReplicaAddress r : replicas) {
+      if (r.name().equals(name)) {
+        return List.of(r.address());
+      }
+      all.add(r.address());
+    }
+    return all;
+  }
+
+  private record Waiting(InstanceReport.Item item, long since) {}
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -0,0 +1,209 @@
+package org.ebonypond.server.control;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.ebonypond.consensus.CommittedEntries;
+import org.ebonypond.consensus.EntryType;
+import org.ebonypond.consensus.LogEntry;
+import org.ebonypond.consensus.Snapshot;
+import org.ebonypond.control.ControlState;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.events.EventCode;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.lease.ViewLease;
+import org.ebonypond.lease.VoterSet;
+import org.ebonypond.server.settings.ReplicaAddress;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a process's view of the control state: polls every replica, applies the committed entries
+ * and keeps the view lease. Thread-safe.
+ */
+public final class ViewFollower {
+  private static final Logger LOG = LoggerFactory.getLogger(ViewFollower.class);
+  private static final long POLL_MILLIS = 500;
+  private static final long POLL_TIMEOUT_MILLIS = 1_000;
+
+  private final PeerNetwork network;
+  private final TimerService timers;
+  private final EventSink events;
+  private final List<ReplicaAddress> replicas;
+  private final Supplier<EntryInfo> self;
+  private final ControlState state = new ControlState(EventSink.NONE);
+  private final ViewLease lease = new ViewLease();
+  private final List<Consumer<ControlView>> viewListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<LeaderDigest>> digestListeners = new CopyOnWriteArrayList<>();
+  private long appliedIndex;
+  private boolean leaseHeld;
+  private volatile ControlView view = ControlView.EMPTY;
+  private volatile @Nullable String leader;
+  private volatile @Nullable LeaderDigest digest;
+
+  /**
+   * Creates a follower with an empty view.
+   *
+   * @param network carries the polls
+   * @param timers runs the polls
+   * @param events receives the changes of the lease and of the view
+   * @param replicas every control replica
+   * @param self describes this process to the replicas
+   */
+  public ViewFollower(
+      PeerNetwork network,
+      TimerService timers,
+      EventSink events,
+      List<ReplicaAddress> replicas,
+      Supplier<EntryInfo> self) {
+    this.network = network;
+    this.timers = timers;
+    this.events = events;
+    this.replicas = List.copyOf(replicas);
+    this.self = self;
+  }
+
+  /** Adds a listener that receives each new view, in order. */
+  public void onView(Consumer<ControlView> listener) {
+    viewListeners.add(listener);
+  }
+
+  /** Adds a listener that receives each digest of the leader. */
+  public void onDigest(Consumer<LeaderDigest> listener) {
+    digestListeners.add(listener);
+  }
+
+  /** Starts polling. */
+  public void start() {
+    poll();
+    timers.every(POLL_MILLIS, this::poll);
+  }
+
+  /** Returns the latest view. */
+  public ControlView view() {
+    return view;
+  }
+
+  /** Returns the name of the presumed control leader, or null. */
+  public @Nullable String leader() {
+    return leader;
+  }
+
+  /** Returns the latest digest of a leader, or null. */
+  public @Nullable LeaderDigest digest() {
+    return digest;
+  }
+
+  /** Returns whether new work may start now; reads the time itself. */
+  public synchronized boolean mayStart() {
+    return lease.mayStart(timers.nowMillis());
+  }
+
+  /** Polls all replicas now, for example after an operator's change was accepted. */
+  public void poll() {
+    long id;
+    synchronized (this) {
+      id = lease.startPoll(timers.nowMillis());
+      reportLease();
+    }
+    replicas.forEach(r -> ask(id, r));
+  }
+
+  private void ask(long pollId, ReplicaAddress r) {
+    EntryInfo me = self.get();
+    long applied;
+    synchronized (this) {
+      applied = appliedIndex;
+    }
+    ViewPoll p = new ViewPoll(me.node(), me.zone(), me.address(), me.ready(), applied);
+    network
+        .ask(
+            r.address(),
+            FrameType.VIEW_POLL,
+            ReplicaChannels.CONTROL,
+            MessagePackCodec.encode(p),
+            POLL_TIMEOUT_MILLIS)
+        .thenApply(b -> MessagePackCodec.decode(b, ViewPollResult.class))
+        .whenComplete((result, failure) -> answered(pollId, r, result, failure));
+  }
+
+  private void answered(
+      long pollId,
+      ReplicaAddress r,
+      @Nullable ViewPollResult result,
+      @Nullable Throwable failure) {
+    if (result == null) {
+      LOG.debug("replica {} did not answer a view poll", r.name(), failure);
+      return;
+    }
+    boolean more;
+    synchronized (this) {
+      more = take(result.committed());
+      if (result.voter()) {
+        VoterSet voters =
+            new VoterSet(result.membershipIndex(), java.util.Set.copyOf(result.members().values()));
+        lease.onReply(
+            pollId, result.members().get(r.name()), voters, result.durableIndex());
+      }
+      lease.onApplied(appliedIndex);
+      reportLease();
+    }
+    LeaderDigest d = result.digest();
+    if (d != null) {
+      leader = r.name();
+      digest = d;
+      digestListeners.forEach(l -> l.accept(d));
+    } else if (result.leader() != null) {
+      leader = result.leader();
+    }
+    if (more) {
+      ask(pollId, r);
+    }
+  }
+
+  /** Applies committed entries; returns whether the replica has more. */
+  private boolean take(CommittedEntries c) {
+    long before = appliedIndex;
+    Snapshot s = c.snapshot();
+    if (s != null && s.index() > appliedIndex) {
+      state.restore(s.data());
+      appliedIndex = s.index();
+    }
+    for (LogEntry e : c.entries()) {
+      if (e.index() <= appliedIndex) {
+        continue;
+      }
+      if (e.index() != appliedIndex + 1) {
+        // Answers may overtake each other; the next poll asks from the index that is applied.
+        break;
+      }
+      if (e.type() == EntryType.COMMAND) {
+        state.apply(e.index(), e.data());
+      }
+      appliedIndex = e.index();
+    }
+    if (appliedIndex == before) {
+      return false;
+    }
+    view = state.view();
+    ControlView v = view;
+    viewListeners.forEach(l -> l.accept(v));
+    return appliedIndex < c.appliedIndex();
+  }
+
+  private void reportLease() {
+    boolean held = lease.mayStart(timers.nowMillis());
+    if (held != leaseHeld) {
+      leaseHeld = held;
+      events.emit(
+          held ? EventCode.VIEW_LEASE_REGAINED : EventCode.VIEW_LEASE_LOST,
+          "view/" + appliedIndex);
+    }
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameType.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameType.java
@@ -10,6 +10,8 @@
   VIEW_POLL,
   /** Announcements of backend servers for the control leader. */
   INSTANCE_REPORT,
+  /** Asks a replica what a shard of the request ledger holds of a key. */
+  LEDGER_LOOKUP,
   /** Asks the control leader for shares of the ceilings of starting backend servers. */
   SHARE_REQUEST,
   /** The answer to a frame that has a correlation number. */
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -175,6 +175,11 @@
     return log.membership();
   }
 
+  /** Returns the log index of the latest configuration, or 0 if there is none. */
+  public long membershipIndex() {
+    return log.membershipIndex();
+  }
+
   /** Returns the last index that is known to be committed. */
   public long commitIndex() {
     return commit;
