--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/lease/ShareHolder.java
@@ -0,0 +1,244 @@
+package org.ebonypond.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An entry's shares of starting backend servers. No request starts without a free slot of a share
+ * whose lease, counted from the time the entry sent its request, has not lapsed. Not thread-safe.
+ */
+public final class ShareHolder {
+  /** The interval of requests; a share survives the loss of several. */
+  public static final long RENEW_MILLIS = 500;
+
+  /** Requests older than this many can no longer bring a lease. */
+  private static final int MAX_SENT = 16;
+
+  private final HolderId id;
+  private final LinkedHashMap<Long, Long> sent = new LinkedHashMap<>();
+  private final TreeMap<String, Slot> slots = new TreeMap<>();
+  // New slots start at this count, so that a slot that is removed and added again never counts
+  // back.
+  private long totalFinished;
+  private long sequence;
+  private long ack;
+  private long term;
+
+  /** The state of one target. */
+  private static final class Slot {
+    private final ShareTarget target;
+    private int demand;
+    private int inFlight;
+    private int lost;
+    private long lostMillis = Long.MIN_VALUE;
+    private long finished;
+    private int granted;
+    private long validUntil = Long.MIN_VALUE;
+    private boolean warm;
+
+    Slot(ShareTarget target, long finished) {
+      this.target = target;
+      this.finished = finished;
+    }
+
+    /** Returns the requests that the server may still run. */
+    int busy() {
+      return inFlight + lost;
+    }
+  }
+
+  /**
+   * Creates a holder without shares.
+   *
+   * @param id the entry and its incarnation
+   */
+  public ShareHolder(HolderId id) {
+    this.id = id;
+  }
+
+  /**
+   * Makes a boot identity the current one of a backend server. The shares of another boot are void
+   * at once, and its requests are no longer counted.
+   */
+  public void onBoot(ShareTarget target) {
+    Slot s = slots.get(target.name());
+    if (s == null || !s.target.equals(target)) {
+      slots.put(target.name(), new Slot(target, totalFinished));
+    }
+  }
+
+  /**
+   * Gives up the share of a backend server that is down or gone. Requests that it may still run
+   * stay counted, because it may come back with the same boot identity.
+   */
+  public void remove(String name) {
+    Slot s = slots.get(name);
+    if (s == null) {
+      return;
+    }
+    s.granted = 0;
+    s.demand = 0;
+    if (s.busy() == 0) {
+      slots.remove(name);
+    }
+  }
+
+  /**
+   * Sets how many requests wait for the target.
+   *
+   * @param target the target
+   * @param waiting the requests that could start at once if there were slots
+   */
+  public void setWaiting(ShareTarget target, int waiting) {
+    Slot s = find(target);
+    if (s != null) {
+      s.demand = waiting;
+    }
+  }
+
+  /**
+   * Builds the next request. Sent every {@link #RENEW_MILLIS} and at once when demand appears or
+   * ends; a request without demand returns the shares.
+   *
+   * @param nowMillis the time before the request is sent
+   */
+  public ShareRequest request(long nowMillis) {
+    sent.put(++sequence, nowMillis);
+    if (sent.size() > MAX_SENT) {
+      sent.remove(sent.keySet().iterator().next());
+    }
+    List<ShareRequest.Item> items = new ArrayList<>();
+    for (Slot s : slots.values()) {
+      int wanted = s.busy() + s.demand;
+      boolean held = s.granted > 0 && nowMillis < s.validUntil;
+      if (wanted > 0 || (held && !s.warm)) {
+        items.add(new ShareRequest.Item(s.target, wanted, s.busy(), s.finished));
+      }
+    }
+    return new ShareRequest(id, sequence, ack, items);
+  }
+
+  /** Takes a grant. Grants of older requests, other processes and lower terms are ignored. */
+  public void onGrant(ShareGrant grant) {
+    Long sentMillis = sent.get(grant.sequence());
+    boolean mine = grant.holder().equals(id) && sentMillis != null && grant.sequence() > ack;
+    if (!mine || grant.term() < term) {
+      return;
+    }
+    ack = grant.sequence();
+    term = grant.term();
+    Map<ShareTarget, ShareGrant.Item> items = new HashMap<>();
+    grant.items().forEach(i -> items.put(i.target(), i));
+    for (Slot s : slots.values()) {
+      ShareGrant.Item i = items.get(s.target);
+      s.granted = i == null ? 0 : i.slots();
+      s.validUntil = sentMillis + ShareAllocator.LEASE_MILLIS;
+      s.warm |= i != null && i.warm();
+    }
+  }
+
+  /**
+   * Starts a request if the target is warm, or has a free slot of a share that has not lapsed.
+   *
+   * @param target the target with the boot identity that the entry expects
+   * @param nowMillis the time, read immediately before
+   * @return whether the request counts as in flight; if so, {@link #finished} must follow
+   */
+  public boolean tryStart(ShareTarget target, long nowMillis) {
+    Slot s = find(target);
+    if (s == null || !(s.warm || hasSlot(s, nowMillis))) {
+      return false;
+    }
+    s.inFlight++;
+    return true;
+  }
+
+  /** Ends a request that {@link #tryStart} started and that the server runs no more. */
+  public void finished(ShareTarget target) {
+    Slot s = find(target);
+    if (s == null) {
+      return;
+    }
+    end(s);
+    count(s, 1);
+  }
+
+  /**
+   * Ends a request whose connection was lost, so that the server may still run it. Its slot stays
+   * taken until a load report shows that it ended.
+   */
+  public void lost(ShareTarget target, long nowMillis) {
+    Slot s = find(target);
+    if (s == null) {
+      return;
+    }
+    end(s);
+    s.lost++;
+    s.lostMillis = nowMillis;
+  }
+
+  /**
+   * Takes a load report.
+   *
+   * @param target the target, with the boot identity that the report names
+   * @param measuredMillis the time of the measurement on this entry's clock, or an earlier time
+   * @param active the requests that the server runs or queues
+   */
+  public void onLoad(ShareTarget target, long measuredMillis, int active) {
+    Slot s = find(target);
+    if (s == null || s.lost <= active) {
+      return;
+    }
+    if (measuredMillis >= s.lostMillis + ShareAllocator.TRANSIT_MILLIS) {
+      count(s, s.lost - active);
+      s.lost = active;
+    }
+  }
+
+  /** Returns the requests that a target may run for this entry. */
+  public int inFlight(ShareTarget target) {
+    Slot s = find(target);
+    return s == null ? 0 : s.busy();
+  }
+
+  /** Returns the requests that could start now; {@link Integer#MAX_VALUE} if the target is warm. */
+  public int free(ShareTarget target, long nowMillis) {
+    Slot s = find(target);
+    if (s == null) {
+      return 0;
+    }
+    if (s.warm) {
+      return Integer.MAX_VALUE;
+    }
+    return nowMillis < s.validUntil ? Math.max(0, s.granted - s.busy()) : 0;
+  }
+
+  private static void end(Slot s) {
+    if (s.inFlight == 0) {
+      throw new EbonypondException(
+          ErrorCode.INVARIANT_VIOLATED, "more requests ended than started at " + s.target);
+    }
+    s.inFlight--;
+  }
+
+  private void count(Slot s, int requests) {
+    s.finished += requests;
+    totalFinished += requests;
+  }
+
+  private static boolean hasSlot(Slot s, long nowMillis) {
+    return nowMillis < s.validUntil && s.busy() < s.granted;
+  }
+
+  private @Nullable Slot find(ShareTarget target) {
+    Slot s = slots.get(target.name());
+    return s != null && s.target.equals(target) ? s : null;
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/stream/ChunkAssembler.java
@@ -0,0 +1,147 @@
+package org.ebonypond.stream;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Places the chunks of one request's answer in order. Not thread-safe.
+ *
+ * <p>Only chunks of the newest attempt count. A resumed attempt generates from what was delivered,
+ * so a later chunk of the attempt before it would not fit the text.
+ */
+public final class ChunkAssembler {
+  private final String request;
+  private final int maxBufferedBytes;
+  private final TreeMap<Long, Chunk> buffered = new TreeMap<>();
+  private long[] delivered = new long[16];
+  private int next;
+  private long total = Long.MAX_VALUE;
+  private int bufferedBytes;
+  private int attempt;
+  private boolean contradicted;
+
+  /**
+   * Creates an assembler that has delivered nothing.
+   *
+   * @param request the identity of the request
+   * @param maxBufferedBytes the most data that waits for earlier chunks, in bytes of UTF-8
+   */
+  public ChunkAssembler(String request, int maxBufferedBytes) {
+    this.request = request;
+    this.maxBufferedBytes = maxBufferedBytes;
+  }
+
+  /**
+   * Starts an attempt. Chunks of earlier attempts that were not delivered are dropped.
+   *
+   * @return the number of the attempt, which its chunks carry
+   */
+  public int startAttempt() {
+    attempt++;
+    contradicted = false;
+    buffered.clear();
+    bufferedBytes = 0;
+    if (!isWhole()) {
+      total = Long.MAX_VALUE;
+    }
+    return attempt;
+  }
+
+  /** Takes a chunk. */
+  public Placement add(Chunk c) {
+    if (!c.request().equals(request)) {
+      return Placement.dropped(Placement.Kind.FOREIGN);
+    }
+    if (c.attempt() != attempt) {
+      return Placement.dropped(Placement.Kind.STALE);
+    }
+    if (contradicted || contradicts(c)) {
+      contradicted = true;
+      return Placement.dropped(Placement.Kind.CONTRADICTION);
+    }
+    if (c.offset() < next || buffered.containsKey(c.offset())) {
+      return Placement.dropped(Placement.Kind.DUPLICATE);
+    }
+    if (c.offset() > next && bufferedBytes + size(c) > maxBufferedBytes) {
+      return Placement.dropped(Placement.Kind.NO_ROOM);
+    }
+    if (c.last()) {
+      total = c.offset() + 1;
+    }
+    buffered.put(c.offset(), c);
+    bufferedBytes += size(c);
+    if (c.offset() > next) {
+      return Placement.dropped(Placement.Kind.BUFFERED);
+    }
+    return new Placement(Placement.Kind.DELIVERED, takeReady());
+  }
+
+  /** Returns the offset from which an attempt must resume: the number of delivered chunks. */
+  public long resumeOffset() {
+    return next;
+  }
+
+  /** Returns whether the whole answer has been delivered. */
+  public boolean isWhole() {
+    return next == total;
+  }
+
+  /** Returns the data that waits for earlier chunks, in bytes. */
+  public int bufferedBytes() {
+    return bufferedBytes;
+  }
+
+  private boolean contradicts(Chunk c) {
+    if (c.offset() < 0 || c.offset() >= total) {
+      return true;
+    }
+    if (c.offset() < next) {
+      return delivered[(int) c.offset()] != fingerprint(c);
+    }
+    Chunk known = buffered.get(c.offset());
+    if (known != null) {
+      return !known.equals(c);
+    }
+    boolean endsTooEarly = !buffered.isEmpty() && buffered.lastKey() > c.offset();
+    return c.last() && (total != Long.MAX_VALUE || endsTooEarly);
+  }
+
+  private List<Chunk> takeReady() {
+    List<Chunk> ready = new ArrayList<>();
+    for (@Nullable Chunk c = buffered.remove((long) next);
+        c != null;
+        c = buffered.remove((long) next)) {
+      if (c.offset() != next || !c.request().equals(request)) {
+        throw new EbonypondException(
+            ErrorCode.INVARIANT_VIOLATED, "chunk " + c.offset() + " delivered at " + next);
+      }
+      bufferedBytes -= size(c);
+      if (next == delivered.length) {
+        delivered = Arrays.copyOf(delivered, next * 2);
+      }
+      delivered[next++] = fingerprint(c);
+      ready.add(c);
+    }
+    return ready;
+  }
+
+  private static int size(Chunk c) {
+    return c.data().getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  /** Eight bytes for each delivered chunk; equal fingerprints of different chunks are unlikely. */
+  private static long fingerprint(Chunk c) {
+    long h = c.last() ? 1 : 0;
+    for (int i = 0; i < c.data().length(); i++) {
+      h = (h ^ c.data().charAt(i)) * 0x9e3779b97f4a7c15L;
+      h ^= h >>> 29;
+    }
+    return h + c.data().length();
+  }
+}
