--- a/org.ebonypond/src/main/java/org/ebonypond/control/InstanceRecord.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/InstanceRecord.java
@@ -1,5 +1,8 @@
 package org.ebonypond.control;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * A registered backend server instance.
  *
@@ -14,6 +17,8 @@
  * @param registeredIndex the log index of the registration of this boot
  * @param releasedIndex the log index at which it last left a group, or 0; the fencing number of an
  *     unload order
+ * @param previousBoots the last boot identities that a newer one replaced; late announcements of
+ *     them are ignored
  */
 public record InstanceRecord(
     String instance,
@@ -25,7 +30,15 @@
     String flavor,
     InstanceStatus status,
     long registeredIndex,
-    long releasedIndex) {
+    long releasedIndex,
+    List<String> previousBoots) {
+  private static final int MAX_PREVIOUS_BOOTS = 4;
+
+  /** Copies the list. */
+  public InstanceRecord {
+    previousBoots = List.copyOf(previousBoots);
+  }
+
   /** Creates an instance that has left no group. */
   public InstanceRecord(
       String instance,
@@ -37,18 +50,49 @@
       String flavor,
       InstanceStatus status,
       long registeredIndex) {
-    this(instance, boot, address, zone, domain, kind, flavor, status, registeredIndex, 0);
+    this(
+        instance, boot, address, zone, domain, kind, flavor, status, registeredIndex, 0, List.of());
   }
 
   /** Returns a copy with another status. */
   public InstanceRecord withStatus(InstanceStatus s) {
     return new InstanceRecord(
-        instance, boot, address, zone, domain, kind, flavor, s, registeredIndex, releasedIndex);
+        instance,
+        boot,
+        address,
+        zone,
+        domain,
+        kind,
+        flavor,
+        s,
+        registeredIndex,
+        releasedIndex,
+        previousBoots);
   }
 
   /** Returns a copy that left a group at a log index. */
   public InstanceRecord withReleased(long index) {
     return new InstanceRecord(
-        instance, boot, address, zone, domain, kind, flavor, status, registeredIndex, index);
+        instance,
+        boot,
+        address,
+        zone,
+        domain,
+        kind,
+        flavor,
+        status,
+        registeredIndex,
+        index,
+        previousBoots);
+  }
+
+  /** Returns the boot identities that a new boot replaces, oldest first. */
+  List<String> bootsReplacedBy(String next) {
+    if (boot.equals(next)) {
+      return previousBoots;
+    }
+    List<String> out = new ArrayList<>(previousBoots);
+    out.add(boot);
+    return out.subList(Math.max(0, out.size() - MAX_PREVIOUS_BOOTS), out.size());
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/control/InstanceRules.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/InstanceRules.java
@@ -1,5 +1,6 @@
 package org.ebonypond.control;
 
+import java.util.List;
 import java.util.Map;
 import org.ebonypond.control.ControlCommand.InstanceDown;
 import org.ebonypond.control.ControlCommand.InstanceLeaving;
@@ -32,6 +33,9 @@
     if (old != null && old.status() == InstanceStatus.LEAVING && old.boot().equals(c.boot())) {
       return Rejection.because("boot %s of instance %s is leaving", c.boot(), c.instance());
     }
+    if (old != null && old.previousBoots().contains(c.boot())) {
+      return Rejection.because("boot %s of instance %s was replaced", c.boot(), c.instance());
+    }
     InstanceRecord next =
         new InstanceRecord(
             c.instance(),
@@ -43,7 +47,8 @@
             c.flavor(),
             InstanceStatus.UP,
             tables.index,
-            old == null ? 0 : old.releasedIndex());
+            old == null ? 0 : old.releasedIndex(),
+            old == null ? List.of() : old.bootsReplacedBy(c.boot()));
     tables.putInstance(next);
     events.emit(
         EventCode.INSTANCE_REGISTERED,
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/EngineOrder.java
@@ -0,0 +1,41 @@
+package org.ebonypond.group;
+
+import java.util.List;
+
+/**
+ * An order to an engine instance.
+ *
+ * @param fencing the fencing number
+ * @param type what to do
+ * @param model the model, or an empty string for an unload
+ * @param version the model's version, or an empty string for an unload
+ * @param adapters the adapters to load with the model
+ * @param group the group, or an empty string for an unload
+ * @param rank the rank in the group, or -1 for an unload
+ * @param members the addresses of all members by rank
+ */
+public record EngineOrder(
+    long fencing,
+    Type type,
+    String model,
+    String version,
+    List<String> adapters,
+    String group,
+    int rank,
+    List<String> members) {
+  /** Copies the lists. */
+  public EngineOrder {
+    adapters = List.copyOf(adapters);
+    members = List.copyOf(members);
+  }
+
+  /** The kinds of orders. */
+  public enum Type {
+    /** Load the model and take the place in the group. */
+    LOAD,
+    /** Drop the model. */
+    UNLOAD,
+    /** Keep the loaded model and take another place in the group. */
+    ROLE
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/GroupPlanner.java
@@ -0,0 +1,114 @@
+package org.ebonypond.group;
+
+import java.util.List;
+import java.util.Map;
+import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlCommand.DissolveGroup;
+import org.ebonypond.control.ControlCommand.DrainGroup;
+import org.ebonypond.control.ControlCommand.FormGroup;
+import org.ebonypond.control.ControlCommand.ReplaceMember;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.events.EventSink;
+
+/**
+ * Proposes the commands that bring the groups into line with the document. Soft state of the
+ * leader; call {@link #elected} when leadership starts. Not thread-safe.
+ */
+public final class GroupPlanner {
+  private static final long PENDING_MILLIS = 5_000;
+
+  private final GroupClock clock = new GroupClock();
+  private final PendingProposals pending = new PendingProposals(PENDING_MILLIS);
+  private final FlapTracker flaps;
+  private final DrainPhase drains;
+  private final RepairPhase repairs;
+  private final PlacementPhase placements;
+  private final MovePhase moves;
+  private long sequence;
+
+  /**
+   * Creates a planner.
+   *
+   * @param policy chooses between places and repairs
+   * @param settings times and bounds
+   * @param events receives {@code GROUP_NOT_PLACED}
+   */
+  public GroupPlanner(PlacementPolicy policy, PlannerSettings settings, EventSink events) {
+    this.flaps = new FlapTracker(settings);
+    this.drains = new DrainPhase(settings, clock);
+    this.repairs = new RepairPhase(policy, settings, clock);
+    this.placements = new PlacementPhase(policy, events);
+    this.moves = new MovePhase(policy, settings, clock);
+  }
+
+  /** Starts anew with the soft state of a new leader. */
+  public void elected() {
+    pending.clear();
+    clock.clear();
+    sequence = 0;
+  }
+
+  /** States that the result of a proposal is known. */
+  public void resolved(ControlCommand c) {
+    pending.resolved(c);
+  }
+
+  /**
+   * Makes a plan. A change that was proposed and whose result is not known is not proposed again.
+   *
+   * @param view the current view
+   * @param observations what was last heard of each instance, by name
+   * @param now the time in milliseconds
+   * @return the commands to propose, in order
+   */
+  public List<Proposal> plan(
+      ControlView view, Map<String, InstanceObservation> observations, long now) {
+    flaps.observe(view, now);
+    clock.retain(view);
+    settle(view, now);
+    ServiceDocument document = view.document();
+    if (document == null) {
+      return List.of();
+    }
+    sequence = Math.max(sequence, view.groupSequence());
+    PlanContext c = new PlanContext(view, document, observations, pending, flaps, sequence, now);
+    drains.plan(c);
+    repairs.plan(c);
+    placements.plan(c);
+    moves.plan(c);
+    sequence = c.sequence();
+    return c.proposals();
+  }
+
+  /** Forgets the proposals that the view shows as applied or as too late to apply. */
+  private void settle(ControlView view, long now) {
+    pending.expire(now);
+    for (ControlCommand c : List.copyOf(pending.commands())) {
+      if (isSettled(view, c)) {
+        pending.resolved(c);
+      }
+    }
+  }
+
+  private static boolean isSettled(ControlView view, ControlCommand c) {
+    if (c instanceof FormGroup f) {
+      String name = f.group();
+      long number = Long.parseLong(name.substring(name.lastIndexOf('-') + 1));
+      return number <= view.groupSequence();
+    }
+    if (c instanceof ReplaceMember r) {
+      return changed(view, r.group(), r.epoch());
+    }
+    if (c instanceof DrainGroup d) {
+      return changed(view, d.group(), d.epoch());
+    }
+    return c instanceof DissolveGroup d && changed(view, d.group(), d.epoch());
+  }
+
+  private static boolean changed(ControlView view, String group, long epoch) {
+    GroupRecord g = view.groups().get(group);
+    return g == null || g.epoch() != epoch;
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/LoadSlots.java
@@ -0,0 +1,61 @@
+package org.ebonypond.group;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.control.GroupState;
+
+/** Bounds the number of groups that load at once. */
+final class LoadSlots {
+  private final SchedulerSettings settings;
+  private final Map<String, Holder> holders = new HashMap<>();
+
+  private record Holder(long epoch, long since) {}
+
+  LoadSlots(SchedulerSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Puts the groups of the models with the fewest ready groups first, then the oldest. */
+  void order(List<GroupRecord> loading, List<GroupRecord> ready) {
+    Map<String, Integer> readyByModel = new HashMap<>();
+    ready.forEach(g -> readyByModel.merge(g.model(), 1, Integer::sum));
+    loading.sort(
+        Comparator.comparingInt((GroupRecord g) -> readyByModel.getOrDefault(g.model(), 0))
+            .thenComparingLong(GroupRecord::epoch));
+  }
+
+  /** Returns whether a group may load, and counts it as loading from now on if so. */
+  boolean acquire(GroupRecord g, long now) {
+    Holder h = holders.get(g.group());
+    if (h != null && h.epoch() == g.epoch()) {
+      return true;
+    }
+    long held =
+        holders.values().stream().filter(o -> now - o.since() < settings.loadSlotMillis()).count();
+    if (held >= settings.maxLoadingGroups()) {
+      return false;
+    }
+    holders.put(g.group(), new Holder(g.epoch(), now));
+    return true;
+  }
+
+  void retain(ControlView view) {
+    holders
+        .entrySet()
+        .removeIf(
+            e -> {
+              GroupRecord g = view.groups().get(e.getKey());
+              return g == null
+                  || g.state() != GroupState.LOADING
+                  || g.epoch() != e.getValue().epoch();
+            });
+  }
+
+  void clear() {
+    holders.clear();
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/Proposal.java
@@ -0,0 +1,11 @@
+package org.ebonypond.group;
+
+import org.ebonypond.control.ControlCommand;
+
+/**
+ * A command that the leader should propose to the control log.
+ *
+ * @param command the command
+ * @param reason why, for display
+ */
+public record Proposal(ControlCommand command, String reason) {}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/RepairPhase.java
@@ -0,0 +1,132 @@
+package org.ebonypond.group;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.ebonypond.control.GroupMember;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.control.InstanceRecord;
+import org.ebonypond.document.ModelSpec;
+import org.ebonypond.group.PlacementPolicy.RepairCase;
+import org.ebonypond.group.PlacementPolicy.RepairChoice;
+import org.jspecify.annotations.Nullable;
+
+/** Repairs the groups that miss members, those of the models with the fewest ready groups first. */
+final class RepairPhase {
+  private final PlacementPolicy policy;
+  private final PlannerSettings settings;
+  private final GroupClock clock;
+
+  RepairPhase(PlacementPolicy policy, PlannerSettings settings, GroupClock clock) {
+    this.policy = policy;
+    this.settings = settings;
+    this.clock = clock;
+  }
+
+  void plan(PlanContext c) {
+    List<GroupRecord> order = new ArrayList<>(c.incomplete);
+    order.sort(
+        Comparator.comparingInt((GroupRecord g) -> c.slot(g).totals.ready)
+            .thenComparingInt(g -> missing(c, g).size())
+            .thenComparing(GroupRecord::group));
+    for (int i = 0; i < order.size(); i++) {
+      GroupRecord g = order.get(i);
+      ModelSpec m = c.slot(g).spec;
+      if (m != null && !c.isBusy(g)) {
+        repair(c, g, m, order.subList(i + 1, order.size()));
+      }
+    }
+  }
+
+  private static List<GroupMember> missing(PlanContext c, GroupRecord g) {
+    return g.members().stream().filter(m -> !c.isUsable(g, m)).toList();
+  }
+
+  private void repair(PlanContext c, GroupRecord g, ModelSpec m, List<GroupRecord> later) {
+    List<GroupMember> missing = missing(c, g);
+    if (missing.isEmpty()) {
+      takeUpAgain(c, g);
+      return;
+    }
+    DomainPool pool = c.pool(g.zone(), g.domain(), m.engineKind());
+    GroupRecord donor = donor(c, g, later);
+    int donatable = donor == null ? 0 : donor.members().size() - missing(c, donor).size();
+    List<DomainPool> fit = c.fitting(m, g.zone());
+    fit.remove(pool);
+    DomainPool elsewhere = fit.isEmpty() ? null : policy.place(m, fit);
+    RepairChoice choice =
+        policy.repair(
+            new RepairCase(
+                missing.size(),
+                pool.free(),
+                donatable,
+                elsewhere,
+                clock.elapsed(g, "incomplete", c.now),
+                settings.waitForReturnMillis()));
+    carryOut(c, g, m, choice, missing, pool, donor, elsewhere);
+  }
+
+  private void carryOut(
+      PlanContext c,
+      GroupRecord g,
+      ModelSpec m,
+      RepairChoice choice,
+      List<GroupMember> missing,
+      DomainPool pool,
+      @Nullable GroupRecord donor,
+      @Nullable DomainPool elsewhere) {
+    if (choice == RepairChoice.USE_SPARES) {
+      // Each replacement changes the epoch, so that one is proposed at a time; the other spares
+      // stay reserved for this group.
+      List<GroupMember> spares = pool.take(missing.size(), g.model(), g.version());
+      c.replace(g, missing.get(0).instance(), spares.get(0), "spare in the domain");
+    } else if (choice == RepairChoice.MERGE && donor != null) {
+      pool.take(pool.free(), g.model(), g.version());
+      c.giveUp(donor);
+      c.dissolve(donor, "members complete group " + g.group());
+    } else if (choice == RepairChoice.MOVE && elsewhere != null) {
+      c.giveUp(g);
+      c.form(c.slot(g), m, elsewhere, "moved from domain " + g.domain());
+      c.dissolve(g, "moved to another domain");
+    } else if (choice == RepairChoice.DISSOLVE) {
+      c.giveUp(g);
+      c.dissolve(g, "members lost and no spare");
+    }
+  }
+
+  /** Takes up members that returned: first those with a new boot, then the same boot again. */
+  private void takeUpAgain(PlanContext c, GroupRecord g) {
+    if (g.state() != GroupState.DOWN) {
+      return;
+    }
+    GroupMember chosen = g.members().get(0);
+    for (GroupMember m : g.members()) {
+      InstanceRecord r = c.instance(m.instance());
+      if (r != null && !r.boot().equals(m.boot())) {
+        chosen = new GroupMember(m.instance(), r.boot());
+        break;
+      }
+    }
+    c.replace(g, chosen.instance(), chosen, "member returned");
+  }
+
+  /** Returns a later incomplete group in the same domain whose members run the same engine. */
+  private static @Nullable GroupRecord donor(
+      PlanContext c, GroupRecord g, List<GroupRecord> later) {
+    ModelSpec m = c.slot(g).spec;
+    for (GroupRecord d : later) {
+      ModelSpec dm = c.slot(d).spec;
+      boolean same =
+          m != null
+              && dm != null
+              && dm.engineKind().equals(m.engineKind())
+              && d.zone().equals(g.zone())
+              && d.domain().equals(g.domain());
+      if (same && !c.isBusy(d) && !missing(c, d).isEmpty()) {
+        return d;
+      }
+    }
+    return null;
+  }
+}
