--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
@@ -0,0 +1,339 @@
+package org.ebonypond.server.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.ebonypond.consensus.ProposalResult;
+import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlResult;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.control.InstanceRecord;
+import org.ebonypond.document.ModelSpec;
+import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.document.ServiceSpec;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.group.EngineStatus;
+import org.ebonypond.group.GroupPlanner;
+import org.ebonypond.group.InstanceAnnouncement;
+import org.ebonypond.group.InstanceDetector;
+import org.ebonypond.group.InstanceObservation;
+import org.ebonypond.group.OrderScheduler;
+import org.ebonypond.group.PlacementPolicy;
+import org.ebonypond.group.PlannerSettings;
+import org.ebonypond.group.Proposal;
+import org.ebonypond.group.SchedulerOutput;
+import org.ebonypond.group.SchedulerSettings;
+import org.ebonypond.lease.CeilingRamp;
+import org.ebonypond.lease.ShareAllocator;
+import org.ebonypond.lease.ShareGrant;
+import org.ebonypond.lease.ShareRequest;
+import org.ebonypond.lease.ShareTarget;
+import org.ebonypond.server.backend.EngineAdmin;
+import org.ebonypond.server.replica.ReplicaService;
+import org.ebonypond.server.replica.ReplicaStatus;
+import org.ebonypond.server.transport.Frame;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The duties of the control leader: watching instances, planning groups, sending orders and
+ * granting shares. Runs on one executor thread; does nothing while this replica does not lead.
+ */
+public final class ControlLeader {
+  private static final Logger LOG = LoggerFactory.getLogger(ControlLeader.class);
+  private static final long TICK_MILLIS = 100;
+
+  private final ReplicaService replica;
+  private final TimerService timers;
+  private final Executor executor;
+  private final EngineAdmin engines;
+  private final InstanceDetector detector = new InstanceDetector();
+  private final GroupPlanner planner;
+  private final OrderScheduler scheduler;
+  private final ReadinessClock readiness = new ReadinessClock();
+  private final LeaderDirectory directory;
+  private final Map<String, InstanceObservation> observations = new HashMap<>();
+  private final Map<ShareTarget, Long> knownAtElection = new HashMap<>();
+  private final Set<String> shareTargets = new HashSet<>();
+  private long term = -1;
+  private @Nullable ShareAllocator allocator;
+  private ControlView view = ControlView.EMPTY;
+  private boolean stepRunning;
+
+  /**
+   * Creates the duties; they begin with {@link #start}.
+   *
+   * @param replica the control replica of this process
+   * @param timers runs the ticks
+   * @param executor one thread, which serializes everything
+   * @param engines the control interface of engines
+   * @param policy chooses between places and repairs
+   * @param events receives the events
+   * @param directory collects what only the leader knows
+   */
+  public ControlLeader(
+      ReplicaService replica,
+      TimerService timers,
+      Executor executor,
+      EngineAdmin engines,
+      PlacementPolicy policy,
+      EventSink events,
+      LeaderDirectory directory) {
+    this.replica = replica;
+    this.timers = timers;
+    this.executor = executor;
+    this.engines = engines;
+    this.planner = new GroupPlanner(policy, PlannerSettings.DEFAULT, events);
+    this.scheduler = new OrderScheduler(SchedulerSettings.DEFAULT, events);
+    this.directory = directory;
+  }
+
+  /** Registers the frame handlers and starts the ticks. */
+  public void start(PeerNetwork network) {
+    network.handle(FrameType.INSTANCE_REPORT, this::report);
+    network.handle(FrameType.SHARE_REQUEST, this::shareRequest);
+    timers.every(TICK_MILLIS, () -> executor.execute(guarded(this::tick)));
+  }
+
+  /** Takes a view of this process, whether or not it leads. */
+  public void onView(ControlView v) {
+    executor.execute(guarded(() -> readiness.onView(v, timers.nowMillis())));
+  }
+
+  private void tick() {
+    ReplicaStatus status = replica.control().status();
+    if (!status.mayLead(timers.nowMillis())) {
+      term = -1;
+      allocator = null;
+      return;
+    }
+    if (stepRunning) {
+      return;
+    }
+    stepRunning = true;
+    replica
+        .control()
+        .read(() -> replica.controlState().view())
+        .whenCompleteAsync((v, failure) -> guarded(() -> step(status, v)).run(), executor);
+  }
+
+  private void step(ReplicaStatus status, @Nullable ControlView v) {
+    stepRunning = false;
+    if (v == null) {
+      return;
+    }
+    long now = timers.nowMillis();
+    view = v;
+    readiness.onView(v, now);
+    if (term != status.term()) {
+      elected(status.term(), now);
+    }
+    updateTargets(now);
+    detector.tick(v, now).forEach(this::propose);
+    planner.plan(v, observations, now).forEach(this::propose);
+    execute(scheduler.poll(v, now, replica.control().status().leaseHeldUntil()));
+  }
+
+  private void elected(long newTerm, long now) {
+    term = newTerm;
+    detector.elected(now);
+    planner.elected();
+    scheduler.elected(now);
+    observations.clear();
+    directory.clear();
+    allocator = new ShareAllocator(newTerm, now);
+    shareTargets.clear();
+    knownAtElection.clear();
+    knownAtElection.putAll(readiness.targets());
+  }
+
+  private void updateTargets(long now) {
+    ShareAllocator a = allocator;
+    ServiceDocument d = view.document();
+    if (a == null || d == null) {
+      return;
+    }
+    Set<String> present = new HashSet<>();
+    Map<ShareTarget, Long> since = readiness.targets();
+    for (GroupRecord g : view.groups().values()) {
+      ShareTarget t = ShareTargets.of(g);
+      ModelSpec m = d.model(g.model()).orElse(null);
+      if (m != null && since.containsKey(t)) {
+        present.add(t.name());
+        a.addTarget(
+            t,
+            ramp(m.coldCeiling(), m.maxConcurrency(), m.warmSeconds(), since.get(t)),
+            !knownAtElection.containsKey(t));
+      }
+    }
+    for (InstanceRecord i : view.instances().values()) {
+      ShareTarget t = ShareTargets.of(i);
+      ServiceSpec s = d.service(i.flavor()).orElse(null);
+      if (s != null && since.containsKey(t)) {
+        present.add(t.name());
+        a.addTarget(
+            t,
+            ramp(s.coldCeiling(), s.maxConcurrency(), s.warmSeconds(), since.get(t)),
+            !knownAtElection.containsKey(t));
+      }
+    }
+    shareTargets.removeAll(present);
+    shareTargets.forEach(gone -> a.removeTarget(gone, now));
+    shareTargets.clear();
+    shareTargets.addAll(present);
+    a.lapse(now);
+  }
+
+  private static CeilingRamp ramp(int cold, int max, int warmSeconds, long since) {
+    return new CeilingRamp(cold, max, warmSeconds * 1_000L, since);
+  }
+
+  private void propose(Proposal p) {
+    ControlCommand c = p.command();
+    LOG.debug("proposes {} because {}", c, p.reason());
+    replica
+        .control()
+        .propose(MessagePackCodec.encode(c))
+        .whenCompleteAsync((r, failure) -> guarded(() -> resolved(c, r)).run(), executor);
+  }
+
+  private void resolved(ControlCommand c, @Nullable ProposalResult r) {
+    boolean unknown = r == null || r.failure() == ErrorCode.OUTCOME_UNKNOWN;
+    if (unknown) {
+      // The command may still be applied; the parts expect it until their own limit has passed.
+      return;
+    }
+    if (r.failure() == null) {
+      ControlResult result = MessagePackCodec.decode(r.result(), ControlResult.class);
+      if (!result.inForce()) {
+        LOG.info("command {} was rejected: {}", c, result);
+      }
+    }
+    detector.resolved(c);
+    planner.resolved(c);
+    scheduler.resolved(c);
+  }
+
+  private void execute(SchedulerOutput out) {
+    out.proposals().forEach(this::propose);
+    for (SchedulerOutput.StateRead r : out.reads()) {
+      engines
+          .readState(r.address())
+          .whenCompleteAsync(
+              (s, failure) ->
+                  guarded(
+                          () -> {
+                            if (s == null) {
+                              scheduler.failed(r.token(), timers.nowMillis());
+                            } else {
+                              scheduler.stateRead(r.token(), s, timers.nowMillis());
+                            }
+                          })
+                      .run(),
+              executor);
+    }
+    for (SchedulerOutput.OrderToSend o : out.orders()) {
+      engines
+          .send(o.address(), o.order())
+          .whenCompleteAsync(
+              (ok, failure) ->
+                  guarded(
+                          () -> {
+                            if (failure != null) {
+                              LOG.info("order to {} failed: {}", o.instance(), failure.toString());
+                              scheduler.failed(o.token(), timers.nowMillis());
+                            } else {
+                              scheduler.orderAccepted(o.token(), timers.nowMillis());
+                            }
+                          })
+                      .run(),
+              executor);
+    }
+  }
+
+  private CompletableFuture<byte[]> report(Frame f) {
+    InstanceReport r = MessagePackCodec.decode(f.payload(), InstanceReport.class);
+    executor.execute(guarded(() -> r.items().forEach(this::announced)));
+    return CompletableFuture.completedFuture(new byte[0]);
+  }
+
+  private void announced(InstanceReport.Item item) {
+    if (term < 0) {
+      return;
+    }
+    long now = timers.nowMillis();
+    InstanceAnnouncement a = item.announcement();
+    ReportedLoad load = item.load();
+    long heard = now - load.announcedAgoMillis();
+    detector.announced(a, heard);
+    scheduler.announced(a);
+    directory.onLoad(load, now);
+    observations.put(
+        a.instance(),
+        new InstanceObservation(a.instance(), a.boot(), "", "", load.active(), heard));
+    ShareAllocator s = allocator;
+    ShareTarget t = shareTarget(a);
+    if (s != null && t != null && a.status() != EngineStatus.LOADING) {
+      s.onLoad(t, now - load.ageMillis(), load.active() + load.waiting());
+    }
+  }
+
+  /** Returns the start whose requests an announced instance runs, or null if it runs none. */
+  private @Nullable ShareTarget shareTarget(InstanceAnnouncement a) {
+    InstanceRecord i = view.instances().get(a.instance());
+    if (i == null || !i.boot().equals(a.boot())) {
+      return null;
+    }
+    GroupRecord g = a.group().isEmpty() ? null : view.groups().get(a.group());
+    if (g == null) {
+      return ShareTargets.of(i);
+    }
+    boolean first = g.members().get(0).instance().equals(a.instance());
+    return first ? ShareTargets.of(g) : null;
+  }
+
+  private CompletableFuture<byte[]> shareRequest(Frame f) {
+    ShareRequest r = MessagePackCodec.decode(f.payload(), ShareRequest.class);
+    CompletableFuture<byte[]> answer = new CompletableFuture<>();
+    executor.execute(
+        () -> {
+          ShareAllocator a = allocator;
+          boolean leads = replica.control().status().mayLead(timers.nowMillis());
+          if (a == null || !leads) {
+            answer.completeExceptionally(new EbonypondException(ErrorCode.NOT_LEADER, "unknown"));
+            return;
+          }
+          List<ShareGrant> grants = new ArrayList<>(a.onRequest(r, timers.nowMillis()));
+          if (grants.isEmpty()) {
+            answer.completeExceptionally(
+                new EbonypondException(ErrorCode.COMMAND_REJECTED, "overtaken share request"));
+            return;
+          }
+          answer.complete(MessagePackCodec.encode(grants.get(0)));
+        });
+    return answer;
+  }
+
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        LOG.error("duty of the control leader failed", e);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
@@ -0,0 +1,53 @@
+package org.ebonypond.server.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonypond.time.TimerService;
+
+/**
+ * What only the control leader knows and passes on with its answers to view polls: the processes
+ * that poll it and the loads of the backend servers. Thread-safe.
+ */
+public final class LeaderDirectory {
+  /** Processes and loads that were not heard of for this long are left out, in milliseconds. */
+  private static final long FORGET_MILLIS = 5_000;
+
+  private final TimerService timers;
+  private final Map<String, Heard<EntryInfo>> entries = new HashMap<>();
+  private final Map<String, Heard<ReportedLoad>> loads = new HashMap<>();
+
+  /** Creates an empty directory. */
+  public LeaderDirectory(TimerService timers) {
+    this.timers = timers;
+  }
+
+  /** Takes a poll and returns what its sender should know. */
+  public synchronized LeaderDigest onPoll(ViewPoll p) {
+    long now = timers.nowMillis();
+    EntryInfo e = new EntryInfo(p.node(), p.zone(), p.http(), p.ready());
+    entries.put(p.node(), new Heard<>(e, now));
+    entries.values().removeIf(h -> now - h.at >= FORGET_MILLIS);
+    loads.values().removeIf(h -> now - h.at >= FORGET_MILLIS);
+    List<EntryInfo> known = new ArrayList<>();
+    entries.values().forEach(h -> known.add(h.value));
+    known.sort(java.util.Comparator.comparing(EntryInfo::node));
+    List<ReportedLoad> reported = new ArrayList<>();
+    loads.values().forEach(h -> reported.add(h.value.olderBy(now - h.at)));
+    return new LeaderDigest(known, reported);
+  }
+
+  /** Takes a load. */
+  public synchronized void onLoad(ReportedLoad load, long nowMillis) {
+    loads.put(load.instance(), new Heard<>(load, nowMillis));
+  }
+
+  /** Forgets everything, as a new leader does. */
+  public synchronized void clear() {
+    entries.clear();
+    loads.clear();
+  }
+
+  private record Heard<T>(T value, long at) {}
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
@@ -46,8 +46,9 @@
    * @param channel the replicated log
    * @param command the encoded command
    * @param timeoutMillis the time in milliseconds after which no further attempt is made
-   * @return the applied command; fails with {@code no-quorum} if no leader answered in time, in which
-   *     case the command may still be applied, or not at all if {@link ProposalFailure#notSent()}
+   * @return the applied command; fails with {@code no-quorum} if no leader answered in time, in
+   *     which case the command may still be applied, or not at all if {@link
+   *     ProposalFailure#notSent()}
    */
   public CompletableFuture<ProposalReply> propose(
       String channel, byte[] command, long timeoutMillis) {
@@ -100,10 +101,7 @@
           .whenComplete((reply, failure) -> answered(target, reply, failure));
     }
 
-    private void answered(
-        int target,
-        @Nullable ProposalReply reply,
-        @Nullable Throwable failure) {
+    private void answered(int target, @Nullable ProposalReply reply, @Nullable Throwable failure) {
       if (reply != null && reply.failure() == null) {
         done.complete(reply);
         return;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -134,10 +134,7 @@
   }
 
   private void answered(
-      long pollId,
-      ReplicaAddress r,
-      @Nullable ViewPollResult result,
-      @Nullable Throwable failure) {
+      long pollId, ReplicaAddress r, @Nullable ViewPollResult result, @Nullable Throwable failure) {
     if (result == null) {
       LOG.debug("replica {} did not answer a view poll", r.name(), failure);
       return;
@@ -148,8 +145,7 @@
       if (result.voter()) {
         VoterSet voters =
             new VoterSet(result.membershipIndex(), java.util.Set.copyOf(result.members().values()));
-        lease.onReply(
-            pollId, result.members().get(r.name()), voters, result.durableIndex());
+        lease.onReply(pollId, result.members().get(r.name()), voters, result.durableIndex());
       }
       lease.onApplied(appliedIndex);
       reportLease();
@@ -202,8 +198,7 @@
     if (held != leaseHeld) {
       leaseHeld = held;
       events.emit(
-          held ? EventCode.VIEW_LEASE_REGAINED : EventCode.VIEW_LEASE_LOST,
-          "view/" + appliedIndex);
+          held ? EventCode.VIEW_LEASE_REGAINED : EventCode.VIEW_LEASE_LOST, "view/" + appliedIndex);
     }
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -341,7 +341,8 @@
 
     @Override
     public void failed(Reservation r, long now) {
-      released(r, now);
+      parts.load().end(r.ticket(), now);
+      slots.lost(r.target(), now);
       Target t = r.target();
       parts.stragglers().record(t.poolKey(), t.key(), Double.POSITIVE_INFINITY, now);
     }
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/SlotLimiter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/SlotLimiter.java
@@ -33,4 +33,15 @@
    * @param nowMillis the monotonic time in milliseconds
    */
   void release(Target target, long nowMillis);
+
+  /**
+   * Returns a slot whose request the backend server may still run; called in place of {@link
+   * #release}.
+   *
+   * @param target the target with which the slot was taken
+   * @param nowMillis the monotonic time in milliseconds
+   */
+  default void lost(Target target, long nowMillis) {
+    release(target, nowMillis);
+  }
 }
