Add the request paths of an entry and their HTTP handlers

Completions resume on another group from their offset; calls that are not idempotent follow the at-most-once decisions; refusals before the ledger was asked say outcome-unknown for calls with a key, because an earlier attempt may have run.

--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/BackendFailure.java
@@ -0,0 +1,24 @@
+package org.ebonypond.server.backend;
+
+/** A call to a plain service that got no answer. */
+public final class BackendFailure extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final FailureKind kind;
+
+  /**
+   * Creates a failure.
+   *
+   * @param kind how the call failed
+   * @param detail for logs
+   */
+  public BackendFailure(FailureKind kind, String detail) {
+    super(detail);
+    this.kind = kind;
+  }
+
+  /** Returns how the call failed. */
+  public FailureKind kind() {
+    return kind;
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -0,0 +1,456 @@
+package org.ebonypond.server.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ebonypond.admission.AdmissionRequest;
+import org.ebonypond.admission.Decision;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventCode;
+import org.ebonypond.routing.PromptBlocks;
+import org.ebonypond.routing.Reservation;
+import org.ebonypond.routing.RouteRequest;
+import org.ebonypond.routing.Target;
+import org.ebonypond.server.backend.EngineClient;
+import org.ebonypond.server.backend.EngineListener;
+import org.ebonypond.server.backend.EngineRequest;
+import org.ebonypond.server.backend.FailureKind;
+import org.ebonypond.server.http.Problem;
+import org.ebonypond.stream.Chunk;
+import org.ebonypond.stream.ChunkAssembler;
+import org.ebonypond.stream.Placement;
+import org.ebonypond.stream.StreamAction;
+import org.ebonypond.stream.StreamResume;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one completion: admission, dispatch, resumption on another group, and the answer. All events
+ * of a call are handled under its own lock.
+ */
+public final class CompletionCall {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int MAX_BUFFERED_BYTES = 1 << 20;
+  private static final int MAX_DISPATCHES = 4;
+
+  /** An engine that sends no chunk for this long is left; far above the 53 ms between tokens. */
+  private static final long STALL_MILLIS = 5_000;
+
+  private static final long USEFUL_MILLIS = 100;
+  private static final int BYTES_PER_TOKEN = 4;
+
+  private final EntryParts parts;
+  private final EngineClient engines;
+  private final CompletionRequest request;
+  private final CompletionSink sink;
+  private final ChunkAssembler assembler;
+  private final StreamResume resume;
+  private final RouteRequest route;
+  private final Set<String> tried = new HashSet<>();
+  private String causeId = "";
+  private AdmissionRequest admission;
+  private @Nullable Reservation reservation;
+  private EngineClient.@Nullable Attempt attempt;
+  private TimerService.@Nullable Subscription timer;
+  private int admissions;
+  private int dispatches;
+  private long dispatchedMillis;
+  private double firstTokenMillis;
+  private boolean waiting;
+  private boolean ended;
+
+  /**
+   * Creates a call that has not started.
+   *
+   * @param parts the parts of the entry
+   * @param engines runs the attempts
+   * @param request what the caller asked for
+   * @param sink receives the answer
+   */
+  public CompletionCall(
+      EntryParts parts, EngineClient engines, CompletionRequest request, CompletionSink sink) {
+    this.parts = parts;
+    this.engines = engines;
+    this.request = request;
+    this.sink = sink;
+    this.assembler = new ChunkAssembler(request.id(), MAX_BUFFERED_BYTES);
+    this.resume =
+        new StreamResume(
+            assembler,
+            new StreamResume.Limits(
+                request.deadlineMillis(), STALL_MILLIS, USEFUL_MILLIS, MAX_DISPATCHES));
+    this.route =
+        RouteRequest.model(
+            request.id(),
+            request.model(),
+            request.workspace(),
+            Math.max(1, request.prompt().length() / BYTES_PER_TOKEN),
+            PromptBlocks.of(request.prompt()));
+    this.admission = admissionRequest();
+  }
+
+  /** Starts the call. */
+  public synchronized void start() {
+    parts.budget().onFirstAttempt(request.workspace(), parts.timers().nowMillis());
+    submit();
+  }
+
+  /** Takes the news that the caller is gone. */
+  public synchronized void callerGone() {
+    if (ended) {
+      return;
+    }
+    if (!waiting) {
+      resume.onCallerGone();
+    }
+    parts.gate().cancel(admission);
+    emit(EventCode.REQUEST_CANCELLED, Map.of());
+    stopAttempt();
+    end();
+  }
+
+  private AdmissionRequest admissionRequest() {
+    int expected =
+        request.maxTokens() > 0
+            ? request.maxTokens()
+            : (int) parts.routing().lengths().expected(request.model(), request.workspace());
+    long left = Math.max(1, expected - assembler.resumeOffset());
+    return new AdmissionRequest(
+        request.id() + "#" + admissions++,
+        RequestGate.pool(route),
+        request.workspace(),
+        request.priority(),
+        route.promptTokens() + left,
+        request.deadlineMillis());
+  }
+
+  private void submit() {
+    waiting = true;
+    admission = admissionRequest();
+    parts.gate().submit(admission, route.withTried(tried), this::decided);
+  }
+
+  private synchronized void decided(Decision<Reservation> d) {
+    waiting = false;
+    if (d instanceof Decision.Admitted<Reservation> a) {
+      admitted(a.reservation());
+      return;
+    }
+    if (ended) {
+      return;
+    }
+    Decision.Refused<Reservation> r = (Decision.Refused<Reservation>) d;
+    long left = request.deadlineMillis() - parts.timers().nowMillis();
+    problem(
+        dispatches == 0
+            ? Problem.notRun(
+                r.code(), r.retryAfterSeconds(), refusalArguments(r, Math.max(0, left)))
+            : Problem.failed(r.code(), refusalArguments(r, Math.max(0, left))));
+  }
+
+  private Object[] refusalArguments(Decision.Refused<Reservation> r, long left) {
+    return r.code() == ErrorCode.DEADLINE_TOO_CLOSE
+        ? new Object[] {String.valueOf(r.expectedMillis()), String.valueOf(left)}
+        : new Object[] {request.workspace()};
+  }
+
+  private void admitted(Reservation r) {
+    if (ended) {
+      parts.gate().released(admission, r);
+      return;
+    }
+    if (!parts.follower().mayStart()) {
+      parts.gate().released(admission, r);
+      problem(
+          dispatches == 0
+              ? Problem.notRun(ErrorCode.VIEW_STALE, 1)
+              : Problem.failed(ErrorCode.VIEW_STALE));
+      return;
+    }
+    reservation = r;
+    run(
+        dispatches == 0
+            ? resume.start(parts.timers().nowMillis())
+            : resume.onFailed(
+                dispatches,
+                false,
+                new StreamResume.Chance(true, true),
+                parts.timers().nowMillis()));
+  }
+
+  private void run(List<StreamAction> actions) {
+    for (StreamAction a : actions) {
+      if (a instanceof StreamAction.Dispatch d) {
+        dispatch(d);
+      } else if (a instanceof StreamAction.Cancel) {
+        stopAttempt();
+      } else if (a instanceof StreamAction.Fail f) {
+        failed(f);
+      }
+    }
+    schedule();
+  }
+
+  private void dispatch(StreamAction.Dispatch d) {
+    Reservation r = java.util.Objects.requireNonNull(reservation);
+    Target t = r.target();
+    dispatches = d.attempt();
+    dispatchedMillis = parts.timers().nowMillis();
+    tried.add(t.key());
+    causeId =
+        emit(
+            d.attempt() == 1 ? EventCode.REQUEST_DISPATCHED : EventCode.REQUEST_RESUMED,
+            Map.of("target", t.key(), "boot", t.boot(), "offset", String.valueOf(d.offset())));
+    attempt =
+        engines.start(
+            new EngineRequest(
+                request.id(),
+                t.address(),
+                t.boot(),
+                request.engineBody(),
+                request.firstOffset() + d.offset(),
+                request.priority()),
+            new AttemptListener(d.attempt()));
+  }
+
+  private synchronized void chunk(int number, long offset, String json) {
+    if (ended || number != dispatches) {
+      return;
+    }
+    boolean last = isLast(json);
+    Placement p =
+        assembler.add(new Chunk(request.id(), number, offset - request.firstOffset(), json, last));
+    switch (p.kind()) {
+      case DELIVERED -> delivered(p);
+      case NO_ROOM, CONTRADICTION -> {
+        stopAttempt();
+        retry(number, FailureKind.BROKEN, "chunk " + offset + ": " + p.kind());
+      }
+      default -> {
+        // Buffered, doubled, late and foreign chunks change nothing that the caller sees.
+      }
+    }
+  }
+
+  private void delivered(Placement p) {
+    long now = parts.timers().nowMillis();
+    if (assembler.resumeOffset() == p.deliver().size() || firstTokenMillis == 0) {
+      firstTokenMillis = Math.max(1, now - dispatchedMillis);
+    }
+    resume.onProgress(now);
+    Reservation r = reservation;
+    if (r != null) {
+      r.progress(p.deliver().size());
+    }
+    for (Chunk c : p.deliver()) {
+      sink.chunk(c.offset() + request.firstOffset(), c.data());
+    }
+    if (assembler.isWhole()) {
+      completed();
+      return;
+    }
+    schedule();
+  }
+
+  private void completed() {
+    Reservation r = java.util.Objects.requireNonNull(reservation);
+    reservation = null;
+    int tokens = (int) assembler.resumeOffset();
+    emit(EventCode.REQUEST_COMPLETED, Map.of("tokens", String.valueOf(tokens)));
+    parts.metrics().counter("requests.completed").inc();
+    parts
+        .metrics()
+        .timer("first.token")
+        .update((long) firstTokenMillis, java.util.concurrent.TimeUnit.MILLISECONDS);
+    sink.done();
+    parts.gate().completed(admission, r, tokens, firstTokenMillis);
+    end();
+  }
+
+  private synchronized void attemptEnded(int number) {
+    if (!ended && number == dispatches) {
+      retry(number, FailureKind.BROKEN, "the answer ended without its last chunk");
+    }
+  }
+
+  private synchronized void attemptFailed(int number, FailureKind kind, String detail) {
+    if (!ended && number == dispatches) {
+      retry(number, kind, detail);
+    }
+  }
+
+  private void retry(int number, FailureKind kind, String detail) {
+    Reservation r = reservation;
+    reservation = null;
+    attempt = null;
+    if (r != null) {
+      release(r, kind);
+    }
+    emit(EventCode.REQUEST_FAILED, Map.of("kind", kind.name(), "detail", detail));
+    if (kind == FailureKind.REJECTED) {
+      problem(Problem.failed(ErrorCode.UPSTREAM_FAILED, detail));
+      return;
+    }
+    long now = parts.timers().nowMillis();
+    boolean late = now + USEFUL_MILLIS > request.deadlineMillis();
+    if (late || dispatches >= MAX_DISPATCHES) {
+      run(resume.onFailed(number, isNotRun(kind), new StreamResume.Chance(true, true), now));
+      return;
+    }
+    if (!parts.budget().tryRetry(request.workspace(), now)) {
+      run(resume.onFailed(number, isNotRun(kind), new StreamResume.Chance(true, false), now));
+      return;
+    }
+    if (!parts.gate().hasUntried(route, tried)) {
+      // Every group was tried; a group that refused or broke once may serve the next attempt.
+      tried.clear();
+    }
+    emit(EventCode.REQUEST_RETRIED, Map.of("offset", String.valueOf(assembler.resumeOffset())));
+    submit();
+  }
+
+  private void release(Reservation r, FailureKind kind) {
+    Target t = r.target();
+    long now = parts.timers().nowMillis();
+    // A broken connection often means a process that died; the next report of a live one ends the
+    // suspicion.
+    boolean gone = kind != FailureKind.NOT_RUN && kind != FailureKind.REJECTED;
+    if (gone && parts.routing().suspicion().suspect(t.instance(), t.boot(), now)) {
+      parts
+          .events()
+          .emit(
+              EventCode.INSTANCE_SUSPECTED,
+              "instance/" + t.instance(),
+              List.of(causeId),
+              Map.of("boot", t.boot(), "kind", kind.name()));
+    }
+    if (isNotRun(kind)) {
+      parts.gate().released(admission, r);
+    } else {
+      parts.gate().failed(admission, r);
+    }
+  }
+
+  private static boolean isNotRun(FailureKind kind) {
+    return kind == FailureKind.NOT_SENT || kind == FailureKind.NOT_RUN;
+  }
+
+  private void failed(StreamAction.Fail f) {
+    Object[] arguments =
+        f.code() == ErrorCode.DEADLINE_TOO_CLOSE
+            ? new Object[] {"0", "0"}
+            : new Object[] {"no group completed the answer"};
+    problem(
+        f.notRun()
+            ? Problem.notRun(f.code(), f.retryAfterSeconds(), arguments)
+            : Problem.failed(f.code(), arguments));
+  }
+
+  private void problem(Problem p) {
+    emit(
+        p.outcome() == org.ebonypond.admission.Outcome.NOT_RUN
+            ? EventCode.REQUEST_REFUSED
+            : EventCode.REQUEST_FAILED,
+        Map.of("code", p.code().wireName()));
+    parts.metrics().counter("requests.refused").inc();
+    stopAttempt();
+    sink.problem(p);
+    end();
+  }
+
+  private void stopAttempt() {
+    EngineClient.Attempt a = attempt;
+    attempt = null;
+    if (a != null) {
+      a.stop();
+    }
+    Reservation r = reservation;
+    reservation = null;
+    if (r != null) {
+      parts.gate().released(admission, r);
+    }
+  }
+
+  private void end() {
+    ended = true;
+    cancelTimer();
+  }
+
+  private void schedule() {
+    cancelTimer();
+    long wake = ended ? Long.MAX_VALUE : resume.nextWakeMillis();
+    if (wake != Long.MAX_VALUE) {
+      long now = parts.timers().nowMillis();
+      timer = parts.timers().after(Math.max(1, wake - now), this::onTimer);
+    }
+  }
+
+  private void cancelTimer() {
+    TimerService.Subscription t = timer;
+    timer = null;
+    if (t != null) {
+      t.cancel();
+    }
+  }
+
+  private synchronized void onTimer() {
+    long now = parts.timers().nowMillis();
+    if (ended || waiting) {
+      return;
+    }
+    if (now >= request.deadlineMillis()) {
+      run(resume.onTimer(new StreamResume.Chance(false, false), now));
+      return;
+    }
+    if (now >= resume.nextWakeMillis()) {
+      EngineClient.Attempt a = attempt;
+      if (a != null) {
+        a.stop();
+      }
+      retry(dispatches, FailureKind.BROKEN, "no chunk for " + STALL_MILLIS + " ms");
+      return;
+    }
+    schedule();
+  }
+
+  private String emit(EventCode code, Map<String, String> fields) {
+    List<String> causes = causeId.isEmpty() ? List.of() : List.of(causeId);
+    return parts.events().emit(code, "request/" + request.id(), causes, fields);
+  }
+
+  private static boolean isLast(String json) {
+    try {
+      JsonNode reason = JSON.readTree(json).path("choices").path(0).path("finish_reason");
+      return reason.isTextual();
+    } catch (JsonProcessingException e) {
+      return false;
+    }
+  }
+
+  private final class AttemptListener implements EngineListener {
+    private final int number;
+
+    AttemptListener(int number) {
+      this.number = number;
+    }
+
+    @Override
+    public void onChunk(long offset, String json) {
+      chunk(number, offset, json);
+    }
+
+    @Override
+    public void onDone() {
+      attemptEnded(number);
+    }
+
+    @Override
+    public void onFailure(FailureKind kind, String detail) {
+      attemptFailed(number, kind, detail);
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/EntryParts.java
@@ -0,0 +1,30 @@
+package org.ebonypond.server.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import org.ebonypond.admission.RetryBudget;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.routing.RouterState;
+import org.ebonypond.server.control.ViewFollower;
+import org.ebonypond.time.TimerService;
+
+/**
+ * The parts of an entry that every request uses.
+ *
+ * @param timers the time and the timers
+ * @param events receives the events
+ * @param follower the view and its lease
+ * @param gate admission and routing
+ * @param routing the loads, hints and scores of the entry
+ * @param budget the retry budget
+ * @param tracker the requests in flight and the shutdown
+ * @param metrics the metrics of the process
+ */
+public record EntryParts(
+    TimerService timers,
+    EventSink events,
+    ViewFollower follower,
+    RequestGate gate,
+    RouterState routing,
+    RetryBudget budget,
+    RequestTracker tracker,
+    MetricRegistry metrics) {}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/LedgerClient.java
@@ -0,0 +1,93 @@
+package org.ebonypond.server.entry;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ebonypond.ledger.LedgerCommand;
+import org.ebonypond.ledger.LedgerResult;
+import org.ebonypond.ledger.LedgerSharding;
+import org.ebonypond.server.control.ProposalClient;
+import org.ebonypond.server.control.ReplicaChannels;
+import org.ebonypond.server.replica.LedgerLookup;
+import org.ebonypond.server.settings.ReplicaAddress;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.wire.MessagePackCodec;
+
+/** Brings commands and lookups to the shard of the request ledger that holds a key. */
+public final class LedgerClient {
+  private static final long LOOKUP_TIMEOUT_MILLIS = 500;
+
+  private final ProposalClient proposals;
+  private final PeerNetwork network;
+  private final List<ReplicaAddress> replicas;
+  private final LedgerSharding sharding;
+  private final int shards;
+
+  /**
+   * Creates a client.
+   *
+   * @param proposals brings commands to leaders
+   * @param network carries lookups
+   * @param replicas every control replica
+   * @param shards the number of ledger shards
+   */
+  public LedgerClient(
+      ProposalClient proposals, PeerNetwork network, List<ReplicaAddress> replicas, int shards) {
+    this.proposals = proposals;
+    this.network = network;
+    this.replicas = List.copyOf(replicas);
+    this.sharding = new LedgerSharding(shards);
+    this.shards = shards;
+  }
+
+  /**
+   * Proposes a command about a key.
+   *
+   * @param timeoutMillis the time in milliseconds after which no further attempt is made
+   */
+  public CompletableFuture<LedgerResult> propose(
+      String workspace, String key, LedgerCommand command, long timeoutMillis) {
+    return propose(sharding.shardOf(workspace, key), command, timeoutMillis);
+  }
+
+  /** Proposes a command to every shard. */
+  public CompletableFuture<Void> proposeToAll(LedgerCommand command, long timeoutMillis) {
+    CompletableFuture<?>[] all = new CompletableFuture<?>[shards];
+    for (int i = 0; i < shards; i++) {
+      all[i] = propose(i, command, timeoutMillis);
+    }
+    return CompletableFuture.allOf(all);
+  }
+
+  /** Asks what the ledger holds of a key; fails when no leader answers in time. */
+  public CompletableFuture<LedgerResult> lookup(String workspace, String key) {
+    String channel = ReplicaChannels.ledger(sharding.shardOf(workspace, key));
+    byte[] payload = MessagePackCodec.encode(new LedgerLookup(workspace, key));
+    CompletableFuture<LedgerResult> first = new CompletableFuture<>();
+    // Only the leader of the shard answers; the others fail at once.
+    CompletableFuture<?>[] asked = new CompletableFuture<?>[replicas.size()];
+    for (int i = 0; i < asked.length; i++) {
+      asked[i] =
+          network
+              .ask(
+                  replicas.get(i).address(),
+                  FrameType.LEDGER_LOOKUP,
+                  channel,
+                  payload,
+                  LOOKUP_TIMEOUT_MILLIS)
+              .thenAccept(b -> first.complete(MessagePackCodec.decode(b, LedgerResult.class)))
+              .exceptionally(e -> null);
+    }
+    CompletableFuture.allOf(asked)
+        .whenComplete(
+            (ok, e) -> first.completeExceptionally(new IllegalStateException("no leader")));
+    return first;
+  }
+
+  private CompletableFuture<LedgerResult> propose(
+      int shard, LedgerCommand command, long timeoutMillis) {
+    return proposals
+        .propose(ReplicaChannels.ledger(shard), MessagePackCodec.encode(command), timeoutMillis)
+        .thenApply(r -> MessagePackCodec.decode(r.result(), LedgerResult.class));
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
@@ -0,0 +1,167 @@
+package org.ebonypond.server.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.ebonypond.admission.AdmissionController;
+import org.ebonypond.admission.AdmissionRequest;
+import org.ebonypond.admission.Decision;
+import org.ebonypond.admission.ServiceRates;
+import org.ebonypond.admission.SlotSource;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.InstanceKind;
+import org.ebonypond.routing.Reservation;
+import org.ebonypond.routing.RouteRequest;
+import org.ebonypond.routing.Router;
+import org.ebonypond.routing.RoutingTable;
+import org.ebonypond.routing.Target;
+import org.ebonypond.time.TimerService;
+
+/**
+ * Brings requests through admission and routing to a reservation at a backend server. Thread-safe;
+ * decisions are delivered without any lock held.
+ */
+public final class RequestGate implements SlotSource<Reservation> {
+  private static final long TICK_MILLIS = 50;
+  private static final String MODEL_PREFIX = "model/";
+
+  private final Router router;
+  private final TimerService timers;
+  private final AdmissionController<Reservation> admission;
+  private final Map<String, Waiting> waiting = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a gate.
+   *
+   * @param router chooses backend servers
+   * @param rates the measured service rates
+   * @param timers gives the time and runs the ticks
+   */
+  public RequestGate(Router router, ServiceRates rates, TimerService timers) {
+    this.router = router;
+    this.timers = timers;
+    this.admission = new AdmissionController<>(this, rates);
+  }
+
+  /** Starts the ticks that serve and refuse waiting requests. */
+  public void start() {
+    timers.every(TICK_MILLIS, this::tick);
+  }
+
+  /** Takes over the workspaces of a view. */
+  public void onView(ControlView view) {
+    if (view.document() != null) {
+      admission.configure(view.document());
+    }
+    tick();
+  }
+
+  /**
+   * Submits a request.
+   *
+   * @param a what admission needs to know
+   * @param r what the router needs to know
+   * @param receiver receives one decision, admitted or refused, perhaps before this call returns
+   */
+  public void submit(AdmissionRequest a, RouteRequest r, Consumer<Decision<Reservation>> receiver) {
+    waiting.put(a.id(), new Waiting(r, receiver));
+    deliver(admission.arrive(a, timers.nowMillis()));
+  }
+
+  /** Withdraws a request whose caller is gone; its receiver is not called any more. */
+  public void cancel(AdmissionRequest a) {
+    waiting.remove(a.id());
+    admission.cancel(a.pool(), a.id(), timers.nowMillis());
+  }
+
+  /** Ends an admitted request that was answered completely. */
+  public void completed(
+      AdmissionRequest a, Reservation r, int outputTokens, double comparedMillis) {
+    long now = timers.nowMillis();
+    long tokens = r.request().promptTokens() + outputTokens;
+    r.complete(outputTokens, comparedMillis, now);
+    admission.onCompleted(a, Math.max(1, tokens), now - r.startedAtMillis());
+    capacity(a.pool());
+  }
+
+  /** Ends an admitted request whose backend server failed or may still run it. */
+  public void failed(AdmissionRequest a, Reservation r) {
+    r.fail(timers.nowMillis());
+    admission.onAbandoned(a);
+    capacity(a.pool());
+  }
+
+  /** Ends an admitted request that says nothing about the backend server. */
+  public void released(AdmissionRequest a, Reservation r) {
+    r.release(timers.nowMillis());
+    admission.onAbandoned(a);
+    capacity(a.pool());
+  }
+
+  /** Serves waiting requests, for example after a grant or a load report. */
+  public void tick() {
+    deliver(admission.tick(timers.nowMillis()));
+  }
+
+  /** Returns whether a target of the request's pool is in service that was not tried. */
+  public boolean hasUntried(RouteRequest r, Set<String> tried) {
+    RoutingTable table = router.table();
+    List<Target> all =
+        r.kind() == InstanceKind.ENGINE ? table.model(r.pool()) : table.service(r.pool());
+    return all != null && all.stream().anyMatch(t -> !tried.contains(t.key()));
+  }
+
+  /** Returns the number of waiting requests over all pools. */
+  public int waitingCount() {
+    return waiting.size();
+  }
+
+  @Override
+  public Optional<Reservation> tryAcquire(AdmissionRequest request, long nowMillis) {
+    Waiting w = waiting.get(request.id());
+    return w == null ? Optional.empty() : router.choose(w.route, nowMillis);
+  }
+
+  @Override
+  public boolean inService(String pool) {
+    return pool.startsWith(MODEL_PREFIX)
+        ? router.inService(InstanceKind.ENGINE, pool.substring(MODEL_PREFIX.length()))
+        : router.inService(InstanceKind.SERVICE, pool.substring(pool.indexOf('/') + 1));
+  }
+
+  /** Returns the name of the queue of a request. */
+  public static String pool(RouteRequest r) {
+    return Target.poolKey(r.kind(), r.pool());
+  }
+
+  private void capacity(String pool) {
+    // Not on this thread: the caller holds the lock of its own call, and the decisions take the
+    // locks
+    // of other calls.
+    timers.after(0, () -> deliver(admission.onCapacity(pool, timers.nowMillis())));
+  }
+
+  private void deliver(List<Decision<Reservation>> decisions) {
+    decisions.forEach(this::deliver);
+  }
+
+  private void deliver(Decision<Reservation> d) {
+    if (d instanceof Decision.Queued<Reservation>) {
+      return;
+    }
+    Waiting w = waiting.remove(d.request().id());
+    if (w != null) {
+      w.receiver.accept(d);
+      return;
+    }
+    if (d instanceof Decision.Admitted<Reservation> a) {
+      // The request was withdrawn while it was admitted.
+      released(a.request(), a.reservation());
+    }
+  }
+
+  private record Waiting(RouteRequest route, Consumer<Decision<Reservation>> receiver) {}
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AnnounceHandler.java
@@ -0,0 +1,94 @@
+package org.ebonypond.server.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.function.LongSupplier;
+import org.ebonypond.control.InstanceKind;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.group.EngineStatus;
+import org.ebonypond.group.InstanceAnnouncement;
+import org.ebonypond.server.backend.RatpackEngineAdmin;
+import org.ebonypond.server.control.AnnouncementRelay;
+import org.ebonypond.server.control.InstanceReport;
+import org.ebonypond.server.control.ReportedLoad;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+
+/** Handles {@code POST /platform/v1/announce}. */
+final class AnnounceHandler implements Handler {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final AnnouncementRelay relay;
+  private final LongSupplier wallMillis;
+
+  AnnounceHandler(AnnouncementRelay relay, LongSupplier wallMillis) {
+    this.relay = relay;
+    this.wallMillis = wallMillis;
+  }
+
+  @Override
+  public void handle(Context ctx) {
+    ctx.getRequest()
+        .getBody()
+        .then(
+            body -> {
+              try {
+                relay.add(read(JSON.readTree(body.getText())));
+              } catch (JsonProcessingException e) {
+                Responses.problem(
+                    ctx, Problem.invalid(ErrorCode.BAD_REQUEST, e.getOriginalMessage()), "");
+                return;
+              } catch (EbonypondException e) {
+                Responses.problem(ctx, Problem.of(e), "");
+                return;
+              }
+              Responses.json(ctx, 200, "{}");
+            });
+  }
+
+  private InstanceReport.Item read(JsonNode n) {
+    boolean engine = required(n, "kind").equals("engine");
+    final EngineStatus status = RatpackEngineAdmin.status(required(n, "status"));
+    final String instance = required(n, "instance");
+    final String boot = required(n, "boot");
+    JsonNode load = n.path("load");
+    int active = load.path("active").asInt();
+    InstanceAnnouncement a =
+        new InstanceAnnouncement(
+            instance,
+            boot,
+            required(n, "address"),
+            required(n, "zone"),
+            required(n, "domain"),
+            engine ? InstanceKind.ENGINE : InstanceKind.SERVICE,
+            required(n, engine ? "engineKind" : "service"),
+            status,
+            n.path("group").asText(""),
+            n.path("fencing").asLong(),
+            active);
+    // The load was measured on another clock; a clock that is ahead must not make a report newer
+    // than its arrival.
+    long age = Math.max(0, wallMillis.getAsLong() - load.path("measuredAt").asLong());
+    return new InstanceReport.Item(
+        a,
+        new ReportedLoad(
+            instance,
+            boot,
+            status == EngineStatus.READY,
+            age,
+            0,
+            active,
+            load.path("waiting").asInt(),
+            load.path("tokens").asLong()));
+  }
+
+  private static String required(JsonNode n, String key) {
+    String v = n.path(key).asText("");
+    if (v.isBlank() || v.equals("null")) {
+      throw new EbonypondException(ErrorCode.BAD_REQUEST, "\"" + key + "\" is missing");
+    }
+    return v;
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
@@ -0,0 +1,231 @@
+package org.ebonypond.server.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import org.ebonypond.admission.RetryPolicy;
+import org.ebonypond.document.ServiceSpec;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.lease.HolderId;
+import org.ebonypond.ledger.AnswerHeader;
+import org.ebonypond.ledger.AttemptId;
+import org.ebonypond.ledger.CallRequest;
+import org.ebonypond.ledger.RequestDigest;
+import org.ebonypond.ledger.StoredAnswer;
+import org.ebonypond.server.backend.ServiceClient;
+import org.ebonypond.server.entry.AtMostOnceRunner;
+import org.ebonypond.server.entry.EntryParts;
+import org.ebonypond.server.entry.LedgerClient;
+import org.ebonypond.server.entry.RepeatableCall;
+import org.ebonypond.server.entry.ServiceCallRequest;
+import org.ebonypond.server.entry.ServiceCallSink;
+import org.jspecify.annotations.Nullable;
+import ratpack.exec.Downstream;
+import ratpack.exec.Promise;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+import ratpack.http.Request;
+
+/** Handles {@code /services/{service}/{path}}. */
+final class ServiceHandler implements Handler {
+  private static final int MAX_KEY_LENGTH = 256;
+  // Headers that concern only the connection or that the entry sets itself.
+  private static final Set<String> OWN_HEADERS =
+      Set.of(
+          "host",
+          "connection",
+          "keep-alive",
+          "transfer-encoding",
+          "content-length",
+          "te",
+          "trailer",
+          "upgrade",
+          "expect",
+          "ebonypond-boot",
+          "ebonypond-request-id");
+
+  private final EntryParts parts;
+  private final RetryPolicy policy;
+  private final LedgerClient ledger;
+  private final ServiceClient services;
+  private final HolderId self;
+  private final LongSupplier wallMillis;
+  private final AtomicLong attempts = new AtomicLong();
+
+  ServiceHandler(
+      EntryParts parts,
+      RetryPolicy policy,
+      LedgerClient ledger,
+      ServiceClient services,
+      HolderId self,
+      LongSupplier wallMillis) {
+    this.parts = parts;
+    this.policy = policy;
+    this.ledger = ledger;
+    this.services = services;
+    this.self = self;
+    this.wallMillis = wallMillis;
+  }
+
+  @Override
+  public void handle(Context ctx) {
+    boolean keyed = ctx.getRequest().getHeaders().contains("Idempotency-Key");
+    if (!parts.tracker().tryBegin()) {
+      Problem p = Problem.notRun(ErrorCode.SHUTTING_DOWN, parts.tracker().retryAfterSeconds());
+      Responses.problem(ctx, beforeLedger(p, keyed), "");
+      return;
+    }
+    ctx.onClose(outcome -> parts.tracker().end());
+    ctx.getRequest()
+        .getBody()
+        .then(
+            body -> {
+              ServiceCallRequest r;
+              try {
+                r = read(ctx, body.getBytes());
+              } catch (EbonypondException e) {
+                Responses.problem(ctx, Problem.of(e), "");
+                return;
+              }
+              start(ctx, r);
+            });
+  }
+
+  private void start(Context ctx, ServiceCallRequest r) {
+    if (!parts.follower().mayStart()) {
+      Problem p = Problem.notRun(ErrorCode.VIEW_STALE, 1);
+      Responses.problem(ctx, beforeLedger(p, r.key() != null), r.id());
+      return;
+    }
+    Promise.<Result>async(
+            down -> {
+              Sink sink = new Sink(down);
+              if (r.idempotent()) {
+                new RepeatableCall(parts, policy, services, r, sink).start();
+              } else {
+                new AtMostOnceRunner(parts, ledger, services, r, callRequest(r), sink).start();
+              }
+            })
+        .then(result -> send(ctx, r, result));
+  }
+
+  /**
+   * Returns a refusal that is true for a call with a key: without the ledger's word, an earlier
+   * attempt with the same key may have run. Repeating the call with its key is safe.
+   */
+  private static Problem beforeLedger(Problem refusal, boolean keyed) {
+    return keyed
+        ? new Problem(
+            refusal.status(),
+            refusal.code(),
+            org.ebonypond.admission.Outcome.OUTCOME_UNKNOWN,
+            refusal.detail(),
+            refusal.retryAfterSeconds())
+        : refusal;
+  }
+
+  private CallRequest callRequest(ServiceCallRequest r) {
+    return new CallRequest(
+        r.workspace(),
+        r.key(),
+        RequestDigest.of(r.method(), "/" + r.service() + r.path(), r.body()),
+        new AttemptId(self.entry(), self.incarnation(), attempts.incrementAndGet()),
+        parts.timers().nowMillis(),
+        r.deadlineMillis(),
+        wallMillis.getAsLong());
+  }
+
+  private ServiceCallRequest read(Context ctx, byte[] body) {
+    Request q = ctx.getRequest();
+    final CallerHeaders h = CallerHeaders.read(q.getHeaders(), parts);
+    String name = ctx.getPathTokens().get("service");
+    ServiceSpec s =
+        h.document()
+            .service(String.valueOf(name))
+            .orElseThrow(
+                () -> new EbonypondException(ErrorCode.UNKNOWN_SERVICE, String.valueOf(name)));
+    String method = q.getMethod().getName().toUpperCase(Locale.ROOT);
+    String prefix = "services/" + name;
+    String raw = q.getRawUri().substring(1);
+    String rest = raw.startsWith(prefix) ? raw.substring(prefix.length()) : "";
+    String path = rest.startsWith("/") ? rest : "/" + rest;
+    int query = path.indexOf('?');
+    String bare = query < 0 ? path : path.substring(0, query);
+    return new ServiceCallRequest(
+        h.requestId(),
+        h.workspace(),
+        s.name(),
+        method,
+        path,
+        passedOn(q),
+        body,
+        key(q.getHeaders().get("Idempotency-Key")),
+        s.isIdempotent(method, bare),
+        h.priority(),
+        h.deadlineMillis());
+  }
+
+  private static @Nullable String key(@Nullable String text) {
+    if (text == null) {
+      return null;
+    }
+    if (text.isBlank() || text.length() > MAX_KEY_LENGTH) {
+      throw new EbonypondException(
+          ErrorCode.BAD_REQUEST,
+          "Idempotency-Key must have 1 to " + MAX_KEY_LENGTH + " characters");
+    }
+    return text;
+  }
+
+  private static List<AnswerHeader> passedOn(Request q) {
+    List<AnswerHeader> out = new ArrayList<>();
+    for (String n : q.getHeaders().getNames()) {
+      if (!OWN_HEADERS.contains(n.toLowerCase(Locale.ROOT))) {
+        out.add(new AnswerHeader(n, q.getHeaders().get(n)));
+      }
+    }
+    return out;
+  }
+
+  private static void send(Context ctx, ServiceCallRequest r, Result result) {
+    if (result.problem != null) {
+      Responses.problem(ctx, result.problem, r.id());
+      return;
+    }
+    StoredAnswer a = java.util.Objects.requireNonNull(result.answer);
+    ctx.getResponse().status(a.status());
+    for (AnswerHeader h : a.headers()) {
+      ctx.getResponse().getHeaders().set(h.name(), h.value());
+    }
+    ctx.getResponse().getHeaders().set(Responses.REQUEST_ID, r.id());
+    if (result.replayed) {
+      ctx.getResponse().getHeaders().set("Ebonypond-Replayed", "true");
+    }
+    ctx.getResponse().send(a.body());
+  }
+
+  private record Result(
+      @Nullable StoredAnswer answer, boolean replayed, @Nullable Problem problem) {}
+
+  private static final class Sink implements ServiceCallSink {
+    private final Downstream<? super Result> down;
+
+    Sink(Downstream<? super Result> down) {
+      this.down = down;
+    }
+
+    @Override
+    public void answer(StoredAnswer answer, boolean replayed) {
+      down.success(new Result(answer, replayed, null));
+    }
+
+    @Override
+    public void problem(Problem p) {
+      down.success(new Result(null, false, p));
+    }
+  }
+}
