Report rank 0 as ready only once its members are loaded

Rank 0 reported "ready" up to 200 ms before it had asked its members for their state, and then failed the first requests with "member-missing".

Like an engine that initializes collectively, it now reports "loading" until it has seen all members under the order in force, and refuses requests with Ebonypond-Not-Run until then.

--- a/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Engine.java
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Engine.java
@@ -102,7 +102,7 @@
     if (!state.apply(o, now)) {
       return false;
     }
-    if (!status(now).equals("ready")) {
+    if (!state.status(now).equals("ready")) {
       lastLoadedAt = -1;
       drop(r -> true);
       cache.clear();
@@ -146,7 +146,7 @@
 
   /** Returns the announced status. */
   public String status(long now) {
-    return lifecycle.leaving() ? "leaving" : state.status(now);
+    return lifecycle.leaving() ? "leaving" : groupStatus(now);
   }
 
   /** Returns the boot identity and faults. */
@@ -213,7 +213,14 @@
     EngineOrder o = state.current();
     boolean modelMatches =
         model.isEmpty() || model.equals(o.model()) || o.adapters().contains(model);
-    return state.status(now).equals("ready") && o.rank() == 0 && modelMatches;
+    return groupStatus(now).equals("ready") && o.rank() == 0 && modelMatches;
+  }
+
+  /** Rank 0 is ready only after it has seen all members loaded under the order in force. */
+  private String groupStatus(long now) {
+    String own = state.status(now);
+    boolean waits = state.current().rank() == 0 && !members.complete();
+    return own.equals("ready") && waits ? "loading" : own;
   }
 
   private void lose() {
--- a/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/MemberWatch.java
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/MemberWatch.java
@@ -17,6 +17,7 @@
   private final Set<String> present = new HashSet<>();
   private final Map<String, Integer> timeouts = new HashMap<>();
   private long missingSince;
+  private boolean complete;
 
   /** Begins to watch the members that an order names; does nothing if it is already watched. */
   public void watch(EngineOrder o, long now) {
@@ -27,6 +28,7 @@
     present.clear();
     timeouts.clear();
     missingSince = now;
+    complete = o.members().size() <= 1;
   }
 
   /**
@@ -58,6 +60,11 @@
     }
   }
 
+  /** Returns whether all members have been present together since the order. */
+  public boolean complete() {
+    return complete;
+  }
+
   /** Returns whether a member other than rank 0 is missing. */
   public boolean missing() {
     for (int i = 1; i < order.members().size(); i++) {
@@ -83,5 +90,6 @@
     if (!before && missing()) {
       missingSince = now;
     }
+    complete |= !missing();
   }
 }
