Add the command-line tool

Operators change and inspect the system only through this tool.

The commands validate, apply, get, zone out|in, status, timeline and explain talk to any entry and fall over to the next. Changes carry an operation id that is printed first and sent again after a lost answer. The exit codes tell a refusal (1) from an unknown outcome (4).

--- /dev/null
+++ b/org.ebonypond.pgm.test/src/test/java/org/ebonypond/pgm/FakeEntry.java
@@ -0,0 +1,63 @@
+package org.ebonypond.pgm;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** An entry that gives prepared answers and records what it was asked. */
+final class FakeEntry implements AutoCloseable {
+  private final HttpServer server;
+  private final Map<String, Prepared> answers = new ConcurrentHashMap<>();
+  private final List<Asked> asked = new CopyOnWriteArrayList<>();
+
+  FakeEntry() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  /** Prepares an answer; status 0 drops the connection without an answer. */
+  FakeEntry answer(String methodAndPath, int status, String body) {
+    answers.put(methodAndPath, new Prepared(status, body));
+    return this;
+  }
+
+  List<Asked> asked() {
+    return asked;
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+  }
+
+  private void handle(HttpExchange x) throws IOException {
+    String body = new String(x.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    String what = x.getRequestMethod() + " " + x.getRequestURI();
+    String id = x.getRequestHeaders().getFirst("Ebonypond-Operation-Id");
+    asked.add(new Asked(what, Optional.ofNullable(id).orElse(""), body));
+    Prepared a = answers.getOrDefault(what, new Prepared(404, "{}"));
+    if (a.status() > 0) {
+      byte[] bytes = a.body().getBytes(StandardCharsets.UTF_8);
+      x.sendResponseHeaders(a.status(), bytes.length == 0 ? -1 : bytes.length);
+      x.getResponseBody().write(bytes);
+    }
+    x.close();
+  }
+
+  record Prepared(int status, String body) {}
+
+  record Asked(String what, String operationId, String body) {}
+}
--- /dev/null
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/EntryClient.java
@@ -0,0 +1,181 @@
+package org.ebonypond.pgm;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Sends requests to the entries, one after the other, until one gives a final answer. */
+public final class EntryClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final int ROUNDS = 3;
+  private static final long PAUSE_MILLIS = 500;
+
+  private final List<String> entries;
+  private final Duration timeout;
+  private final PrintStream err;
+  private final ToolContext.Pause pause;
+  private final HttpClient http =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .build();
+
+  /**
+   * Creates a client.
+   *
+   * @param entries the addresses of the entries, in the order in which they are tried
+   * @param timeout the timeout of one request
+   * @param err takes a line for each attempt that failed
+   * @param pause waits between two rounds over the entries
+   */
+  public EntryClient(
+      List<String> entries, Duration timeout, PrintStream err, ToolContext.Pause pause) {
+    this.entries = List.copyOf(entries);
+    this.timeout = timeout;
+    this.err = err;
+    this.pause = pause;
+  }
+
+  /**
+   * Reads from the first entry that answers.
+   *
+   * @throws ToolException with {@code REFUSED} or {@code UNREACHABLE}
+   */
+  public Answer get(String path) {
+    Answer refused = null;
+    List<String> failures = new ArrayList<>();
+    for (String entry : entries) {
+      try {
+        Answer a = send(entry, request(entry, path).GET().build());
+        if (a.ok()) {
+          return a;
+        }
+        refused = a;
+        if (a.status() / 100 == 4) {
+          break;
+        }
+        err.println(ToolMessage.NOT_NOW.format(entry, Problem.of(a).detail()));
+      } catch (IOException e) {
+        failures.add(failure(entry, e));
+      }
+    }
+    if (refused != null) {
+      throw refused(refused);
+    }
+    throw unreachable(failures);
+  }
+
+  /**
+   * Reads from one entry.
+   *
+   * @throws IOException if the entry cannot be reached
+   */
+  public Answer getFrom(String entry, String path) throws IOException {
+    return send(entry, request(entry, path).GET().build());
+  }
+
+  /**
+   * Makes a change. The request carries an operation identifier, so it can be sent again when an
+   * answer was lost: the system then returns the first result.
+   *
+   * @param method the HTTP method
+   * @param path the path
+   * @param contentType the type of the body
+   * @param body the body
+   * @param operationId identifies the change
+   * @throws ToolException with {@code REFUSED}, {@code UNREACHABLE} or {@code UNKNOWN}
+   */
+  public Answer change(
+      String method, String path, String contentType, String body, String operationId) {
+    boolean maybeDone = false;
+    Answer refused = null;
+    List<String> failures = new ArrayList<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      if (round > 0 && !pause.millis(PAUSE_MILLIS)) {
+        break;
+      }
+      for (String entry : entries) {
+        HttpRequest r =
+            request(entry, path)
+                .header("Content-Type", contentType)
+                .header("Ebonypond-Operation-Id", operationId)
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+          Answer a = send(entry, r);
+          if (a.ok()) {
+            return a;
+          }
+          Problem p = Problem.of(a);
+          if (!mayHaveRun(a, p) && !p.mayPass(a.status())) {
+            throw refused(a);
+          }
+          maybeDone |= mayHaveRun(a, p);
+          refused = a;
+          err.println(ToolMessage.NOT_NOW.format(entry, p.detail()));
+        } catch (ConnectException | HttpConnectTimeoutException e) {
+          failures.add(failure(entry, e));
+        } catch (IOException e) {
+          maybeDone = true;
+          err.println(ToolMessage.ANSWER_LOST.format(entry, text(e)));
+        }
+      }
+    }
+    if (maybeDone) {
+      throw new ToolException(ExitCode.UNKNOWN, ToolMessage.UNKNOWN_OUTCOME, operationId);
+    }
+    if (refused != null) {
+      throw refused(refused);
+    }
+    throw unreachable(failures);
+  }
+
+  /** Only an answer that says so is known not to have run; other server errors are not. */
+  private static boolean mayHaveRun(Answer a, Problem p) {
+    return p.outcome().equals("outcome-unknown")
+        || (a.status() / 100 == 5 && !p.outcome().equals("not-run"));
+  }
+
+  private static ToolException refused(Answer a) {
+    Problem p = Problem.of(a);
+    return new ToolException(ExitCode.REFUSED, ToolMessage.REFUSED, p.code(), p.detail());
+  }
+
+  private static ToolException unreachable(List<String> failures) {
+    String all = String.join(", ", failures.stream().distinct().toList());
+    return new ToolException(ExitCode.UNREACHABLE, ToolMessage.UNREACHABLE, all);
+  }
+
+  private String failure(String entry, IOException e) {
+    err.println(ToolMessage.NOT_REACHED.format(entry, text(e)));
+    return entry;
+  }
+
+  private static String text(IOException e) {
+    @Nullable String message = e.getMessage();
+    return message == null ? e.getClass().getSimpleName() : message;
+  }
+
+  private HttpRequest.Builder request(String entry, String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + entry + path)).timeout(timeout);
+  }
+
+  private Answer send(String entry, HttpRequest request) throws IOException {
+    try {
+      HttpResponse<String> r = http.send(request, HttpResponse.BodyHandlers.ofString());
+      return new Answer(entry, r.statusCode(), r.body());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/ExitCode.java
@@ -0,0 +1,26 @@
+package org.ebonypond.pgm;
+
+/** The exit codes of the tool. */
+public enum ExitCode {
+  /** The command succeeded. */
+  OK(0),
+  /** The system, or the check of the document, refused the command; nothing was changed. */
+  REFUSED(1),
+  /** The command line or a file named in it cannot be used. */
+  USAGE(2),
+  /** No entry can be reached; nothing was changed. */
+  UNREACHABLE(3),
+  /** The command may have taken effect; repeat it with the same operation identifier. */
+  UNKNOWN(4);
+
+  private final int number;
+
+  ExitCode(int number) {
+    this.number = number;
+  }
+
+  /** Returns the exit status of the process. */
+  public int number() {
+    return number;
+  }
+}
--- /dev/null
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/ToolCommand.java
@@ -0,0 +1,53 @@
+package org.ebonypond.pgm;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.ExitCodes;
+
+/** A command of the tool. */
+@ExitCodes(
+    codes = {0, 1, 2, 3, 4},
+    descriptions = {
+      "The command succeeded",
+      "The system, or the check of the document, refused the command; nothing was changed",
+      "The command line, or a file that it names, cannot be used",
+      "No entry can be reached; nothing was changed",
+      "The outcome is not known; repeat the command with the printed operation identifier"
+    })
+abstract class ToolCommand {
+  /** Reads and writes JSON. */
+  static final ObjectMapper JSON = new ObjectMapper();
+
+  @Option(name = "--json", description = "Print JSON instead of text")
+  private boolean json;
+
+  // Main handles this option before the command line is parsed; it is declared for the help texts.
+  @Option(
+      name = {"-h", "--help"},
+      description = "Show the help of the command")
+  private boolean help;
+
+  /**
+   * Runs the command.
+   *
+   * @throws ToolException if it does not succeed
+   */
+  abstract void run(ToolContext ctx);
+
+  /** Returns whether results are printed as JSON. */
+  final boolean json() {
+    return json;
+  }
+
+  /** Parses the JSON body of an answer. */
+  static JsonNode parse(Answer a) {
+    try {
+      return JSON.readTree(a.body());
+    } catch (JsonProcessingException e) {
+      throw new ToolException(
+          ExitCode.UNREACHABLE, ToolMessage.BAD_ANSWER, a.entry(), e.getOriginalMessage());
+    }
+  }
+}
