--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/ContentTest.java
@@ -0,0 +1,53 @@
+package org.ebonypond.junit.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.HashSet;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class ContentTest {
+  /** Guards against a resumed answer that differs from the rest of the first one. */
+  @Property(tries = 200)
+  void resumedAnswerEqualsRest(@ForAll String prompt, @ForAll @IntRange(max = 40) int offset) {
+    String whole = Content.text(prompt, 0, 40);
+    assertEquals(whole, Content.text(prompt, 0, offset) + Content.text(prompt, offset, 40));
+  }
+
+  /** Guards against a judge that accepts the answer to another request or a swapped token. */
+  @Test
+  void tokensDifferByPromptAndIndex() {
+    Set<String> tokens = new HashSet<>();
+    for (int p = 0; p < 100; p++) {
+      for (int i = 0; i < 100; i++) {
+        tokens.add(Content.token("prompt " + p, i));
+      }
+    }
+    assertEquals(10_000, tokens.size());
+  }
+
+  /** Guards against an unintended change of the function, which load tests compute as well. */
+  @Test
+  void tokensAreStable() throws JsonProcessingException {
+    String json = "{\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}],\"max_tokens\":4}";
+    String prompt = Content.prompt(new ObjectMapper().readTree(json));
+    assertEquals("user: hello\n", prompt);
+    assertEquals("tari99s52 t4hkothrh tc7busup6 t9mp5qrin ", Content.text(prompt, 0, 4));
+  }
+
+  /** Guards against a receipt that does not show which call it belongs to. */
+  @Test
+  void receiptDependsOnKeyAndBody() {
+    String receipt = ServiceContent.execution("orders", "k1", "{}");
+    assertEquals(receipt, ServiceContent.execution("orders", "k1", "{}"));
+    assertNotEquals(receipt, ServiceContent.execution("orders", "k1", "[]"));
+    assertNotEquals(receipt, ServiceContent.execution("orders", "k2", "{}"));
+    assertNotEquals(ServiceContent.lookup("orders/1"), ServiceContent.lookup("orders/2"));
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/ReportsTest.java
@@ -0,0 +1,48 @@
+package org.ebonypond.junit.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ReportsTest {
+  /** Guards against load reports that are current, which would hide faults of the entry. */
+  @Test
+  void loadIsReportedWithLag() {
+    LoadHistory h = new LoadHistory(300);
+    for (int t = 0; t <= 1_000; t += 50) {
+      h.add(new LoadHistory.Sample(t, t, t, 0, 0));
+    }
+    assertEquals(700, h.report(1_000).active());
+    assertEquals(700, h.report(1_049).active());
+    assertEquals(750, h.report(1_050).active());
+  }
+
+  /** Guards against cache events that are timely and complete, which engines do not give. */
+  @Test
+  void cacheEventsAreLateAndHaveGaps() {
+    PrefixCache c = new PrefixCache(2, 100, 3);
+    c.storePrefix("a", 0);
+    c.storePrefix("b", 0);
+    c.storePrefix("c", 0);
+    assertEquals(List.of(), c.events(0, 99));
+    List<PrefixCache.CacheEvent> events = c.events(0, 100);
+    assertEquals(List.of(1L, 2L, 4L), events.stream().map(e -> e.seq()).toList());
+    assertEquals("removed", events.get(2).type());
+    assertEquals("a", events.get(2).prefix());
+    assertEquals(List.of(4L), c.events(2, 100).stream().map(e -> e.seq()).toList());
+  }
+
+  /** Guards against a cache that forgets a prefix that was just used. */
+  @Test
+  void leastRecentlyUsedPrefixIsRemoved() {
+    String first = "a".repeat(64);
+    PrefixCache c = new PrefixCache(2, 0, 0);
+    c.store(first, 0);
+    c.storePrefix("b", 0);
+    assertEquals(1, c.hit(first));
+    c.storePrefix("c", 0);
+    assertEquals(1, c.hit(first));
+    assertEquals(false, c.contains("b"));
+  }
+}
