Try the next entry at once when an announcement fails

A stand-in waited 500 ms for its next announcement after each entry that did not answer. With four entries down in a row it would have counted as down after 2 s although it served.

It now tries the other entries within the same round.

--- a/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Announcer.java
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Announcer.java
@@ -9,7 +9,11 @@
 import ratpack.exec.ExecController;
 import ratpack.http.client.HttpClient;
 
-/** Sends announcements to one entry at a time and rotates to the next when one fails. */
+/**
+ * Sends announcements to one entry at a time. When one fails, the next entry is tried at once:
+ * waiting for the next announcement would take 500 ms for each entry that is down, and an instance
+ * counts as down after 2 s.
+ */
 final class Announcer {
   private static final Logger LOG = LoggerFactory.getLogger(Announcer.class);
   private static final Duration TIMEOUT = Duration.ofMillis(400);
@@ -29,14 +33,18 @@
 
   /** Sends one announcement; called on the event loop. */
   void announce() {
-    if (entries.isEmpty()) {
+    announce(entries.size());
+  }
+
+  private void announce(int attempts) {
+    if (attempts == 0) {
       return;
     }
     int index = current;
     URI uri = URI.create("http://" + entries.get(index) + "/platform/v1/announce");
     executions
         .fork()
-        .onError(t -> rotate(index, t.toString()))
+        .onError(t -> rotate(index, attempts, t.toString()))
         .start(
             e ->
                 client
@@ -49,15 +57,16 @@
                     .then(
                         a -> {
                           if (a.getStatusCode() / 100 != 2) {
-                            rotate(index, "status " + a.getStatusCode());
+                            rotate(index, attempts, "status " + a.getStatusCode());
                           }
                         }));
   }
 
-  private void rotate(int failed, String why) {
+  private void rotate(int failed, int attempts, String why) {
     LOG.debug("entry {} did not take the announcement: {}", entries.get(failed), why);
     if (current == failed) {
       current = (failed + 1) % entries.size();
+      announce(attempts - 1);
     }
   }
 }
