Name cached prefixes by hashes that an entry can compute

Cache events named a prefix by a private hash of 64-character blocks, and the cache evicted a long prompt from its start.

--- a/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Content.java
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/Content.java
@@ -2,13 +2,18 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
 
 /**
  * The content of answers as a pure function of the request, so that a judge can compute the whole
  * expected answer.
  */
 public final class Content {
-  private static final int PREFIX_BLOCK_CHARS = 64;
+  private static final int PREFIX_BLOCK_BYTES = 256;
   private static final int DEFAULT_MAX_TOKENS = 32;
 
   private Content() {}
@@ -54,20 +59,25 @@
     return b.toString();
   }
 
-  /** Returns the number of whole blocks of a prompt that the prefix cache can hold. */
-  public static int prefixBlocks(String prompt) {
-    return prompt.length() / PREFIX_BLOCK_CHARS;
-  }
-
   /**
-   * Returns the name under which cache events report a prefix.
-   *
-   * @param prompt the prompt
-   * @param blocks the length of the prefix, in blocks of 64 characters
+   * Returns the names under which cache events report the prefixes of a prompt: name i is the first
+   * 64 bits, in 16 hexadecimal digits, of the SHA-256 hash of blocks 0 to i. A block has 256 bytes
+   * of UTF-8; an incomplete last block is left out.
    */
-  public static String prefix(String prompt, int blocks) {
-    String text = prompt.substring(0, blocks * PREFIX_BLOCK_CHARS);
-    return blocks + "-" + Long.toHexString(hash(text));
+  public static List<String> prefixes(String prompt) {
+    byte[] text = prompt.getBytes(StandardCharsets.UTF_8);
+    List<String> out = new ArrayList<>();
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      for (int end = PREFIX_BLOCK_BYTES; end <= text.length; end += PREFIX_BLOCK_BYTES) {
+        digest.update(text, end - PREFIX_BLOCK_BYTES, PREFIX_BLOCK_BYTES);
+        byte[] hash = ((MessageDigest) digest.clone()).digest();
+        out.add(HexFormat.of().formatHex(hash, 0, Long.BYTES));
+      }
+    } catch (NoSuchAlgorithmException | CloneNotSupportedException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+    return out;
   }
 
   /** Returns the FNV-1a hash of a text in UTF-8, mixed so that all bits depend on all bytes. */
--- a/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/ContinuousBatch.java
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/ContinuousBatch.java
@@ -57,9 +57,9 @@
     }
     while (running.size() < maxBatch && !waiting.isEmpty()) {
       Run r = waiting.remove();
-      String prompt = r.request.prompt();
-      int missed = Content.prefixBlocks(prompt) - cache.hit(prompt);
-      cache.store(prompt, now);
+      List<String> prefixes = Content.prefixes(r.request.prompt());
+      int missed = prefixes.size() - cache.hit(prefixes);
+      cache.store(prefixes, now);
       r.nextTokenAt = now + (long) ((stepMillis + missed * prefillMillisPerBlock) * slowFactor);
       running.add(r);
     }
--- a/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/EngineStandIn.java
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/EngineStandIn.java
@@ -43,7 +43,7 @@
                 a.number("load-ms", 1_000),
                 a.number("weights-mb", 1_000),
                 a.number("weights-mb-per-second", 1_000)),
-            new ContinuousBatch(maxBatch, a.number("step-ms", 20), a.number("prefill-ms", 5)),
+            new ContinuousBatch(maxBatch, a.number("step-ms", 20), a.number("prefill-ms", 20)),
             new PrefixCache(
                 (int) a.number("cache-prefixes", 1_000),
                 a.number("cache-lag-ms", 300),
--- a/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/PrefixCache.java
+++ b/org.ebonypond.junit.http/src/main/java/org/ebonypond/junit/http/PrefixCache.java
@@ -31,25 +31,22 @@
     this.gapEvery = gapEvery;
   }
 
-  /** Returns how many leading blocks of a prompt are stored, and marks them as used. */
-  public int hit(String prompt) {
+  /** Returns how many leading prefixes of a prompt are stored, and marks them as used. */
+  public int hit(List<String> prefixes) {
     int blocks = 0;
-    while (blocks < Content.prefixBlocks(prompt)) {
-      String p = Content.prefix(prompt, blocks + 1);
-      if (!stored.remove(p)) {
-        break;
-      }
-      stored.add(p);
+    while (blocks < prefixes.size() && stored.contains(prefixes.get(blocks))) {
       blocks++;
     }
+    touch(prefixes.subList(0, blocks));
     return blocks;
   }
 
-  /** Stores all prefixes of a prompt. */
-  public void store(String prompt, long now) {
-    for (int i = 1; i <= Content.prefixBlocks(prompt); i++) {
-      storePrefix(Content.prefix(prompt, i), now);
-    }
+  /** Stores the prefixes of a prompt, from the shortest on, as far as they fit. */
+  public void store(List<String> prefixes, long now) {
+    List<String> fitting = prefixes.subList(0, Math.min(limit, prefixes.size()));
+    touch(fitting.stream().filter(stored::contains).toList());
+    fitting.forEach(p -> storePrefix(p, now));
+    touch(fitting);
   }
 
   /** Stores one prefix; removes the least recently used ones beyond the limit. */
@@ -83,6 +80,14 @@
     return events.stream().filter(e -> e.seq() > after && e.time() + lagMillis <= now).toList();
   }
 
+  /** Marks the shortest prefix as used last: a prefix is of no use without the shorter ones. */
+  private void touch(List<String> prefixes) {
+    for (int i = prefixes.size() - 1; i >= 0; i--) {
+      stored.remove(prefixes.get(i));
+      stored.add(prefixes.get(i));
+    }
+  }
+
   private void record(String type, String prefix, long now) {
     long seq = nextSeq++;
     if (gapEvery > 0 && seq % gapEvery == 0) {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/ContentTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/ContentTest.java
@@ -1,11 +1,16 @@
 package org.ebonypond.junit.http;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.math.BigInteger;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -41,6 +46,22 @@
     assertEquals("tari99s52 t4hkothrh tc7busup6 t9mp5qrin ", Content.text(prompt, 0, 4));
   }
 
+  /** Guards against prefix names that an entry cannot compute from the prompt. */
+  @Test
+  void prefixesAreChainedHashesOfWholeBlocks() throws NoSuchAlgorithmException {
+    String prompt = "a".repeat(256) + "b".repeat(256) + "c";
+    List<String> prefixes = Content.prefixes(prompt);
+    assertEquals(2, prefixes.size());
+    assertEquals(sha256(prompt.substring(0, 256)), prefixes.get(0));
+    assertEquals(sha256(prompt.substring(0, 512)), prefixes.get(1));
+    assertEquals(List.of(), Content.prefixes("a".repeat(255)));
+  }
+
+  private static String sha256(String text) throws NoSuchAlgorithmException {
+    byte[] hash = MessageDigest.getInstance("SHA-256").digest(text.getBytes(UTF_8));
+    return String.format("%016x", new BigInteger(1, hash).shiftRight(192));
+  }
+
   /** Guards against a receipt that does not show which call it belongs to. */
   @Test
   void receiptDependsOnKeyAndBody() {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/ReportsTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/ReportsTest.java
@@ -33,16 +33,21 @@
     assertEquals(List.of(4L), c.events(2, 100).stream().map(e -> e.seq()).toList());
   }
 
-  /** Guards against a cache that forgets a prefix that was just used. */
+  /** Guards against a cache that forgets what was just used, or the start of a long prompt. */
   @Test
-  void leastRecentlyUsedPrefixIsRemoved() {
-    String first = "a".repeat(64);
-    PrefixCache c = new PrefixCache(2, 0, 0);
-    c.store(first, 0);
+  void leastRecentlyUsedPrefixIsRemovedFromItsEnd() {
+    PrefixCache c = new PrefixCache(3, 0, 0);
+    List<String> prompt = List.of("p1", "p2");
+    c.store(prompt, 0);
     c.storePrefix("b", 0);
-    assertEquals(1, c.hit(first));
+    assertEquals(2, c.hit(prompt));
     c.storePrefix("c", 0);
-    assertEquals(1, c.hit(first));
     assertEquals(false, c.contains("b"));
+    assertEquals(2, c.hit(prompt));
+    c.storePrefix("d", 0);
+    c.storePrefix("e", 0);
+    assertEquals(1, c.hit(prompt));
+    c.store(List.of("q1", "q2", "q3", "q4"), 0);
+    assertEquals(3, c.hit(List.of("q1", "q2", "q3", "q4")));
   }
 }
