--- a/org.ebonypond/src/main/java/org/ebonypond/routing/LoadEstimator.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/LoadEstimator.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -20,6 +19,12 @@
   /** The time in milliseconds after which a report is no longer used. */
   public static final long REPORT_TTL_MILLIS = 5_000;
 
+  /**
+   * The time in milliseconds that a request or an answer is on its way at most, across availability
+   * zones. Within it a report does not yet cover a request that was sent.
+   */
+  static final long TRANSIT_MILLIS = 5;
+
   /** Bounds the memory for ended requests that a late report may still cover. */
   private static final int MAX_ENDED = 256;
 
@@ -103,11 +108,14 @@
     }
   }
 
-  /** Forgets the targets that are not in the set. */
+  /** Forgets the targets that are not in the set and have no requests in flight. */
   public void retain(Set<String> keys) {
     for (Shard s : shards) {
       synchronized (s) {
-        s.states.keySet().retainAll(keys);
+        // A target that comes back with the same boot still runs the requests sent before.
+        s.states
+            .entrySet()
+            .removeIf(e -> !keys.contains(e.getKey()) && e.getValue().running.isEmpty());
       }
     }
   }
@@ -203,7 +211,7 @@
       newer = 0;
       newerTokens = 0;
       for (Ticket t : running) {
-        t.newer = t.startedAt >= r.measuredAtMillis();
+        t.newer = t.startedAt > r.measuredAtMillis() - TRANSIT_MILLIS;
         if (t.newer) {
           newer++;
           newerTokens += t.remaining;
@@ -211,10 +219,10 @@
       }
       gone = 0;
       goneTokens = 0;
-      ended.removeIf(e -> e.endedAt < r.measuredAtMillis());
-      for (Iterator<Ended> i = ended.iterator(); i.hasNext(); ) {
-        Ended e = i.next();
-        if (e.startedAt < r.measuredAtMillis()) {
+      long arrived = r.measuredAtMillis() - TRANSIT_MILLIS;
+      ended.removeIf(e -> e.endedAt < r.measuredAtMillis() + TRANSIT_MILLIS);
+      for (Ended e : ended) {
+        if (e.startedAt <= arrived) {
           gone++;
           goneTokens += e.remaining;
         }
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -163,6 +163,7 @@
     if (found.isPresent()) {
       return found;
     }
+    c.hint = false;
     List<Target> rest = split ? usable(p.rest(), r, ejected) : List.of();
     found = reserve(c, rest);
     if (found.isPresent() || !first.isEmpty() || !rest.isEmpty() || ejected.isEmpty()) {
@@ -266,6 +267,9 @@
     private final RandomGenerator random;
     private final long number = sequence.getAndIncrement();
 
+    /** Hints are kept only for the preferred subset, which bounds their memory. */
+    private boolean hint = policy.prefersSubset();
+
     Choice(RoutingTable table, RouteRequest request, long now, RandomGenerator random) {
       this.table = table;
       this.request = request;
@@ -288,7 +292,9 @@
         parts.load().end(ticket, now);
         return null;
       }
-      parts.prefixes().onRouted(t, request.prefix());
+      if (hint) {
+        parts.prefixes().onRouted(t, request.prefix());
+      }
       return new Reservation(request, t, now, ticket, closer);
     }
 
