--- a/org.ebonypond/src/main/java/org/ebonypond/admission/AdmissionController.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/AdmissionController.java
@@ -23,6 +23,12 @@
    */
   public static final long NO_TARGET_GRACE_MILLIS = 1_000;
 
+  /**
+   * The factor by which a wait may exceed its estimate. Requests of other workspaces that arrive
+   * later may be served first, which the estimate on arrival cannot know.
+   */
+  private static final double WAIT_MARGIN = 1.25;
+
   private final SlotSource<R> slots;
   private final ServiceRates rates;
   private final Map<String, Pool> pools = new ConcurrentHashMap<>();
@@ -76,8 +82,8 @@
     long ahead = p.queue.tokensAhead(r.workspace(), r.priority());
     long wait = rates.waitMillis(r.pool(), ahead + rates.meanTokens(r.pool()), now);
     long remaining = r.deadlineMillis() - now;
-    if (wait + service > remaining) {
-      return tooClose(r, wait + service, remaining);
+    if (WAIT_MARGIN * wait + service > remaining) {
+      return tooClose(r, Math.round(WAIT_MARGIN * wait) + service, remaining);
     }
     if (!p.queue.offer(r, now)) {
       return new Decision.Refused<>(
