--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/EntryModel.java
@@ -0,0 +1,148 @@
+package org.ebonypond.bench;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.ebonypond.admission.AdmissionController;
+import org.ebonypond.admission.AdmissionRequest;
+import org.ebonypond.admission.Decision;
+import org.ebonypond.admission.ServiceRates;
+import org.ebonypond.admission.SlotSource;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.InstanceKind;
+import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.routing.Reservation;
+import org.ebonypond.routing.RouteRequest;
+import org.ebonypond.routing.Router;
+import org.ebonypond.routing.RouterSettings;
+import org.ebonypond.routing.RouterState;
+import org.ebonypond.routing.RoutingPolicy;
+import org.ebonypond.routing.SlotLimiter;
+import org.ebonypond.time.TimerService;
+
+/** One entry of the queueing model: admission and routing as the daemon drives them. */
+final class EntryModel implements SlotSource<Reservation> {
+  private static final long DEADLINE_MILLIS = 30_000;
+
+  private final TimerService timers;
+  private final Map<String, EngineModel> engines;
+  private final Map<String, Call> calls = new HashMap<>();
+  private final Router router;
+  private final RouterState parts = RouterState.create();
+  private final AdmissionController<Reservation> admission =
+      new AdmissionController<>(this, new ServiceRates());
+  private final String name;
+  private int nextId;
+
+  /** A request with its result. */
+  private record Call(Workload.Arrival arrival, long arrivedAt, PolicyResult result) {}
+
+  EntryModel(
+      String name,
+      String zone,
+      RoutingPolicy policy,
+      ControlView view,
+      TimerService timers,
+      Map<String, EngineModel> engines,
+      long seed) {
+    this.name = name;
+    this.timers = timers;
+    this.engines = engines;
+    this.router =
+        new Router(
+            RouterSettings.of(name, zone),
+            policy,
+            parts,
+            SlotLimiter.NONE,
+            EventSink.NONE,
+            new SplittableRandom(seed));
+    router.onView(view);
+    ServiceDocument d = view.document();
+    if (d != null) {
+      admission.configure(d);
+    }
+    timers.every(100, () -> decide(admission.tick(timers.nowMillis()), false));
+    timers.every(1_000, () -> router.tick(timers.nowMillis()));
+  }
+
+  Router router() {
+    return router;
+  }
+
+  void arrive(Workload.Arrival a, PolicyResult result) {
+    long now = timers.nowMillis();
+    String id = name + "-" + nextId++;
+    long tokens = a.promptTokens() + parts.lengths().expected(BenchViews.MODEL, a.workspace());
+    result.sent(a.workspace());
+    calls.put(id, new Call(a, now, result));
+    AdmissionRequest r =
+        new AdmissionRequest(id, BenchViews.MODEL, a.workspace(), 5, tokens, now + DEADLINE_MILLIS);
+    decide(List.of(admission.arrive(r, now)), true);
+  }
+
+  private void decide(List<Decision<Reservation>> decisions, boolean arrival) {
+    for (Decision<Reservation> d : decisions) {
+      if (d instanceof Decision.Admitted<Reservation> a) {
+        dispatch(a.request(), a.reservation());
+      } else if (d instanceof Decision.Refused<Reservation> r) {
+        call(r.request().id(), true).result.refused(arrival);
+      }
+    }
+  }
+
+  private Call call(String id, boolean remove) {
+    Call c = remove ? calls.remove(id) : calls.get(id);
+    if (c == null) {
+      throw new IllegalStateException("request " + id + " has ended");
+    }
+    return c;
+  }
+
+  private void dispatch(AdmissionRequest r, Reservation reservation) {
+    Call c = call(r.id(), true);
+    long started = timers.nowMillis();
+    long[] first = new long[1];
+    EngineModel.Job job =
+        new EngineModel.Job(
+            c.arrival.prompt(),
+            c.arrival.promptTokens(),
+            c.arrival.output(),
+            produced -> {
+              long now = timers.nowMillis();
+              if (produced == 1) {
+                first[0] = now;
+                c.result.firstToken(now - c.arrivedAt);
+                reservation.progress(c.arrival.promptTokens());
+              }
+              reservation.progress(1);
+              if (produced >= c.arrival.output()) {
+                c.result.completed(c.arrival.workspace(), now <= r.deadlineMillis());
+                reservation.complete(produced, first[0] - started, now);
+                admission.onCompleted(r, c.arrival.promptTokens() + produced, now - started);
+                decide(admission.onCapacity(r.pool(), now), false);
+              }
+            });
+    EngineModel engine = engines.get(reservation.target().instance());
+    if (engine == null) {
+      throw new IllegalStateException("no engine " + reservation.target().instance());
+    }
+    // One way within or between availability zones.
+    timers.after(1, () -> engine.submit(job));
+  }
+
+  @Override
+  public Optional<Reservation> tryAcquire(AdmissionRequest r, long nowMillis) {
+    Workload.Arrival a = call(r.id(), false).arrival;
+    return router.choose(
+        RouteRequest.model(r.id(), BenchViews.MODEL, a.workspace(), a.promptTokens(), a.prompt()),
+        nowMillis);
+  }
+
+  @Override
+  public boolean inService(String pool) {
+    return router.inService(InstanceKind.ENGINE, pool);
+  }
+}
