--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ControlLoop.java
@@ -0,0 +1,315 @@
+package org.ebonypond.junit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlResult;
+import org.ebonypond.control.ControlState;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupMember;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.group.EngineState;
+import org.ebonypond.group.GroupPlanner;
+import org.ebonypond.group.InstanceAnnouncement;
+import org.ebonypond.group.InstanceDetector;
+import org.ebonypond.group.ObservationTable;
+import org.ebonypond.group.OrderScheduler;
+import org.ebonypond.group.PlacementPolicy;
+import org.ebonypond.group.PlannerSettings;
+import org.ebonypond.group.Proposal;
+import org.ebonypond.group.SchedulerOutput;
+import org.ebonypond.group.SchedulerSettings;
+import org.ebonypond.group.StrandedInstances;
+
+/**
+ * Drives the leader's decision classes against a fake fleet on manual time, as the daemon does.
+ * Commands, orders and reads take effect one tick after they were sent.
+ */
+public final class ControlLoop {
+  /** The time of one tick in milliseconds. */
+  public static final long TICK_MILLIS = 100;
+
+  private static final long ANNOUNCE_MILLIS = 500;
+
+  private final FakeEngineFleet fleet;
+  private final PlacementPolicy policy;
+  private final PlannerSettings plannerSettings;
+  private final EventSink events;
+  private final Random random;
+  private final Deque<ControlCommand> proposed = new ArrayDeque<>();
+  private final List<ControlCommand> log = new ArrayList<>();
+  private final ObservationTable observations = new ObservationTable();
+  private final List<Late> late = new ArrayList<>();
+  private final ControlState state;
+  private SchedulerSettings schedulerSettings;
+  private InstanceDetector detector = new InstanceDetector();
+  private GroupPlanner planner;
+  private OrderScheduler scheduler;
+  private SchedulerOutput sent = SchedulerOutput.NONE;
+  private int lossPercent;
+  private boolean frozen;
+  private long now;
+  private long index;
+  private long downMillis;
+  private long strandedMillis;
+  private long moves;
+
+  private record Late(long at, SchedulerOutput.OrderToSend order) {}
+
+  /**
+   * Creates a loop whose leader was just elected.
+   *
+   * @param fleet the engines
+   * @param policy the placement policy
+   * @param plannerSettings times and bounds of the planner
+   * @param schedulerSettings times and bounds of the order scheduler
+   * @param seed the seed of the losses
+   * @param events receives the events of all parts
+   */
+  public ControlLoop(
+      FakeEngineFleet fleet,
+      PlacementPolicy policy,
+      PlannerSettings plannerSettings,
+      SchedulerSettings schedulerSettings,
+      long seed,
+      EventSink events) {
+    this.fleet = fleet;
+    this.policy = policy;
+    this.plannerSettings = plannerSettings;
+    this.schedulerSettings = schedulerSettings;
+    this.events = events;
+    this.random = new Random(seed);
+    this.state = new ControlState(events);
+    this.planner = new GroupPlanner(policy, plannerSettings, events);
+    this.scheduler = new OrderScheduler(schedulerSettings, events);
+    elect(schedulerSettings);
+  }
+
+  /** Replaces the leader; what the old one sent last still arrives. */
+  public void elect(SchedulerSettings settings) {
+    schedulerSettings = settings;
+    detector = new InstanceDetector();
+    detector.elected(now);
+    planner = new GroupPlanner(policy, plannerSettings, events);
+    planner.elected();
+    scheduler = new OrderScheduler(schedulerSettings, events);
+    scheduler.elected(now);
+    observations.clear();
+    frozen = false;
+  }
+
+  /** Stops the leader's work until it is elected or thawed; it keeps its state. */
+  public void setFrozen(boolean isFrozen) {
+    frozen = isFrozen;
+  }
+
+  /** Loses this share of proposals, orders and answers. */
+  public void setLossPercent(int percent) {
+    lossPercent = percent;
+  }
+
+  /** Delivers an order of an earlier leader later. */
+  public void deliverLate(SchedulerOutput.OrderToSend order, long delayMillis) {
+    late.add(new Late(now + delayMillis, order));
+  }
+
+  /** Applies an operator's command at once. */
+  public ControlResult apply(ControlCommand c) {
+    log.add(c);
+    index++;
+    ControlResult result = state.apply(index, c);
+    if (result instanceof ControlResult.Accepted) {
+      moves += c instanceof ControlCommand.FormGroup f ? f.members().size() : 0;
+      moves += c instanceof ControlCommand.ReplaceMember ? 1 : 0;
+    }
+    return result;
+  }
+
+  /** Runs for a time in milliseconds. */
+  public void run(long millis) {
+    for (long end = now + millis; now < end; ) {
+      step();
+    }
+  }
+
+  private void step() {
+    now += TICK_MILLIS;
+    if (!frozen) {
+      exchange();
+    }
+    while (!proposed.isEmpty()) {
+      ControlCommand c = proposed.remove();
+      if (!lost()) {
+        apply(c);
+        resolved(c);
+      }
+    }
+    late.removeIf(this::deliver);
+    if (!frozen) {
+      lead();
+    }
+    account();
+  }
+
+  private boolean deliver(Late l) {
+    if (l.at() > now) {
+      return false;
+    }
+    fleet.get(l.order().instance()).order(l.order().order(), now);
+    return true;
+  }
+
+  private void resolved(ControlCommand c) {
+    detector.resolved(c);
+    planner.resolved(c);
+    scheduler.resolved(c);
+  }
+
+  private void lead() {
+    if (now % ANNOUNCE_MILLIS == 0) {
+      fleet.announcements(now).forEach(this::announced);
+    }
+    List<Proposal> out = new ArrayList<>(detector.tick(view(), now));
+    out.addAll(planner.plan(view(), observations.view(), now));
+    sent = scheduler.poll(view(), now, now + 1_000);
+    out.addAll(sent.proposals());
+    out.forEach(p -> proposed.add(p.command()));
+  }
+
+  private void announced(InstanceAnnouncement a) {
+    detector.announced(a, now);
+    scheduler.announced(a);
+    observations.announced(a, view(), now);
+  }
+
+  private void exchange() {
+    for (SchedulerOutput.StateRead r : sent.reads()) {
+      FakeEngine e = fleet.get(r.instance());
+      if (!fleet.isReachable(e)) {
+        scheduler.failed(r.token(), now);
+      } else if (!lost()) {
+        scheduler.stateRead(r.token(), e.state(now), now);
+      }
+    }
+    for (SchedulerOutput.OrderToSend o : sent.orders()) {
+      FakeEngine e = fleet.get(o.instance());
+      if (!fleet.isReachable(e)) {
+        scheduler.failed(o.token(), now);
+      } else if (!lost()) {
+        answer(o.token(), e.order(o.order(), now));
+      }
+    }
+    sent = SchedulerOutput.NONE;
+  }
+
+  private void answer(long token, boolean accepted) {
+    if (lost()) {
+      return;
+    }
+    if (accepted) {
+      scheduler.orderAccepted(token, now);
+    } else {
+      scheduler.failed(token, now);
+    }
+  }
+
+  private boolean lost() {
+    return lossPercent > 0 && random.nextInt(100) < lossPercent;
+  }
+
+  private void account() {
+    downMillis += TICK_MILLIS * missing();
+    strandedMillis += TICK_MILLIS * StrandedInstances.count(view());
+  }
+
+  /** Returns how many declared groups of availability zones in service are not ready. */
+  public int missing() {
+    ControlView v = view();
+    if (v.document() == null) {
+      return 0;
+    }
+    Map<String, Integer> ready = new HashMap<>();
+    for (GroupRecord g : v.groups().values()) {
+      if (g.state() == GroupState.READY) {
+        ready.merge(g.model() + '/' + g.zone(), 1, Integer::sum);
+      }
+    }
+    int sum = 0;
+    for (var m : v.document().models()) {
+      for (String z : m.zones()) {
+        int have = ready.getOrDefault(m.name() + '/' + z, 0);
+        sum += v.zonesOut().contains(z) ? 0 : Math.max(0, m.groupsPerZone() - have);
+      }
+    }
+    return sum;
+  }
+
+  /** Returns the ready groups of which a reachable engine does not hold what the group needs. */
+  public List<GroupRecord> misloaded() {
+    List<GroupRecord> out = new ArrayList<>();
+    for (GroupRecord g : view().groups().values()) {
+      if (g.state() == GroupState.READY && g.members().stream().anyMatch(m -> isMisloaded(g, m))) {
+        out.add(g);
+      }
+    }
+    return out;
+  }
+
+  private boolean isMisloaded(GroupRecord g, GroupMember m) {
+    FakeEngine e = fleet.get(m.instance());
+    EngineState s = e.state(now);
+    return fleet.isReachable(e)
+        && s.boot().equals(m.boot())
+        && (!s.group().equals(g.group()) || s.fencing() != g.epoch());
+  }
+
+  /** Returns the groups of a model in a state. */
+  public List<GroupRecord> groups(String model, GroupState wanted) {
+    return view().groups().values().stream()
+        .filter(g -> g.model().equals(model) && g.state() == wanted)
+        .sorted((a, b) -> a.group().compareTo(b.group()))
+        .toList();
+  }
+
+  /** Returns the current view. */
+  public ControlView view() {
+    return state.view();
+  }
+
+  /** Returns the state machine. */
+  public ControlState state() {
+    return state;
+  }
+
+  /** Returns every command that was applied, in order. */
+  public List<ControlCommand> log() {
+    return List.copyOf(log);
+  }
+
+  /** Returns the time in milliseconds. */
+  public long now() {
+    return now;
+  }
+
+  /** Returns the sum over time of declared groups that were not ready, in group-milliseconds. */
+  public long downMillis() {
+    return downMillis;
+  }
+
+  /** Returns the sum over time of stranded instances, in instance-milliseconds. */
+  public long strandedMillis() {
+    return strandedMillis;
+  }
+
+  /** Returns how many instances were put into groups. */
+  public long moves() {
+    return moves;
+  }
+}
