Add scenario tests and random runs of groups, detection and orders

Repairs, planned moves, detection and orders had no test. One test runs a change of leader with the wait of 4 s set to 0 and expects that an old order reaches a serving engine, which shows that the wait is needed. The random runs mix all failures for 30 minutes of manual time, then heal and expect every declared group to be ready and a replay of the log to give the same state.

--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/group/OrderSchedulerTest.java
@@ -0,0 +1,188 @@
+package org.ebonypond.group;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ebonypond.control.ControlCommand.FormGroup;
+import org.ebonypond.control.ControlCommand.GroupReady;
+import org.ebonypond.control.ControlCommand.RegisterInstance;
+import org.ebonypond.control.ControlState;
+import org.ebonypond.control.GroupMember;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.control.InstanceKind;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.group.SchedulerOutput.OrderToSend;
+import org.ebonypond.group.SchedulerOutput.StateRead;
+import org.ebonypond.junit.ControlLoop;
+import org.ebonypond.junit.FakeEngineFleet;
+import org.junit.jupiter.api.Test;
+
+class OrderSchedulerTest {
+  private static final SchedulerSettings DEFAULT = SchedulerSettings.DEFAULT;
+
+  private final ControlState state = new ControlState(EventSink.NONE);
+  private final OrderScheduler scheduler = new OrderScheduler(DEFAULT, EventSink.NONE);
+
+  private static SchedulerSettings takeoverWait(long millis) {
+    return new SchedulerSettings(2_000, millis, 500, 10_000, 250, 5_000, 32, 900_000, 500);
+  }
+
+  /**
+   * Runs a change of leader while an order of the old leader is under way for 3.9 s: it was sent at
+   * the end of the old lease and arrives at the end of the order timeout.
+   *
+   * @return whether a ready group had a member that did not hold what the group needs
+   */
+  private static boolean servesWrongModel(boolean checksFencing, long waitMillis) {
+    FakeEngineFleet fleet = new FakeEngineFleet();
+    fleet.addZone("a", 1, 2, "batcher", checksFencing, 500);
+    ControlLoop loop =
+        new ControlLoop(
+            fleet, new ScoredPolicy(), PlannerSettings.DEFAULT, DEFAULT, 1, EventSink.NONE);
+    loop.apply(Documents.create(checksFencing).model("drafter", "1", 1, 2, "a").version(1));
+    while (loop.groups("drafter", GroupState.LOADING).isEmpty()) {
+      loop.run(ControlLoop.TICK_MILLIS);
+    }
+    var old = loop.groups("drafter", GroupState.LOADING).get(0);
+    String instance = old.members().get(0).instance();
+    EngineOrder order =
+        new EngineOrder(
+            old.epoch(),
+            EngineOrder.Type.LOAD,
+            "drafter",
+            "1",
+            List.of("badge"),
+            old.group(),
+            0,
+            List.of());
+    loop.elect(takeoverWait(waitMillis));
+    loop.deliverLate(new OrderToSend(1, instance, instance + ":9000", order), 3_900);
+    loop.apply(Documents.create(checksFencing).model("drafter", "2", 1, 2, "a").version(2));
+    boolean wrong = false;
+    for (int i = 0; i < 150; i++) {
+      loop.run(ControlLoop.TICK_MILLIS);
+      wrong |= !loop.misloaded().isEmpty();
+    }
+    assertEquals(1, loop.groups("drafter", GroupState.READY).size());
+    return wrong;
+  }
+
+  /** Guards against an old leader's order that changes a member of a group that serves. */
+  @Test
+  void newLeaderWaitsForOrdersOfTheOldOne() {
+    assertFalse(servesWrongModel(false, DEFAULT.takeoverWaitMillis()));
+    assertFalse(servesWrongModel(true, DEFAULT.takeoverWaitMillis()));
+    assertFalse(servesWrongModel(true, 0), "an engine that checks fencing needs no wait");
+  }
+
+  /** Shows that the wait is needed: without it the old order changes a member that serves. */
+  @Test
+  void withoutTheWaitAnOldOrderReachesServingEngine() {
+    assertTrue(servesWrongModel(false, 0));
+  }
+
+  private void prepare(int groups) {
+    long index = 1;
+    state.apply(index++, Documents.create(true).model("drafter", "1", groups, 1, "a").version(1));
+    for (int i = 1; i <= groups; i++) {
+      String name = "i" + i;
+      state.apply(
+          index++,
+          new RegisterInstance(name, "x", name + ":1", "a", "d", InstanceKind.ENGINE, "batcher"));
+      state.apply(
+          index++,
+          new FormGroup(
+              "g-" + i, "drafter", "1", List.of("badge"), List.of(new GroupMember(name, "x"))));
+    }
+    scheduler.elected(0);
+  }
+
+  private static EngineState idle(String name) {
+    return new EngineState(name, "x", EngineStatus.IDLE, "", -1, List.of(), "", "", 0);
+  }
+
+  private SchedulerOutput poll(long now) {
+    return scheduler.poll(state.view(), now, now + 1);
+  }
+
+  /** Answers the first read of each engine as idle and returns the orders that follow. */
+  private List<OrderToSend> firstOrders() {
+    for (StateRead r : poll(0).reads()) {
+      scheduler.stateRead(r.token(), idle(r.instance()), 0);
+    }
+    return poll(0).orders();
+  }
+
+  /** Guards against orders of a replica that no longer leads. */
+  @Test
+  void sendsNothingWithoutTheLease() {
+    prepare(1);
+    assertEquals(SchedulerOutput.NONE, scheduler.poll(state.view(), 10, 10));
+    assertEquals(1, scheduler.poll(state.view(), 10, 11).reads().size());
+  }
+
+  /** Guards against a rate-limited weight store that is asked by every group at once. */
+  @Test
+  void boundsGroupsThatLoadAtOnce() {
+    prepare(40);
+    assertEquals(DEFAULT.maxLoadingGroups(), firstOrders().size());
+    assertTrue(poll(100).orders().isEmpty());
+  }
+
+  /** Guards against a lost order that is never repeated, and against a flood of repeats. */
+  @Test
+  void readsAndOrdersAgainAfterTimeout() {
+    prepare(1);
+    OrderToSend first = firstOrders().get(0);
+    assertEquals(SchedulerOutput.NONE, poll(1_999));
+    assertEquals(SchedulerOutput.NONE, poll(2_000));
+    StateRead read = poll(2_250).reads().get(0);
+    scheduler.orderAccepted(first.token(), 2_250);
+    scheduler.stateRead(read.token(), idle("i1"), 2_300);
+    assertEquals(first.order(), poll(2_300).orders().get(0).order());
+  }
+
+  /** Guards against a group that is ready by the state of another epoch, rank or boot. */
+  @Test
+  void proposesReadyOnlyForTheCurrentEpoch() {
+    prepare(1);
+    scheduler.orderAccepted(firstOrders().get(0).token(), 0);
+    long epoch = state.view().groups().get("g-1").epoch();
+    assertTrue(afterState(0, "x", "g-1", 0, epoch - 1).isEmpty());
+    assertTrue(afterState(10_000, "y", "g-1", 0, epoch).isEmpty());
+    assertTrue(afterState(20_000, "x", "g-0", 0, epoch).isEmpty());
+    assertTrue(afterState(30_000, "x", "g-1", 1, epoch).isEmpty());
+    List<Proposal> proposals = afterState(40_000, "x", "g-1", 0, epoch);
+    assertEquals(new GroupReady("g-1", epoch), proposals.get(0).command());
+  }
+
+  /** Accepts every order for 5 s, answers every read with one state, and returns the proposals. */
+  private List<Proposal> afterState(long from, String boot, String group, int rank, long fencing) {
+    List<Proposal> out = new ArrayList<>();
+    for (long now = from; now < from + 5_000; now += 100) {
+      SchedulerOutput o = poll(now);
+      out.addAll(o.proposals());
+      for (OrderToSend order : o.orders()) {
+        scheduler.orderAccepted(order.token(), now);
+      }
+      for (StateRead r : o.reads()) {
+        EngineState s =
+            new EngineState(
+                "i1",
+                boot,
+                EngineStatus.READY,
+                group,
+                rank,
+                List.of("i1:1"),
+                "drafter",
+                "1",
+                fencing);
+        scheduler.stateRead(r.token(), s, now);
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/group/RandomRunTest.java
@@ -0,0 +1,161 @@
+package org.ebonypond.group;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlCommand.SetZone;
+import org.ebonypond.control.ControlState;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.group.SchedulerOutput.OrderToSend;
+import org.ebonypond.junit.ControlLoop;
+import org.ebonypond.junit.FakeEngine;
+import org.ebonypond.junit.FakeEngineFleet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Long runs with random failures. The control state asserts its invariants after each command. The
+ * system property {@code ebonypond.seeds} sets the number of seeds.
+ */
+class RandomRunTest {
+  private static final String[] ZONES = {"a", "b", "c"};
+  private static final int DEFAULT_SEEDS = 5;
+
+  private final FakeEngineFleet fleet = new FakeEngineFleet();
+  private final List<String> dark = new ArrayList<>();
+
+  static LongStream seeds() {
+    return LongStream.rangeClosed(1, Integer.getInteger("ebonypond.seeds", DEFAULT_SEEDS));
+  }
+
+  private static Documents document(boolean checks, long version) {
+    return Documents.create(checks)
+        .model("drafter", "v" + version / 3, 4 + (int) (version % 3), 2, ZONES)
+        .model("ledger", "v" + version / 2, 2, 4, ZONES);
+  }
+
+  /** Guards against states that no single scenario covers, and against runs that do not settle. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void settlesAfterRandomFailures(long seed) {
+    final Random random = new Random(seed);
+    final boolean checks = seed % 2 == 0;
+    for (String z : ZONES) {
+      fleet.addZone(z, 4, 8, "batcher", checks, 3_000);
+    }
+    PlacementPolicy policy = seed % 3 == 0 ? new GreedyPolicy() : new ScoredPolicy();
+    ControlLoop loop =
+        new ControlLoop(
+            fleet,
+            policy,
+            PlannerSettings.DEFAULT,
+            SchedulerSettings.DEFAULT,
+            seed,
+            EventSink.NONE);
+    loop.apply(document(checks, 1).version(1));
+    loop.setLossPercent(5);
+    for (int second = 0; second < 1_800; second++) {
+      fail(loop, random, checks);
+      for (int i = 0; i < 10; i++) {
+        loop.run(ControlLoop.TICK_MILLIS);
+        assertTrue(loop.misloaded().isEmpty(), () -> "misloaded: " + loop.misloaded());
+      }
+    }
+    heal(loop);
+    loop.run(900_000);
+    assertEquals(0, loop.missing(), () -> "groups: " + loop.view().groups());
+    assertReplayGivesTheSameState(loop);
+  }
+
+  private void fail(ControlLoop loop, Random random, boolean checks) {
+    List<FakeEngine> all = List.copyOf(fleet.all());
+    FakeEngine e = all.get(random.nextInt(all.size()));
+    switch (random.nextInt(40)) {
+      case 0 -> e.stop();
+      case 1, 2 -> e.restart();
+      case 3 -> e.leave();
+      case 4 -> setDark(e.name());
+      case 5 -> {
+        if (random.nextInt(8) == 0) {
+          setDark(e.domain());
+        }
+      }
+      case 6, 7, 8 -> {
+        if (!dark.isEmpty()) {
+          fleet.setDark(dark.remove(0), false);
+        }
+      }
+      case 9 -> all.stream().filter(x -> !x.isRunning()).findFirst().ifPresent(FakeEngine::restart);
+      case 10 -> loop.apply(new SetZone(e.zone(), random.nextInt(4) == 0, ""));
+      case 11 -> {
+        long next = loop.view().document() == null ? 1 : loop.view().document().version() + 1;
+        loop.apply(document(checks, next).version(next));
+      }
+      case 12 -> changeLeader(loop, random, e);
+      case 13 -> loop.setFrozen(true);
+      case 14, 15 -> loop.setFrozen(false);
+      default -> {}
+    }
+  }
+
+  private void setDark(String name) {
+    fleet.setDark(name, true);
+    dark.add(name);
+  }
+
+  /**
+   * Elects a new leader while an order of the old one is under way, for at most 4 s. Only a member
+   * of a loading group can have such an order: a group is confirmed after its last order ended.
+   */
+  private static void changeLeader(ControlLoop loop, Random random, FakeEngine e) {
+    loop.elect(SchedulerSettings.DEFAULT);
+    loop.view().groups().values().stream()
+        .filter(g -> g.state() == GroupState.LOADING && g.hasMember(e.name()))
+        .forEach(
+            g ->
+                loop.deliverLate(
+                    new OrderToSend(
+                        1,
+                        e.name(),
+                        e.name() + ":9000",
+                        new EngineOrder(
+                            g.epoch() - 1,
+                            EngineOrder.Type.LOAD,
+                            g.model(),
+                            g.version(),
+                            g.adapters(),
+                            "old-group",
+                            0,
+                            List.of())),
+                    100 + random.nextInt(3_800)));
+  }
+
+  private void heal(ControlLoop loop) {
+    loop.setLossPercent(0);
+    loop.setFrozen(false);
+    dark.forEach(d -> fleet.setDark(d, false));
+    fleet.all().stream()
+        .filter(e -> !e.isRunning() || e.announcement(0).status() == EngineStatus.LEAVING)
+        .forEach(FakeEngine::restart);
+    for (String z : ZONES) {
+      loop.apply(new SetZone(z, false, ""));
+    }
+  }
+
+  private static void assertReplayGivesTheSameState(ControlLoop loop) {
+    ControlState replayed = new ControlState(EventSink.NONE);
+    long index = 0;
+    for (ControlCommand c : loop.log()) {
+      index++;
+      replayed.apply(index, c);
+    }
+    assertArrayEquals(loop.state().snapshot(), replayed.snapshot());
+  }
+}
