Add fakes and tests of the replicated log and fix what they found

The log had no test. This adds a disk that loses unsynced writes, a network that loses, delays, reorders and duplicates, a group of replicas on a manual clock with checks across replicas, and random runs.

Voting, applying and receiving move into classes of their own.

--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/FakeReplica.java
@@ -0,0 +1,120 @@
+package org.ebonypond.junit.consensus;
+
+import java.util.random.RandomGenerator;
+import org.ebonypond.consensus.DiskLogStorage;
+import org.ebonypond.consensus.LogStorage;
+import org.ebonypond.consensus.RaftConfig;
+import org.ebonypond.consensus.RaftNode;
+import org.jspecify.annotations.Nullable;
+
+/** One replica of a {@link RaftCluster}: a disk that stays, and a process that comes and goes. */
+public final class FakeReplica {
+  /** Small segments, so that runs delete some. */
+  private static final int SEGMENT_BYTES = 4096;
+
+  private final RaftConfig config;
+  private final RandomGenerator random;
+  private final SafetyChecker checker;
+  private final MemoryDisk disk = new MemoryDisk();
+  private final RecordingEvents events = new RecordingEvents();
+  private JournalMachine machine;
+  private @Nullable LogStorage storage;
+  private @Nullable RaftNode node;
+  private boolean frozen;
+
+  FakeReplica(RaftConfig config, RandomGenerator random, SafetyChecker checker) {
+    this.config = config;
+    this.random = random;
+    this.checker = checker;
+    this.machine = new JournalMachine(checker);
+  }
+
+  /** Returns the name. */
+  public String name() {
+    return config.self();
+  }
+
+  /** Returns the disk. */
+  public MemoryDisk disk() {
+    return disk;
+  }
+
+  /** Returns the events of all processes of this replica. */
+  public RecordingEvents events() {
+    return events;
+  }
+
+  /** Returns the state machine of the current or last process. */
+  public JournalMachine machine() {
+    return machine;
+  }
+
+  /** Returns whether a process runs, frozen or not. */
+  public boolean isUp() {
+    return node != null;
+  }
+
+  /** Returns whether the process is frozen. */
+  public boolean isFrozen() {
+    return frozen;
+  }
+
+  /**
+   * Returns the running process.
+   *
+   * @throws IllegalStateException if there is none
+   */
+  public RaftNode node() {
+    RaftNode n = node;
+    if (n == null) {
+      throw new IllegalStateException(name() + " is down");
+    }
+    return n;
+  }
+
+  /** Returns the storage of the running process. */
+  public LogStorage storage() {
+    LogStorage s = storage;
+    if (s == null) {
+      throw new IllegalStateException(name() + " is down");
+    }
+    return s;
+  }
+
+  void start(long now) {
+    machine = new JournalMachine(checker);
+    LogStorage s = new DiskLogStorage(disk, name(), random, events, SEGMENT_BYTES);
+    storage = s;
+    node = new RaftNode(config, s, machine, random, events, now);
+    frozen = false;
+  }
+
+  void stop(@Nullable RandomGenerator tear) {
+    node = null;
+    storage = null;
+    frozen = false;
+    disk.crash(tear);
+  }
+
+  void freeze(boolean value) {
+    frozen = value;
+  }
+
+  @Override
+  public String toString() {
+    RaftNode n = node;
+    if (n == null) {
+      return name() + " down";
+    }
+    return String.format(
+        "%s %s%s identity %s term %d commit %d last %d members %s",
+        name(),
+        n.role(),
+        frozen ? " frozen" : "",
+        n.identity(),
+        n.term(),
+        n.commitIndex(),
+        storage().lastIndex(),
+        n.membership().members());
+  }
+}
--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryNetwork.java
@@ -0,0 +1,98 @@
+package org.ebonypond.junit.consensus;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/** A network in memory that delays, loses, reorders and duplicates messages, and can be cut. */
+public final class MemoryNetwork {
+  private final RandomGenerator random;
+  private final PriorityQueue<Message> queue =
+      new PriorityQueue<>(
+          Comparator.comparingLong((Message m) -> m.due).thenComparingLong(m -> m.order));
+  private final Set<String> cuts = new HashSet<>();
+  private long order;
+  private int maxDelay = 1;
+  private int lossPercent;
+  private int duplicatePercent;
+
+  /** Creates a network with a delay of one millisecond and without losses. */
+  public MemoryNetwork(RandomGenerator random) {
+    this.random = random;
+  }
+
+  /**
+   * Sets the quality of all connections.
+   *
+   * @param maxDelay the longest delay in milliseconds; the shortest is 1, so messages overtake each
+   *     other if this is longer
+   * @param lossPercent the share of messages that are lost
+   * @param duplicatePercent the share of messages that arrive twice
+   */
+  public void quality(int maxDelay, int lossPercent, int duplicatePercent) {
+    this.maxDelay = maxDelay;
+    this.lossPercent = lossPercent;
+    this.duplicatePercent = duplicatePercent;
+  }
+
+  /** Loses all messages in one direction, without notice. */
+  public void cut(String from, String to) {
+    cuts.add(from + ">" + to);
+  }
+
+  /** Ends all cuts. */
+  public void heal() {
+    cuts.clear();
+  }
+
+  /** Takes a message. */
+  public void send(long now, String from, String to, byte[] payload) {
+    if (isCut(from, to) || random.nextInt(100) < lossPercent) {
+      return;
+    }
+    enqueue(now, from, to, payload);
+    if (random.nextInt(100) < duplicatePercent) {
+      enqueue(now, from, to, payload);
+    }
+  }
+
+  /** Removes and returns the messages that have arrived at any of the receivers. */
+  public List<Message> due(long now, Set<String> receivers) {
+    List<Message> arrived = new ArrayList<>();
+    List<Message> waiting = new ArrayList<>();
+    while (!queue.isEmpty() && queue.peek().due <= now) {
+      Message m = queue.remove();
+      if (isCut(m.from, m.to)) {
+        continue;
+      }
+      (receivers.contains(m.to) ? arrived : waiting).add(m);
+    }
+    queue.addAll(waiting);
+    return arrived;
+  }
+
+  /** Loses the messages on the way to a receiver. */
+  public void drop(String to) {
+    queue.removeIf(m -> m.to.equals(to));
+  }
+
+  private boolean isCut(String from, String to) {
+    return cuts.contains(from + ">" + to);
+  }
+
+  private void enqueue(long now, String from, String to, byte[] payload) {
+    queue.add(new Message(now + 1 + random.nextInt(maxDelay), order++, from, to, payload));
+  }
+
+  /**
+   * A message on its way.
+   *
+   * @param due the time of arrival
+   * @param order orders messages that arrive at the same time
+   */
+  public record Message(long due, long order, String from, String to, byte[] payload) {}
+}
--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
@@ -0,0 +1,307 @@
+package org.ebonypond.junit.consensus;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.ebonypond.consensus.ProposalResult;
+import org.ebonypond.consensus.RaftConfig;
+import org.ebonypond.consensus.RaftMessage;
+import org.ebonypond.consensus.RaftNode;
+import org.ebonypond.consensus.RaftOutput;
+import org.ebonypond.consensus.RaftRole;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+
+/** A group of replicas with fake disks and a fake network on a manual clock of milliseconds. */
+public final class RaftCluster {
+  private final Random random;
+  private final SafetyChecker checker = new SafetyChecker();
+  private final MemoryNetwork network;
+  private final Map<String, FakeReplica> replicas = new TreeMap<>();
+  private final Map<Long, byte[]> commands = new HashMap<>();
+  private final Map<Long, ProposalResult> results = new HashMap<>();
+  private long now;
+  private long nextProposal = 1;
+
+  /**
+   * Creates a group with empty disks; no process runs yet.
+   *
+   * @param seed the seed of every random choice
+   * @param size the number of replicas, named a, b, c, ...
+   * @param compactAfter see {@link RaftConfig#compactAfter()}
+   */
+  public RaftCluster(long seed, int size, int compactAfter) {
+    random = new Random(seed);
+    network = new MemoryNetwork(new Random(random.nextLong()));
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      names.add(String.valueOf((char) ('a' + i)));
+    }
+    for (String name : names) {
+      RaftConfig config =
+          new RaftConfig(name, names, 100, 500, 1000, compactAfter, compactAfter / 4, 4096, 64);
+      replicas.put(name, new FakeReplica(config, new Random(random.nextLong()), checker));
+    }
+  }
+
+  /** Returns the checker of all replicas. */
+  public SafetyChecker checker() {
+    return checker;
+  }
+
+  /** Returns the network. */
+  public MemoryNetwork network() {
+    return network;
+  }
+
+  /** Returns the time. */
+  public long now() {
+    return now;
+  }
+
+  /** Returns a replica. */
+  public FakeReplica replica(String name) {
+    FakeReplica r = replicas.get(name);
+    if (r == null) {
+      throw new IllegalArgumentException("no replica " + name);
+    }
+    return r;
+  }
+
+  /** Returns all replicas. */
+  public Collection<FakeReplica> replicas() {
+    return replicas.values();
+  }
+
+  /** Starts every replica that is down. */
+  public void startAll() {
+    replicas.keySet().forEach(this::start);
+  }
+
+  /** Starts a replica that is down. */
+  public void start(String name) {
+    if (!replica(name).isUp()) {
+      replica(name).start(now);
+    }
+  }
+
+  /** Kills the process of a replica; what was not synced is lost. */
+  public void kill(String name) {
+    replica(name).stop(null);
+    network.drop(name);
+  }
+
+  /** Kills the process of a replica while it writes: a part of the unsynced bytes may survive. */
+  public void killWhileWriting(String name) {
+    replica(name).stop(random);
+    network.drop(name);
+  }
+
+  /** Kills the process of a replica and empties its disk. */
+  public void wipe(String name) {
+    kill(name);
+    replica(name).disk().wipe();
+  }
+
+  /** Stops the process of a replica from running; messages to it wait. */
+  public void freeze(String name) {
+    replica(name).freeze(true);
+  }
+
+  /** Lets the process of a replica run again. */
+  public void unfreeze(String name) {
+    replica(name).freeze(false);
+  }
+
+  /** Cuts a replica off from all others, in both directions. */
+  public void isolate(String name) {
+    for (String other : replicas.keySet()) {
+      network.cut(name, other);
+      network.cut(other, name);
+    }
+  }
+
+  /**
+   * Proposes a command at a replica.
+   *
+   * @return the number of the proposal, see {@link #result}
+   */
+  public long propose(String name, String command) {
+    long id = nextProposal++;
+    byte[] bytes = command.getBytes(StandardCharsets.UTF_8);
+    commands.put(id, bytes);
+    FakeReplica r = replica(name);
+    run(r, () -> r.node().propose(now, id, bytes));
+    return id;
+  }
+
+  /** Returns the end of a proposal, or null if it has not ended. */
+  public @Nullable ProposalResult result(long proposal) {
+    return results.get(proposal);
+  }
+
+  /** Returns whether a proposal was committed. */
+  public boolean isCommitted(long proposal) {
+    ProposalResult r = results.get(proposal);
+    return r != null && r.failure() == null;
+  }
+
+  /** Returns the replica that may act as the leader now, or null if there is none. */
+  public @Nullable FakeReplica leader() {
+    return replicas.values().stream()
+        .filter(r -> r.isUp() && !r.isFrozen() && r.node().mayLead(now))
+        .findFirst()
+        .orElse(null);
+  }
+
+  /** Waits for a leader, at most 10 seconds. */
+  public FakeReplica awaitLeader() {
+    await(10_000, () -> leader() != null);
+    FakeReplica l = leader();
+    if (l == null) {
+      throw new AssertionError("unreachable: a leader was found");
+    }
+    return l;
+  }
+
+  /** Proposes a command at the leader until it is committed, within 10 seconds each. */
+  public void commit(String command) {
+    long id = propose(awaitLeader().name(), command);
+    await(10_000, () -> isCommitted(id));
+  }
+
+  /** Waits until every running replica has applied the same, non-empty log. */
+  public void awaitConverged() {
+    await(
+        20_000,
+        () -> {
+          FakeReplica l = leader();
+          return l != null
+              && replicas.values().stream()
+                  .filter(FakeReplica::isUp)
+                  .allMatch(
+                      r ->
+                          r.node().isVoter()
+                              && r.node().appliedIndex() == l.node().appliedIndex()
+                              && l.node().appliedIndex() == l.storage().lastIndex());
+        });
+  }
+
+  /** Advances the time until a condition holds. */
+  public void await(long millis, BooleanSupplier condition) {
+    long end = now + millis;
+    while (!condition.getAsBoolean()) {
+      if (now >= end) {
+        throw new AssertionError("condition did not hold within " + millis + " ms; " + describe());
+      }
+      step();
+    }
+  }
+
+  private String describe() {
+    return replicas.values().stream().map(FakeReplica::toString).collect(Collectors.joining("; "));
+  }
+
+  /** Advances the time. */
+  public void advance(long millis) {
+    for (long i = 0; i < millis; i++) {
+      step();
+    }
+  }
+
+  private void step() {
+    now++;
+    List<FakeReplica> running =
+        replicas.values().stream().filter(r -> r.isUp() && !r.isFrozen()).toList();
+    for (FakeReplica r : running) {
+      run(r, () -> r.node().tick(now));
+    }
+    deliver();
+    for (FakeReplica r : running) {
+      run(r, () -> take(r, r.node().flush(now)));
+    }
+    check();
+  }
+
+  private void deliver() {
+    List<MemoryNetwork.Message> due =
+        network.due(
+            now,
+            replicas.values().stream()
+                .filter(r -> !r.isFrozen())
+                .map(FakeReplica::name)
+                .collect(Collectors.toSet()));
+    for (MemoryNetwork.Message m : due) {
+      FakeReplica r = replica(m.to());
+      run(
+          r,
+          () ->
+              r.node()
+                  .receive(now, m.from(), MessagePackCodec.decode(m.payload(), RaftMessage.class)));
+    }
+  }
+
+  /** Runs an action of a process; a process whose storage fails is dead. */
+  private void run(FakeReplica r, Runnable action) {
+    if (!r.isUp()) {
+      return;
+    }
+    try {
+      action.run();
+    } catch (EbonypondException e) {
+      if (e.code() != ErrorCode.STORAGE_FAILED) {
+        throw e;
+      }
+      killWhileWriting(r.name());
+    }
+  }
+
+  private void take(FakeReplica r, RaftOutput output) {
+    output
+        .messages()
+        .forEach(m -> network.send(now, r.name(), m.to(), MessagePackCodec.encode(m.message())));
+    output.completed().forEach(this::complete);
+    output.roleChanges().stream()
+        .filter(c -> c.role() == RaftRole.LEADER)
+        .forEach(c -> checker.leader(c.term(), r.node().identity()));
+  }
+
+  private void complete(ProposalResult result) {
+    results.put(result.proposalId(), result);
+    byte[] command = commands.remove(result.proposalId());
+    if (result.failure() == null && command != null) {
+      checker.acknowledged(result.index(), command);
+    }
+  }
+
+  private void check() {
+    List<String> leading = new ArrayList<>();
+    for (FakeReplica r : replicas.values()) {
+      if (r.isUp() && r.node().mayLead(now)) {
+        RaftNode n = r.node();
+        leading.add(r.name());
+        checker.mayLead(r.name(), n.appliedIndex());
+      }
+    }
+    checker.atMostOneLeads(leading);
+  }
+
+  /** Compares the logs of all running replicas, pair by pair. */
+  public void checkLogs() {
+    List<FakeReplica> up = replicas.values().stream().filter(FakeReplica::isUp).toList();
+    for (int i = 0; i < up.size(); i++) {
+      for (int j = i + 1; j < up.size(); j++) {
+        checker.logsMatch(up.get(i).storage(), up.get(j).storage());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RandomRaftRun.java
@@ -0,0 +1,154 @@
+package org.ebonypond.junit.consensus;
+
+import java.util.List;
+import java.util.Random;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A long run of a group under random failures. The same seed gives the same run. The main method
+ * runs many seeds: {@code RandomRaftRun <first seed> <number of seeds>}.
+ */
+public final class RandomRaftRun {
+  private static final int MILLIS = 60_000;
+
+  private final Random random;
+  private final RaftCluster cluster;
+  private final List<String> names;
+  private @Nullable String wiped;
+  private long proposals;
+
+  /**
+   * Creates a run.
+   *
+   * @param seed the seed of every random choice; decides also the size of the group
+   */
+  public RandomRaftRun(long seed) {
+    random = new Random(seed);
+    int size = random.nextInt(4) == 0 ? 5 : 3;
+    cluster = new RaftCluster(random.nextLong(), size, 20 + random.nextInt(80));
+    names = cluster.replicas().stream().map(FakeReplica::name).toList();
+  }
+
+  /**
+   * Runs one minute of failures, then heals everything and checks that the group recovers.
+   *
+   * @return the group, for further checks
+   */
+  public RaftCluster run() {
+    cluster.startAll();
+    for (int t = 0; t < MILLIS; t++) {
+      cluster.advance(1);
+      if (random.nextInt(400) == 0) {
+        fail();
+      }
+      if (random.nextInt(20) == 0) {
+        propose();
+      }
+      if (t % 500 == 0) {
+        cluster.checkLogs();
+      }
+    }
+    heal();
+    cluster.awaitConverged();
+    cluster.commit("last");
+    cluster.awaitConverged();
+    cluster.checkLogs();
+    return cluster;
+  }
+
+  private void propose() {
+    String name = pick();
+    FakeReplica l = cluster.leader();
+    if (l != null && random.nextInt(10) > 0) {
+      name = l.name();
+    }
+    if (cluster.replica(name).isUp() && !cluster.replica(name).isFrozen()) {
+      cluster.propose(name, "command " + proposals++ + "x".repeat(random.nextInt(200)));
+    }
+  }
+
+  private void fail() {
+    String name = pick();
+    switch (random.nextInt(14)) {
+      case 0 -> cluster.kill(name);
+      case 1 -> cluster.killWhileWriting(name);
+      case 2 -> failSyncs(name);
+      case 3 -> names.forEach(cluster::killWhileWriting);
+      case 4 -> cluster.freeze(name);
+      case 5 -> cluster.isolate(name);
+      case 6 -> cluster.network().cut(name, pick());
+      case 7 -> cluster.network().quality(1 + random.nextInt(80), random.nextInt(20), 10);
+      case 8 -> cluster.network().quality(1 + random.nextInt(3), 0, 0);
+      case 9 -> wipe(name);
+      case 10 -> heal();
+      case 11 -> cluster.network().heal();
+      case 12 -> names.forEach(cluster::unfreeze);
+      default -> cluster.startAll();
+    }
+  }
+
+  private void failSyncs(String name) {
+    if (cluster.replica(name).isUp()) {
+      cluster.replica(name).disk().failSyncs();
+    }
+  }
+
+  /** Empties a disk. A group survives one lost disk at a time, until the replica is a voter. */
+  private void wipe(String name) {
+    if (wiped != null && !admitted(cluster.replica(wiped))) {
+      return;
+    }
+    if (cluster.checker().acknowledgedIndex() > 0) {
+      wiped = name;
+      cluster.wipe(name);
+    }
+  }
+
+  private boolean admitted(FakeReplica r) {
+    return r.isUp()
+        && cluster.replicas().stream()
+            .filter(FakeReplica::isUp)
+            .allMatch(
+                o -> {
+                  FakeReplica l = cluster.leader();
+                  return l != null
+                      && l.node().membership().contains(r.name(), r.node().identity())
+                      && o.node().membership().equals(l.node().membership())
+                      && o.node().appliedIndex() == l.node().appliedIndex();
+                })
+        && cluster.replicas().stream().allMatch(FakeReplica::isUp);
+  }
+
+  private void heal() {
+    cluster.network().heal();
+    cluster.network().quality(2, 0, 0);
+    names.forEach(cluster::unfreeze);
+    cluster.replicas().forEach(r -> r.disk().allowSyncs());
+    cluster.startAll();
+  }
+
+  private String pick() {
+    return names.get(random.nextInt(names.size()));
+  }
+
+  /** Runs many seeds and prints those that fail. */
+  public static void main(String[] args) {
+    long first = Long.parseLong(args[0]);
+    long count = Long.parseLong(args[1]);
+    long failed = 0;
+    long acknowledged = 0;
+    for (long seed = first; seed < first + count; seed++) {
+      try {
+        acknowledged += new RandomRaftRun(seed).run().checker().acknowledgedIndex();
+      } catch (RuntimeException | AssertionError e) {
+        failed++;
+        System.out.println("seed " + seed + ": " + e);
+        if (count == 1) {
+          e.printStackTrace(System.out);
+        }
+      }
+    }
+    System.out.println(
+        count + " seeds, " + failed + " failed, " + acknowledged + " log entries acknowledged");
+  }
+}
--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/package-info.java
@@ -0,0 +1,5 @@
+/** Fakes for the replicated log: a disk, a network and a group of replicas on a manual clock. */
+@NullMarked
+package org.ebonypond.junit.consensus;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -0,0 +1,311 @@
+package org.ebonypond.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventCode;
+import org.ebonypond.junit.consensus.FakeReplica;
+import org.ebonypond.junit.consensus.RaftCluster;
+import org.junit.jupiter.api.Test;
+
+class ClusterFailureTest {
+  private static final List<String> NAMES = List.of("a", "b", "c");
+
+  private final RaftCluster cluster = new RaftCluster(7, 3, 1_000);
+
+  private void startAndCommit(int commands) {
+    cluster.startAll();
+    for (int i = 0; i < commands; i++) {
+      cluster.commit("command " + i);
+    }
+  }
+
+  private FakeReplica otherThan(FakeReplica r) {
+    return cluster.replicas().stream().filter(o -> o != r).findFirst().orElseThrow();
+  }
+
+  /** Guards against a group that is formed without one of its replicas. */
+  @Test
+  void firstConfigurationNeedsAllReplicas() {
+    cluster.start("a");
+    cluster.start("b");
+    cluster.advance(10_000);
+    assertNull(cluster.leader());
+    assertEquals(0, cluster.replica("a").storage().lastIndex());
+    cluster.start("c");
+    cluster.commit("first");
+    cluster.awaitConverged();
+    for (FakeReplica r : cluster.replicas()) {
+      assertEquals(r.node().identity(), r.node().membership().identityOf(r.name()));
+    }
+  }
+
+  /** Guards against a second first configuration when a replica with an empty disk joins later. */
+  @Test
+  void replicaWithEmptyDiskFormsNoSecondConfiguration() {
+    startAndCommit(3);
+    cluster.awaitConverged();
+    cluster.wipe("a");
+    cluster.kill("b");
+    cluster.start("a");
+    cluster.advance(10_000);
+    assertNull(cluster.leader());
+    assertFalse(cluster.replica("a").node().isVoter());
+    cluster.start("b");
+    cluster.awaitConverged();
+    assertEquals(3, cluster.replica("a").machine().count());
+  }
+
+  /** Guards against acknowledged commands that are lost with any one process. */
+  @Test
+  void eachReplicaKilledInTurn() {
+    startAndCommit(5);
+    for (String name : NAMES) {
+      cluster.kill(name);
+      cluster.commit("without " + name);
+      cluster.start(name);
+      cluster.awaitConverged();
+    }
+    cluster.replicas().forEach(r -> assertEquals(8, r.machine().count()));
+  }
+
+  /** Guards against acknowledged commands that were not synced on a majority. */
+  @Test
+  void allReplicasKilledAtOnce() {
+    startAndCommit(20);
+    NAMES.forEach(cluster::killWhileWriting);
+    cluster.startAll();
+    cluster.commit("after");
+    cluster.awaitConverged();
+    cluster.replicas().forEach(r -> assertEquals(21, r.machine().count()));
+  }
+
+  /** Guards against a slow change of leader: entries lose their view after 3 s. */
+  @Test
+  void newLeaderWithinTwoSeconds() {
+    startAndCommit(1);
+    FakeReplica old = cluster.awaitLeader();
+    cluster.kill(old.name());
+    cluster.await(2_000, () -> cluster.leader() != null);
+  }
+
+  /** Guards against a vote that is given twice, under the old and the new identity of a disk. */
+  @Test
+  void wipedReplicaReturnsAsLearnerAndDoesNotVote() {
+    startAndCommit(5);
+    cluster.awaitConverged();
+    FakeReplica leader = cluster.awaitLeader();
+    FakeReplica wiped = otherThan(leader);
+    final String old = wiped.node().identity();
+    final FakeReplica third =
+        cluster.replicas().stream().filter(r -> r != leader && r != wiped).findFirst().get();
+    cluster.wipe(wiped.name());
+    cluster.kill(leader.name());
+    cluster.start(wiped.name());
+    assertNotEquals(old, wiped.node().identity());
+    // Two of three replicas run, but one of them lost its vote: no leader may be elected.
+    cluster.advance(20_000);
+    assertNull(cluster.leader());
+    assertEquals(0, wiped.node().term());
+    assertEquals(RaftRole.LEARNER, wiped.node().role());
+    cluster.start(leader.name());
+    cluster.awaitConverged();
+    assertTrue(third.node().membership().contains(wiped.name(), wiped.node().identity()));
+    assertFalse(third.node().membership().contains(wiped.name(), old));
+    assertTrue(third.events().count(EventCode.LEARNER_ADMITTED) > 0);
+    cluster.kill(leader.name());
+    cluster.commit("with the vote of the new identity");
+    cluster.await(1_000, () -> wiped.machine().count() == 6);
+  }
+
+  /** Guards against votes that are requested from, or counted for, another identity. */
+  @Test
+  void voteForAnotherIdentityIsNotGiven() {
+    startAndCommit(1);
+    cluster.awaitConverged();
+    FakeReplica f = otherThan(cluster.awaitLeader());
+    cluster.advance(2_000);
+    f.node().flush(cluster.now());
+    long later = cluster.now() + 60_000;
+    f.node()
+        .receive(
+            later,
+            "c".equals(f.name()) ? "a" : "c",
+            new RaftMessage.VoteRequest(1_000, "x", "old identity", 1_000, 1_000, false));
+    assertTrue(f.node().flush(later).messages().isEmpty());
+    assertTrue(f.node().term() < 1_000);
+  }
+
+  /** Guards against an old leader that commits, answers or is read after a freeze. */
+  @Test
+  void frozenLeaderStepsDownBeforeItActs() {
+    startAndCommit(3);
+    FakeReplica old = cluster.awaitLeader();
+    final long term = old.node().term();
+    final long pending = cluster.propose(old.name(), "old");
+    cluster.freeze(old.name());
+    cluster.advance(30_000);
+    cluster.commit("new");
+    assertFalse(old.node().mayLead(cluster.now()));
+    cluster.unfreeze(old.name());
+    long late = cluster.propose(old.name(), "late");
+    cluster.advance(1);
+    assertFalse(old.node().isLeader());
+    ProposalResult result = cluster.result(late);
+    assertNotNull(result);
+    assertEquals(ErrorCode.NOT_LEADER, result.failure());
+    ProposalResult unknown = cluster.result(pending);
+    assertNotNull(unknown);
+    assertEquals(ErrorCode.OUTCOME_UNKNOWN, unknown.failure());
+    cluster.awaitConverged();
+    assertTrue(old.node().term() > term);
+    // Three commands and "new"; neither "old" nor "late" was committed.
+    cluster.replicas().forEach(r -> assertEquals(4, r.machine().count()));
+    assertEquals("new", old.machine().last());
+  }
+
+  /** Guards against a leader that stays in office, or is read, while it reaches nobody. */
+  @Test
+  void leaderCutOffInSilenceStepsDown() {
+    startAndCommit(2);
+    FakeReplica old = cluster.awaitLeader();
+    cluster.isolate(old.name());
+    final long pending = cluster.propose(old.name(), "old");
+    cluster.advance(700);
+    assertFalse(old.node().isLeader());
+    ProposalResult result = cluster.result(pending);
+    assertNotNull(result);
+    assertEquals(ErrorCode.OUTCOME_UNKNOWN, result.failure());
+    cluster.commit("new");
+    cluster.advance(60_000);
+    final long term = cluster.awaitLeader().node().term();
+    cluster.network().heal();
+    cluster.awaitConverged();
+    // Pre-vote: the replica that was cut off did not raise its term and disturbs nobody.
+    assertEquals(term, old.node().term());
+    assertEquals("new", old.machine().last());
+  }
+
+  /** Guards against a leader that receives but cannot be heard and blocks every election. */
+  @Test
+  void leaderThatCannotBeHeardIsReplaced() {
+    startAndCommit(1);
+    FakeReplica old = cluster.awaitLeader();
+    NAMES.forEach(n -> cluster.network().cut(old.name(), n));
+    cluster.await(3_000, () -> cluster.leader() != null && cluster.awaitLeader() != old);
+  }
+
+  /** Guards against two proposals that get the same place in the log, or lose one. */
+  @Test
+  void racingProposalsAreBothCommittedInOneOrder() {
+    startAndCommit(1);
+    FakeReplica leader = cluster.awaitLeader();
+    long first = cluster.propose(leader.name(), "first");
+    long refused = cluster.propose(otherThan(leader).name(), "refused");
+    long second = cluster.propose(leader.name(), "second");
+    cluster.await(1_000, () -> cluster.isCommitted(first) && cluster.isCommitted(second));
+    ProposalResult a = cluster.result(first);
+    ProposalResult b = cluster.result(second);
+    ProposalResult r = cluster.result(refused);
+    assertNotNull(a);
+    assertNotNull(b);
+    assertNotNull(r);
+    assertEquals(a.index() + 1, b.index());
+    assertEquals(ErrorCode.NOT_LEADER, r.failure());
+    assertEquals(leader.name(), r.leaderHint());
+  }
+
+  /** Guards against a replica that goes on after a failed sync as if the data were durable. */
+  @Test
+  void failedSyncIsFatalAndNothingIsAcknowledged() {
+    startAndCommit(1);
+    FakeReplica leader = cluster.awaitLeader();
+    RaftNode node = leader.node();
+    final long durable = node.lastDurableIndex();
+    leader.disk().failSyncs();
+    node.propose(cluster.now(), 99, new byte[] {1});
+    EbonypondException e = assertThrows(EbonypondException.class, () -> node.flush(cluster.now()));
+    assertEquals(ErrorCode.STORAGE_FAILED, e.code());
+    leader.disk().allowSyncs();
+    e = assertThrows(EbonypondException.class, () -> node.flush(cluster.now()));
+    assertEquals(ErrorCode.STORAGE_FAILED, e.code());
+    assertEquals(durable, node.lastDurableIndex());
+  }
+
+  /** Guards against restarts that replay too much or too little after many changes. */
+  @Test
+  void restartAfterThousandCommandsFromSnapshotAndTail() {
+    RaftCluster group = new RaftCluster(11, 3, 150);
+    group.startAll();
+    FakeReplica leader = group.awaitLeader();
+    for (int i = 0; i < 1_000; i++) {
+      group.propose(leader.name(), "command " + i);
+      group.advance(2);
+    }
+    group.awaitConverged();
+    final long hash = leader.machine().hash();
+    NAMES.forEach(group::kill);
+    group.startAll();
+    for (FakeReplica r : group.replicas()) {
+      Snapshot s = r.storage().snapshot();
+      assertNotNull(s);
+      assertTrue(r.storage().lastIndex() > s.index(), "there is a tail behind the snapshot");
+      assertTrue(r.storage().lastIndex() - r.storage().firstIndex() < 400);
+    }
+    group.awaitConverged();
+    group
+        .replicas()
+        .forEach(
+            r -> {
+              assertEquals(1_000, r.machine().count());
+              assertEquals(hash, r.machine().hash());
+            });
+  }
+
+  /** Guards against a replica that stays behind when the log it needs was compacted. */
+  @Test
+  void replicaThatWasAwayGetsTheSnapshotInParts() {
+    RaftCluster group = new RaftCluster(13, 3, 50);
+    group.startAll();
+    group.awaitLeader();
+    group.replicas().forEach(r -> r.machine().padSnapshots(1_000));
+    group.awaitConverged();
+    group.kill("b");
+    for (int i = 0; i < 200; i++) {
+      group.commit("command " + i);
+    }
+    group.network().quality(30, 10, 10);
+    group.start("b");
+    group.awaitConverged();
+    assertTrue(group.replica("b").events().count(EventCode.SNAPSHOT_INSTALLED) > 0);
+    assertEquals(200, group.replica("b").machine().count());
+  }
+
+  /** Guards against entries that miss committed commands because the log was compacted. */
+  @Test
+  void readersThatAreNoReplicasGetSnapshotOrEntries() {
+    RaftCluster group = new RaftCluster(17, 3, 50);
+    group.startAll();
+    for (int i = 0; i < 120; i++) {
+      group.commit("command " + i);
+    }
+    RaftNode node = group.awaitLeader().node();
+    CommittedEntries all = node.entriesAfter(0, 1_000);
+    Snapshot s = all.snapshot();
+    assertNotNull(s);
+    assertEquals(s.index() + 1, all.entries().get(0).index());
+    CommittedEntries last = node.entriesAfter(node.appliedIndex() - 2, 1);
+    assertNull(last.snapshot());
+    assertEquals(node.appliedIndex() - 1, last.entries().get(0).index());
+    assertEquals(1, last.entries().size());
+    assertTrue(node.entriesAfter(node.appliedIndex(), 10).entries().isEmpty());
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/DiskLogStorageTest.java
@@ -0,0 +1,193 @@
+package org.ebonypond.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventCode;
+import org.ebonypond.junit.consensus.MemoryDisk;
+import org.ebonypond.junit.consensus.RecordingEvents;
+import org.junit.jupiter.api.Test;
+
+class DiskLogStorageTest {
+  private static final String FIRST = "log-000000000001";
+
+  private final MemoryDisk disk = new MemoryDisk();
+  private final RecordingEvents events = new RecordingEvents();
+
+  private DiskLogStorage open() {
+    return new DiskLogStorage(disk, "a", new Random(1), events, 1_000);
+  }
+
+  private static LogEntry entry(long index, long term) {
+    return new LogEntry(index, term, EntryType.COMMAND, ("entry " + index).getBytes());
+  }
+
+  private static void write(LogStorage s, long from, long to, long term) {
+    for (long i = from; i <= to; i++) {
+      s.append(List.of(entry(i, term)));
+      s.sync();
+    }
+  }
+
+  private void assertCorrupt() {
+    EbonypondException e = assertThrows(EbonypondException.class, this::open);
+    assertEquals(ErrorCode.LOG_CORRUPT, e.code());
+  }
+
+  /** Guards against a torn last write that prevents the start or damages earlier records. */
+  @Test
+  void tornTailIsCutAtEveryLength() throws IOException {
+    DiskLogStorage s = open();
+    write(s, 1, 3, 1);
+    byte[] three = disk.read(FIRST);
+    write(s, 4, 4, 1);
+    int full = disk.read(FIRST).length;
+    for (int length = full - 1; length > three.length; length--) {
+      disk.truncate(FIRST, length);
+      assertEquals(3, open().lastIndex());
+      assertEquals(three.length, disk.read(FIRST).length);
+      disk.append(FIRST, new byte[full - three.length]);
+    }
+    assertEquals(full - 1 - three.length, events.count(EventCode.LOG_TAIL_CUT));
+  }
+
+  /** Guards against a replica that continues with a log of which a durable part is damaged. */
+  @Test
+  void flippedByteBeforeTheLastRecordIsRefusedAtEveryPosition() throws IOException {
+    DiskLogStorage s = open();
+    write(s, 1, 3, 1);
+    final int end = disk.read(FIRST).length;
+    write(s, 4, 4, 1);
+    for (int i = 0; i < end; i++) {
+      disk.flip(FIRST, i);
+      assertCorrupt();
+      disk.flip(FIRST, i);
+    }
+    assertEquals(4, open().lastIndex());
+  }
+
+  /** Guards against a damaged tail of an earlier segment that is taken for a torn write. */
+  @Test
+  void flippedByteAtTheEndOfAnEarlierSegmentIsRefused() throws IOException {
+    write(open(), 1, 60, 1);
+    assertTrue(disk.list().size() > 2, "there are several segments");
+    disk.flip(FIRST, disk.read(FIRST).length - 1);
+    assertCorrupt();
+  }
+
+  /** Guards against a vote, an identity or a snapshot that is read although it is damaged. */
+  @Test
+  void flippedByteInIdentityOrSnapshotIsRefused() throws IOException {
+    DiskLogStorage s = open();
+    write(s, 1, 5, 1);
+    s.saveSnapshot(new Snapshot(5, 1, Membership.NONE, new byte[100]), 6);
+    for (String file : List.of("replica", "snapshot")) {
+      disk.flip(file, 20);
+      assertCorrupt();
+      disk.flip(file, 20);
+    }
+    assertEquals(5, open().lastIndex());
+  }
+
+  /** Guards against a lost segment that goes unnoticed. */
+  @Test
+  void missingSegmentIsRefused() throws IOException {
+    write(open(), 1, 60, 1);
+    disk.delete(FIRST);
+    assertCorrupt();
+  }
+
+  /** Guards against unsynced entries or votes that are taken for durable. */
+  @Test
+  void crashKeepsExactlyWhatWasSynced() {
+    DiskLogStorage s = open();
+    final String identity = s.identity();
+    s.saveHardState(new HardState(3, "x"));
+    write(s, 1, 2, 3);
+    s.saveHardState(new HardState(4, "y"));
+    s.append(List.of(entry(3, 4)));
+    disk.crash(null);
+    DiskLogStorage again = open();
+    assertEquals(identity, again.identity());
+    assertEquals(new HardState(3, "x"), again.hardState());
+    assertEquals(2, again.lastIndex());
+  }
+
+  /** Guards against replaced entries that return after a restart. */
+  @Test
+  void truncationSurvivesRestart() {
+    DiskLogStorage s = open();
+    write(s, 1, 10, 1);
+    s.truncateFrom(6);
+    write(s, 6, 7, 2);
+    DiskLogStorage again = open();
+    assertEquals(7, again.lastIndex());
+    assertEquals(entry(5, 1), again.entry(5));
+    assertEquals(entry(6, 2), again.entry(6));
+    again.truncateFrom(3);
+    again.sync();
+    assertEquals(2, open().lastIndex());
+  }
+
+  /** Guards against a compaction that loses entries behind the snapshot. */
+  @Test
+  void compactionKeepsTheTail() throws IOException {
+    DiskLogStorage s = open();
+    write(s, 1, 100, 1);
+    s.saveSnapshot(new Snapshot(90, 1, Membership.NONE, new byte[0]), 85);
+    write(s, 101, 102, 1);
+    assertEquals(85, s.firstIndex());
+    assertFalse(disk.list().contains(FIRST));
+    DiskLogStorage again = open();
+    assertEquals(102, again.lastIndex());
+    assertTrue(again.firstIndex() <= 85);
+    assertEquals(entry(91, 1), again.entry(91));
+  }
+
+  /** Guards against old entries that are joined to a snapshot of another history. */
+  @Test
+  void installedSnapshotReplacesTheLogEvenIfDeletionWasInterrupted() throws IOException {
+    DiskLogStorage s = open();
+    write(s, 1, 10, 1);
+    byte[] segment = disk.read(FIRST);
+    s.resetTo(new Snapshot(8, 2, Membership.NONE, new byte[0]));
+    disk.append(FIRST, segment);
+    disk.sync(FIRST);
+    DiskLogStorage again = open();
+    assertEquals(8, again.lastIndex());
+    assertEquals(9, again.firstIndex());
+    write(again, 9, 9, 2);
+    assertEquals(9, open().lastIndex());
+  }
+
+  /** Guards against a data folder that is used by another replica than it was created for. */
+  @Test
+  void diskOfAnotherReplicaIsRefused() {
+    open();
+    EbonypondException e =
+        assertThrows(
+            EbonypondException.class,
+            () -> new DiskLogStorage(disk, "b", new Random(1), events, 1_000));
+    assertEquals(ErrorCode.IDENTITY_MISMATCH, e.code());
+  }
+
+  /** Guards against one sync for each entry. */
+  @Test
+  void oneSyncMakesManyEntriesDurable() {
+    DiskLogStorage s = open();
+    int before = disk.syncs();
+    for (int i = 1; i <= 100; i++) {
+      s.append(List.of(entry(i, 1)));
+    }
+    s.sync();
+    assertEquals(before + 1, disk.syncs());
+    assertEquals(100, open().lastIndex());
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RandomRaftRunTest.java
@@ -0,0 +1,19 @@
+package org.ebonypond.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.ebonypond.junit.consensus.RandomRaftRun;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RandomRaftRunTest {
+  /**
+   * Guards against violations of the safety of the log under any mix of failures. The main class of
+   * {@link RandomRaftRun} runs further seeds.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {2, 5, 12, 287, 1457})
+  void groupStaysSafeAndRecovers(long seed) {
+    assertTrue(new RandomRaftRun(seed).run().checker().acknowledgedIndex() > 0);
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/DiskLogStorage.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/DiskLogStorage.java
@@ -89,6 +89,9 @@
 
   @Override
   public void saveSnapshot(Snapshot s, long firstKept) {
+    // Entries that are not synced must not be dropped: the record of a later sync would leave a
+    // gap.
+    sync();
     write(
         () -> {
           files.writeSnapshot(s);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Genesis.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Genesis.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 import org.ebonypond.consensus.Membership;
 import org.ebonypond.consensus.RaftConfig;
+import org.ebonypond.consensus.RaftMessage;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,32 +14,68 @@
  */
 public final class Genesis {
   private final RaftConfig config;
+  private final RaftLog log;
+  private final Ballot ballot;
   private final Map<String, String> granted = new TreeMap<>();
   private long term = -1;
 
   /** Creates a collection without any identity. */
-  public Genesis(RaftConfig config) {
+  public Genesis(RaftConfig config, RaftLog log, Ballot ballot) {
     this.config = config;
+    this.log = log;
+    this.ballot = ballot;
   }
 
-  /** Starts a round, or repeats the current one. */
-  public void start(long term, String identity) {
-    if (term != this.term) {
+  /**
+   * Starts a round, or repeats the current one, if this is the replica that forms the first
+   * configuration.
+   *
+   * @return the request to all other replicas, or null
+   */
+  public @Nullable RaftMessage start() {
+    if (!config.self().equals(config.smallestName())) {
+      return null;
+    }
+    if (!ballot.votedForSelf()) {
+      ballot.startTerm();
+    }
+    if (term != ballot.term()) {
       granted.clear();
+      term = ballot.term();
+    }
+    granted.put(config.self(), log.identity());
+    return new RaftMessage.GenesisRequest(term, log.identity());
+  }
+
+  /**
+   * Answers a request of another replica.
+   *
+   * @param hearsLeader whether a leader has been in contact recently
+   */
+  public RaftMessage answer(String name, RaftMessage.GenesisRequest m, boolean hearsLeader) {
+    boolean eligible = log.isEmpty() && name.equals(config.smallestName()) && !hearsLeader;
+    if (!eligible) {
+      // The answer repeats the term of the request: an empty replica must not adopt the term of a
+      // group that it cannot join in this way.
+      return new RaftMessage.GenesisReply(m.term(), log.identity(), false);
+    }
+    if (m.term() > ballot.term()) {
+      ballot.raise(m.term());
     }
-    this.term = term;
-    granted.put(config.self(), identity);
+    boolean grant = m.term() == ballot.term() && ballot.voteFor(m.from());
+    return new RaftMessage.GenesisReply(ballot.term(), log.identity(), grant);
   }
 
   /** Notes a grant; grants of other rounds are ignored. */
-  public void grant(long term, String name, String identity) {
-    if (term == this.term && config.replicas().contains(name)) {
-      granted.put(name, identity);
+  public void grant(String name, RaftMessage.GenesisReply m) {
+    if (m.granted() && m.term() == term && config.replicas().contains(name)) {
+      granted.put(name, m.from());
     }
   }
 
   /** Returns the first configuration once every configured replica has granted it, or null. */
   public @Nullable Membership membership() {
-    return granted.size() == config.replicas().size() ? new Membership(granted) : null;
+    boolean complete = log.isEmpty() && granted.size() == config.replicas().size();
+    return complete ? new Membership(granted) : null;
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
@@ -89,6 +89,11 @@
     return s != null && s.index() == index ? s.term() : -1;
   }
 
+  /** Returns whether a log with the given last entry is at least as recent as this one. */
+  public boolean isCoveredBy(long index, long term) {
+    return term > lastTerm() || (term == lastTerm() && index >= lastIndex());
+  }
+
   /** Returns an entry that is held. */
   public LogEntry entry(long index) {
     return storage.entry(index);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -67,7 +67,8 @@
 
   private void send(String name, Progress p, long now, long commit, boolean heartbeat) {
     boolean known = !p.identity.isEmpty();
-    if (known && p.awaited < 0 && p.snapshot == null && log.term(p.next - 1) < 0) {
+    boolean compacted = p.next < log.firstIndex() || log.term(p.next - 1) < 0;
+    if (known && p.awaited < 0 && p.snapshot == null && compacted) {
       p.snapshot = log.snapshot();
       p.offset = 0;
     }
@@ -81,7 +82,7 @@
     }
     // A heartbeat to a replica that is receiving a snapshot names an index that the log still
     // holds; the answer is not used to move the position.
-    long prev = log.term(p.next - 1) < 0 ? log.lastIndex() : p.next - 1;
+    long prev = compacted ? log.lastIndex() : p.next - 1;
     List<LogEntry> batch =
         entries ? log.slice(p.next, log.lastIndex(), config.maxBatchBytes()) : List.of();
     if (!batch.isEmpty()) {
@@ -158,9 +159,15 @@
     }
   }
 
-  /** Returns the largest index that is durable on a quorum. */
-  public long quorumMatch() {
-    return quorum(log.durableIndex(), true);
+  /**
+   * Commits what is durable on a quorum. Entries of earlier terms are only committed together with
+   * one of this term, because a later leader may still replace them otherwise.
+   */
+  public void advanceCommit(Applier applier) {
+    long match = quorum(log.durableIndex(), true);
+    if (match > applier.commit() && log.term(match) == term) {
+      applier.commitTo(match);
+    }
   }
 
   /** Returns the latest time since which a quorum has certainly heard from this leader. */
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/SegmentedLog.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/SegmentedLog.java
@@ -73,11 +73,13 @@
         cutTail(number, content, offset);
         break;
       }
-      if (first) {
+      // A record can replace entries whose segment has been deleted since, so it may start before
+      // the first record that is left.
+      if (first || r.firstIndex() < window.first()) {
         window.reset(r.firstIndex());
         first = false;
       }
-      if (r.firstIndex() < window.first() || r.firstIndex() > window.last() + 1) {
+      if (r.firstIndex() > window.last() + 1) {
         throw new EbonypondException(ErrorCode.LOG_CORRUPT, file, offset);
       }
       window.truncateFrom(r.firstIndex());
