Run the whole path as separate processes

Cause: the parts existed but no process carried them. Every replica now tracks polling processes, because a new leader at first listed only one of them.

Conclusion: the path is thin but whole; failures at process level are still to be measured.

--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -0,0 +1,366 @@
+package org.ebonypond.server;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import org.ebonypond.admission.RetryBudget;
+import org.ebonypond.admission.RetryPolicy;
+import org.ebonypond.admission.ServiceRates;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.document.LimitsSpec;
+import org.ebonypond.drain.ShutdownSequence;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventCode;
+import org.ebonypond.group.PlacementPolicy;
+import org.ebonypond.kernel.PluginRegistry;
+import org.ebonypond.lease.HolderId;
+import org.ebonypond.ledger.LedgerCommand;
+import org.ebonypond.routing.LoadReport;
+import org.ebonypond.routing.Router;
+import org.ebonypond.routing.RouterSettings;
+import org.ebonypond.routing.RouterState;
+import org.ebonypond.routing.RoutingPolicy;
+import org.ebonypond.server.backend.CacheEventPoller;
+import org.ebonypond.server.backend.RatpackEngineAdmin;
+import org.ebonypond.server.backend.RatpackEngineClient;
+import org.ebonypond.server.backend.RatpackServiceClient;
+import org.ebonypond.server.control.AnnouncementRelay;
+import org.ebonypond.server.control.ControlLeader;
+import org.ebonypond.server.control.EntryInfo;
+import org.ebonypond.server.control.LeaderDigest;
+import org.ebonypond.server.control.LeaderDirectory;
+import org.ebonypond.server.control.ProposalClient;
+import org.ebonypond.server.control.ReportedLoad;
+import org.ebonypond.server.control.ViewFollower;
+import org.ebonypond.server.entry.EntryParts;
+import org.ebonypond.server.entry.LedgerClient;
+import org.ebonypond.server.entry.RequestGate;
+import org.ebonypond.server.entry.RequestTracker;
+import org.ebonypond.server.entry.ShareClient;
+import org.ebonypond.server.events.EventLog;
+import org.ebonypond.server.http.EntryHandlers;
+import org.ebonypond.server.replica.ReplicaService;
+import org.ebonypond.server.settings.DaemonSettings;
+import org.ebonypond.server.timer.ScheduledTimerService;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.time.HybridClock;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ratpack.exec.ExecController;
+import ratpack.exec.internal.DefaultExecController;
+import ratpack.http.client.HttpClient;
+import ratpack.server.RatpackServer;
+
+/** One daemon: an entry, and a control replica when its settings name a data folder. */
+public final class Daemon {
+  private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
+  private static final int EVENT_CAPACITY = 20_000;
+  private static final int MAX_BODY_BYTES = 16 << 20;
+  private static final int IO_THREADS = 4;
+  private static final int POOLED_CONNECTIONS = 64;
+  private static final long ROUTER_TICK_MILLIS = 1_000;
+  private static final long ANNOUNCE_RESTART_MILLIS = 10_000;
+
+  private final DaemonSettings settings;
+  private final HolderId holder;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final ScheduledExecutorService timerThreads =
+      Executors.newScheduledThreadPool(2, daemonThreads("timer"));
+  private final ExecutorService leaderThread =
+      Executors.newSingleThreadExecutor(daemonThreads("control-leader"));
+  private final TimerService timers = new ScheduledTimerService(timerThreads);
+  private final HybridClock clock = new HybridClock(System::currentTimeMillis);
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final EventLog events;
+  private final PeerNetwork network;
+  private final ViewFollower follower;
+  private final RequestTracker tracker;
+  private final RouterState routing = RouterState.create();
+  private final RetryBudget budget = new RetryBudget(LimitsSpec.DEFAULT.retryBudgetPercent());
+  private final ServiceRates rates = new ServiceRates();
+  private final ShareClient shares;
+  private final Router router;
+  private final RequestGate gate;
+  private @Nullable ReplicaService replica;
+  private @Nullable RatpackServer server;
+  private volatile int exitCode;
+
+  /**
+   * Creates a daemon that has not started.
+   *
+   * @param settings the checked settings
+   */
+  public Daemon(DaemonSettings settings) {
+    this.settings = settings;
+    this.holder = new HolderId(settings.node(), System.currentTimeMillis());
+    this.events =
+        new EventLog(
+            settings.node(), Long.toString(holder.incarnation(), 36), clock, EVENT_CAPACITY);
+    this.network = new PeerNetwork(settings.node(), clock, timers);
+    this.follower = new ViewFollower(network, timers, events, settings.replicas(), this::describe);
+    this.tracker = new RequestTracker(timers, settings.drainNoticeMillis(), this::shutdownStep);
+    this.shares =
+        new ShareClient(
+            holder, network, timers, settings.replicas(), follower::leader, this::onGrant);
+    this.router =
+        new Router(
+            RouterSettings.of(settings.node(), settings.zone()),
+            PluginRegistry.load(RoutingPolicy.class).get(settings.routingPolicy()),
+            routing,
+            shares,
+            events,
+            new SplittableRandom());
+    this.gate = new RequestGate(router, rates, timers);
+  }
+
+  /**
+   * Starts every part.
+   *
+   * @throws EbonypondException {@code settings-invalid}, {@code log-corrupt}, {@code
+   *     identity-mismatch} or {@code storage-failed}
+   */
+  public void start() {
+    follower.onView(this::viewChanged);
+    follower.onDigest(this::digestArrived);
+    ExecController controller = new DefaultExecController(IO_THREADS);
+    final HttpClient pooled = client(controller, POOLED_CONNECTIONS);
+    HttpClient unpooled = client(controller, 0);
+    if (settings.isReplica()) {
+      startReplica(controller, unpooled);
+    }
+    network.listen(settings.peer());
+    follower.start();
+    shares.start();
+    gate.start();
+    timers.every(ROUTER_TICK_MILLIS, () -> router.tick(timers.nowMillis()));
+    AnnouncementRelay relay =
+        new AnnouncementRelay(network, timers, settings.replicas(), follower::leader);
+    relay.start();
+    new CacheEventPoller(controller, pooled, timers, router).start();
+    ProposalClient proposals = new ProposalClient(network, timers, settings.replicas());
+    LedgerClient ledger =
+        new LedgerClient(proposals, network, settings.replicas(), settings.ledgerShards());
+    announceRestart(ledger);
+    EntryParts parts =
+        new EntryParts(timers, events, follower, gate, routing, budget, tracker, metrics);
+    registerGauges();
+    startHttp(
+        new EntryHandlers(
+            parts,
+            new RatpackEngineClient(controller, unpooled),
+            new RatpackServiceClient(controller, pooled, unpooled),
+            new RetryPolicy(budget, rates),
+            ledger,
+            relay,
+            proposals,
+            events,
+            holder,
+            this::describe,
+            System::currentTimeMillis));
+    events.emit(
+        EventCode.DAEMON_STARTED,
+        "node/" + settings.node(),
+        Map.of("zone", settings.zone(), "replica", String.valueOf(settings.isReplica())));
+  }
+
+  /** Begins the shutdown, as on SIGTERM. */
+  public void shutdown() {
+    events.emit(EventCode.DAEMON_DRAINING, "node/" + settings.node());
+    tracker.signal();
+  }
+
+  /**
+   * Waits until the shutdown is complete.
+   *
+   * @return the exit code of the process
+   */
+  public int awaitStop() throws InterruptedException {
+    stopped.await();
+    return exitCode;
+  }
+
+  private void startReplica(ExecController controller, HttpClient client) {
+    ReplicaService r =
+        new ReplicaService(settings, network, timers, events, new SecureRandom(), this::fatal);
+    LeaderDirectory directory = new LeaderDirectory(timers);
+    r.digests(directory::onPoll);
+    ControlLeader leader =
+        new ControlLeader(
+            r,
+            timers,
+            leaderThread,
+            new RatpackEngineAdmin(controller, client),
+            PluginRegistry.load(PlacementPolicy.class).get(settings.placementPolicy()),
+            events,
+            directory);
+    follower.onView(leader::onView);
+    leader.start(network);
+    r.start();
+    replica = r;
+  }
+
+  private void startHttp(EntryHandlers handlers) {
+    try {
+      server =
+          RatpackServer.start(
+              s ->
+                  s.serverConfig(
+                          c ->
+                              c.address(settings.http().getAddress())
+                                  .port(settings.http().getPort())
+                                  .threads(IO_THREADS)
+                                  .maxContentLength(MAX_BODY_BYTES)
+                                  .registerShutdownHook(false)
+                                  .development(false))
+                      .handlers(handlers));
+    } catch (Exception e) {
+      throw new EbonypondException(
+          e,
+          ErrorCode.SETTINGS_INVALID,
+          "http",
+          "cannot listen on " + settings.http(),
+          "use a free local address and port");
+    }
+  }
+
+  private static HttpClient client(ExecController controller, int poolSize) {
+    try {
+      return HttpClient.of(
+          c ->
+              c.execController(controller)
+                  .poolSize(poolSize)
+                  .maxContentLength(MAX_BODY_BYTES)
+                  .connectTimeout(Duration.ofSeconds(1)));
+    } catch (Exception e) {
+      throw new IllegalStateException("the HTTP client could not be created", e);
+    }
+  }
+
+  private void viewChanged(ControlView view) {
+    if (view.document() != null) {
+      budget.setPercent(view.document().limits().retryBudgetPercent());
+    }
+    shares.onView(view);
+    router.onView(view);
+    gate.onView(view);
+  }
+
+  private void digestArrived(LeaderDigest digest) {
+    long now = timers.nowMillis();
+    for (ReportedLoad l : digest.loads()) {
+      router.onLoadReport(
+          l.instance(),
+          new LoadReport(l.boot(), now - l.ageMillis(), l.active(), l.waiting(), l.tokens()));
+      routing.suspicion().confirmUp(l.instance(), l.boot(), now - l.announcedAgoMillis());
+      shares.onLoad(l);
+    }
+    gate.tick();
+  }
+
+  private void onGrant() {
+    gate.tick();
+  }
+
+  private void announceRestart(LedgerClient ledger) {
+    LedgerCommand c =
+        new LedgerCommand.EntryRestarted(
+            holder.entry(), holder.incarnation(), System.currentTimeMillis());
+    ledger
+        .proposeToAll(c, ANNOUNCE_RESTART_MILLIS)
+        .whenComplete(
+            (ok, failure) -> {
+              if (failure != null) {
+                announceRestart(ledger);
+              }
+            });
+  }
+
+  private EntryInfo describe() {
+    String address =
+        settings.http().getAddress().getHostAddress() + ":" + settings.http().getPort();
+    boolean ready = tracker.isReady() && follower.mayStart();
+    return new EntryInfo(settings.node(), settings.zone(), address, ready);
+  }
+
+  private void shutdownStep(ShutdownSequence.Action action) {
+    switch (action) {
+      case REPORT_NOT_READY -> LOG.info("not ready to the load balancer any more");
+      case RETURN_SHARES -> shares.returnAll().whenComplete((r, e) -> tracker.sharesReturned());
+      case EXIT -> stop(0);
+      default -> throw new IllegalStateException("unknown shutdown step " + action);
+    }
+  }
+
+  private void fatal(Throwable cause) {
+    LOG.error("a replicated log has failed; the process ends", cause);
+    events.emit(
+        EventCode.INTERNAL_ERROR,
+        "node/" + settings.node(),
+        Map.of("detail", String.valueOf(cause)));
+    stop(1);
+  }
+
+  private void stop(int code) {
+    exitCode = code;
+    new Thread(
+            () -> {
+              events.emit(EventCode.DAEMON_STOPPED, "node/" + settings.node());
+              stopServer();
+              ReplicaService r = replica;
+              if (r != null) {
+                r.close();
+              }
+              network.close();
+              timerThreads.shutdown();
+              leaderThread.shutdown();
+              stopped.countDown();
+            },
+            "stop")
+        .start();
+  }
+
+  private void stopServer() {
+    RatpackServer s = server;
+    if (s == null) {
+      return;
+    }
+    try {
+      s.stop();
+    } catch (Exception e) {
+      LOG.warn("the HTTP server did not stop cleanly", e);
+    }
+  }
+
+  private void registerGauges() {
+    gauge("requests.in.flight", tracker::inFlight);
+    gauge("requests.waiting", gate::waitingCount);
+    gauge("view.index", () -> follower.view().index());
+    gauge("view.fresh", () -> follower.mayStart() ? 1 : 0);
+    gauge("peer.sent.bytes", network::sentBytes);
+    Runtime rt = Runtime.getRuntime();
+    gauge("heap.used.bytes", () -> rt.totalMemory() - rt.freeMemory());
+  }
+
+  private void gauge(String name, Gauge<Number> g) {
+    metrics.registerGauge(name, g);
+  }
+
+  private static ThreadFactory daemonThreads(String name) {
+    return task -> {
+      Thread t = new Thread(task, name);
+      t.setDaemon(true);
+      return t;
+    };
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/CacheEventPoller.java
@@ -0,0 +1,111 @@
+package org.ebonypond.server.backend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.ebonypond.routing.CacheEvent;
+import org.ebonypond.routing.PromptBlocks;
+import org.ebonypond.routing.Router;
+import org.ebonypond.routing.Target;
+import org.ebonypond.time.TimerService;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ratpack.exec.ExecController;
+import ratpack.http.client.HttpClient;
+
+/**
+ * Reads the cache events of the engines that this entry prefers. They are hints: a failed read only
+ * makes the hints older.
+ */
+public final class CacheEventPoller {
+  private static final Logger LOG = LoggerFactory.getLogger(CacheEventPoller.class);
+  private static final long POLL_MILLIS = 500;
+  private static final Duration TIMEOUT = Duration.ofMillis(400);
+  private static final int HEX = 16;
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final ExecController controller;
+  private final HttpClient client;
+  private final TimerService timers;
+  private final Router router;
+  private final Map<String, Position> positions = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a poller.
+   *
+   * @param controller runs the calls
+   * @param client the HTTP client
+   * @param timers runs the polls
+   * @param router receives the events
+   */
+  public CacheEventPoller(
+      ExecController controller, HttpClient client, TimerService timers, Router router) {
+    this.controller = controller;
+    this.client = client;
+    this.timers = timers;
+    this.router = router;
+  }
+
+  /** Starts polling. */
+  public void start() {
+    timers.every(POLL_MILLIS, this::poll);
+  }
+
+  private void poll() {
+    List<Target> targets = router.hinted();
+    Set<String> present = new HashSet<>();
+    for (Target t : targets) {
+      present.add(t.instance());
+      read(t);
+    }
+    positions.keySet().retainAll(present);
+  }
+
+  private void read(Target t) {
+    Position p = positions.get(t.instance());
+    long after = p != null && p.boot.equals(t.boot()) ? p.sequence : 0;
+    URI uri = URI.create("http://" + t.address() + "/control/cache-events?after=" + after);
+    controller
+        .fork()
+        .onError(e -> LOG.debug("cache events of {} could not be read", t.instance(), e))
+        .start(
+            e ->
+                client
+                    .request(uri, s -> s.connectTimeout(TIMEOUT).readTimeout(TIMEOUT))
+                    .then(r -> take(t, after, json.readTree(r.getBody().getText()))));
+  }
+
+  private void take(Target t, long after, JsonNode n) {
+    String boot = n.path("boot").asText("");
+    List<CacheEvent> events = new ArrayList<>();
+    long last = after;
+    for (JsonNode e : n.path("events")) {
+      long seq = e.path("seq").asLong();
+      PromptBlocks prefix = prefix(e.path("prefix").asText(""));
+      if (prefix.size() > 0) {
+        events.add(new CacheEvent(seq, e.path("type").asText().equals("stored"), prefix));
+      }
+      last = Math.max(last, seq);
+    }
+    positions.put(t.instance(), new Position(boot, last));
+    if (!events.isEmpty()) {
+      router.onCacheEvents(t.instance(), boot, events);
+    }
+  }
+
+  /** Reads the name of a prefix: the chained hash of its last block in 16 hexadecimal digits. */
+  private static PromptBlocks prefix(String text) {
+    return text.matches("[0-9a-f]{16}")
+        ? PromptBlocks.ofHashes(Long.parseUnsignedLong(text, HEX))
+        : PromptBlocks.NONE;
+  }
+
+  private record Position(String boot, long sequence) {}
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
@@ -43,9 +43,8 @@
     loads.put(load.instance(), new Heard<>(load, nowMillis));
   }
 
-  /** Forgets everything, as a new leader does. */
+  /** Forgets the loads, as a new leader does. */
   public synchronized void clear() {
-    entries.clear();
     loads.clear();
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -257,7 +257,7 @@
   }
 
   private void completed() {
-    Reservation r = java.util.Objects.requireNonNull(reservation);
+    final Reservation r = java.util.Objects.requireNonNull(reservation);
     reservation = null;
     int tokens = (int) assembler.resumeOffset();
     emit(EventCode.REQUEST_COMPLETED, Map.of("tokens", String.valueOf(tokens)));
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/LedgerClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/LedgerClient.java
@@ -47,14 +47,14 @@
    */
   public CompletableFuture<LedgerResult> propose(
       String workspace, String key, LedgerCommand command, long timeoutMillis) {
-    return propose(sharding.shardOf(workspace, key), command, timeoutMillis);
+    return proposeTo(sharding.shardOf(workspace, key), command, timeoutMillis);
   }
 
   /** Proposes a command to every shard. */
   public CompletableFuture<Void> proposeToAll(LedgerCommand command, long timeoutMillis) {
     CompletableFuture<?>[] all = new CompletableFuture<?>[shards];
     for (int i = 0; i < shards; i++) {
-      all[i] = propose(i, command, timeoutMillis);
+      all[i] = proposeTo(i, command, timeoutMillis);
     }
     return CompletableFuture.allOf(all);
   }
@@ -84,7 +84,7 @@
     return first;
   }
 
-  private CompletableFuture<LedgerResult> propose(
+  private CompletableFuture<LedgerResult> proposeTo(
       int shard, LedgerCommand command, long timeoutMillis) {
     return proposals
         .propose(ReplicaChannels.ledger(shard), MessagePackCodec.encode(command), timeoutMillis)
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
@@ -190,7 +190,9 @@
 
   private ViewPollResult viewOf(RaftNode n, ViewPoll p) {
     CommittedEntries committed = n.entriesAfter(p.appliedIndex(), MAX_ENTRIES_PER_POLL);
-    @Nullable LeaderDigest digest = n.mayLead(timers.nowMillis()) ? digests.apply(p) : null;
+    // Every replica learns of every process, so that a new leader knows them all at once.
+    LeaderDigest known = digests.apply(p);
+    @Nullable LeaderDigest digest = n.mayLead(timers.nowMillis()) ? known : null;
     return new ViewPollResult(
         n.isVoter(),
         n.membership().members(),
--- a/org.ebonypond/src/main/java/org/ebonypond/wire/MessagePackCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/wire/MessagePackCodec.java
@@ -7,7 +7,7 @@
 import java.io.IOException;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
  * Encodes records as MessagePack. Sealed interfaces carry {@code @JsonTypeInfo}. Unknown fields are
@@ -15,9 +15,11 @@
  */
 public final class MessagePackCodec {
   private static final ObjectMapper MAPPER =
-      new ObjectMapper(new MessagePackFactory())
-          .setSerializationInclusion(JsonInclude.Include.NON_NULL)
-          .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+      MessagePackMapper.builder()
+          .defaultPropertyInclusion(
+              JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.ALWAYS))
+          .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
+          .build();
 
   private MessagePackCodec() {}
 
