Tie the known leader to its term and check single membership changes

The leader is now noted together with its term, and a replica that has met a leader no longer tries to form a configuration, which would also have made that leader step down.

Every membership entry is now checked to change one voter at most. Random runs get phases without proposals, because a replica that misses entries cannot be elected and so never tested the leases. Tests of single rules follow.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RandomRaftRun.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RandomRaftRun.java
@@ -10,6 +10,7 @@
  */
 public final class RandomRaftRun {
   private static final int MILLIS = 60_000;
+  private static final int IDLE_MILLIS = 4_000;
 
   private final Random random;
   private final RaftCluster cluster;
@@ -41,7 +42,9 @@
       if (random.nextInt(400) == 0) {
         fail();
       }
-      if (random.nextInt(20) == 0) {
+      // A replica that misses entries cannot be elected, so there are also phases without any.
+      boolean idle = t / IDLE_MILLIS % 2 == 1;
+      if (!idle && random.nextInt(20) == 0) {
         propose();
       }
       if (t % 500 == 0) {
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
@@ -0,0 +1,186 @@
+package org.ebonypond.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.junit.consensus.JournalMachine;
+import org.ebonypond.junit.consensus.MemoryDisk;
+import org.ebonypond.junit.consensus.SafetyChecker;
+import org.ebonypond.wire.MessagePackCodec;
+import org.junit.jupiter.api.Test;
+
+/** Rules that hold for one replica, b, whose peers a and c are played by the test. */
+class RaftNodeTest {
+  private static final List<String> NAMES = List.of("a", "b", "c");
+
+  private final MemoryDisk disk = new MemoryDisk();
+  private final LogStorage storage =
+      new DiskLogStorage(disk, "b", new Random(1), EventSink.NONE, 10_000);
+  private final Membership members =
+      new Membership(Map.of("a", "ida", "b", storage.identity(), "c", "idc"));
+  private RaftNode node = start(0);
+
+  private RaftNode start(long now) {
+    LogStorage s = new DiskLogStorage(disk, "b", new Random(1), EventSink.NONE, 10_000);
+    JournalMachine machine = new JournalMachine(new SafetyChecker());
+    return new RaftNode(
+        RaftConfig.standard("b", NAMES), s, machine, new Random(1), EventSink.NONE, now);
+  }
+
+  private static LogEntry command(long index, long term) {
+    return new LogEntry(index, term, EntryType.COMMAND, new byte[] {1});
+  }
+
+  private LogEntry configuration() {
+    return new LogEntry(1, 1, EntryType.MEMBERSHIP, MessagePackCodec.encode(members));
+  }
+
+  private void append(long now, long term, long prev, long prevTerm, LogEntry... entries) {
+    node.receive(
+        now,
+        "a",
+        new RaftMessage.AppendRequest(
+            term, "ida", node.identity(), prev, prevTerm, 1, 0, List.of(entries)));
+    node.flush(now);
+  }
+
+  private RaftMessage.VoteReply vote(long now, long term, boolean preVote) {
+    node.receive(
+        now, "c", new RaftMessage.VoteRequest(term, "idc", node.identity(), 90, 90, preVote));
+    return (RaftMessage.VoteReply) node.flush(now).messages().get(0).message();
+  }
+
+  /** Makes b the leader of term 2 with the votes of c, at the returned time. */
+  private long elect() {
+    long now = 2_000;
+    node.tick(now);
+    node.flush(now);
+    node.receive(now, "c", new RaftMessage.VoteReply(2, "idc", true, true));
+    node.receive(now, "c", new RaftMessage.VoteReply(2, "idc", false, true));
+    node.flush(now);
+    assertTrue(node.isLeader());
+    return now;
+  }
+
+  /** Guards against a second leader while the first relies on its lease. */
+  @Test
+  void noVoteWithinAnElectionTimeoutOfLeaderContact() {
+    append(1_000, 1, 0, 0, configuration());
+    assertFalse(vote(1_400, 2, true).granted());
+    assertFalse(vote(1_400, 2, false).granted());
+    assertEquals(1, node.term());
+    assertTrue(vote(1_500, 2, true).granted());
+    assertTrue(vote(1_500, 2, false).granted());
+  }
+
+  /** Guards against a restart that makes a replica forget which leader relies on it. */
+  @Test
+  void noVoteWithinAnElectionTimeoutOfRestart() {
+    append(1_000, 1, 0, 0, configuration());
+    node = start(1_010);
+    assertFalse(vote(1_400, 2, false).granted());
+    assertTrue(vote(1_510, 2, false).granted());
+  }
+
+  /** Guards against two votes in one term, also across a restart. */
+  @Test
+  void oneVoteInEachTerm() {
+    append(1_000, 1, 0, 0, configuration());
+    assertTrue(vote(2_000, 5, false).granted());
+    disk.crash(null);
+    node = start(2_000);
+    node.receive(3_000, "a", new RaftMessage.VoteRequest(5, "ida", node.identity(), 90, 90, false));
+    RaftMessage.VoteReply r = (RaftMessage.VoteReply) node.flush(3_000).messages().get(0).message();
+    assertFalse(r.granted());
+  }
+
+  /** Guards against votes of an identity that is not in the configuration. */
+  @Test
+  void voteOfAnotherIdentityDoesNotCount() {
+    append(1_000, 1, 0, 0, configuration());
+    node.tick(2_000);
+    node.receive(2_000, "c", new RaftMessage.VoteReply(2, "new identity", true, true));
+    assertEquals(RaftRole.PRE_CANDIDATE, node.role());
+    node.receive(2_000, "c", new RaftMessage.VoteReply(2, "idc", true, true));
+    assertEquals(RaftRole.CANDIDATE, node.role());
+    node.receive(2_000, "c", new RaftMessage.VoteReply(2, "new identity", false, true));
+    assertEquals(RaftRole.CANDIDATE, node.role());
+  }
+
+  /** Guards against entries of an earlier term that are committed and then replaced. */
+  @Test
+  void entriesOfEarlierTermAreNotCommittedAlone() {
+    append(1_000, 1, 0, 0, configuration(), command(2, 1));
+    final long now = elect();
+    assertEquals(1, node.commitIndex());
+    node.receive(now, "c", new RaftMessage.AppendReply(2, "idc", true, 2, now));
+    node.flush(now);
+    assertEquals(1, node.commitIndex());
+    assertFalse(node.mayLead(now));
+    node.receive(now, "c", new RaftMessage.AppendReply(2, "idc", true, 3, now));
+    node.flush(now);
+    assertEquals(3, node.commitIndex());
+    assertTrue(node.mayLead(now + 449));
+    assertFalse(node.mayLead(now + 450));
+  }
+
+  /** Guards against answers of another identity that count for the quorum. */
+  @Test
+  void answerOfAnotherIdentityDoesNotCount() {
+    append(1_000, 1, 0, 0, configuration());
+    final long now = elect();
+    node.receive(now, "c", new RaftMessage.AppendReply(2, "new identity", true, 2, now));
+    node.receive(now, "c", new RaftMessage.AppendReply(2, "new identity", true, 2, now));
+    node.flush(now);
+    assertEquals(1, node.commitIndex());
+    assertFalse(node.mayLead(now));
+  }
+
+  /** Guards against quorums without overlap while a lost disk is replaced. */
+  @Test
+  void identityIsReplacedInTwoCommittedChanges() {
+    append(1_000, 1, 0, 0, configuration());
+    final long now = elect();
+    node.receive(now, "a", new RaftMessage.AppendReply(2, "ida", true, 2, now));
+    node.receive(now, "c", new RaftMessage.AppendReply(2, "new", false, 1, now));
+    node.receive(now, "c", new RaftMessage.AppendReply(2, "new", true, 2, now));
+    node.flush(now);
+    assertEquals(List.of("a", "b"), List.copyOf(node.membership().members().keySet()));
+    node.flush(now);
+    assertEquals(2, node.membership().members().size(), "the first change is not committed");
+    node.receive(now, "a", new RaftMessage.AppendReply(2, "ida", true, 3, now));
+    node.receive(now, "c", new RaftMessage.AppendReply(2, "new", true, 3, now));
+    node.flush(now);
+    assertTrue(node.membership().contains("c", "new"));
+  }
+
+  /** Guards against a message of a second leader in one term that is obeyed. */
+  @Test
+  void secondLeaderInOneTermViolatesAnInvariant() {
+    append(1_000, 1, 0, 0, configuration());
+    RaftMessage m = new RaftMessage.AppendRequest(1, "idc", node.identity(), 1, 1, 1, 0, List.of());
+    EbonypondException e =
+        assertThrows(EbonypondException.class, () -> node.receive(1_100, "c", m));
+    assertEquals(ErrorCode.INVARIANT_VIOLATED, e.code());
+  }
+
+  /** Guards against a committed entry that is replaced. */
+  @Test
+  void replacingCommittedEntryViolatesAnInvariant() {
+    append(1_000, 1, 0, 0, configuration());
+    RaftMessage m =
+        new RaftMessage.AppendRequest(
+            2, "ida", node.identity(), 0, 0, 1, 0, List.of(command(1, 2)));
+    EbonypondException e =
+        assertThrows(EbonypondException.class, () -> node.receive(1_100, "a", m));
+    assertEquals(ErrorCode.INVARIANT_VIOLATED, e.code());
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/Membership.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/Membership.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -40,6 +42,18 @@
     return members.isEmpty();
   }
 
+  /**
+   * Returns the number of voters that only one of two memberships has. Any quorums of two
+   * memberships overlap if this is at most 1.
+   */
+  public int distance(Membership other) {
+    Set<Map.Entry<String, String>> all = new HashSet<>(members.entrySet());
+    all.addAll(other.members.entrySet());
+    Set<Map.Entry<String, String>> common = new HashSet<>(members.entrySet());
+    common.retainAll(other.members.entrySet());
+    return all.size() - common.size();
+  }
+
   /** Returns this membership with one more voter. */
   public Membership with(String name, String identity) {
     Map<String, String> m = new TreeMap<>(members);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -42,7 +42,8 @@
 
   private RaftRole role = RaftRole.FOLLOWER;
   private @Nullable String leader;
-  private @Nullable String leaderIdentity;
+  private String leaderIdentity = "";
+  private long leaderTerm = -1;
   private @Nullable Replication replication;
   private @Nullable RuntimeException failure;
   private long electionDeadline;
@@ -78,8 +79,9 @@
     this.receiver = new LogReceiver(log, applier);
     this.lastNow = now;
     // After a restart the replica does not know when it last heard from a leader. It refuses votes
-    // for one election timeout, because that leader may still rely on its lease.
-    lastLeaderContact = log.isEmpty() ? now - config.electionMaxMillis() : now;
+    // for one election timeout, because that leader may still rely on its lease. Without any term
+    // there was no leader.
+    lastLeaderContact = ballot.term() == 0 ? now - config.electionMaxMillis() : now;
     resetElectionDeadline(now);
     become(idleRole());
   }
@@ -233,7 +235,7 @@
     }
     long contact = Math.max(leaderSince, r.quorumContact(now));
     if (now - contact >= config.electionMinMillis()) {
-      becomeFollower(ballot.term(), null, null);
+      becomeFollower(ballot.term(), null, "");
       resetElectionDeadline(now);
     }
   }
@@ -248,7 +250,7 @@
     }
     resetElectionDeadline(now);
     leader = null;
-    if (log.isEmpty()) {
+    if (log.isEmpty() && leaderTerm < 0) {
       startGenesis(now);
     } else if (isVoter()) {
       startPreVote(now);
@@ -283,7 +285,6 @@
   private void startElection(long now) {
     ballot.startTerm();
     leader = null;
-    leaderIdentity = null;
     become(RaftRole.CANDIDATE);
     resetElectionDeadline(now);
     ballot.collect();
@@ -294,8 +295,7 @@
   }
 
   private void becomeLeader(long now) {
-    leader = config.self();
-    leaderIdentity = identity;
+    noteLeader(config.self(), identity);
     leaderSince = now;
     leaderFirstIndex = log.append(ballot.term(), EntryType.NOOP, NOTHING).index();
     replication = new Replication(config, log, ballot.term(), this::send, now);
@@ -304,21 +304,32 @@
     replication.heartbeat(now, applier.commit());
   }
 
-  private void becomeFollower(long term, @Nullable String name, @Nullable String newIdentity) {
+  /** Notes the leader of the current term; there is only one. */
+  private void noteLeader(String name, String leaderId) {
+    Invariant.check(
+        leaderTerm != ballot.term() || leaderIdentity.equals(leaderId),
+        "two leaders in term %d: %s and %s",
+        ballot.term(),
+        leaderIdentity,
+        leaderId);
+    leader = name;
+    leaderIdentity = leaderId;
+    leaderTerm = ballot.term();
+  }
+
+  private void becomeFollower(long term, @Nullable String newLeader, String leaderId) {
     if (term > ballot.term()) {
       ballot.raise(term);
       leader = null;
-      leaderIdentity = null;
     }
     if (role == RaftRole.LEADER) {
       emit(EventCode.LEADER_STEPPED_DOWN, Map.of("term", String.valueOf(ballot.term())));
       replication = null;
       leader = null;
-      proposals.abandon(name);
+      proposals.abandon(newLeader);
     }
-    if (name != null) {
-      leader = name;
-      leaderIdentity = newIdentity;
+    if (newLeader != null) {
+      noteLeader(newLeader, leaderId);
     }
     become(idleRole());
   }
@@ -360,7 +371,7 @@
       return;
     }
     if (message.term() > ballot.term()) {
-      becomeFollower(message.term(), null, null);
+      becomeFollower(message.term(), null, "");
       return;
     }
     if (message.term() < ballot.term()) {
@@ -415,7 +426,7 @@
       return;
     }
     if (m.term() > ballot.term() && !hearsLeader(now)) {
-      becomeFollower(m.term(), null, null);
+      becomeFollower(m.term(), null, "");
     }
     boolean granted = !refused && m.term() == ballot.term() && ballot.voteFor(m.from());
     if (granted) {
@@ -436,13 +447,6 @@
       send(name, new RaftMessage.AppendReply(term, identity, false, log.lastIndex() + 1, sentAt));
       return false;
     }
-    boolean otherLeader = leaderIdentity != null && !leaderIdentity.equals(m.from());
-    Invariant.check(
-        m.term() > ballot.term() || !otherLeader,
-        "two leaders in term %d: %s and %s",
-        m.term(),
-        String.valueOf(leaderIdentity),
-        m.from());
     becomeFollower(m.term(), name, m.from());
     lastLeaderContact = now;
     resetElectionDeadline(now);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
@@ -204,7 +204,12 @@
 
   private void noteMembership(LogEntry e) {
     if (e.type() == EntryType.MEMBERSHIP) {
-      memberships.put(e.index(), MessagePackCodec.decode(e.data(), Membership.class));
+      Membership next = MessagePackCodec.decode(e.data(), Membership.class);
+      Invariant.check(
+          membership().isEmpty() || membership().distance(next) <= 1,
+          "membership changes by more than one voter at index %d",
+          e.index());
+      memberships.put(e.index(), next);
     }
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/SnapshotReceiver.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/SnapshotReceiver.java
@@ -1,6 +1,5 @@
 package org.ebonypond.consensus.internal;
 
-import java.util.Arrays;
 import org.ebonypond.consensus.RaftMessage;
 import org.ebonypond.consensus.Snapshot;
 import org.jspecify.annotations.Nullable;
@@ -33,7 +32,7 @@
     if (received < data.length) {
       return null;
     }
-    Snapshot s = new Snapshot(index, term, r.membership(), Arrays.copyOf(data, data.length));
+    Snapshot s = new Snapshot(index, term, r.membership(), data);
     data = new byte[0];
     index = -1;
     return s;
