--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LocalGroup.java
@@ -0,0 +1,120 @@
+package org.ebonypond.bench;
+
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
+import org.ebonypond.consensus.LogStorage;
+import org.ebonypond.consensus.ProposalResult;
+import org.ebonypond.consensus.RaftConfig;
+import org.ebonypond.consensus.RaftNode;
+import org.ebonypond.consensus.RoleChange;
+import org.ebonypond.consensus.StateMachine;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.server.replica.RaftTransport;
+import org.ebonypond.server.replica.ReplicaDriver;
+import org.ebonypond.server.replica.ReplicaListener;
+import org.ebonypond.server.storage.FileLogStorage;
+import org.ebonypond.time.TimerService;
+
+/** A group of replicas with threads and files in this process; messages are passed directly. */
+final class LocalGroup implements AutoCloseable, TimerService, ReplicaListener {
+  private static final long POLL_NANOS = 1_000_000;
+
+  private final Map<String, ReplicaDriver> drivers = new ConcurrentHashMap<>();
+  private final List<LogStorage> storages = new ArrayList<>();
+
+  LocalGroup(Path folder, int size) {
+    List<String> names = List.of("a", "b", "c").subList(0, size);
+    for (String name : names) {
+      LogStorage s =
+          FileLogStorage.open(
+              folder.resolve(name), name, new Random(name.hashCode()), EventSink.NONE);
+      storages.add(s);
+      RaftNode node =
+          new RaftNode(
+              RaftConfig.standard(name, names),
+              s,
+              new CountingMachine(),
+              new Random(name.hashCode()),
+              EventSink.NONE,
+              nowMillis());
+      RaftTransport transport = (channel, to, payload) -> drivers.get(to).receive(name, payload);
+      drivers.put(name, new ReplicaDriver("bench", node, transport, this, this));
+    }
+    drivers.values().forEach(ReplicaDriver::start);
+  }
+
+  ReplicaDriver awaitLeader() {
+    while (true) {
+      for (ReplicaDriver d : drivers.values()) {
+        if (d.status().mayLead(nowMillis())) {
+          return d;
+        }
+      }
+      LockSupport.parkNanos(POLL_NANOS);
+    }
+  }
+
+  /** Commits a command; tries again after a change of leader. */
+  void commit(byte[] command) {
+    ProposalResult r;
+    do {
+      r = awaitLeader().propose(command).join();
+    } while (r.failure() != null);
+  }
+
+  @Override
+  public long nowMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  @Override
+  public Subscription after(long delayMillis, Runnable task) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public Subscription every(long periodMillis, Runnable task) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void roleChanged(RoleChange change) {}
+
+  @Override
+  public void failed(Throwable cause) {
+    cause.printStackTrace();
+  }
+
+  @Override
+  public void close() {
+    drivers.values().forEach(ReplicaDriver::close);
+    storages.forEach(LogStorage::close);
+  }
+
+  /** A state machine that counts its commands. */
+  static final class CountingMachine implements StateMachine {
+    private long count;
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+      count++;
+      return new byte[0];
+    }
+
+    @Override
+    public byte[] snapshot() {
+      return ByteBuffer.allocate(Long.BYTES).putLong(count).array();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+      count = ByteBuffer.wrap(snapshot).getLong();
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LogBench.java
@@ -0,0 +1,217 @@
+package org.ebonypond.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.ebonypond.consensus.EntryType;
+import org.ebonypond.consensus.LogEntry;
+import org.ebonypond.consensus.LogStorage;
+import org.ebonypond.consensus.RaftConfig;
+import org.ebonypond.consensus.RaftNode;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.server.storage.FileLogStorage;
+
+/**
+ * Measures the replicated log on files: group commit against one sync for each record, and the time
+ * of recovery. Arguments: a folder for the files, and the seconds of each measurement.
+ */
+public final class LogBench {
+  private static final int RECORD_BYTES = 200;
+  private static final int[] PROPOSERS = {1, 8, 64};
+  private static final int[] RECORDS = {100, 1_000, 10_000};
+  private static final int REPEATS = 7;
+
+  private final Path folder;
+  private final long seconds;
+
+  private LogBench(Path folder, long seconds) {
+    this.folder = folder;
+    this.seconds = seconds;
+  }
+
+  /** Runs all measurements and prints a table. */
+  public static void main(String[] args) throws IOException, InterruptedException {
+    Path parent = Path.of(args.length > 0 ? args[0] : System.getProperty("java.io.tmpdir"));
+    Path folder = Files.createTempDirectory(parent, "log-bench");
+    try {
+      LogBench bench = new LogBench(folder, args.length > 1 ? Long.parseLong(args[1]) : 5);
+      bench.commits();
+      bench.recovery();
+    } finally {
+      delete(folder);
+    }
+  }
+
+  private void commits() throws IOException, InterruptedException {
+    System.out.printf(
+        "%-28s %9s %10s %10s %10s%n",
+        "records of 200 bytes", "proposers", "records/s", "p50 ms", "p99 ms");
+    // The first measurement of each kind warms up the code and is not printed.
+    syncEach(1, false);
+    for (int n : PROPOSERS) {
+      syncEach(n, true);
+    }
+    for (int replicas : new int[] {1, 3}) {
+      groupCommit(replicas, 8, false);
+      for (int n : PROPOSERS) {
+        groupCommit(replicas, n, true);
+      }
+    }
+  }
+
+  /** Proposers that write in turn; each record has its own sync. */
+  private void syncEach(int proposers, boolean print) throws IOException, InterruptedException {
+    Path path = folder.resolve("sync-each");
+    try (LogStorage s = FileLogStorage.open(path, "a", new Random(1), EventSink.NONE)) {
+      Histogram times =
+          load(
+              proposers,
+              () -> {
+                synchronized (s) {
+                  s.append(List.of(entry(s.lastIndex() + 1)));
+                  s.sync();
+                }
+              });
+      report("one sync for each record", proposers, times, print);
+    }
+    delete(path);
+  }
+
+  private void groupCommit(int replicas, int proposers, boolean print)
+      throws IOException, InterruptedException {
+    Path path = folder.resolve("group");
+    try (LocalGroup group = new LocalGroup(path, replicas)) {
+      group.awaitLeader();
+      byte[] command = new byte[RECORD_BYTES];
+      Histogram times = load(proposers, () -> group.commit(command));
+      report("group commit, " + replicas + " replica(s)", proposers, times, print);
+    }
+    delete(path);
+  }
+
+  private Histogram load(int proposers, Runnable action) throws InterruptedException {
+    Histogram times = new ConcurrentHistogram(3);
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < proposers; i++) {
+      Thread t =
+          new Thread(
+              () -> {
+                long start = System.nanoTime();
+                while (start < end) {
+                  action.run();
+                  long now = System.nanoTime();
+                  times.recordValue(TimeUnit.NANOSECONDS.toMicros(now - start));
+                  start = now;
+                }
+              });
+      t.start();
+      threads.add(t);
+    }
+    for (Thread t : threads) {
+      t.join();
+    }
+    return times;
+  }
+
+  private void report(String name, int proposers, Histogram times, boolean print) {
+    if (!print) {
+      return;
+    }
+    System.out.printf(
+        "%-28s %9d %10d %10.3f %10.3f%n",
+        name,
+        proposers,
+        times.getTotalCount() / seconds,
+        times.getValueAtPercentile(50) / 1_000.0,
+        times.getValueAtPercentile(99) / 1_000.0);
+  }
+
+  /** Opens a log and applies all of it; the time until an election is not included. */
+  private void recovery() throws IOException {
+    System.out.printf("%n%-28s %10s %12s %12s%n", "recovery", "records", "first ms", "median ms");
+    for (int records : RECORDS) {
+      Path path = folder.resolve("recovery");
+      try (LogStorage s = FileLogStorage.open(path, "a", new Random(1), EventSink.NONE)) {
+        RaftNode node = node(s, 0);
+        awaitLeader(node, 1_000);
+        for (int i = 0; i < records; i++) {
+          node.propose(2_000, i, new byte[RECORD_BYTES]);
+          // As many records for each sync as with eight proposers.
+          if (i % 8 == 7) {
+            node.flush(2_000);
+          }
+        }
+        node.flush(2_000);
+      }
+      double[] millis = new double[REPEATS];
+      for (int i = 0; i < REPEATS; i++) {
+        millis[i] = recover(path, records);
+      }
+      double first = millis[0];
+      Arrays.sort(millis);
+      System.out.printf(
+          "%-28s %10d %12.2f %12.2f%n", "open and apply", records, first, millis[REPEATS / 2]);
+      delete(path);
+    }
+  }
+
+  private static double recover(Path path, int records) {
+    long start = System.nanoTime();
+    try (LogStorage s = FileLogStorage.open(path, "a", new Random(1), EventSink.NONE)) {
+      RaftNode node = node(s, 0);
+      awaitLeader(node, 1_000);
+      long end = System.nanoTime();
+      if (node.appliedIndex() < records) {
+        throw new IllegalStateException("applied " + node.appliedIndex() + " of " + records);
+      }
+      return (end - start) / 1e6;
+    }
+  }
+
+  private static void awaitLeader(RaftNode node, long now) {
+    node.tick(now);
+    node.flush(now);
+    if (!node.isLeader()) {
+      throw new IllegalStateException("a single replica leads after one election timeout");
+    }
+  }
+
+  private static RaftNode node(LogStorage s, long now) {
+    RaftConfig standard = RaftConfig.standard("a", List.of("a"));
+    RaftConfig config =
+        new RaftConfig(
+            "a",
+            List.of("a"),
+            standard.heartbeatMillis(),
+            standard.electionMinMillis(),
+            standard.electionMaxMillis(),
+            Integer.MAX_VALUE,
+            0,
+            standard.maxBatchBytes(),
+            standard.chunkBytes());
+    return new RaftNode(
+        config, s, new LocalGroup.CountingMachine(), new Random(1), EventSink.NONE, now);
+  }
+
+  private static LogEntry entry(long index) {
+    return new LogEntry(index, 1, EntryType.COMMAND, new byte[RECORD_BYTES]);
+  }
+
+  private static void delete(Path path) throws IOException {
+    try (Stream<Path> files = Files.walk(path)) {
+      for (Path p : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(p);
+      }
+    }
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -18,7 +19,6 @@
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Runs one replica on its own thread. Each round drains the inbox, flushes once, sends the messages
@@ -38,8 +38,9 @@
   private final List<Runnable> reads = new ArrayList<>();
   private final Thread thread;
   private long nextProposal;
+  private final Map<CompletableFuture<?>, Runnable> open = new ConcurrentHashMap<>();
   private volatile boolean stopped;
-  private volatile @Nullable Throwable failure;
+  private volatile boolean ended;
   private volatile ReplicaStatus status;
 
   /**
@@ -98,7 +99,8 @@
           long id = nextProposal++;
           proposals.put(id, future);
           node.propose(timers.nowMillis(), id, command);
-        });
+        },
+        () -> future.complete(ProposalResult.failed(0, ErrorCode.NOT_LEADER, null)));
     return future;
   }
 
@@ -110,7 +112,7 @@
    */
   public <T> CompletableFuture<T> read(Supplier<T> reader) {
     CompletableFuture<T> future = new CompletableFuture<>();
-    submit(future, () -> reads.add(() -> finishRead(future, reader)));
+    submit(future, () -> reads.add(() -> finishRead(future, reader)), () -> failEnded(future));
     return future;
   }
 
@@ -122,7 +124,10 @@
   /** Evaluates a function on the thread of the replica, after a flush. */
   public <T> CompletableFuture<T> inspect(Function<RaftNode, T> function) {
     CompletableFuture<T> future = new CompletableFuture<>();
-    submit(future, () -> reads.add(() -> future.complete(function.apply(node))));
+    submit(
+        future,
+        () -> reads.add(() -> finish(future, () -> function.apply(node))),
+        () -> failEnded(future));
     return future;
   }
 
@@ -133,12 +138,19 @@
     runRound(batch);
   }
 
-  /** Stops the thread; proposals that have not ended get an unknown outcome. */
+  /**
+   * Stops the thread and ends whatever is waiting. The storage is left open; closing it is up to
+   * its owner.
+   */
   @Override
   public void close() {
     stopped = true;
     inbox.add(() -> {});
-    if (Thread.currentThread() == thread || !thread.isAlive()) {
+    if (Thread.currentThread() == thread) {
+      return;
+    }
+    if (thread.getState() == Thread.State.NEW) {
+      end();
       return;
     }
     try {
@@ -148,17 +160,24 @@
     }
   }
 
-  private void submit(CompletableFuture<?> future, Runnable task) {
+  /**
+   * Adds a task.
+   *
+   * @param onEnd completes the future if the replica ends before the task has run
+   */
+  private void submit(CompletableFuture<?> future, Runnable task, Runnable onEnd) {
+    open.put(future, onEnd);
+    future.whenComplete((r, e) -> open.remove(future));
     inbox.add(task);
-    // The thread may have ended before the task was added; nobody would complete the future then.
-    if (stopped || failure != null) {
-      future.completeExceptionally(new EbonypondException(ErrorCode.SHUTTING_DOWN));
+    // The replica may have ended before the task was added; nobody else ends the future then.
+    if (ended) {
+      onEnd.run();
     }
   }
 
   private void run() {
     try {
-      while (!stopped && failure == null) {
+      while (!stopped && !ended) {
         List<Runnable> batch = new ArrayList<>();
         Runnable first = inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
         if (first != null) {
@@ -170,12 +189,14 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
-      stopped = true;
-      abandon();
+      end();
     }
   }
 
   private void runRound(List<Runnable> batch) {
+    if (ended) {
+      return;
+    }
     try {
       // The tick comes first: a leader that was frozen steps down before it handles anything.
       node.tick(timers.nowMillis());
@@ -202,24 +223,40 @@
   }
 
   private <T> void finishRead(CompletableFuture<T> future, Supplier<T> reader) {
-    if (!node.mayLead(timers.nowMillis())) {
-      String hint = String.valueOf(node.leaderHint());
-      future.completeExceptionally(new EbonypondException(ErrorCode.NOT_LEADER, hint));
+    if (node.mayLead(timers.nowMillis())) {
+      finish(future, reader);
       return;
     }
-    T value = reader.get();
-    future.complete(value);
+    String hint = String.valueOf(node.leaderHint());
+    future.completeExceptionally(new EbonypondException(ErrorCode.NOT_LEADER, hint));
+  }
+
+  /** Completes a read; a reader that fails does not stop the replica. */
+  private static <T> void finish(CompletableFuture<T> future, Supplier<T> reader) {
+    try {
+      future.complete(reader.get());
+    } catch (RuntimeException e) {
+      future.completeExceptionally(e);
+    }
+  }
+
+  private static void failEnded(CompletableFuture<?> future) {
+    future.completeExceptionally(new EbonypondException(ErrorCode.SHUTTING_DOWN));
   }
 
   private void fail(Throwable cause) {
-    failure = cause;
-    abandon();
+    end();
     listener.failed(cause);
   }
 
-  private void abandon() {
+  private void end() {
+    status = status.ended();
+    // Proposals that the replica has taken may be committed; they end before all others, which
+    // certainly were not run.
     proposals.forEach(
         (id, f) -> f.complete(ProposalResult.failed(id, ErrorCode.OUTCOME_UNKNOWN, null)));
     proposals.clear();
+    ended = true;
+    List.copyOf(open.values()).forEach(Runnable::run);
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
@@ -38,6 +38,19 @@
         n.leaseHeldUntil());
   }
 
+  /** Returns the state of the replica after it has stopped: it neither leads nor votes. */
+  ReplicaStatus ended() {
+    return new ReplicaStatus(
+        RaftRole.LEARNER,
+        term,
+        null,
+        false,
+        lastDurableIndex,
+        commitIndex,
+        appliedIndex,
+        Long.MIN_VALUE);
+  }
+
   /** Returns whether the replica may act as the leader at a time. */
   public boolean mayLead(long nowMillis) {
     return nowMillis < leaseHeldUntil;
