--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/package-info.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/package-info.java
@@ -1,4 +1,4 @@
-/** Load and experiment tool. */
+/** Measurements of the decision classes and of the daemon's parts. */
 @NullMarked
 package org.ebonypond.bench;
 
