Weigh room for larger groups and skip plans that cannot differ

Large groups are now placed first, and the scored policy prefers the domain that loses the least room for larger groups. The planner skips a plan while the view is unchanged and no waiting time can have ended, and the scheduler reuses its index of the view.

--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Load and experiment tools. */
+@NullMarked
+package org.ebonypond.bench;
+
+import org.jspecify.annotations.NullMarked;
--- a/org.ebonypond/src/main/java/org/ebonypond/group/DomainPool.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/DomainPool.java
@@ -16,14 +16,14 @@
   record Key(String zone, String domain, String engineKind) {}
 
   private final Key key;
-  private final int[] sizes;
+  private final GroupSizes sizes;
   private final Map<String, InstanceObservation> observations;
   private final List<InstanceRecord> free = new ArrayList<>();
   private final Map<String, Integer> loaded = new HashMap<>();
   private final Map<String, Integer> groups = new HashMap<>();
   private boolean sorted = true;
 
-  DomainPool(Key key, int[] sizes, Map<String, InstanceObservation> observations) {
+  DomainPool(Key key, GroupSizes sizes, Map<String, InstanceObservation> observations) {
     this.key = key;
     this.sizes = sizes;
     this.observations = observations;
@@ -51,23 +51,12 @@
 
   /** Returns how many free instances could join no whole group if {@code taken} were used. */
   public int strandedAfter(int taken) {
-    return stranded(Math.max(0, free.size() - taken));
+    return sizes.stranded(Math.max(0, free.size() - taken));
   }
 
-  private int stranded(int count) {
-    boolean[] reachable = new boolean[count + 1];
-    reachable[0] = true;
-    int best = 0;
-    for (int i = 1; i <= count; i++) {
-      for (int s : sizes) {
-        if (s <= i && reachable[i - s]) {
-          reachable[i] = true;
-          best = i;
-          break;
-        }
-      }
-    }
-    return count - best;
+  /** Returns the room for larger groups, in instances, that a group of a size would take. */
+  public int largerRoomLost(int size) {
+    return sizes.largerRoomLost(free.size(), size);
   }
 
   Key key() {
--- a/org.ebonypond/src/main/java/org/ebonypond/group/GroupPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/GroupPlanner.java
@@ -19,6 +19,12 @@
 public final class GroupPlanner {
   private static final long PENDING_MILLIS = 5_000;
 
+  /** How often waiting times are looked at while the view does not change. */
+  private static final long REPLAN_MILLIS = 250;
+
+  /** The same while nothing waits; a plan of 80,000 instances costs tens of milliseconds. */
+  private static final long IDLE_REPLAN_MILLIS = 10_000;
+
   private final GroupClock clock = new GroupClock();
   private final PendingProposals pending = new PendingProposals(PENDING_MILLIS);
   private final FlapTracker flaps;
@@ -27,6 +33,9 @@
   private final PlacementPhase placements;
   private final MovePhase moves;
   private long sequence;
+  private long plannedIndex = -1;
+  private long plannedAt;
+  private boolean idle;
 
   /**
    * Creates a planner.
@@ -48,6 +57,7 @@
     pending.clear();
     clock.clear();
     sequence = 0;
+    plannedIndex = -1;
   }
 
   /** States that the result of a proposal is known. */
@@ -65,6 +75,12 @@
    */
   public List<Proposal> plan(
       ControlView view, Map<String, InstanceObservation> observations, long now) {
+    long interval = idle ? IDLE_REPLAN_MILLIS : REPLAN_MILLIS;
+    if (view.index() == plannedIndex && now - plannedAt < interval) {
+      return List.of();
+    }
+    plannedIndex = view.index();
+    plannedAt = now;
     flaps.observe(view, now);
     clock.retain(view);
     settle(view, now);
@@ -79,6 +95,7 @@
     placements.plan(c);
     moves.plan(c);
     sequence = c.sequence();
+    idle = c.isIdle() && pending.commands().isEmpty();
     return c.proposals();
   }
 
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/GroupSizes.java
@@ -0,0 +1,60 @@
+package org.ebonypond.group;
+
+import java.util.Arrays;
+
+/** The sizes of the declared groups of an engine kind, with precomputed remainders. */
+final class GroupSizes {
+  static final GroupSizes NONE = new GroupSizes(new int[0]);
+
+  private final int[] sizes;
+  private int[] stranded = {0};
+
+  /**
+   * Creates the sizes.
+   *
+   * @param sizes rising, without repeats
+   */
+  GroupSizes(int[] sizes) {
+    this.sizes = sizes;
+  }
+
+  /**
+   * Returns how many of {@code free} instances remain when whole groups use as many as they can.
+   */
+  int stranded(int free) {
+    if (free >= stranded.length) {
+      extend(Math.max(free + 1, 2 * stranded.length));
+    }
+    return stranded[free];
+  }
+
+  private void extend(int length) {
+    int from = stranded.length;
+    stranded = Arrays.copyOf(stranded, length);
+    for (int i = from; i < length; i++) {
+      int least = stranded[i - 1] + 1;
+      for (int s : sizes) {
+        if (s <= i) {
+          least = Math.min(least, stranded[i - s]);
+        }
+      }
+      stranded[i] = least;
+    }
+  }
+
+  /**
+   * Returns the room for larger groups, in instances, that a group takes from a domain.
+   *
+   * @param free the number of free instances
+   * @param taken the number of instances that the group takes
+   */
+  int largerRoomLost(int free, int taken) {
+    int lost = 0;
+    for (int s : sizes) {
+      if (s > taken) {
+        lost += (free / s - (free - taken) / s) * s;
+      }
+    }
+    return lost;
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/group/InstanceDetector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/InstanceDetector.java
@@ -1,10 +1,10 @@
 package org.ebonypond.group;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlCommand.InstanceDown;
 import org.ebonypond.control.ControlCommand.InstanceLeaving;
@@ -87,14 +87,16 @@
     registry = view.instances();
     pending.expire(now);
     List<Proposal> out = new ArrayList<>();
-    for (Heard h : new TreeMap<>(heard).values()) {
+    for (Heard h : heard.values()) {
       present(h, view.instances().get(h.announcement().instance()), now, out);
     }
-    for (InstanceRecord r : new TreeMap<>(view.instances()).values()) {
+    for (InstanceRecord r : view.instances().values()) {
       absent(r, now, out);
     }
     downSince.keySet().removeIf(name -> !view.instances().containsKey(name));
     heard.values().removeIf(h -> now - h.at() > REMOVE_AFTER_MILLIS);
+    // Map order differs between processes; a run must depend on its seed alone.
+    out.sort(Comparator.comparing(p -> p.command().toString()));
     return out;
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/group/LoadSlots.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/LoadSlots.java
@@ -1,8 +1,6 @@
 package org.ebonypond.group;
 
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.ebonypond.control.ControlView;
 import org.ebonypond.control.GroupRecord;
@@ -19,15 +17,6 @@
     this.settings = settings;
   }
 
-  /** Puts the groups of the models with the fewest ready groups first, then the oldest. */
-  void order(List<GroupRecord> loading, List<GroupRecord> ready) {
-    Map<String, Integer> readyByModel = new HashMap<>();
-    ready.forEach(g -> readyByModel.merge(g.model(), 1, Integer::sum));
-    loading.sort(
-        Comparator.comparingInt((GroupRecord g) -> readyByModel.getOrDefault(g.model(), 0))
-            .thenComparingLong(GroupRecord::epoch));
-  }
-
   /** Returns whether a group may load, and counts it as loading from now on if so. */
   boolean acquire(GroupRecord g, long now) {
     Holder h = holders.get(g.group());
--- a/org.ebonypond/src/main/java/org/ebonypond/group/OrderScheduler.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/OrderScheduler.java
@@ -1,20 +1,15 @@
 package org.ebonypond.group;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlCommand.GroupReady;
 import org.ebonypond.control.ControlCommand.InstanceDown;
 import org.ebonypond.control.ControlView;
 import org.ebonypond.control.GroupMember;
 import org.ebonypond.control.GroupRecord;
-import org.ebonypond.control.GroupState;
-import org.ebonypond.control.InstanceKind;
 import org.ebonypond.control.InstanceRecord;
 import org.ebonypond.control.InstanceStatus;
 import org.ebonypond.events.EventCode;
@@ -36,6 +31,7 @@
   private final Map<Long, String> openTokens = new HashMap<>();
   private final LoadSlots slots;
   private final PendingProposals pending = new PendingProposals(PENDING_MILLIS);
+  private OrderIndex index = OrderIndex.of(ControlView.EMPTY);
   private long nextToken = 1;
   private long electedAt;
 
@@ -154,8 +150,11 @@
       return SchedulerOutput.NONE;
     }
     pending.expire(now);
-    tracks.keySet().retainAll(view.instances().keySet());
-    slots.retain(view);
+    if (!index.covers(view)) {
+      index = OrderIndex.of(view);
+      tracks.keySet().retainAll(view.instances().keySet());
+      slots.retain(view);
+    }
     Poll p = new Poll(view, now);
     p.run();
     return new SchedulerOutput(p.reads, p.orders, p.proposals);
@@ -175,25 +174,9 @@
     }
 
     void run() {
-      Set<String> assigned = new HashSet<>(view.instances().size() * 2);
-      List<GroupRecord> loading = new ArrayList<>();
-      List<GroupRecord> ready = new ArrayList<>();
-      for (GroupRecord g : view.groups().values()) {
-        g.members().forEach(m -> assigned.add(m.instance()));
-        if (g.state() == GroupState.LOADING) {
-          loading.add(g);
-        } else if (g.state() == GroupState.READY) {
-          ready.add(g);
-        }
-      }
-      slots.order(loading, ready);
-      loading.forEach(this::load);
-      ready.sort(Comparator.comparing(GroupRecord::group));
-      ready.forEach(this::verify);
-      view.instances().values().stream()
-          .filter(r -> r.kind() == InstanceKind.ENGINE && !assigned.contains(r.instance()))
-          .sorted(Comparator.comparing(InstanceRecord::instance))
-          .forEach(this::unload);
+      index.loading().forEach(this::load);
+      index.ready().forEach(this::verify);
+      index.free().forEach(this::unload);
     }
 
     private void load(GroupRecord g) {
--- a/org.ebonypond/src/main/java/org/ebonypond/group/PlacementPhase.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/PlacementPhase.java
@@ -11,13 +11,18 @@
 import org.ebonypond.events.EventSink;
 import org.jspecify.annotations.Nullable;
 
-/** Places missing groups, fair over models and then over availability zones. */
+/** Places missing groups, fair over models, then over zones, then by falling size. */
 final class PlacementPhase {
   private final PlacementPolicy policy;
   private final EventSink events;
   private final Map<Slot.Key, String> reported = new HashMap<>();
 
   private record Need(Slot slot, double modelRatio, double ratio) {
+    /** Returns the size of a group; large groups come first, because small ones fit more often. */
+    int size() {
+      return slot.spec == null ? 0 : slot.spec.instancesPerGroup();
+    }
+
     static Need of(Slot s) {
       return new Need(s, s.modelRatio(), s.ratio());
     }
@@ -26,6 +31,7 @@
   private static final Comparator<Need> FAIR =
       Comparator.comparingDouble(Need::modelRatio)
           .thenComparingDouble(Need::ratio)
+          .thenComparingInt(n -> -n.size())
           .thenComparing(n -> n.slot().key.model())
           .thenComparing(n -> n.slot().key.zone());
 
--- a/org.ebonypond/src/main/java/org/ebonypond/group/PlanContext.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/PlanContext.java
@@ -45,7 +45,7 @@
   private final FlapTracker flaps;
   private final Map<String, ModelSpec> models = new HashMap<>();
   private final Map<String, Slot.ModelTotals> totals = new HashMap<>();
-  private final Map<String, int[]> sizes = new HashMap<>();
+  private final Map<String, GroupSizes> sizes = new HashMap<>();
   private final Map<DomainPool.Key, DomainPool> pools = new HashMap<>();
   private final Map<String, List<DomainPool>> poolsByZone = new HashMap<>();
   private final Set<String> reserved = new HashSet<>();
@@ -81,7 +81,8 @@
       byKind.computeIfAbsent(m.engineKind(), k -> new HashSet<>()).add(m.instancesPerGroup());
       m.zones().forEach(z -> slot(new Slot.Key(m.name(), z)));
     }
-    byKind.forEach((k, s) -> sizes.put(k, s.stream().mapToInt(i -> i).sorted().toArray()));
+    byKind.forEach(
+        (k, s) -> sizes.put(k, new GroupSizes(s.stream().mapToInt(i -> i).sorted().toArray())));
   }
 
   Slot slot(Slot.Key key) {
@@ -144,7 +145,7 @@
     DomainPool.Key key = new DomainPool.Key(zone, domain, kind);
     DomainPool p = pools.get(key);
     if (p == null) {
-      p = new DomainPool(key, sizes.getOrDefault(kind, new int[0]), observations);
+      p = new DomainPool(key, sizes.getOrDefault(kind, GroupSizes.NONE), observations);
       pools.put(key, p);
       poolsByZone.computeIfAbsent(zone + '\0' + kind, k -> new ArrayList<>()).add(p);
     }
@@ -322,6 +323,15 @@
     }
   }
 
+  /** Returns whether every declared group is in place and nothing waits for a time. */
+  boolean isIdle() {
+    return incomplete.isEmpty()
+        && draining.isEmpty()
+        && out.isEmpty()
+        && slots.values().stream()
+            .allMatch(s -> s.leaving.isEmpty() && s.stale.isEmpty() && s.placed() >= s.desired);
+  }
+
   List<Proposal> proposals() {
     return out;
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/group/PlannerSettings.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/PlannerSettings.java
@@ -3,7 +3,8 @@
 /**
  * The times and bounds of the planner.
  *
- * @param waitForReturnMillis how long a group without a spare waits for its lost members
+ * @param waitForReturnMillis how long a group without a spare waits for its lost members; covers a
+ *     pause or a short partition, but not a restart, during which the others would idle
  * @param leavingGraceMillis how long a group with a leaving member keeps serving while its
  *     replacement loads; with detection and propagation it stays below the 5 s after which a
  *     leaving backend server must receive no new work
@@ -30,5 +31,5 @@
     long flapWindowMillis) {
   /** The settings in use unless the operator sets others. */
   public static final PlannerSettings DEFAULT =
-      new PlannerSettings(30_000, 2_500, 4_000, 5_000, 600_000, 16, 10_000, 600_000, 900_000);
+      new PlannerSettings(10_000, 2_500, 4_000, 5_000, 600_000, 16, 10_000, 600_000, 900_000);
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/group/ScoredPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/ScoredPolicy.java
@@ -12,9 +12,10 @@
   }
 
   /**
-   * Prefers instances that still hold the model, which start soonest; then the fewest stranded
-   * instances; then the fewest groups of the model, because a lost domain takes all of them down;
-   * then the domain with the most spares left.
+   * Prefers instances that still hold the model, which start soonest; then the domain that loses
+   * the least room for larger groups, because a larger group that fits nowhere stays down; then the
+   * fewest stranded instances; then the fewest groups of the model, because a lost domain takes all
+   * of them down; then the tightest fit.
    */
   @Override
   public DomainPool place(ModelSpec model, List<DomainPool> fitting) {
@@ -22,9 +23,10 @@
     Comparator<DomainPool> order =
         Comparator.comparingInt(
                 (DomainPool p) -> -Math.min(size, p.loaded(model.name(), model.version())))
+            .thenComparingInt(p -> p.largerRoomLost(size))
             .thenComparingInt(p -> p.strandedAfter(size) - p.strandedAfter(0))
             .thenComparingInt(p -> p.groups(model.name()))
-            .thenComparingInt(p -> -p.free());
+            .thenComparingInt(DomainPool::free);
     DomainPool best = fitting.get(0);
     for (DomainPool p : fitting) {
       if (order.compare(p, best) < 0) {
--- a/org.ebonypond/src/main/java/org/ebonypond/group/StrandedInstances.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/StrandedInstances.java
@@ -57,12 +57,14 @@
         && !view.zonesOut().contains(r.zone());
   }
 
-  private static int[] sizes(ServiceDocument document, DomainPool.Key key) {
-    return document.models().stream()
-        .filter(m -> m.engineKind().equals(key.engineKind()) && m.zones().contains(key.zone()))
-        .mapToInt(ModelSpec::instancesPerGroup)
-        .distinct()
-        .sorted()
-        .toArray();
+  private static GroupSizes sizes(ServiceDocument document, DomainPool.Key key) {
+    int[] sizes =
+        document.models().stream()
+            .filter(m -> m.engineKind().equals(key.engineKind()) && m.zones().contains(key.zone()))
+            .mapToInt(ModelSpec::instancesPerGroup)
+            .distinct()
+            .sorted()
+            .toArray();
+    return new GroupSizes(sizes);
   }
 }
