Test calls and leased shares under faults

Entries are killed at each step, frozen and cut off; leaders and servers change. Naive variants show that the fakes notice a second run and an overload.

A holder now says when a share shrank, so that it acknowledges at once and unused slots move on within two renewals instead of three.

--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakePlainService.java
@@ -0,0 +1,116 @@
+package org.ebonypond.junit;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.ledger.AnswerHeader;
+import org.ebonypond.ledger.StoredAnswer;
+import org.ebonypond.time.TimerService;
+
+/**
+ * A plain service that executes each request it gets and counts executions by key. A second
+ * execution of a key, or the execution of a request that a caller was told was not run, fails the
+ * run with {@code invariant-violated}.
+ */
+public final class FakePlainService {
+  private final TimerService timers;
+  private final Faults faults;
+  private final Map<String, Integer> executions = new HashMap<>();
+  private final Set<String> executedRequests = new HashSet<>();
+  private final Set<String> declaredNotRun = new HashSet<>();
+  private LongSupplier work = () -> 1;
+  private double refuseRate;
+  private double cutRate;
+
+  /** Takes what becomes of a dispatched request; at most one call. */
+  public interface Client {
+    /** Nothing was written. */
+    void notWritten();
+
+    /** The connection failed after the request was written. */
+    void connectionLost();
+
+    /** The answer has come. */
+    void answered(StoredAnswer answer);
+  }
+
+  /**
+   * Creates a service.
+   *
+   * @param timers the timers
+   * @param faults the delays of requests and answers
+   */
+  public FakePlainService(TimerService timers, Faults faults) {
+    this.timers = timers;
+    this.faults = faults;
+  }
+
+  /**
+   * Sets how the service behaves.
+   *
+   * @param workMillis the time that each execution takes, in milliseconds
+   * @param refuse the part of connections that fail before anything is written
+   * @param cut the part of connections that fail after the request is written
+   */
+  public void set(LongSupplier workMillis, double refuse, double cut) {
+    work = workMillis;
+    refuseRate = refuse;
+    cutRate = cut;
+  }
+
+  /** Takes a request over a new connection. */
+  public void send(String request, String key, Client client) {
+    if (faults.happens(refuseRate)) {
+      timers.after(faults.delay(), client::notWritten);
+      return;
+    }
+    boolean cut = faults.happens(cutRate);
+    boolean arrives = !cut || faults.happens(0.5);
+    if (cut) {
+      timers.after(faults.delay(), client::connectionLost);
+    }
+    if (arrives) {
+      timers.after(faults.delay(), () -> execute(request, key, cut, client));
+    }
+  }
+
+  /** Records that a caller was told that a request was not run. */
+  public void declareNotRun(String request) {
+    declaredNotRun.add(request);
+    check(!executedRequests.contains(request), "answered not-run but executed: " + request);
+  }
+
+  /** Returns how often a key was executed. */
+  public int executions(String key) {
+    return executions.getOrDefault(key, 0);
+  }
+
+  /** Returns the answer to the only execution of a key. */
+  public static StoredAnswer answerOf(String key) {
+    byte[] body = ("done " + key).getBytes(StandardCharsets.UTF_8);
+    return new StoredAnswer(
+        201, new ArrayList<>(List.of(new AnswerHeader("Location", "/orders/" + key))), body, true);
+  }
+
+  private void execute(String request, String key, boolean cut, Client client) {
+    check(executions.merge(key, 1, Integer::sum) == 1, "executed twice: " + key);
+    executedRequests.add(request);
+    check(!declaredNotRun.contains(request), "executed after not-run: " + request);
+    if (!cut) {
+      timers.after(work.getAsLong() + faults.delay(), () -> client.answered(answerOf(key)));
+    }
+  }
+
+  private static void check(boolean condition, String text) {
+    if (!condition) {
+      throw new EbonypondException(ErrorCode.INVARIANT_VIOLATED, "plain service: " + text);
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ShareCluster.java
@@ -0,0 +1,169 @@
+package org.ebonypond.junit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.ebonypond.lease.HolderId;
+import org.ebonypond.lease.ShareAllocator;
+import org.ebonypond.lease.ShareHolder;
+import org.ebonypond.lease.ShareRequest;
+import org.ebonypond.lease.ShareTarget;
+
+/** Entries, leaders and one starting server, whose messages go through {@link Faults}. */
+public final class ShareCluster {
+  private static final long TICK_MILLIS = 10;
+  private static final long REPORT_MILLIS = 500;
+
+  /** How long a deposed leader goes on, at most; the election timeout of the design. */
+  private static final int OVERLAP_MILLIS = 1_000;
+
+  private final ManualTimerService timers = new ManualTimerService();
+  private final Random random;
+  private final Faults faults;
+  private final FakeColdServer server;
+  private final List<SimulatedShareEntry> entries = new ArrayList<>();
+  private ShareAllocator leader;
+  private long term = 1;
+  private int created;
+  private boolean trustNewLeaders;
+
+  /**
+   * Creates a cluster without entries whose server has just become ready.
+   *
+   * @param seed the seed of all choices
+   * @param coldCeiling the ceiling of the server at readiness
+   * @param warmMillis the time until it is warm
+   * @param workMillis the longest time that a request takes
+   */
+  public ShareCluster(long seed, int coldCeiling, long warmMillis, int workMillis) {
+    random = new Random(seed);
+    faults = new Faults(timers, new Random(seed + 1));
+    server =
+        new FakeColdServer(
+            timers, "s", coldCeiling, 32, warmMillis, () -> 10 + random.nextInt(workMillis));
+    leader = new ShareAllocator(term, -10_000);
+    leader.addTarget(server.target(), server.ramp(), true);
+    timers.every(TICK_MILLIS, () -> entries.forEach(SimulatedShareEntry::work));
+    timers.every(ShareHolder.RENEW_MILLIS, this::renew);
+    timers.every(REPORT_MILLIS, this::report);
+    timers.every(100, () -> leader.lapse(timers.nowMillis()));
+  }
+
+  /** Lets new leaders grant at once, for variants that must fail. */
+  public void trustNewLeaders() {
+    trustNewLeaders = true;
+  }
+
+  /** Adds an entry. */
+  public SimulatedShareEntry addEntry() {
+    int n = created++;
+    SimulatedShareEntry e =
+        new SimulatedShareEntry(new HolderId("e" + n, 1), timers, random, server);
+    entries.add(e);
+    return e;
+  }
+
+  /** Restarts the server without warning; the leader and the entries learn of it later. */
+  public void restartServer() {
+    server.restart();
+    ShareTarget t = server.target();
+    timers.after(
+        50 + random.nextInt(300),
+        () -> {
+          if (t.equals(server.target())) {
+            leader.addTarget(t, server.ramp(), true);
+            entries.forEach(e -> timers.after(random.nextInt(500), () -> e.onView(t)));
+          }
+        });
+  }
+
+  /**
+   * Makes the server unreachable for the leader, which takes it for gone and then finds it back.
+   */
+  public void removeAndAddServer() {
+    ShareTarget t = server.target();
+    leader.removeTarget(t.name(), timers.nowMillis());
+    timers.after(
+        random.nextInt(3_000),
+        () -> {
+          if (t.equals(server.target())) {
+            leader.addTarget(t, server.ramp(), false);
+          }
+        });
+  }
+
+  /** Elects a new leader; the old one goes on for up to one election timeout. */
+  public void electLeader() {
+    long now = timers.nowMillis();
+    ShareAllocator next = new ShareAllocator(++term, trustNewLeaders ? now - 10_000 : now);
+    next.addTarget(server.target(), server.ramp(), trustNewLeaders);
+    ShareAllocator old = leader;
+    leader = next;
+    for (SimulatedShareEntry e : entries) {
+      if (random.nextBoolean()) {
+        timers.after(random.nextInt(OVERLAP_MILLIS), () -> send(e, old));
+      }
+    }
+  }
+
+  /** Returns the timers. */
+  public ManualTimerService timers() {
+    return timers;
+  }
+
+  /** Returns the faults of messages between entries and leaders. */
+  public Faults faults() {
+    return faults;
+  }
+
+  /** Returns the server. */
+  public FakeColdServer server() {
+    return server;
+  }
+
+  /** Returns the leader. */
+  public ShareAllocator leader() {
+    return leader;
+  }
+
+  /** Returns the entries that were added and not removed. */
+  public List<SimulatedShareEntry> entries() {
+    return entries;
+  }
+
+  private void renew() {
+    entries.forEach(e -> send(e, leader));
+  }
+
+  private void send(SimulatedShareEntry e, ShareAllocator to) {
+    if (!e.isRunning()) {
+      return;
+    }
+    ShareRequest request = e.request();
+    if (!e.isConnected()) {
+      return;
+    }
+    faults.carry(
+        () ->
+            to.onRequest(request, timers.nowMillis())
+                .forEach(
+                    g ->
+                        faults.carry(
+                            () -> {
+                              if (e.isConnected()) {
+                                e.onGrant(g, () -> send(e, leader));
+                              }
+                            })));
+  }
+
+  private void report() {
+    ShareTarget t = server.target();
+    long measured = timers.nowMillis();
+    int active = server.active();
+    faults.carry(
+        () -> {
+          leader.onLoad(t, measured, active);
+          entries.forEach(e -> e.onLoad(t, measured, active));
+        });
+  }
+}
--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/SimulatedEntry.java
@@ -0,0 +1,250 @@
+package org.ebonypond.junit;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+import org.ebonypond.ledger.AtMostOnceCall;
+import org.ebonypond.ledger.AttemptId;
+import org.ebonypond.ledger.CallAction;
+import org.ebonypond.ledger.CallOutcome;
+import org.ebonypond.ledger.CallRequest;
+import org.ebonypond.ledger.LedgerCommand;
+import org.ebonypond.ledger.LedgerResult;
+import org.ebonypond.ledger.RequestDigest;
+import org.ebonypond.ledger.StoredAnswer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An entry process that runs at-most-once calls against the fakes. It can be killed at any time or
+ * at a named step; what it sent before stays under way.
+ */
+public final class SimulatedEntry {
+  /** The wall time at the start of the simulation, in milliseconds since 1970. */
+  public static final long WALL_MILLIS = 1_790_000_000_000L;
+
+  private static final long RESTART_RESEND_MILLIS = 300;
+
+  private final String name;
+  private final long incarnation;
+  private final ManualTimerService timers;
+  private final FakeMajorityLedger ledger;
+  private final FakePlainService service;
+  private UnaryOperator<LedgerResult> intentFilter = r -> r;
+  private @Nullable Step killStep;
+  private boolean alive = true;
+  private boolean registered;
+  private long calls;
+
+  /** The steps of a call immediately before which the entry can be killed. */
+  public enum Step {
+    /** Before the intent is proposed. */
+    INTENT,
+    /** After the intent committed, before the dispatch. */
+    DISPATCH,
+    /** After the dispatch, before the outcome is proposed. */
+    OUTCOME,
+    /** After the outcome committed, before the reply to the caller. */
+    REPLY
+  }
+
+  /** Takes the final answer of a request, or the loss of the caller's connection. */
+  public interface Caller {
+    /** Takes the final answer. */
+    void answered(CallAction answer);
+
+    /** The entry was killed, so the connection is closed. */
+    void connectionLost();
+  }
+
+  /** Creates a process that runs. */
+  public SimulatedEntry(
+      String name,
+      long incarnation,
+      ManualTimerService timers,
+      FakeMajorityLedger ledger,
+      FakePlainService service) {
+    this.name = name;
+    this.incarnation = incarnation;
+    this.timers = timers;
+    this.ledger = ledger;
+    this.service = service;
+  }
+
+  /** Replaces the ledger's replies to intents, for variants that must fail. */
+  public void filterIntentResults(UnaryOperator<LedgerResult> filter) {
+    intentFilter = filter;
+  }
+
+  /** Kills the process before its next action of a step. */
+  public void killBefore(Step step) {
+    killStep = step;
+  }
+
+  /** Kills the process. */
+  public void kill() {
+    alive = false;
+  }
+
+  /** Returns whether the process runs. */
+  public boolean isAlive() {
+    return alive;
+  }
+
+  /** Tells the ledger of the new incarnation, until it is recorded. */
+  public void register() {
+    if (!alive || registered) {
+      return;
+    }
+    ledger.propose(
+        new LedgerCommand.EntryRestarted(name, incarnation, WALL_MILLIS + timers.nowMillis()),
+        r -> registered = true);
+    timers.after(RESTART_RESEND_MILLIS, this::register);
+  }
+
+  /**
+   * Takes a request.
+   *
+   * @param key the idempotency key, or null
+   * @param body the body
+   * @param timeoutMillis the time that the caller waits
+   * @param caller takes the answer
+   */
+  public Running submit(@Nullable String key, String body, long timeoutMillis, Caller caller) {
+    return new Running(key, body, timeoutMillis, caller);
+  }
+
+  /** One call of the process. */
+  public final class Running {
+    private final AtMostOnceCall call;
+    private final AttemptId attempt;
+    private final String key;
+    private final Caller caller;
+    private boolean closed;
+
+    Running(@Nullable String key, String body, long timeoutMillis, Caller caller) {
+      this.attempt = new AttemptId(name, incarnation, ++calls);
+      this.key = key == null ? attempt.toString() : key;
+      this.caller = caller;
+      long now = timers.nowMillis();
+      this.call =
+          new AtMostOnceCall(
+              new CallRequest(
+                  "surabaya",
+                  key,
+                  RequestDigest.of("POST", "/orders", body.getBytes(StandardCharsets.UTF_8)),
+                  attempt,
+                  now,
+                  now + timeoutMillis,
+                  WALL_MILLIS + now));
+      step(call::start);
+    }
+
+    /** Returns the decision class. */
+    public AtMostOnceCall call() {
+      return call;
+    }
+
+    /** The caller closes its connection. */
+    public void leave() {
+      closed = true;
+      step(call::onCallerGone);
+    }
+
+    private void step(Event event) {
+      if (alive) {
+        event.at(timers.nowMillis()).forEach(this::act);
+        wake();
+      }
+      if (!alive && !closed) {
+        closed = true;
+        caller.connectionLost();
+      }
+    }
+
+    private void wake() {
+      long at = call.nextWakeMillis();
+      if (at != Long.MAX_VALUE) {
+        timers.after(at - timers.nowMillis(), () -> step(call::onTimer));
+      }
+    }
+
+    private void act(CallAction action) {
+      if (!alive || dies(action)) {
+        return;
+      }
+      if (action instanceof CallAction.ProposeIntent a) {
+        proposeIntent(a.command());
+      } else if (action instanceof CallAction.ProposeRecord a) {
+        propose(a.command(), r -> step(now -> call.onRecordResult(r, now)));
+      } else if (action instanceof CallAction.PollLedger a) {
+        ledger.lookup(a.workspace(), a.key(), r -> step(now -> call.onPollResult(r, now)));
+      } else if (action instanceof CallAction.Dispatch) {
+        service.send(attempt.toString(), key, new Client());
+      } else {
+        answer(action);
+      }
+    }
+
+    private boolean dies(CallAction action) {
+      Step step = stepOf(action);
+      if (step == null || step != killStep) {
+        return false;
+      }
+      kill();
+      return true;
+    }
+
+    private @Nullable Step stepOf(CallAction action) {
+      if (action instanceof CallAction.ProposeIntent) {
+        return Step.INTENT;
+      }
+      if (action instanceof CallAction.Dispatch) {
+        return Step.DISPATCH;
+      }
+      if (action instanceof CallAction.ProposeRecord) {
+        return Step.OUTCOME;
+      }
+      return action instanceof CallAction.AnswerWhole ? Step.REPLY : null;
+    }
+
+    private void proposeIntent(LedgerCommand command) {
+      propose(command, r -> step(now -> call.onIntentResult(intentFilter.apply(r), now)));
+    }
+
+    private void propose(LedgerCommand command, Consumer<LedgerResult> reply) {
+      if (!ledger.propose(command, reply)) {
+        step(call::onLedgerUnreachable);
+      }
+    }
+
+    private void answer(CallAction action) {
+      if (action instanceof CallAction.AnswerProblem p && p.outcome() == CallOutcome.NOT_RUN) {
+        service.declareNotRun(attempt.toString());
+      }
+      closed = true;
+      caller.answered(action);
+    }
+
+    private final class Client implements FakePlainService.Client {
+      @Override
+      public void notWritten() {
+        step(now -> call.onNotWritten(now % 2 == 0, now));
+      }
+
+      @Override
+      public void connectionLost() {
+        step(call::onConnectionLost);
+      }
+
+      @Override
+      public void answered(StoredAnswer answer) {
+        step(now -> call.onAnswer(answer, now));
+      }
+    }
+  }
+
+  private interface Event {
+    List<CallAction> at(long nowMillis);
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/ledger/AtMostOnceRandomTest.java
@@ -0,0 +1,139 @@
+package org.ebonypond.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.ebonypond.Seeds;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.junit.SimulatedEntry;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Runs callers that retry against entries that die, a ledger whose messages are lost, delayed and
+ * doubled, and a service that is slow, refuses and breaks off. The fakes fail the run on a second
+ * execution, on a false not-run, and on replicas that differ.
+ */
+class AtMostOnceRandomTest {
+  private static final int KEYS = 60;
+  private static final long TIMEOUT_MILLIS = 2_000;
+
+  static LongStream seeds() {
+    return Seeds.all();
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void callsRunAtMostOnceAndAnswersAreTrue(long seed) {
+    Run run = new Run(seed);
+    for (int i = 0; i < 2_000; i++) {
+      run.disturb();
+      run.fixture.timers.advance(10);
+    }
+    run.settle();
+  }
+
+  private static final class Run {
+    private final Random random;
+    private final CallFixture fixture;
+    private final List<SimulatedEntry> entries = new ArrayList<>();
+    private final List<Caller> callers = new ArrayList<>();
+    private final long[] incarnations = {1, 1, 1};
+
+    Run(long seed) {
+      random = new Random(seed);
+      fixture = new CallFixture(seed, 100_000);
+      for (int i = 0; i < incarnations.length; i++) {
+        entries.add(fixture.entry("e" + i, 1));
+      }
+      fixture.ledgerFaults.set(0.1, 0.1, 0.2, 3_000);
+      fixture.serviceFaults.set(0, 0, 0.1, 800);
+      fixture.service.set(() -> random.nextInt(8) == 0 ? 4_000 : 20, 0.1, 0.1);
+    }
+
+    void disturb() {
+      if (random.nextInt(4) == 0) {
+        String key = "k" + random.nextInt(KEYS);
+        Caller c = new Caller(key);
+        callers.add(c);
+        int at = random.nextInt(entries.size());
+        c.call = entries.get(at).submit(key, "body of " + key, TIMEOUT_MILLIS, c);
+        if (random.nextInt(20) == 0) {
+          c.gone = true;
+          fixture.timers.after(random.nextInt(500), c.call::leave);
+        }
+      }
+      if (random.nextInt(150) == 0) {
+        int at = random.nextInt(entries.size());
+        entries.get(at).kill();
+        entries.set(at, fixture.entry("e" + at, ++incarnations[at]));
+        entries.get(at).register();
+      }
+      if (random.nextInt(200) == 0) {
+        fixture.ledger.setReachable(false);
+        fixture.timers.after(random.nextInt(5_000), () -> fixture.ledger.setReachable(true));
+      }
+    }
+
+    /** Ends the faults and checks that each request has one answer and each key is consistent. */
+    void settle() {
+      fixture.timers.advance(120_000);
+      fixture.ledgerFaults.clear();
+      fixture.serviceFaults.clear();
+      fixture.ledger.setReachable(true);
+      fixture.service.set(() -> 20, 0, 0);
+      fixture.timers.advance(120_000);
+      callers.forEach(Caller::check);
+      for (int k = 0; k < KEYS; k++) {
+        int before = fixture.service.executions("k" + k);
+        CallAction answer = fixture.ask(entries.get(0), "k" + k, TIMEOUT_MILLIS);
+        if (answer instanceof CallAction.AnswerWhole) {
+          assertEquals(CallFixture.whole("k" + k, before == 1), answer);
+        } else {
+          assertEquals(CallOutcome.OUTCOME_UNKNOWN, CallFixture.problem(answer).outcome());
+        }
+      }
+    }
+
+    private final class Caller implements SimulatedEntry.Caller {
+      private final String key;
+      private SimulatedEntry.Running call;
+      private final long deadline = fixture.timers.nowMillis() + TIMEOUT_MILLIS;
+      private int ends;
+      private boolean gone;
+
+      Caller(String key) {
+        this.key = key;
+      }
+
+      @Override
+      public void answered(CallAction answer) {
+        ends++;
+        assertTrue(fixture.timers.nowMillis() <= deadline, "answered after the deadline");
+        if (answer instanceof CallAction.AnswerWhole w) {
+          assertEquals(CallFixture.whole(key, w.replayed()), answer);
+          assertEquals(1, fixture.service.executions(key));
+        }
+        // Without a reply of the ledger, not-run speaks of this request only, not of its key.
+        if (answer instanceof CallAction.AnswerProblem p
+            && p.outcome() == CallOutcome.NOT_RUN
+            && p.code() != ErrorCode.NO_QUORUM) {
+          assertEquals(0, fixture.service.executions(key));
+        }
+      }
+
+      @Override
+      public void connectionLost() {
+        ends++;
+      }
+
+      void check() {
+        assertTrue(ends == 1 || (gone && ends == 0), "answers of " + key + ": " + ends);
+      }
+    }
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/lease/ShareHolder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/lease/ShareHolder.java
@@ -125,23 +125,32 @@
     return new ShareRequest(id, sequence, ack, items);
   }
 
-  /** Takes a grant. Grants of older requests, other processes and lower terms are ignored. */
-  public void onGrant(ShareGrant grant) {
+  /**
+   * Takes a grant. Grants of older requests, other processes and lower terms are ignored.
+   *
+   * @return whether a share shrank; the next request should go out at once, because the leader can
+   *     give the slots to others only when it knows that this grant is in force
+   */
+  public boolean onGrant(ShareGrant grant) {
     Long sentMillis = sent.get(grant.sequence());
     boolean mine = grant.holder().equals(id) && sentMillis != null && grant.sequence() > ack;
     if (!mine || grant.term() < term) {
-      return;
+      return false;
     }
     ack = grant.sequence();
     term = grant.term();
     Map<ShareTarget, ShareGrant.Item> items = new HashMap<>();
     grant.items().forEach(i -> items.put(i.target(), i));
+    boolean shrank = false;
     for (Slot s : slots.values()) {
       ShareGrant.Item i = items.get(s.target);
-      s.granted = i == null ? 0 : i.slots();
+      int granted = i == null ? 0 : i.slots();
+      shrank |= granted < s.granted;
+      s.granted = granted;
       s.validUntil = sentMillis + ShareAllocator.LEASE_MILLIS;
       s.warm |= i != null && i.warm();
     }
+    return shrank;
   }
 
   /**
