--- a/org.ebonypond.test/src/test/java/org/ebonypond/lease/ShareAllocatorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/lease/ShareAllocatorTest.java
@@ -164,6 +164,36 @@
     assertTrue(h.tryStart(TARGET, 410));
   }
 
+  /** Guards against a request that is forgotten because late news named an earlier boot. */
+  @Test
+  void lateNewsOfAnEarlierBootKeepsCounts() {
+    start(4, 1);
+    ShareHolder h = holders.get(0);
+    renew(h, 0);
+    assertTrue(h.tryStart(TARGET, 10));
+    h.onBoot(new ShareTarget("s", "b0"));
+    h.onBoot(TARGET);
+    assertEquals(1, h.request(20).items().get(0).inFlight());
+  }
+
+  /** Guards against lapsed requests that are taken for lost ones of a live holder. */
+  @Test
+  void lostRequestsDoNotAccountForActiveOnes() {
+    start(4, 2);
+    for (long now = 0; now <= 500; now += 100) {
+      renewAll(now);
+    }
+    ShareHolder live = holders.get(1);
+    assertTrue(live.tryStart(TARGET, 600));
+    live.lost(TARGET, 610);
+    for (long now = 1_000; now <= 6_000; now += 500) {
+      renew(live, now);
+      leader.onLoad(TARGET, now, 2);
+    }
+    // Two requests of the lapsed holder, and the slot of the lost one.
+    assertEquals(1, live.free(TARGET, 6_000));
+  }
+
   /** Guards against grants of a new leader before it knows what earlier shares still run. */
   @Test
   void newLeaderWaitsForTheLeaseAndForReport() {
--- a/org.ebonypond/src/main/java/org/ebonypond/lease/Holding.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/lease/Holding.java
@@ -17,11 +17,11 @@
   private final List<Grant> grants = new ArrayList<>();
   private final Deque<Sample> samples = new ArrayDeque<>();
   private int wanted;
-  private int inFlight;
+  private int busy;
 
   private record Grant(long sequence, int slots, long expiresMillis) {}
 
-  private record Sample(long handledMillis, int inFlight, long finished) {}
+  private record Sample(long handledMillis, int inFlight, long ended) {}
 
   /**
    * Takes one request of the holder.
@@ -37,7 +37,7 @@
     // expired, before the request was sent. Other grants may have been used since.
     grants.removeIf(g -> g.sequence < ack || g.expiresMillis <= ackHandledMillis);
     wanted = item == null ? 0 : item.wanted();
-    inFlight = item == null ? 0 : item.inFlight();
+    busy = item == null ? 0 : item.inFlight() + item.lost();
     if (item == null) {
       samples.clear();
       return;
@@ -45,12 +45,12 @@
     if (samples.size() == MAX_SAMPLES) {
       samples.removeFirst();
     }
-    samples.addLast(new Sample(nowMillis, inFlight, item.finished()));
+    samples.addLast(new Sample(nowMillis, item.inFlight(), item.ended()));
   }
 
   /** Assumes requests that nobody reported. */
   void assume(int requests) {
-    inFlight = requests;
+    busy = requests;
   }
 
   void addGrant(long sequence, int slots, long expiresMillis) {
@@ -67,7 +67,7 @@
 
   /** Returns the most requests that the holder may have in flight. */
   int charge() {
-    int n = inFlight;
+    int n = busy;
     for (Grant g : grants) {
       n = Math.max(n, g.slots);
     }
@@ -84,7 +84,8 @@
 
   /**
    * Returns how many requests were in flight during the whole time up to the last request, since
-   * the last request that was handled by the given time.
+   * the last request that was handled by the given time. Lost requests do not count, because the
+   * holder does not learn of their end.
    */
   int surelyActive(long sinceMillis) {
     Sample base = null;
@@ -96,6 +97,6 @@
     if (base == null) {
       return 0;
     }
-    return (int) Math.max(0, base.inFlight - (samples.getLast().finished - base.finished));
+    return (int) Math.max(0, base.inFlight - (samples.getLast().ended - base.ended));
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/lease/ShareHolder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/lease/ShareHolder.java
@@ -5,10 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
-import org.jspecify.annotations.Nullable;
 
 /**
  * An entry's shares of starting backend servers. No request starts without a free slot of a share
@@ -21,12 +19,18 @@
   /** Requests older than this many can no longer bring a lease. */
   private static final int MAX_SENT = 16;
 
+  /** Earlier boots of one server whose requests are still counted. */
+  private static final int MAX_EARLIER_BOOTS = 4;
+
   private final HolderId id;
   private final LinkedHashMap<Long, Long> sent = new LinkedHashMap<>();
-  private final TreeMap<String, Slot> slots = new TreeMap<>();
+  // In order of first use. Slots of earlier boots stay while the server may run their requests,
+  // because late news can name an earlier boot as the current one.
+  private final LinkedHashMap<ShareTarget, Slot> slots = new LinkedHashMap<>();
+  private final Map<String, ShareTarget> current = new HashMap<>();
   // New slots start at this count, so that a slot that is removed and added again never counts
   // back.
-  private long totalFinished;
+  private long totalEnded;
   private long sequence;
   private long ack;
   private long term;
@@ -38,14 +42,14 @@
     private int inFlight;
     private int lost;
     private long lostMillis = Long.MIN_VALUE;
-    private long finished;
+    private long ended;
     private int granted;
     private long validUntil = Long.MIN_VALUE;
     private boolean warm;
 
-    Slot(ShareTarget target, long finished) {
+    Slot(ShareTarget target, long ended) {
       this.target = target;
-      this.finished = finished;
+      this.ended = ended;
     }
 
     /** Returns the requests that the server may still run. */
@@ -65,12 +69,13 @@
 
   /**
    * Makes a boot identity the current one of a backend server. The shares of another boot are void
-   * at once, and its requests are no longer counted.
+   * at once.
    */
   public void onBoot(ShareTarget target) {
-    Slot s = slots.get(target.name());
-    if (s == null || !s.target.equals(target)) {
-      slots.put(target.name(), new Slot(target, totalFinished));
+    if (!target.equals(current.get(target.name()))) {
+      remove(target.name());
+      current.put(target.name(), target);
+      slots.computeIfAbsent(target, t -> new Slot(t, totalEnded));
     }
   }
 
@@ -79,15 +84,18 @@
    * stay counted, because it may come back with the same boot identity.
    */
   public void remove(String name) {
-    Slot s = slots.get(name);
+    ShareTarget target = current.remove(name);
+    Slot s = target == null ? null : slots.get(target);
     if (s == null) {
       return;
     }
     s.granted = 0;
     s.demand = 0;
+    s.warm = false;
     if (s.busy() == 0) {
-      slots.remove(name);
+      slots.remove(target);
     }
+    prune(name);
   }
 
   /**
@@ -97,8 +105,8 @@
    * @param waiting the requests that could start at once if there were slots
    */
   public void setWaiting(ShareTarget target, int waiting) {
-    Slot s = find(target);
-    if (s != null) {
+    Slot s = slots.get(target);
+    if (s != null && isCurrent(target)) {
       s.demand = waiting;
     }
   }
@@ -119,7 +127,7 @@
       int wanted = s.busy() + s.demand;
       boolean held = s.granted > 0 && nowMillis < s.validUntil;
       if (wanted > 0 || (held && !s.warm)) {
-        items.add(new ShareRequest.Item(s.target, wanted, s.busy(), s.finished));
+        items.add(new ShareRequest.Item(s.target, wanted, s.inFlight, s.lost, s.ended));
       }
     }
     return new ShareRequest(id, sequence, ack, items);
@@ -161,8 +169,8 @@
    * @return whether the request counts as in flight; if so, {@link #finished} must follow
    */
   public boolean tryStart(ShareTarget target, long nowMillis) {
-    Slot s = find(target);
-    if (s == null || !(s.warm || hasSlot(s, nowMillis))) {
+    Slot s = slots.get(target);
+    if (s == null || !isCurrent(target) || !(s.warm || hasSlot(s, nowMillis))) {
       return false;
     }
     s.inFlight++;
@@ -171,12 +179,11 @@
 
   /** Ends a request that {@link #tryStart} started and that the server runs no more. */
   public void finished(ShareTarget target) {
-    Slot s = find(target);
+    Slot s = slots.get(target);
     if (s == null) {
       return;
     }
     end(s);
-    count(s, 1);
   }
 
   /**
@@ -184,7 +191,7 @@
    * taken until a load report shows that it ended.
    */
   public void lost(ShareTarget target, long nowMillis) {
-    Slot s = find(target);
+    Slot s = slots.get(target);
     if (s == null) {
       return;
     }
@@ -201,26 +208,25 @@
    * @param active the requests that the server runs or queues
    */
   public void onLoad(ShareTarget target, long measuredMillis, int active) {
-    Slot s = find(target);
+    Slot s = slots.get(target);
     if (s == null || s.lost <= active) {
       return;
     }
     if (measuredMillis >= s.lostMillis + ShareAllocator.TRANSIT_MILLIS) {
-      count(s, s.lost - active);
       s.lost = active;
     }
   }
 
   /** Returns the requests that a target may run for this entry. */
   public int inFlight(ShareTarget target) {
-    Slot s = find(target);
+    Slot s = slots.get(target);
     return s == null ? 0 : s.busy();
   }
 
   /** Returns the requests that could start now; {@link Integer#MAX_VALUE} if the target is warm. */
   public int free(ShareTarget target, long nowMillis) {
-    Slot s = find(target);
-    if (s == null) {
+    Slot s = slots.get(target);
+    if (s == null || !isCurrent(target)) {
       return 0;
     }
     if (s.warm) {
@@ -229,25 +235,34 @@
     return nowMillis < s.validUntil ? Math.max(0, s.granted - s.busy()) : 0;
   }
 
-  private static void end(Slot s) {
+  private void end(Slot s) {
     if (s.inFlight == 0) {
       throw new EbonypondException(
           ErrorCode.INVARIANT_VIOLATED, "more requests ended than started at " + s.target);
     }
     s.inFlight--;
-  }
-
-  private void count(Slot s, int requests) {
-    s.finished += requests;
-    totalFinished += requests;
+    s.ended++;
+    totalEnded++;
   }
 
   private static boolean hasSlot(Slot s, long nowMillis) {
     return nowMillis < s.validUntil && s.busy() < s.granted;
   }
 
-  private @Nullable Slot find(ShareTarget target) {
-    Slot s = slots.get(target.name());
-    return s != null && s.target.equals(target) ? s : null;
+  private boolean isCurrent(ShareTarget target) {
+    return target.equals(current.get(target.name()));
+  }
+
+  /** Drops the slots of the oldest boots of a server. */
+  private void prune(String name) {
+    List<ShareTarget> boots = new ArrayList<>();
+    for (ShareTarget t : slots.keySet()) {
+      if (t.name().equals(name)) {
+        boots.add(t);
+      }
+    }
+    for (int i = 0; i < boots.size() - MAX_EARLIER_BOOTS; i++) {
+      slots.remove(boots.get(i));
+    }
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/lease/ShareRequest.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/lease/ShareRequest.java
@@ -23,7 +23,8 @@
    * @param target the target
    * @param wanted the slots that the holder can use now, including those in use
    * @param inFlight the requests in flight, whether or not their share has lapsed
-   * @param finished the requests that ended since the holder first used the target
+   * @param lost the requests whose connection was lost and that the server may still run
+   * @param ended a count that rises with each request that ends or is lost
    */
-  public record Item(ShareTarget target, int wanted, int inFlight, long finished) {}
+  public record Item(ShareTarget target, int wanted, int inFlight, int lost, long ended) {}
 }
