Prefer waiting requests whose prefix a free group holds

Once all groups were busy, each freed slot went to the request whose turn it was, wherever its prefix was cached. The cache hit share then fell to that of round-robin, which lowered the capacity and kept the groups busy: a request rate that the caches could carry collapsed to the rate without caches.

While few groups have a free slot, the router now chooses among the next 32 requests of the workspace whose turn it is. A request is passed over at most 16 times, and the shares between workspaces do not change.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/EntryModel.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/EntryModel.java
@@ -135,10 +135,25 @@
 
   @Override
   public Optional<Reservation> tryAcquire(AdmissionRequest r, long nowMillis) {
+    return router.choose(route(r), nowMillis);
+  }
+
+  @Override
+  public Optional<Grant<Reservation>> tryAcquireAny(
+      List<AdmissionRequest> requests, long nowMillis) {
+    return router
+        .chooseAny(requests.stream().map(this::route).toList(), nowMillis)
+        .map(x -> new Grant<>(byId(requests, x.request().id()), x));
+  }
+
+  private static AdmissionRequest byId(List<AdmissionRequest> requests, String id) {
+    return requests.stream().filter(r -> r.id().equals(id)).findFirst().orElseThrow();
+  }
+
+  private RouteRequest route(AdmissionRequest r) {
     Workload.Arrival a = call(r.id(), false).arrival;
-    return router.choose(
-        RouteRequest.model(r.id(), BenchViews.MODEL, a.workspace(), a.promptTokens(), a.prompt()),
-        nowMillis);
+    return RouteRequest.model(
+        r.id(), BenchViews.MODEL, a.workspace(), a.promptTokens(), a.prompt());
   }
 
   @Override
--- a/org.ebonypond.test/src/test/java/org/ebonypond/admission/FairQueueTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/admission/FairQueueTest.java
@@ -100,6 +100,28 @@
     assertEquals(9_000, served, 200);
   }
 
+  /** Guards against a request that others with a cached prefix pass over for ever. */
+  @Test
+  void passesOverBoundedNumberOfTimes() {
+    queue.configure(List.of(new WorkspaceSpec("a", 1, 100)));
+    for (int i = 0; i < 40; i++) {
+      queue.offer(request("r" + i, "a", 5, 10), 0);
+    }
+    int passes = 0;
+    while (true) {
+      List<FairQueue.Waiting> next = queue.peek(1, 8);
+      assertEquals("r0", next.get(0).request().id());
+      if (next.size() == 1) {
+        break;
+      }
+      queue.serve(next.get(next.size() - 1));
+      passes++;
+    }
+    assertEquals(FairQueue.MAX_PASSES, passes);
+    next(1);
+    assertEquals(8, queue.peek(1, 8).size());
+  }
+
   /** Guards against lost, doubled or invented requests and a queue above its bound. */
   @ParameterizedTest
   @MethodSource("org.ebonypond.routing.Seeds#all")
--- a/org.ebonypond.test/src/test/java/org/ebonypond/routing/LoadEstimatorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/routing/LoadEstimatorTest.java
@@ -115,5 +115,10 @@
     public boolean prefersSubset() {
       return false;
     }
+
+    @Override
+    public boolean usesPrefixes() {
+      return false;
+    }
   }
 }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/routing/RouterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/routing/RouterTest.java
@@ -195,6 +195,25 @@
         byZone.get("z0") < 25 && byZone.get("z1") > 10 && byZone.get("z2") > 10, "" + byZone);
   }
 
+  /** Guards against a cache that goes unused once all groups are busy. */
+  @Test
+  void choosesWaitingRequestWhosePrefixFreeTargetHolds() {
+    Router router = router("prefix-tokens", parts, SlotLimiter.NONE, 1);
+    Views v = new Views(1).withGroups(2);
+    router.onView(v.view());
+    PromptBlocks known = PromptBlocks.ofHashes(1, 2, 3);
+    router.onCacheEvents("g1a", "boot1", List.of(new CacheEvent(1, true, known)));
+    List<RouteRequest> waiting =
+        List.of(
+            RouteRequest.model("a", Views.MODEL, "w", 200, PromptBlocks.ofHashes(7, 8, 9)),
+            RouteRequest.model("b", Views.MODEL, "w", 200, known));
+    Reservation first = router.chooseAny(waiting, 0).orElseThrow();
+    assertEquals("b", first.request().id());
+    assertEquals("g1", first.target().name());
+    assertEquals("a", router.chooseAny(waiting, 0).orElseThrow().request().id());
+    assertTrue(router.chooseAny(waiting, 0).isEmpty());
+  }
+
   /** Guards against a subset that is reshuffled, and caches that go cold, when one group leaves. */
   @Test
   void subsetChangesLittleWhenGroupLeaves() {
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/AdmissionController.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/AdmissionController.java
@@ -29,6 +29,9 @@
    */
   private static final double WAIT_MARGIN = 1.25;
 
+  /** The requests of a workspace among which one with a cached prefix may go first. */
+  private static final int LOOK_AHEAD = 32;
+
   private final SlotSource<R> slots;
   private final ServiceRates rates;
   private final Map<String, Pool> pools = new ConcurrentHashMap<>();
@@ -134,18 +137,20 @@
 
   private void serve(Pool p, List<Decision<R>> out, long now) {
     while (true) {
-      Optional<Waiting> next = p.queue.peek(now);
+      List<Waiting> next = p.queue.peek(now, LOOK_AHEAD);
       if (next.isEmpty()) {
         return;
       }
-      AdmissionRequest r = next.get().request();
-      Optional<R> slot = slots.tryAcquire(r, now);
-      if (slot.isEmpty()) {
+      Optional<SlotSource.Grant<R>> grant =
+          slots.tryAcquireAny(next.stream().map(Waiting::request).toList(), now);
+      if (grant.isEmpty()) {
         return;
       }
-      p.queue.serve(next.get());
+      AdmissionRequest r = grant.get().request();
+      Waiting served = next.stream().filter(w -> w.request() == r).findFirst().orElseThrow();
+      p.queue.serve(served);
       rates.onDispatched(r.pool(), r.tokens(), now);
-      out.add(new Decision.Admitted<>(r, slot.get(), now - next.get().sinceMillis()));
+      out.add(new Decision.Admitted<>(r, grant.get().reservation(), now - served.sinceMillis()));
     }
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/FairQueue.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/FairQueue.java
@@ -26,6 +26,9 @@
    */
   public static final long AGING_MILLIS = 1_000;
 
+  /** How often a request may be passed over by others of its workspace and priority. */
+  public static final int MAX_PASSES = 16;
+
   private static final int LEVELS = AdmissionRequest.MAX_PRIORITY + 1;
 
   private final Map<String, Lane> lanes = new TreeMap<>();
@@ -87,19 +90,32 @@
     return true;
   }
 
-  /** Returns the request that is served next. */
+  /** Returns the request whose turn it is. */
   public Optional<Waiting> peek(long nowMillis) {
+    List<Waiting> first = peek(nowMillis, 1);
+    return first.isEmpty() ? Optional.empty() : Optional.of(first.get(0));
+  }
+
+  /**
+   * Returns the requests that may be served next: the one whose turn it is, then others of the same
+   * workspace and priority. Once it was passed over {@link #MAX_PASSES} times, it is the only one.
+   *
+   * @param nowMillis the monotonic time in milliseconds
+   * @param limit the most requests to return, at least 1
+   */
+  public List<Waiting> peek(long nowMillis, int limit) {
     Lane best = null;
     for (Lane l : lanes.values()) {
       if (l.count > 0 && (best == null || l.virtual < best.virtual)) {
         best = l;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(best.head(nowMillis));
+    return best == null ? List.of() : best.next(nowMillis, limit);
   }
 
   /** Removes a request that is served now and charges its workspace. */
   public void serve(Waiting w) {
+    lane(w.request().workspace()).countPass(w);
     remove(w);
     charge(w.request());
   }
@@ -214,6 +230,8 @@
     private int count;
     private long tokens;
     private double virtual;
+    private String passed = "";
+    private int passes;
 
     Lane() {
       for (int i = 0; i < LEVELS; i++) {
@@ -262,6 +280,34 @@
       return best;
     }
 
+    List<Waiting> next(long now, int limit) {
+      Waiting head = head(now);
+      List<Waiting> out = new ArrayList<>();
+      out.add(head);
+      if (head.request().id().equals(passed) && passes >= MAX_PASSES) {
+        return out;
+      }
+      for (Waiting w : levels.get(head.request().priority()).values()) {
+        if (out.size() >= limit) {
+          break;
+        }
+        if (w != head) {
+          out.add(w);
+        }
+      }
+      return out;
+    }
+
+    /** Counts how often the first request of the served one's level was passed over. */
+    void countPass(Waiting served) {
+      Waiting first = levels.get(served.request().priority()).values().iterator().next();
+      if (first == served) {
+        return;
+      }
+      passes = first.request().id().equals(passed) ? passes + 1 : 1;
+      passed = first.request().id();
+    }
+
     void forEach(java.util.function.Consumer<Waiting> c) {
       levels.forEach(l -> l.values().forEach(c));
     }
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/LeastOutstandingPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/LeastOutstandingPolicy.java
@@ -18,4 +18,9 @@
   public boolean prefersSubset() {
     return false;
   }
+
+  @Override
+  public boolean usesPrefixes() {
+    return false;
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/PrefixTokensPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/PrefixTokensPolicy.java
@@ -45,6 +45,11 @@
     return true;
   }
 
+  @Override
+  public boolean usesPrefixes() {
+    return true;
+  }
+
   private static Set<Target> candidates(
       RouteRequest request, List<Target> usable, Context context) {
     Set<Target> out = new LinkedHashSet<>();
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/RoundRobinPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/RoundRobinPolicy.java
@@ -24,4 +24,9 @@
   public boolean prefersSubset() {
     return false;
   }
+
+  @Override
+  public boolean usesPrefixes() {
+    return false;
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -26,6 +26,9 @@
   /** The load in tokens that a plain call counts as, to compare it with the zone penalty. */
   static final long CALL_TOKENS = 64;
 
+  /** Up to this number of targets with free slots the pool counts as saturated. */
+  private static final int FEW_FREE = 4;
+
   private static final int STRIPES = 16;
 
   private final RouterSettings settings;
@@ -173,6 +176,52 @@
     return reserve(c, usable(p.all(), r, Set.of()));
   }
 
+  /**
+   * Chooses one of several waiting requests and a target for it. While few targets have a free
+   * slot, it is the request with the largest part of its prompt cached at one of them; otherwise,
+   * or if none has any part cached, it is the first.
+   *
+   * @param requests requests of one pool, the one whose turn it is first; not empty
+   * @param nowMillis the monotonic time in milliseconds
+   * @return the reservation, which names the chosen request, or empty if there is no free slot
+   * @throws EbonypondException as {@link #choose}
+   */
+  public Optional<Reservation> chooseAny(List<RouteRequest> requests, long nowMillis) {
+    RouteRequest head = requests.get(0);
+    Snapshot s = snapshot;
+    String poolKey = Target.poolKey(head.kind(), head.pool());
+    TargetPool p = s.pools.get(poolKey);
+    if (requests.size() == 1 || p == null || !policy.usesPrefixes()) {
+      return choose(head, nowMillis);
+    }
+    Set<String> ejected = parts.stragglers().ejected(poolKey);
+    List<Target> free = new ArrayList<>();
+    for (Target t : p.subset()) {
+      if (parts.load().estimate(t, nowMillis).requests() < t.maxConcurrency()) {
+        free.add(t);
+      }
+    }
+    if (free.isEmpty() || free.size() > FEW_FREE) {
+      return choose(head, nowMillis);
+    }
+    Choice best = null;
+    Target target = null;
+    double bestShare = 0;
+    for (RouteRequest r : requests) {
+      Choice c = new Choice(s.table, r, nowMillis, random(r.id()));
+      for (Target t : free) {
+        double share = c.cachedTokens(t, r) / Math.max(1, r.promptTokens());
+        if (share > bestShare && isUsable(t, r, ejected)) {
+          best = c;
+          target = t;
+          bestShare = share;
+        }
+      }
+    }
+    Reservation x = best == null || target == null ? null : best.take(target);
+    return x == null ? choose(head, nowMillis) : Optional.of(x);
+  }
+
   private Optional<Reservation> probe(Choice c, TargetPool p, String poolKey, Set<String> ejected) {
     for (Target t : p.all()) {
       if (ejected.contains(t.key())
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/RoutingPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/RoutingPolicy.java
@@ -23,6 +23,9 @@
   /** Returns whether the policy ranks a subset of the targets first when there are many. */
   boolean prefersSubset();
 
+  /** Returns whether the policy considers prefix caches. */
+  boolean usesPrefixes();
+
   /** What a policy may consider besides the request. */
   interface Context {
     /** Returns the estimated load of a target. */
