Add a load tool and process-level failure scenarios

scripts/failures runs the small system under open-loop load, kills, freezes and drains its processes, and lets the stand-ins judge.

--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/load/Tally.java
@@ -0,0 +1,87 @@
+package org.ebonypond.bench.load;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** Counts verdicts over the run and by second. Thread-safe. */
+final class Tally {
+  private static final int DIGITS = 3;
+
+  private final Map<Verdict, Integer> counts = new EnumMap<>(Verdict.class);
+  private final Map<Long, Map<Verdict, Integer>> bySecond = new TreeMap<>();
+  private final Histogram millis = new Histogram(DIGITS);
+  private final List<String> notRunKeys = new ArrayList<>();
+  private final Map<String, Integer> details = new TreeMap<>();
+
+  /**
+   * Takes a verdict.
+   *
+   * @param second the second of the run at which the request was due
+   * @param latencyMillis from the time at which it was due to the end of its answer
+   */
+  synchronized void add(Call c, Verdict v, long second, long latencyMillis, String detail) {
+    counts.merge(v, 1, Integer::sum);
+    bySecond.computeIfAbsent(second, s -> new EnumMap<>(Verdict.class)).merge(v, 1, Integer::sum);
+    if (v == Verdict.CORRECT) {
+      millis.recordValue(latencyMillis);
+    } else {
+      details.merge(v + " " + detail, 1, Integer::sum);
+    }
+    if (v == Verdict.NOT_RUN && c.key() != null) {
+      notRunKeys.add(c.key());
+    }
+  }
+
+  synchronized int total() {
+    return counts.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  synchronized int count(Verdict v) {
+    return counts.getOrDefault(v, 0);
+  }
+
+  /** Returns the keys whose last answer said that the call was not run. */
+  synchronized List<String> notRunKeys() {
+    return List.copyOf(notRunKeys);
+  }
+
+  synchronized String summary() {
+    return String.format(
+        "total %d, %s, latency of correct answers ms p50 %d p95 %d p99 %d max %d",
+        total(),
+        counts,
+        millis.getValueAtPercentile(50),
+        millis.getValueAtPercentile(95),
+        millis.getValueAtPercentile(99),
+        millis.getMaxValue());
+  }
+
+  synchronized List<String> details() {
+    List<String> out = new ArrayList<>();
+    details.forEach((d, n) -> out.add(n + " x " + d));
+    return out;
+  }
+
+  /** Returns one CSV line for each second: the second and the count of each verdict. */
+  synchronized List<String> csv() {
+    List<String> out = new ArrayList<>();
+    StringBuilder head = new StringBuilder("second");
+    for (Verdict v : Verdict.values()) {
+      head.append(',').append(v.name().toLowerCase(java.util.Locale.ROOT));
+    }
+    out.add(head.toString());
+    bySecond.forEach(
+        (second, m) -> {
+          StringBuilder line = new StringBuilder(String.valueOf(second));
+          for (Verdict v : Verdict.values()) {
+            line.append(',').append(m.getOrDefault(v, 0));
+          }
+          out.add(line.toString());
+        });
+    return out;
+  }
+}
