Close two gaps in the tests of the engine stand-in

Trials with deliberate faults showed that reversed priorities and requests that were not dropped on a new load order went unnoticed.

The priority test now leaves one free place in the batch, and a new test loads other weights under a running request.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/EngineTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/junit/http/EngineTest.java
@@ -152,6 +152,21 @@
     assertEquals(0L, count(e, "overloads"));
   }
 
+  /** Guards against requests that hang, or a warm engine, after its weights were replaced. */
+  @Test
+  void newWeightsDropRequestsAndStartCold() {
+    Engine e = loaded(true, ZERO);
+    clock.advance(10_000);
+    submit(e);
+    EngineOrder other =
+        new EngineOrder(6, "load", "m", "2", List.of("lora"), "g", 0, List.of(ZERO));
+    e.order(other, clock.nowMillis());
+    assertTrue(sinks.get(0).dropped);
+    clock.advance(LOAD_MILLIS + WEIGHT_MILLIS);
+    e.advance(clock.nowMillis());
+    assertEquals(2, e.lifecycle().ceiling(clock.nowMillis()));
+  }
+
   /** Guards against a dispatch that reaches an engine which restarted in silence. */
   @Test
   void otherBootIsNotRun() {
@@ -224,13 +239,13 @@
     Engine e = loaded(true, ZERO);
     clock.advance(10_000);
     submit(e, "a", 2, 0, 5);
-    submit(e, "b", 2, 0, 5);
+    submit(e, "b", 50, 0, 5);
     e.advance(clock.nowMillis());
     submit(e, "low", 2, 0, 1);
     submit(e, "high", 2, 1, 9);
     assertEquals(2, e.load(clock.nowMillis(), 0).active());
     assertEquals(2, e.load(clock.nowMillis(), 0).waiting());
-    assertEquals(7, e.load(clock.nowMillis(), 0).tokens());
+    assertEquals(55, e.load(clock.nowMillis(), 0).tokens());
     clock.advance(2 * STEP_MILLIS);
     e.advance(clock.nowMillis());
     clock.advance(STEP_MILLIS);
