--- a/org.ebonypond.pgm.test/src/test/java/org/ebonypond/pgm/EventCommandsTest.java
+++ b/org.ebonypond.pgm.test/src/test/java/org/ebonypond/pgm/EventCommandsTest.java
@@ -76,6 +76,22 @@
     assertEquals(List.of("a/1", "b/1", "a/2", "b/2"), ids());
   }
 
+  /** Guards against losing the events of an entry that has restarted since the last poll. */
+  @Test
+  void followReadsRestartedEntryFromStart() {
+    int[] polls = {0};
+    pause =
+        millis -> {
+          String page = page("a", 1, event("a/r1", NOW, "DAEMON_STARTED", "node/a", ""));
+          first.answer(EVENTS + 2, 200, page("a", 1));
+          first.answer(EVENTS + 0, 200, page);
+          first.answer(EVENTS + 1, 200, page("a", 1));
+          return polls[0]++ < 2;
+        };
+    assertEquals(0, run("timeline", "--follow"));
+    assertEquals(List.of("a/1", "b/1", "a/2", "a/r1"), ids());
+  }
+
   /** Guards against a timeline that fails as a whole because one entry is down. */
   @Test
   void entryThatIsDownIsPassedOver() throws IOException {
--- a/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/EventReader.java
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/EventReader.java
@@ -71,9 +71,14 @@
         throw new IOException(Problem.of(a).detail());
       }
       JsonNode n = ToolCommand.parse(a);
+      long next = n.path("next").asLong(after);
+      if (next < after) {
+        // The entry has restarted and numbers its events from the start.
+        positions.put(entry, 0L);
+        continue;
+      }
       String node = n.path("node").asText();
       n.path("events").forEach(e -> event(node, e).ifPresent(out::add));
-      long next = n.path("next").asLong(after);
       positions.put(entry, next);
       if (n.path("events").isEmpty() || next == after) {
         return;
