Learn how far waits exceed their estimate

The fixed factor of 1.25 on the estimated wait did not hold once requests pass each other for their cached prefixes: many were refused only after 20 s and more in the queue.

The factor is now learned for each pool so that nine in ten waits stay within it, between 1.25 and 4.

An early refusal lets the caller turn elsewhere, so nine in ten stays.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/admission/FairQueueTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/admission/FairQueueTest.java
@@ -40,14 +40,14 @@
     }
     queue.configure(specs);
     for (int i = 0; i < 5_000; i++) {
-      assertTrue(queue.offer(request("l" + i, "large", 9, 100), 0));
+      assertTrue(queue.offer(request("l" + i, "large", 9, 100), 0, 0));
     }
     for (int i = 0; i < 5; i++) {
       next(1);
     }
     for (int i = 0; i < 9; i++) {
       for (int k = 0; k < 10; k++) {
-        queue.offer(request(i + "-" + k, "small" + i, 0, 100), 2);
+        queue.offer(request(i + "-" + k, "small" + i, 0, 100), 0, 2);
       }
     }
     Map<String, Integer> served = new HashMap<>();
@@ -71,7 +71,7 @@
             new WorkspaceSpec("c", 1, 9_999)));
     for (int i = 0; i < 9_000; i++) {
       String w = List.of("a", "b", "c").get(i % 3);
-      queue.offer(request("r" + i, w, random.nextInt(10), 1 + random.nextInt(2_000)), 0);
+      queue.offer(request("r" + i, w, random.nextInt(10), 1 + random.nextInt(2_000)), 0, 0);
     }
     Map<String, Long> tokens = new HashMap<>();
     for (int i = 0; i < 2_000; i++) {
@@ -86,13 +86,13 @@
   @Test
   void urgentFirstButNoneStarves() {
     queue.configure(List.of(new WorkspaceSpec("a", 1, 100)));
-    queue.offer(request("low", "a", 0, 10), 0);
-    queue.offer(request("high", "a", 9, 10), 10);
+    queue.offer(request("low", "a", 0, 10), 0, 0);
+    queue.offer(request("high", "a", 9, 10), 0, 10);
     assertEquals("high", next(20).id());
     long served = -1;
     for (int i = 0; served < 0 && i < 1_000; i++) {
       long now = 100L * i;
-      queue.offer(request("h" + i, "a", 9, 10), now);
+      queue.offer(request("h" + i, "a", 9, 10), 0, now);
       if (next(now).id().equals("low")) {
         served = now;
       }
@@ -105,7 +105,7 @@
   void passesOverBoundedNumberOfTimes() {
     queue.configure(List.of(new WorkspaceSpec("a", 1, 100)));
     for (int i = 0; i < 40; i++) {
-      queue.offer(request("r" + i, "a", 5, 10), 0);
+      queue.offer(request("r" + i, "a", 5, 10), 0, 0);
     }
     int passes = 0;
     while (true) {
@@ -133,7 +133,7 @@
       String w = random.nextBoolean() ? "a" : "b";
       AdmissionRequest r = request("r" + i, w, random.nextInt(10), random.nextInt(500));
       boolean room = queue.size(w) < 20;
-      assertEquals(room, queue.offer(r, i));
+      assertEquals(room, queue.offer(r, 0, i));
       if (room) {
         waiting.add(r.id());
       }
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/AdmissionController.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/AdmissionController.java
@@ -23,12 +23,6 @@
    */
   public static final long NO_TARGET_GRACE_MILLIS = 1_000;
 
-  /**
-   * The factor by which a wait may exceed its estimate. Requests of other workspaces that arrive
-   * later may be served first, which the estimate on arrival cannot know.
-   */
-  private static final double WAIT_MARGIN = 1.25;
-
   /** The requests of a workspace among which one with a cached prefix may go first. */
   private static final int LOOK_AHEAD = 32;
 
@@ -85,10 +79,11 @@
     long ahead = p.queue.tokensAhead(r.workspace(), r.priority());
     long wait = rates.waitMillis(r.pool(), ahead + rates.meanTokens(r.pool()), now);
     long remaining = r.deadlineMillis() - now;
-    if (WAIT_MARGIN * wait + service > remaining) {
-      return tooClose(r, Math.round(WAIT_MARGIN * wait) + service, remaining);
+    long longest = Math.round(rates.waitMargin(r.pool()) * wait);
+    if (longest + service > remaining) {
+      return tooClose(r, longest + service, remaining);
     }
-    if (!p.queue.offer(r, now)) {
+    if (!p.queue.offer(r, wait, now)) {
       return new Decision.Refused<>(
           r, ErrorCode.QUEUE_FULL, RetryAfter.seconds(wait), wait + service);
     }
@@ -131,6 +126,7 @@
         p.queue.removeIf(
             w -> now + Math.max(1, service(w.request())) > w.request().deadlineMillis())) {
       AdmissionRequest r = w.request();
+      rates.onWaited(r.pool(), w.expectedWaitMillis(), now - w.sinceMillis());
       out.add(tooClose(r, service(r), r.deadlineMillis() - now));
     }
   }
@@ -150,6 +146,7 @@
       Waiting served = next.stream().filter(w -> w.request() == r).findFirst().orElseThrow();
       p.queue.serve(served);
       rates.onDispatched(r.pool(), r.tokens(), now);
+      rates.onWaited(r.pool(), served.expectedWaitMillis(), now - served.sinceMillis());
       out.add(new Decision.Admitted<>(r, grant.get().reservation(), now - served.sinceMillis()));
     }
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/FairQueue.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/FairQueue.java
@@ -41,8 +41,9 @@
    *
    * @param request the request
    * @param sinceMillis when it entered the queue, in milliseconds of the entry's clock
+   * @param expectedWaitMillis the wait that was estimated on arrival, in milliseconds
    */
-  public record Waiting(AdmissionRequest request, long sinceMillis) {}
+  public record Waiting(AdmissionRequest request, long sinceMillis, long expectedWaitMillis) {}
 
   /** Sets the workspaces. Requests of a workspace that is gone are served with weight 1. */
   public void configure(List<WorkspaceSpec> workspaces) {
@@ -68,16 +69,19 @@
   /**
    * Adds a request.
    *
+   * @param r the request
+   * @param expectedWaitMillis the estimated wait in milliseconds, kept with the request
+   * @param nowMillis the monotonic time in milliseconds
    * @return whether the workspace had room
    * @throws EbonypondException {@code unknown-workspace} if the workspace is not configured, {@code
    *     bad-request} if a request with the same identity is waiting
    */
-  public boolean offer(AdmissionRequest r, long nowMillis) {
+  public boolean offer(AdmissionRequest r, long expectedWaitMillis, long nowMillis) {
     Lane l = lane(r.workspace());
     if (l.count >= l.maxQueued) {
       return false;
     }
-    Waiting w = new Waiting(r, nowMillis);
+    Waiting w = new Waiting(r, nowMillis, expectedWaitMillis);
     if (byId.putIfAbsent(r.id(), w) != null) {
       throw new EbonypondException(
           ErrorCode.BAD_REQUEST, "request " + r.id() + " is already waiting");
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/ServiceRates.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/ServiceRates.java
@@ -18,6 +18,18 @@
   /** The weight that past answers keep with each new one: about the last hundred answers count. */
   private static final double KEEP = 0.99;
 
+  /** The share of waits that stay within the margin. */
+  private static final double WITHIN_MARGIN = 0.9;
+
+  /** How far one wait moves the margin. */
+  private static final double MARGIN_STEP = 0.05;
+
+  private static final double MIN_MARGIN = 1.25;
+  private static final double MAX_MARGIN = 4;
+
+  /** The least estimated wait in milliseconds that says something about the margin. */
+  private static final long MIN_WAIT_MILLIS = 100;
+
   private final Map<String, Pool> pools = new ConcurrentHashMap<>();
 
   private Pool pool(String name) {
@@ -93,6 +105,36 @@
     }
   }
 
+  /**
+   * Records how long a request waited, or at least waited if it was refused.
+   *
+   * @param pool the model or the service
+   * @param expectedMillis the wait estimated on arrival, in milliseconds
+   * @param actualMillis the wait in milliseconds
+   */
+  public void onWaited(String pool, long expectedMillis, long actualMillis) {
+    if (expectedMillis < MIN_WAIT_MILLIS) {
+      return;
+    }
+    Pool p = pool(pool);
+    synchronized (p) {
+      boolean within = actualMillis <= p.margin * expectedMillis;
+      double step = MARGIN_STEP * (within ? WITHIN_MARGIN - 1 : WITHIN_MARGIN);
+      p.margin = Math.max(MIN_MARGIN, Math.min(MAX_MARGIN, p.margin + step));
+    }
+  }
+
+  /**
+   * Returns the factor by which waits exceed their estimate, except for one in ten. Requests that
+   * arrive later may be served first, which the estimate on arrival cannot know.
+   */
+  public double waitMargin(String pool) {
+    Pool p = pool(pool);
+    synchronized (p) {
+      return p.margin;
+    }
+  }
+
   /** Returns the mean tokens of an answered request, or 0 if nothing was measured yet. */
   public long meanTokens(String pool) {
     Pool p = pool(pool);
@@ -117,6 +159,7 @@
     private long inFlightTokens;
     private double backlogMillis;
     private double drained;
+    private double margin = MIN_MARGIN;
     private double weight;
     private double sumX;
     private double sumY;
