Compare stragglers by the time between tokens and probe less

The time to the first token, which was compared, depends on the prompt's length and on what is cached. The probes, one per second from each entry, then carried more than a group's usual share and ignored prefixes.

Models are now compared by the mean time between tokens. Probes are 5 s apart, each slow one doubles the time up to 40 s, and answers to requests from before the ejection are no longer taken for probes.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/PolicyBench.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/PolicyBench.java
@@ -91,7 +91,9 @@
     warmUp.check();
     result.check();
     long prompt = after.prompt - before.prompt;
-    return result.line(policy, (double) (after.cached - before.cached) / Math.max(1, prompt));
+    int ejections = entries.stream().mapToInt(EntryModel::ejections).sum();
+    double cacheShare = (double) (after.cached - before.cached) / Math.max(1, prompt);
+    return result.line(policy, cacheShare, ejections);
   }
 
   private Totals totals() {
--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/PolicyResult.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/PolicyResult.java
@@ -48,10 +48,10 @@
 
   static String header() {
     return "policy             sent  in-time%  late refused(arrival/later)"
-        + "  ttft-ms p50/p95/p99     cache%  worst/best workspace in-time%";
+        + "  ttft-ms p50/p95/p99     cache%  worst/best workspace in-time%  ejections";
   }
 
-  String line(String policy, double cacheShare) {
+  String line(String policy, double cacheShare, int ejections) {
     double worst = 1;
     double best = 0;
     for (Workspace w : workspaces.values()) {
@@ -61,7 +61,7 @@
     }
     return String.format(
         Locale.ROOT,
-        "%-18s %5d  %7.2f %5d    %5d/%-5d           %6d/%6d/%6d   %6.1f    %.2f/%.2f",
+        "%-18s %5d  %7.2f %5d    %5d/%-5d           %6d/%6d/%6d   %6.1f    %.2f/%.2f   %d",
         policy,
         sent,
         100.0 * inTime / Math.max(1, sent),
@@ -73,7 +73,8 @@
         firstToken.getValueAtPercentile(99),
         100 * cacheShare,
         100 * worst,
-        100 * best);
+        100 * best,
+        ejections);
   }
 
   /** Throws if a request has no outcome or more than one. */
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Reservation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Reservation.java
@@ -62,8 +62,10 @@
    * Ends an answered attempt.
    *
    * @param outputTokens the tokens of the answer
-   * @param latencyMillis what the target is compared by with its peers: the time to the first token
-   *     of a model stream, or the time of a plain call
+   * @param latencyMillis what the target is compared by with its peers, in milliseconds: the mean
+   *     time between two tokens of a model stream, or the time of a plain call; NaN if there is
+   *     none. The time to the first token does not serve, since it depends on the prompt's length
+   *     and on what is cached.
    * @param nowMillis the monotonic time in milliseconds
    */
   public void complete(int outputTokens, double latencyMillis, long nowMillis) {
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -391,14 +391,16 @@
       if (t.kind() == InstanceKind.ENGINE) {
         parts.lengths().record(t.pool(), r.request().workspace(), outputTokens);
       }
-      parts.stragglers().record(t.poolKey(), t.key(), latencyMillis, now);
+      parts.stragglers().record(t.poolKey(), t.key(), latencyMillis, r.startedAtMillis(), now);
     }
 
     @Override
     public void failed(Reservation r, long now) {
       released(r, now);
       Target t = r.target();
-      parts.stragglers().record(t.poolKey(), t.key(), Double.POSITIVE_INFINITY, now);
+      parts
+          .stragglers()
+          .record(t.poolKey(), t.key(), Double.POSITIVE_INFINITY, r.startedAtMillis(), now);
     }
 
     @Override
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/StragglerDetector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/StragglerDetector.java
@@ -22,8 +22,15 @@
   /** The time in milliseconds over which answers count. */
   public static final long WINDOW_MILLIS = 30_000;
 
-  /** The time in milliseconds between two probes of an ejected target. */
-  public static final long PROBE_MILLIS = 1_000;
+  /**
+   * The time in milliseconds until the first probe of an ejected target and between probes that are
+   * answered in time; each slow one doubles it. Every entry sends probes, so that one per second
+   * from each of eight entries would exceed the usual share of a group.
+   */
+  public static final long PROBE_MILLIS = 5_000;
+
+  /** The longest time in milliseconds between two probes. */
+  public static final long MAX_PROBE_MILLIS = 40_000;
 
   /** The answers in time, in a row, after which an ejected target returns. */
   public static final int PROBES_TO_RESTORE = 3;
@@ -56,13 +63,19 @@
    *
    * @param pool the pool of targets that are compared with each other
    * @param key the target
-   * @param latencyMillis the latency in milliseconds, infinite for an attempt without an answer
+   * @param latencyMillis the latency in milliseconds, infinite for an attempt without an answer,
+   *     NaN if there is none
+   * @param startedAtMillis when the attempt started, in milliseconds of the entry's clock
    * @param nowMillis the monotonic time in milliseconds
    */
-  public void record(String pool, String key, double latencyMillis, long nowMillis) {
+  public void record(
+      String pool, String key, double latencyMillis, long startedAtMillis, long nowMillis) {
+    if (Double.isNaN(latencyMillis)) {
+      return;
+    }
     Pool p = pools.computeIfAbsent(pool, k -> new Pool());
     synchronized (p) {
-      p.record(key, latencyMillis, nowMillis);
+      p.record(key, latencyMillis, startedAtMillis, nowMillis);
     }
   }
 
@@ -98,7 +111,7 @@
     }
     synchronized (p) {
       Ejection e = p.ejections.get(key);
-      if (e == null || nowMillis - e.lastProbe < PROBE_MILLIS) {
+      if (e == null || nowMillis - e.lastProbe < e.interval) {
         return false;
       }
       e.lastProbe = nowMillis;
@@ -114,11 +127,14 @@
   private record Share(String key, double share) {}
 
   private static final class Ejection {
+    private final long since;
     private long lastProbe;
+    private long interval = PROBE_MILLIS;
     private int inTime;
     private final double slowShare;
 
     Ejection(long now, double slowShare) {
+      this.since = now;
       this.lastProbe = now;
       this.slowShare = slowShare;
     }
@@ -161,14 +177,24 @@
     private volatile Set<String> ejectedKeys = Set.of();
     private double slowAbove = Double.POSITIVE_INFINITY;
 
-    void record(String key, double latency, long now) {
+    void record(String key, double latency, long startedAt, long now) {
       Ejection e = ejections.get(key);
       if (e == null) {
         samples.computeIfAbsent(key, k -> new Samples()).add(latency, now);
         return;
       }
+      if (startedAt < e.since) {
+        // Not a probe but a request that was in flight when the target was ejected.
+        return;
+      }
       // Infinite latency is never in time, not even while the pool has no median.
-      e.inTime = latency <= slowAbove && Double.isFinite(latency) ? e.inTime + 1 : 0;
+      if (latency <= slowAbove && Double.isFinite(latency)) {
+        e.inTime++;
+        e.interval = PROBE_MILLIS;
+      } else {
+        e.inTime = 0;
+        e.interval = Math.min(MAX_PROBE_MILLIS, 2 * e.interval);
+      }
       if (e.inTime >= PROBES_TO_RESTORE) {
         restore(key, e.slowShare);
       }
