--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -391,7 +391,7 @@
       if (t.kind() == InstanceKind.ENGINE) {
         parts.lengths().record(t.pool(), r.request().workspace(), outputTokens);
       }
-      parts.stragglers().record(t.poolKey(), t.key(), latencyMillis, now);
+      parts.stragglers().record(t.poolKey(), t.key(), latencyMillis, r.startedAtMillis(), now);
     }
 
     @Override
@@ -399,7 +399,9 @@
       parts.load().end(r.ticket(), now);
       slots.lost(r.target(), now);
       Target t = r.target();
-      parts.stragglers().record(t.poolKey(), t.key(), Double.POSITIVE_INFINITY, now);
+      parts
+          .stragglers()
+          .record(t.poolKey(), t.key(), Double.POSITIVE_INFINITY, r.startedAtMillis(), now);
     }
 
     @Override
