--- a/org.ebonypond.test/src/test/java/org/ebonypond/lease/ShareAllocatorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/lease/ShareAllocatorTest.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.ebonypond.wire.MessagePackCodec;
 import org.junit.jupiter.api.Test;
 
 class ShareAllocatorTest {
@@ -194,6 +195,28 @@
     assertEquals(1, live.free(TARGET, 6_000));
   }
 
+  /** Guards against a grant of a deposed leader that replaces one of its successor. */
+  @Test
+  void grantOfLowerTermIsIgnored() {
+    start(4, 1);
+    ShareHolder h = holders.get(0);
+    HolderId id = new HolderId("e0", 1);
+    h.onGrant(new ShareGrant(id, 2, h.request(0).sequence(), List.of()));
+    renew(h, 10);
+    assertEquals(0, freeOf(0, 10));
+  }
+
+  /** Guards against share messages that the other side cannot read. */
+  @Test
+  void messagesRoundTrip() {
+    start(4, 1);
+    ShareRequest request = holders.get(0).request(0);
+    ShareGrant grant = leader.onRequest(request, 0).get(0);
+    assertEquals(
+        request, MessagePackCodec.decode(MessagePackCodec.encode(request), ShareRequest.class));
+    assertEquals(grant, MessagePackCodec.decode(MessagePackCodec.encode(grant), ShareGrant.class));
+  }
+
   /** Guards against grants of a new leader before it knows what earlier shares still run. */
   @Test
   void newLeaderWaitsForTheLeaseAndForReport() {
--- a/org.ebonypond/src/main/java/org/ebonypond/ledger/AtMostOnceCall.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/ledger/AtMostOnceCall.java
@@ -138,8 +138,9 @@
   }
 
   /**
-   * Takes the news that the last proposal was surely not sent, because no replica could be reached.
-   * Without news of a proposal, the call assumes that it may have been sent.
+   * Takes the news that the last proposal surely cannot commit: no replica could be reached, or
+   * each that was reached refused it. Without news of a proposal, the call assumes that it may
+   * commit.
    */
   public List<CallAction> onLedgerUnreachable(long nowMillis) {
     if (phase == Phase.INTENT) {
