Keep the suspicion of each boot of an instance apart

A late failure of an old boot replaced the suspicion of the present boot, and the entry used a failed instance again. Suspicions are now kept by instance and boot identity. The test of suspicion covers the late failure.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/routing/RouterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/routing/RouterTest.java
@@ -132,6 +132,7 @@
     router.onView(v.view());
     assertTrue(parts.suspicion().suspect("g0b", "boot1", 100));
     assertFalse(parts.suspicion().suspect("g0b", "boot1", 101));
+    parts.suspicion().suspect("g0b", "boot0", 102);
     assertTrue(router.choose(request(1), 102).isEmpty());
     assertFalse(router.inService(InstanceKind.ENGINE, Views.MODEL));
     parts.suspicion().confirmUp("g0b", "boot1", 99);
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/LocalSuspicion.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/LocalSuspicion.java
@@ -14,7 +14,9 @@
  * view shows a new boot or the suspected boot is confirmed up. Thread-safe.
  */
 public final class LocalSuspicion {
-  private final Map<String, Suspicion> byInstance = new ConcurrentHashMap<>();
+  private record Key(String instance, String boot) {}
+
+  private final Map<Key, Suspicion> byBoot = new ConcurrentHashMap<>();
 
   /**
    * A suspected instance.
@@ -32,8 +34,8 @@
    * @return whether the boot was not suspected before, so that it is reported once
    */
   public boolean suspect(String instance, String boot, long nowMillis) {
-    Suspicion before = byInstance.put(instance, new Suspicion(instance, boot, nowMillis));
-    return before == null || !before.boot().equals(boot);
+    Suspicion s = new Suspicion(instance, boot, nowMillis);
+    return byBoot.put(new Key(instance, boot), s) == null;
   }
 
   /**
@@ -55,13 +57,13 @@
    *     its age. Observations from before the failure have no effect.
    */
   public void confirmUp(String instance, String boot, long observedAtMillis) {
-    byInstance.computeIfPresent(
-        instance, (k, s) -> s.boot().equals(boot) && observedAtMillis > s.sinceMillis() ? null : s);
+    byBoot.computeIfPresent(
+        new Key(instance, boot), (k, s) -> observedAtMillis > s.sinceMillis() ? null : s);
   }
 
   /** Forgets the suspicions of instances that are gone from the view or have a new boot there. */
   public void onView(ControlView view) {
-    byInstance
+    byBoot
         .values()
         .removeIf(
             s -> {
@@ -72,13 +74,12 @@
 
   /** Returns whether a boot of an instance is suspected. */
   public boolean isSuspected(String instance, String boot) {
-    Suspicion s = byInstance.get(instance);
-    return s != null && s.boot().equals(boot);
+    return byBoot.containsKey(new Key(instance, boot));
   }
 
   /** Returns whether a member of a target is suspected. */
   public boolean isSuspected(Target t) {
-    if (byInstance.isEmpty()) {
+    if (byBoot.isEmpty()) {
       return false;
     }
     for (GroupMember m : t.members()) {
@@ -91,6 +92,6 @@
 
   /** Returns the suspected instances, for probes. */
   public List<Suspicion> suspected() {
-    return new ArrayList<>(byInstance.values());
+    return new ArrayList<>(byBoot.values());
   }
 }
