Start a new term when a first configuration is refused, and model a disk

If the replica with the smallest name lost its disk after the others had granted it the first configuration, it asked again in the same term under its new identity, was refused, and repeated this forever. A replica whose grant of the term is spent now answers with a later term. A test loses the disk at every 7th millisecond of the formation.

LogBench can use a modelled disk, because figures on the shared disk vary several times over.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LocalGroup.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LocalGroup.java
@@ -1,13 +1,13 @@
 package org.ebonypond.bench;
 
 import java.nio.ByteBuffer;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
 import org.ebonypond.consensus.LogStorage;
 import org.ebonypond.consensus.ProposalResult;
 import org.ebonypond.consensus.RaftConfig;
@@ -18,7 +18,6 @@
 import org.ebonypond.server.replica.RaftTransport;
 import org.ebonypond.server.replica.ReplicaDriver;
 import org.ebonypond.server.replica.ReplicaListener;
-import org.ebonypond.server.storage.FileLogStorage;
 import org.ebonypond.time.TimerService;
 
 /** A group of replicas with threads and files in this process; messages are passed directly. */
@@ -28,12 +27,16 @@
   private final Map<String, ReplicaDriver> drivers = new ConcurrentHashMap<>();
   private final List<LogStorage> storages = new ArrayList<>();
 
-  LocalGroup(Path folder, int size) {
+  /**
+   * Starts a group.
+   *
+   * @param size the number of replicas, at most 3
+   * @param opener opens the empty storage of a replica by its name
+   */
+  LocalGroup(int size, Function<String, LogStorage> opener) {
     List<String> names = List.of("a", "b", "c").subList(0, size);
     for (String name : names) {
-      LogStorage s =
-          FileLogStorage.open(
-              folder.resolve(name), name, new Random(name.hashCode()), EventSink.NONE);
+      LogStorage s = opener.apply(name);
       storages.add(s);
       RaftNode node =
           new RaftNode(
--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LogBench.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LogBench.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import org.ebonypond.consensus.DiskLogStorage;
 import org.ebonypond.consensus.EntryType;
 import org.ebonypond.consensus.LogEntry;
 import org.ebonypond.consensus.LogStorage;
@@ -22,7 +23,8 @@
 
 /**
  * Measures the replicated log on files: group commit against one sync for each record, and the time
- * of recovery. Arguments: a folder for the files, and the seconds of each measurement.
+ * of recovery. Arguments: a folder for the files, the seconds of each measurement, and optionally
+ * the milliseconds that a sync takes on a modelled disk, which is then used for the commits.
  */
 public final class LogBench {
   private static final int RECORD_BYTES = 200;
@@ -32,10 +34,12 @@
 
   private final Path folder;
   private final long seconds;
+  private final long modelledSyncMillis;
 
-  private LogBench(Path folder, long seconds) {
+  private LogBench(Path folder, long seconds, long modelledSyncMillis) {
     this.folder = folder;
     this.seconds = seconds;
+    this.modelledSyncMillis = modelledSyncMillis;
   }
 
   /** Runs all measurements and prints a table. */
@@ -43,7 +47,9 @@
     Path parent = Path.of(args.length > 0 ? args[0] : System.getProperty("java.io.tmpdir"));
     Path folder = Files.createTempDirectory(parent, "log-bench");
     try {
-      LogBench bench = new LogBench(folder, args.length > 1 ? Long.parseLong(args[1]) : 5);
+      long seconds = args.length > 1 ? Long.parseLong(args[1]) : 5;
+      long modelled = args.length > 2 ? Long.parseLong(args[2]) : -1;
+      LogBench bench = new LogBench(folder, seconds, modelled);
       bench.commits();
       bench.recovery();
     } finally {
@@ -52,6 +58,9 @@
   }
 
   private void commits() throws IOException, InterruptedException {
+    if (modelledSyncMillis >= 0) {
+      System.out.println("modelled disk: " + modelledSyncMillis + " ms for each sync");
+    }
     System.out.printf(
         "%-28s %9s %10s %10s %10s%n",
         "records of 200 bytes", "proposers", "records/s", "p50 ms", "p99 ms");
@@ -70,8 +79,8 @@
 
   /** Proposers that write in turn; each record has its own sync. */
   private void syncEach(int proposers, boolean print) throws IOException, InterruptedException {
-    Path path = folder.resolve("sync-each");
-    try (LogStorage s = FileLogStorage.open(path, "a", new Random(1), EventSink.NONE)) {
+    Path path = Files.createDirectory(folder.resolve("sync-each"));
+    try (LogStorage s = open(path, "a")) {
       Histogram times =
           load(
               proposers,
@@ -88,8 +97,8 @@
 
   private void groupCommit(int replicas, int proposers, boolean print)
       throws IOException, InterruptedException {
-    Path path = folder.resolve("group");
-    try (LocalGroup group = new LocalGroup(path, replicas)) {
+    Path path = Files.createDirectory(folder.resolve("group"));
+    try (LocalGroup group = new LocalGroup(replicas, name -> open(path, name))) {
       group.awaitLeader();
       byte[] command = new byte[RECORD_BYTES];
       Histogram times = load(proposers, () -> group.commit(command));
@@ -98,6 +107,19 @@
     delete(path);
   }
 
+  private LogStorage open(Path path, String name) {
+    Random random = new Random(name.hashCode());
+    if (modelledSyncMillis < 0) {
+      return FileLogStorage.open(path.resolve(name), name, random, EventSink.NONE);
+    }
+    return new DiskLogStorage(
+        new ModelledDisk(modelledSyncMillis),
+        name,
+        random,
+        EventSink.NONE,
+        DiskLogStorage.DEFAULT_SEGMENT_BYTES);
+  }
+
   private Histogram load(int proposers, Runnable action) throws InterruptedException {
     Histogram times = new ConcurrentHistogram(3);
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -64,6 +64,23 @@
     assertEquals(3, cluster.replica("a").machine().count());
   }
 
+  /** Guards against two first configurations when the replica that forms them loses its disk. */
+  @Test
+  void diskLostWhileTheFirstConfigurationIsFormed() {
+    for (int millis = 500; millis < 1_200; millis += 7) {
+      RaftCluster group = new RaftCluster(millis, 3, 1_000);
+      group.network().quality(60, 10, 10);
+      group.startAll();
+      group.advance(millis);
+      group.wipe("a");
+      group.advance(millis % 90);
+      group.start("a");
+      group.commit("first");
+      group.awaitConverged();
+      group.replicas().forEach(r -> assertEquals(1, r.machine().count()));
+    }
+  }
+
   /** Guards against acknowledged commands that are lost with any one process. */
   @Test
   void eachReplicaKilledInTurn() {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Genesis.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Genesis.java
@@ -63,7 +63,12 @@
       ballot.raise(m.term());
     }
     boolean grant = m.term() == ballot.term() && ballot.voteFor(m.from());
-    return new RaftMessage.GenesisReply(ballot.term(), log.identity(), grant);
+    // The grant of this term went to an identity whose disk was lost since. The answer names a
+    // later
+    // term, so that the sender starts one; it would repeat this term forever otherwise.
+    boolean spent = !grant && m.term() == ballot.term();
+    long answered = spent ? ballot.term() + 1 : ballot.term();
+    return new RaftMessage.GenesisReply(answered, log.identity(), grant);
   }
 
   /** Notes a grant; grants of other rounds are ignored. */
