Prefer the tightest fit and keep loaded models across groups

Change: the scored policy takes the tightest fit before it spreads a model over domains, and does not wait for a return while the remaining members could form another missing group. A freed instance keeps its model for 60 s instead of 10 s, and the scheduler sends a role order instead of a load where this leader's own order loaded the same version and adapters.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/PlacementBench.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/PlacementBench.java
@@ -7,7 +7,8 @@
 
 /**
  * Compares the placement policies in the same seeded runs, and measures planning time. Arguments:
- * the number of seeds (default 10) and the minutes of manual time of each run (default 60).
+ * the number of seeds (default 10; 0 skips the comparison) and the minutes of manual time of each
+ * run (default 60).
  */
 public final class PlacementBench {
   private static final int DEFAULT_SEEDS = 10;
@@ -20,8 +21,10 @@
   public static void main(String[] args) {
     final int seeds = args.length > 0 ? Integer.parseInt(args[0]) : DEFAULT_SEEDS;
     final int minutes = args.length > 1 ? Integer.parseInt(args[1]) : DEFAULT_MINUTES;
-    compare(seeds, minutes);
-    System.out.println();
+    if (seeds > 0) {
+      compare(seeds, minutes);
+      System.out.println();
+    }
     planningTimes();
   }
 
--- a/org.ebonypond.test/src/test/java/org/ebonypond/group/OrderSchedulerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/group/OrderSchedulerTest.java
@@ -159,6 +159,29 @@
     assertEquals(new GroupReady("g-1", epoch), proposals.get(0).command());
   }
 
+  /** Guards against a member that keeps the adapters of another group of the same model. */
+  @Test
+  void loadsAgainUnlessItsOwnOrderLoadedTheAdapters() {
+    prepare(1);
+    OrderToSend first = firstOrders().get(0);
+    scheduler.failed(first.token(), 0);
+    assertEquals(EngineOrder.Type.LOAD, typeAfterReading(10_000, "g-0", 1));
+    long own = first.order().fencing();
+    assertEquals(EngineOrder.Type.ROLE, typeAfterReading(20_000, "g-0", own));
+  }
+
+  /** Returns the type of the order to an engine that holds the model for a group. */
+  private EngineOrder.Type typeAfterReading(long now, String group, long fencing) {
+    StateRead read = poll(now).reads().get(0);
+    EngineState s =
+        new EngineState(
+            "i1", "x", EngineStatus.READY, group, 0, List.of(), "drafter", "1", fencing);
+    scheduler.stateRead(read.token(), s, now);
+    OrderToSend o = poll(now).orders().get(0);
+    scheduler.failed(o.token(), now);
+    return o.order().type();
+  }
+
   /** Accepts every order for 5 s, answers every read with one state, and returns the proposals. */
   private List<Proposal> afterState(long from, String boot, String group, int rank, long fencing) {
     List<Proposal> out = new ArrayList<>();
--- a/org.ebonypond/src/main/java/org/ebonypond/group/DomainPool.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/DomainPool.java
@@ -54,11 +54,6 @@
     return sizes.stranded(Math.max(0, free.size() - taken));
   }
 
-  /** Returns the room for larger groups, in instances, that a group of a size would take. */
-  public int largerRoomLost(int size) {
-    return sizes.largerRoomLost(free.size(), size);
-  }
-
   Key key() {
     return key;
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/group/EngineTrack.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/EngineTrack.java
@@ -1,5 +1,6 @@
 package org.ebonypond.group;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -10,6 +11,12 @@
   /** The state read after the last order, or null if it is not known. */
   @Nullable EngineState state;
 
+  /** The adapters of the last order that names a model. */
+  List<String> adapters = List.of();
+
+  /** The fencing number of that order, or 0; a state read with it shows that these are loaded. */
+  long adaptersFencing;
+
   long stateAt;
   long openToken;
   boolean openIsOrder;
--- a/org.ebonypond/src/main/java/org/ebonypond/group/GroupSizes.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/GroupSizes.java
@@ -41,20 +41,4 @@
       stranded[i] = least;
     }
   }
-
-  /**
-   * Returns the room for larger groups, in instances, that a group takes from a domain.
-   *
-   * @param free the number of free instances
-   * @param taken the number of instances that the group takes
-   */
-  int largerRoomLost(int free, int taken) {
-    int lost = 0;
-    for (int s : sizes) {
-      if (s > taken) {
-        lost += (free / s - (free - taken) / s) * s;
-      }
-    }
-    return lost;
-  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/group/OrderScheduler.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/OrderScheduler.java
@@ -218,7 +218,7 @@
       }
       boolean keeps =
           s.status() == EngineStatus.READY
-              && s.group().equals(g.group())
+              && (s.group().equals(g.group()) || hasAdapters(t, s, g))
               && s.model().equals(g.model())
               && s.version().equals(g.version());
       if (keeps || slots.acquire(g, now)) {
@@ -227,6 +227,11 @@
       return false;
     }
 
+    /** Returns whether an engine carried out an order of this leader with a group's adapters. */
+    private static boolean hasAdapters(EngineTrack t, EngineState s, GroupRecord g) {
+      return s.fencing() == t.adaptersFencing && t.adapters.equals(g.adapters());
+    }
+
     private boolean isInPlace(EngineState s, GroupRecord g, int rank) {
       return s.group().equals(g.group())
           && s.rank() == rank
@@ -334,6 +339,8 @@
 
     private void send(EngineTrack t, InstanceRecord r, EngineOrder order) {
       long token = open(t, r, true);
+      t.adapters = order.adapters();
+      t.adaptersFencing = order.type() == EngineOrder.Type.UNLOAD ? 0 : order.fencing();
       orders.add(new OrderToSend(token, r.instance(), r.address(), order));
       events.emit(
           EventCode.ORDER_SENT,
--- a/org.ebonypond/src/main/java/org/ebonypond/group/PlacementPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/PlacementPolicy.java
@@ -33,6 +33,7 @@
    * @param donatable the number of usable members of another incomplete group in the domain that is
    *     cheaper to give up, or 0
    * @param elsewhere another domain with room for the whole group, or null
+   * @param usable whether its remaining members could form a missing group of a smaller size
    * @param waitedMillis how long the group has missed members, in milliseconds
    * @param waitLimitMillis how long to wait for a return, in milliseconds
    */
@@ -41,6 +42,7 @@
       int spares,
       int donatable,
       @Nullable DomainPool elsewhere,
+      boolean usable,
       long waitedMillis,
       long waitLimitMillis) {}
 
--- a/org.ebonypond/src/main/java/org/ebonypond/group/RepairPhase.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/RepairPhase.java
@@ -62,11 +62,29 @@
                 pool.free(),
                 donatable,
                 elsewhere,
+                usable(c, g, m, pool.free() + g.members().size() - missing.size()),
                 clock.elapsed(g, "incomplete", c.now),
                 settings.waitForReturnMillis()));
     carryOut(c, g, m, choice, missing, pool, donor, elsewhere);
   }
 
+  /** Returns whether instances of a domain could form a missing group smaller than a given one. */
+  private static boolean usable(PlanContext c, GroupRecord g, ModelSpec m, int instances) {
+    for (Slot s : c.slots.values()) {
+      ModelSpec o = s.spec;
+      boolean fits =
+          o != null
+              && s.key.zone().equals(g.zone())
+              && o.engineKind().equals(m.engineKind())
+              && o.instancesPerGroup() < m.instancesPerGroup()
+              && o.instancesPerGroup() <= instances;
+      if (fits && s.placed() < s.desired) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void carryOut(
       PlanContext c,
       GroupRecord g,
--- a/org.ebonypond/src/main/java/org/ebonypond/group/SchedulerSettings.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/SchedulerSettings.java
@@ -8,7 +8,7 @@
  * @param takeoverWaitMillis how long a new leader waits before it reads the state of engines that
  *     ignore fencing numbers: one leader lease of 2 s plus the order timeout
  * @param readIntervalMillis how often the state of a loading engine is read
- * @param unloadDelayMillis how long a freed instance keeps its model, in case the next plan uses it
+ * @param unloadDelayMillis how long a freed instance keeps its model, in case a new group uses it
  * @param backoffMillis the first delay before a retry; doubles with each failure
  * @param maxBackoffMillis the longest delay before a retry
  * @param maxLoadingGroups the most groups that load at once, because the weight store limits the
@@ -28,5 +28,5 @@
     int maxReadsPerPoll) {
   /** The settings in use unless the operator sets others. */
   public static final SchedulerSettings DEFAULT =
-      new SchedulerSettings(2_000, 4_000, 500, 10_000, 250, 5_000, 32, 900_000, 500);
+      new SchedulerSettings(2_000, 4_000, 500, 60_000, 250, 5_000, 32, 900_000, 500);
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/group/ScoredPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/group/ScoredPolicy.java
@@ -12,21 +12,19 @@
   }
 
   /**
-   * Prefers instances that still hold the model, which start soonest; then the domain that loses
-   * the least room for larger groups, because a larger group that fits nowhere stays down; then the
-   * fewest stranded instances; then the fewest groups of the model, because a lost domain takes all
-   * of them down; then the tightest fit.
+   * Prefers a domain where a whole group still holds the model, which starts without a load; then
+   * the tightest fit, which keeps whole domains free for large groups and leaves the fewest
+   * stranded instances; then the fewest groups of the model, because a lost domain takes all of
+   * them down. To prefer the fewest groups of the model, or the least room taken from larger
+   * groups, before the tightest fit gave more group downtime in the placement benchmark.
    */
   @Override
   public DomainPool place(ModelSpec model, List<DomainPool> fitting) {
     int size = model.instancesPerGroup();
     Comparator<DomainPool> order =
-        Comparator.comparingInt(
-                (DomainPool p) -> -Math.min(size, p.loaded(model.name(), model.version())))
-            .thenComparingInt(p -> p.largerRoomLost(size))
-            .thenComparingInt(p -> p.strandedAfter(size) - p.strandedAfter(0))
-            .thenComparingInt(p -> p.groups(model.name()))
-            .thenComparingInt(DomainPool::free);
+        Comparator.comparing((DomainPool p) -> p.loaded(model.name(), model.version()) < size)
+            .thenComparingInt(DomainPool::free)
+            .thenComparingInt(p -> p.groups(model.name()));
     DomainPool best = fitting.get(0);
     for (DomainPool p : fitting) {
       if (order.compare(p, best) < 0) {
@@ -38,7 +36,8 @@
 
   /**
    * Spares in the domain, a donor and another domain all cost one load; they are tried in the order
-   * of their moves. Waiting has no bound, so it comes last.
+   * of their moves. Waiting has no bound, so it comes last, and only while the remaining members
+   * are of no use to another group that is missing.
    */
   @Override
   public RepairChoice repair(RepairCase c) {
@@ -51,7 +50,8 @@
     if (c.elsewhere() != null) {
       return RepairChoice.MOVE;
     }
-    return c.waitedMillis() < c.waitLimitMillis() ? RepairChoice.WAIT : RepairChoice.DISSOLVE;
+    boolean waits = !c.usable() && c.waitedMillis() < c.waitLimitMillis();
+    return waits ? RepairChoice.WAIT : RepairChoice.DISSOLVE;
   }
 
   @Override
