Release the calls of lost entries and use the whole routing surface

Cause: the records of an entry that was killed and never returned stayed running, so that every retry waited for its own deadline; and the daemon did not yet use prefix-aware choice among waiting requests, the time between tokens for stragglers, or the read position of cache events.

Change: the control leader tells the ledger of entries that were silent for 10 s; an entry that lives all the same goes on under a higher incarnation, which the ledger's refusal names. The gate implements tryAcquireAny; shares are asked for again when a grant shrank.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -41,6 +41,7 @@
 import org.ebonypond.server.control.ProposalClient;
 import org.ebonypond.server.control.ReportedLoad;
 import org.ebonypond.server.control.ViewFollower;
+import org.ebonypond.server.entry.EntryIncarnation;
 import org.ebonypond.server.entry.EntryParts;
 import org.ebonypond.server.entry.LedgerClient;
 import org.ebonypond.server.entry.RequestGate;
@@ -70,7 +71,7 @@
   private static final int IO_THREADS = 4;
   private static final int POOLED_CONNECTIONS = 64;
   private static final long ROUTER_TICK_MILLIS = 1_000;
-  private static final long ANNOUNCE_RESTART_MILLIS = 10_000;
+  private static final long RELEASE_CALLS_MILLIS = 10_000;
 
   private final DaemonSettings settings;
   private final HolderId holder;
@@ -94,6 +95,7 @@
   private final RequestGate gate;
   private @Nullable ReplicaService replica;
   private @Nullable RatpackServer server;
+  private volatile @Nullable EntryIncarnation incarnation;
   private volatile int exitCode;
 
   /**
@@ -136,8 +138,15 @@
     ExecController controller = new DefaultExecController(IO_THREADS);
     final HttpClient pooled = client(controller, POOLED_CONNECTIONS);
     HttpClient unpooled = client(controller, 0);
+    ProposalClient proposals = new ProposalClient(network, timers, settings.replicas());
+    LedgerClient ledger =
+        new LedgerClient(proposals, network, settings.replicas(), settings.ledgerShards());
+    EntryIncarnation own =
+        new EntryIncarnation(
+            settings.node(), holder.incarnation(), System::currentTimeMillis, ledger);
+    incarnation = own;
     if (settings.isReplica()) {
-      startReplica(controller, unpooled);
+      startReplica(controller, unpooled, ledger);
     }
     network.listen(settings.peer());
     follower.start();
@@ -147,11 +156,8 @@
     AnnouncementRelay relay =
         new AnnouncementRelay(network, timers, settings.replicas(), follower::leader);
     relay.start();
-    new CacheEventPoller(controller, pooled, timers, router).start();
-    ProposalClient proposals = new ProposalClient(network, timers, settings.replicas());
-    LedgerClient ledger =
-        new LedgerClient(proposals, network, settings.replicas(), settings.ledgerShards());
-    announceRestart(ledger);
+    new CacheEventPoller(controller, pooled, timers, router, routing.prefixes()).start();
+    own.announce();
     EntryParts parts =
         new EntryParts(timers, events, follower, gate, routing, budget, tracker, metrics);
     registerGauges();
@@ -165,7 +171,7 @@
             relay,
             proposals,
             events,
-            holder,
+            own,
             this::describe,
             System::currentTimeMillis));
     events.emit(
@@ -190,7 +196,7 @@
     return exitCode;
   }
 
-  private void startReplica(ExecController controller, HttpClient client) {
+  private void startReplica(ExecController controller, HttpClient client, LedgerClient ledger) {
     ReplicaService r =
         new ReplicaService(settings, network, timers, events, new SecureRandom(), this::fatal);
     LeaderDirectory directory = new LeaderDirectory(timers);
@@ -203,7 +209,8 @@
             new RatpackEngineAdmin(controller, client),
             PluginRegistry.load(PlacementPolicy.class).get(settings.placementPolicy()),
             events,
-            directory);
+            directory,
+            e -> releaseCalls(ledger, e));
     follower.onView(leader::onView);
     leader.start(network);
     r.start();
@@ -272,25 +279,24 @@
     gate.tick();
   }
 
-  private void announceRestart(LedgerClient ledger) {
-    LedgerCommand c =
+  private void releaseCalls(LedgerClient ledger, EntryInfo lost) {
+    events.emit(
+        EventCode.ENTRY_LOST,
+        "node/" + lost.node(),
+        Map.of("incarnation", String.valueOf(lost.incarnation())));
+    ledger.proposeToAll(
         new LedgerCommand.EntryRestarted(
-            holder.entry(), holder.incarnation(), System.currentTimeMillis());
-    ledger
-        .proposeToAll(c, ANNOUNCE_RESTART_MILLIS)
-        .whenComplete(
-            (ok, failure) -> {
-              if (failure != null) {
-                announceRestart(ledger);
-              }
-            });
+            lost.node(), lost.incarnation() + 1, System.currentTimeMillis()),
+        RELEASE_CALLS_MILLIS);
   }
 
   private EntryInfo describe() {
     String address =
         settings.http().getAddress().getHostAddress() + ":" + settings.http().getPort();
     boolean ready = tracker.isReady() && follower.mayStart();
-    return new EntryInfo(settings.node(), settings.zone(), address, ready);
+    EntryIncarnation i = incarnation;
+    long number = i == null ? holder.incarnation() : i.current();
+    return new EntryInfo(settings.node(), settings.zone(), address, ready, number);
   }
 
   private void shutdownStep(ShutdownSequence.Action action) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/CacheEventPoller.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/CacheEventPoller.java
@@ -5,12 +5,9 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import org.ebonypond.routing.CacheEvent;
+import org.ebonypond.routing.PrefixIndex;
 import org.ebonypond.routing.PromptBlocks;
 import org.ebonypond.routing.Router;
 import org.ebonypond.routing.Target;
@@ -35,7 +32,7 @@
   private final HttpClient client;
   private final TimerService timers;
   private final Router router;
-  private final Map<String, Position> positions = new ConcurrentHashMap<>();
+  private final PrefixIndex prefixes;
 
   /**
    * Creates a poller.
@@ -44,13 +41,19 @@
    * @param client the HTTP client
    * @param timers runs the polls
    * @param router receives the events
+   * @param prefixes knows how far the events of each engine are read
    */
   public CacheEventPoller(
-      ExecController controller, HttpClient client, TimerService timers, Router router) {
+      ExecController controller,
+      HttpClient client,
+      TimerService timers,
+      Router router,
+      PrefixIndex prefixes) {
     this.controller = controller;
     this.client = client;
     this.timers = timers;
     this.router = router;
+    this.prefixes = prefixes;
   }
 
   /** Starts polling. */
@@ -59,18 +62,11 @@
   }
 
   private void poll() {
-    List<Target> targets = router.hinted();
-    Set<String> present = new HashSet<>();
-    for (Target t : targets) {
-      present.add(t.instance());
-      read(t);
-    }
-    positions.keySet().retainAll(present);
+    router.hinted().forEach(this::read);
   }
 
   private void read(Target t) {
-    Position p = positions.get(t.instance());
-    long after = p != null && p.boot.equals(t.boot()) ? p.sequence : 0;
+    long after = prefixes.lastSeq(t);
     URI uri = URI.create("http://" + t.address() + "/control/cache-events?after=" + after);
     controller
         .fork()
@@ -79,22 +75,19 @@
             e ->
                 client
                     .request(uri, s -> s.connectTimeout(TIMEOUT).readTimeout(TIMEOUT))
-                    .then(r -> take(t, after, json.readTree(r.getBody().getText()))));
+                    .then(r -> take(t, json.readTree(r.getBody().getText()))));
   }
 
-  private void take(Target t, long after, JsonNode n) {
+  private void take(Target t, JsonNode n) {
     String boot = n.path("boot").asText("");
     List<CacheEvent> events = new ArrayList<>();
-    long last = after;
     for (JsonNode e : n.path("events")) {
       long seq = e.path("seq").asLong();
       PromptBlocks prefix = prefix(e.path("prefix").asText(""));
       if (prefix.size() > 0) {
         events.add(new CacheEvent(seq, e.path("type").asText().equals("stored"), prefix));
       }
-      last = Math.max(last, seq);
     }
-    positions.put(t.instance(), new Position(boot, last));
     if (!events.isEmpty()) {
       router.onCacheEvents(t.instance(), boot, events);
     }
@@ -106,6 +99,4 @@
         ? PromptBlocks.ofHashes(Long.parseUnsignedLong(text, HEX))
         : PromptBlocks.NONE;
   }
-
-  private record Position(String boot, long sequence) {}
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.ebonypond.consensus.ProposalResult;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlResult;
@@ -56,6 +57,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(ControlLeader.class);
   private static final long TICK_MILLIS = 100;
 
+  /** Twenty polls are missing; longer than a restart takes. */
+  private static final long LOST_ENTRY_MILLIS = 10_000;
+
   private final ReplicaService replica;
   private final TimerService timers;
   private final Executor executor;
@@ -65,10 +69,12 @@
   private final OrderScheduler scheduler;
   private final ReadinessClock readiness = new ReadinessClock();
   private final LeaderDirectory directory;
+  private final Consumer<EntryInfo> lostEntries;
   private final Map<String, InstanceObservation> observations = new HashMap<>();
   private final Map<ShareTarget, Long> knownAtElection = new HashMap<>();
   private final Set<String> shareTargets = new HashSet<>();
   private long term = -1;
+  private long electedMillis;
   private @Nullable ShareAllocator allocator;
   private ControlView view = ControlView.EMPTY;
   private boolean stepRunning;
@@ -83,6 +89,7 @@
    * @param policy chooses between places and repairs
    * @param events receives the events
    * @param directory collects what only the leader knows
+   * @param lostEntries is told of processes that have been silent for long
    */
   public ControlLeader(
       ReplicaService replica,
@@ -91,7 +98,8 @@
       EngineAdmin engines,
       PlacementPolicy policy,
       EventSink events,
-      LeaderDirectory directory) {
+      LeaderDirectory directory,
+      Consumer<EntryInfo> lostEntries) {
     this.replica = replica;
     this.timers = timers;
     this.executor = executor;
@@ -99,6 +107,7 @@
     this.planner = new GroupPlanner(policy, PlannerSettings.DEFAULT, events);
     this.scheduler = new OrderScheduler(SchedulerSettings.DEFAULT, events);
     this.directory = directory;
+    this.lostEntries = lostEntries;
   }
 
   /** Registers the frame handlers and starts the ticks. */
@@ -142,6 +151,7 @@
       elected(status.term(), now);
     }
     updateTargets(now);
+    releaseCallsOfLostEntries();
     detector.tick(v, now).forEach(this::propose);
     planner.plan(v, observations, now).forEach(this::propose);
     execute(scheduler.poll(v, now, replica.control().status().leaseHeldUntil()));
@@ -149,6 +159,7 @@
 
   private void elected(long newTerm, long now) {
     term = newTerm;
+    electedMillis = now;
     detector.elected(now);
     planner.elected();
     scheduler.elected(now);
@@ -160,6 +171,17 @@
     knownAtElection.putAll(readiness.targets());
   }
 
+  /**
+   * Tells the ledger that entries are gone that have been silent for long, so that retries of their
+   * calls learn that the outcome is unknown and need not wait. An entry that lives all the same
+   * goes on under a higher incarnation.
+   */
+  private void releaseCallsOfLostEntries() {
+    for (EntryInfo e : directory.takeSilent(LOST_ENTRY_MILLIS, electedMillis)) {
+      lostEntries.accept(e);
+    }
+  }
+
   private void updateTargets(long now) {
     ShareAllocator a = allocator;
     ServiceDocument d = view.document();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/EntryInfo.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/EntryInfo.java
@@ -7,5 +7,7 @@
  * @param zone its availability zone
  * @param address host and port of its HTTP interface
  * @param ready whether it serves callers
+ * @param incarnation the incarnation under which it runs calls
  */
-public record EntryInfo(String node, String zone, String address, boolean ready) {}
+public record EntryInfo(
+    String node, String zone, String address, boolean ready, long incarnation) {}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
@@ -26,18 +26,36 @@
   /** Takes a poll and returns what its sender should know. */
   public synchronized LeaderDigest onPoll(ViewPoll p) {
     long now = timers.nowMillis();
-    EntryInfo e = new EntryInfo(p.node(), p.zone(), p.http(), p.ready());
+    EntryInfo e = new EntryInfo(p.node(), p.zone(), p.http(), p.ready(), p.incarnation());
     entries.put(p.node(), new Heard<>(e, now));
-    entries.values().removeIf(h -> now - h.at >= FORGET_MILLIS);
     loads.values().removeIf(h -> now - h.at >= FORGET_MILLIS);
     List<EntryInfo> known = new ArrayList<>();
-    entries.values().forEach(h -> known.add(h.value));
+    for (Heard<EntryInfo> h : entries.values()) {
+      if (now - h.at < FORGET_MILLIS) {
+        known.add(h.value);
+      }
+    }
     known.sort(java.util.Comparator.comparing(EntryInfo::node));
     List<ReportedLoad> reported = new ArrayList<>();
     loads.values().forEach(h -> reported.add(h.value.olderBy(now - h.at)));
     return new LeaderDigest(known, reported);
   }
 
+  /**
+   * Returns the processes that have not polled for a time, and forgets them.
+   *
+   * @param silentMillis the time in milliseconds
+   * @param since silence before this time does not count, because this process did not listen
+   */
+  public synchronized List<EntryInfo> takeSilent(long silentMillis, long since) {
+    long now = timers.nowMillis();
+    List<EntryInfo> silent = new ArrayList<>();
+    entries
+        .values()
+        .removeIf(h -> now - Math.max(h.at, since) >= silentMillis && silent.add(h.value));
+    return silent;
+  }
+
   /** Takes a load. */
   public synchronized void onLoad(ReportedLoad load, long nowMillis) {
     loads.put(load.instance(), new Heard<>(load, nowMillis));
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -121,7 +121,8 @@
     synchronized (this) {
       applied = appliedIndex;
     }
-    ViewPoll p = new ViewPoll(me.node(), me.zone(), me.address(), me.ready(), applied);
+    ViewPoll p =
+        new ViewPoll(me.node(), me.zone(), me.address(), me.ready(), me.incarnation(), applied);
     network
         .ask(
             r.address(),
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
@@ -31,6 +31,7 @@
 
   private final EntryParts parts;
   private final LedgerClient ledger;
+  private final EntryIncarnation incarnation;
   private final ServiceCallRequest request;
   private final ServiceCallSink sink;
   private final AtMostOnceCall call;
@@ -43,6 +44,7 @@
    *
    * @param parts the parts of the entry
    * @param ledger the request ledger
+   * @param incarnation the incarnation of this process
    * @param services calls plain services
    * @param request what the caller asked for
    * @param callRequest the request as the decision class sees it
@@ -51,12 +53,14 @@
   public AtMostOnceRunner(
       EntryParts parts,
       LedgerClient ledger,
+      EntryIncarnation incarnation,
       ServiceClient services,
       ServiceCallRequest request,
       CallRequest callRequest,
       ServiceCallSink sink) {
     this.parts = parts;
     this.ledger = ledger;
+    this.incarnation = incarnation;
     this.request = request;
     this.sink = sink;
     this.call = new AtMostOnceCall(callRequest);
@@ -154,6 +158,9 @@
       if (r.kind() == LedgerResult.Kind.JOIN) {
         emit(EventCode.REQUEST_JOINED, Map.of("owner", String.valueOf(r.owner())));
       }
+      if (r.kind() == LedgerResult.Kind.FENCED) {
+        incarnation.supersede(r.incarnation());
+      }
       run(call.onIntentResult(r, now()));
       return;
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -59,6 +59,7 @@
   private int admissions;
   private int dispatches;
   private long dispatchedMillis;
+  private long attemptOffset;
   private double firstTokenMillis;
   private boolean waiting;
   private boolean ended;
@@ -196,10 +197,11 @@
   }
 
   private void dispatch(StreamAction.Dispatch d) {
-    Reservation r = java.util.Objects.requireNonNull(reservation);
-    Target t = r.target();
+    final Target t = java.util.Objects.requireNonNull(reservation).target();
     dispatches = d.attempt();
     dispatchedMillis = parts.timers().nowMillis();
+    attemptOffset = d.offset();
+    firstTokenMillis = 0;
     tried.add(t.key());
     causeId =
         emit(
@@ -238,7 +240,7 @@
 
   private void delivered(Placement p) {
     long now = parts.timers().nowMillis();
-    if (assembler.resumeOffset() == p.deliver().size() || firstTokenMillis == 0) {
+    if (firstTokenMillis == 0) {
       firstTokenMillis = Math.max(1, now - dispatchedMillis);
     }
     resume.onProgress(now);
@@ -267,10 +269,17 @@
         .timer("first.token")
         .update((long) firstTokenMillis, java.util.concurrent.TimeUnit.MILLISECONDS);
     sink.done();
-    parts.gate().completed(admission, r, tokens, firstTokenMillis);
+    parts.gate().completed(admission, r, tokens, tokenMillis());
     end();
   }
 
+  /** Returns the time between tokens of the last attempt, by which groups are compared. */
+  private double tokenMillis() {
+    long tokens = assembler.resumeOffset() - attemptOffset - 1;
+    double span = parts.timers().nowMillis() - dispatchedMillis - firstTokenMillis;
+    return tokens > 0 ? Math.max(0, span) / tokens : Double.NaN;
+  }
+
   private synchronized void attemptEnded(int number) {
     if (!ended && number == dispatches) {
       retry(number, FailureKind.BROKEN, "the answer ended without its last chunk");
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/LedgerClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/LedgerClient.java
@@ -1,5 +1,6 @@
 package org.ebonypond.server.entry;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.ebonypond.ledger.LedgerCommand;
@@ -50,13 +51,14 @@
     return proposeTo(sharding.shardOf(workspace, key), command, timeoutMillis);
   }
 
-  /** Proposes a command to every shard. */
-  public CompletableFuture<Void> proposeToAll(LedgerCommand command, long timeoutMillis) {
-    CompletableFuture<?>[] all = new CompletableFuture<?>[shards];
+  /** Proposes a command to every shard; returns one result for each. */
+  public List<CompletableFuture<LedgerResult>> proposeToAll(
+      LedgerCommand command, long timeoutMillis) {
+    List<CompletableFuture<LedgerResult>> all = new ArrayList<>();
     for (int i = 0; i < shards; i++) {
-      all[i] = proposeTo(i, command, timeoutMillis);
+      all.add(proposeTo(i, command, timeoutMillis));
     }
-    return CompletableFuture.allOf(all);
+    return all;
   }
 
   /** Asks what the ledger holds of a key; fails when no leader answers in time. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
@@ -1,5 +1,7 @@
 package org.ebonypond.server.entry;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -125,6 +127,25 @@
     return w == null ? Optional.empty() : router.choose(w.route, nowMillis);
   }
 
+  @Override
+  public Optional<Grant<Reservation>> tryAcquireAny(
+      List<AdmissionRequest> requests, long nowMillis) {
+    Map<String, AdmissionRequest> byRoute = new HashMap<>();
+    List<RouteRequest> routes = new ArrayList<>();
+    for (AdmissionRequest r : requests) {
+      Waiting w = waiting.get(r.id());
+      if (w != null) {
+        byRoute.put(w.route.id(), r);
+        routes.add(w.route);
+      }
+    }
+    return routes.isEmpty()
+        ? Optional.empty()
+        : router
+            .chooseAny(routes, nowMillis)
+            .map(x -> new Grant<>(byRoute.get(x.request().id()), x));
+  }
+
   @Override
   public boolean inService(String pool) {
     return pool.startsWith(MODEL_PREFIX)
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
@@ -191,8 +191,15 @@
         .thenAccept(this::granted);
   }
 
-  private synchronized void granted(ShareGrant g) {
-    holder.onGrant(g);
+  private void granted(ShareGrant g) {
+    boolean shrank;
+    synchronized (this) {
+      shrank = holder.onGrant(g);
+    }
+    if (shrank) {
+      // The leader can give the rest to others only once it knows that this holder has the grant.
+      ask();
+    }
   }
 
   private @Nullable InetSocketAddress leaderAddress() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/EntryHandlers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/EntryHandlers.java
@@ -2,12 +2,12 @@
 
 import java.util.function.LongSupplier;
 import org.ebonypond.admission.RetryPolicy;
-import org.ebonypond.lease.HolderId;
 import org.ebonypond.server.backend.EngineClient;
 import org.ebonypond.server.backend.ServiceClient;
 import org.ebonypond.server.control.AnnouncementRelay;
 import org.ebonypond.server.control.EntryInfo;
 import org.ebonypond.server.control.ProposalClient;
+import org.ebonypond.server.entry.EntryIncarnation;
 import org.ebonypond.server.entry.EntryParts;
 import org.ebonypond.server.entry.LedgerClient;
 import org.ebonypond.server.events.EventLog;
@@ -33,7 +33,7 @@
    * @param relay forwards announcements
    * @param proposals brings operators' changes to the leader
    * @param events the event log
-   * @param holder this process
+   * @param incarnation the incarnation of this process
    * @param self describes this process to operators
    * @param wallMillis supplies wall time in milliseconds since the epoch
    */
@@ -46,12 +46,12 @@
       AnnouncementRelay relay,
       ProposalClient proposals,
       EventLog events,
-      HolderId holder,
+      EntryIncarnation incarnation,
       java.util.function.Supplier<EntryInfo> self,
       LongSupplier wallMillis) {
     this.parts = parts;
     this.completions = new CompletionHandler(parts, engines);
-    this.services = new ServiceHandler(parts, policy, ledger, services, holder, wallMillis);
+    this.services = new ServiceHandler(parts, policy, ledger, services, incarnation, wallMillis);
     this.announcements = new AnnounceHandler(relay, wallMillis);
     this.admin = new AdminHandlers(self, parts.follower(), proposals, events);
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
@@ -4,20 +4,18 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.ebonypond.admission.RetryPolicy;
 import org.ebonypond.document.ServiceSpec;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
-import org.ebonypond.lease.HolderId;
 import org.ebonypond.ledger.AnswerHeader;
-import org.ebonypond.ledger.AttemptId;
 import org.ebonypond.ledger.CallRequest;
 import org.ebonypond.ledger.RequestDigest;
 import org.ebonypond.ledger.StoredAnswer;
 import org.ebonypond.server.backend.ServiceClient;
 import org.ebonypond.server.entry.AtMostOnceRunner;
+import org.ebonypond.server.entry.EntryIncarnation;
 import org.ebonypond.server.entry.EntryParts;
 import org.ebonypond.server.entry.LedgerClient;
 import org.ebonypond.server.entry.RepeatableCall;
@@ -52,22 +50,21 @@
   private final RetryPolicy policy;
   private final LedgerClient ledger;
   private final ServiceClient services;
-  private final HolderId self;
+  private final EntryIncarnation incarnation;
   private final LongSupplier wallMillis;
-  private final AtomicLong attempts = new AtomicLong();
 
   ServiceHandler(
       EntryParts parts,
       RetryPolicy policy,
       LedgerClient ledger,
       ServiceClient services,
-      HolderId self,
+      EntryIncarnation incarnation,
       LongSupplier wallMillis) {
     this.parts = parts;
     this.policy = policy;
     this.ledger = ledger;
     this.services = services;
-    this.self = self;
+    this.incarnation = incarnation;
     this.wallMillis = wallMillis;
   }
 
@@ -107,7 +104,8 @@
               if (r.idempotent()) {
                 new RepeatableCall(parts, policy, services, r, sink).start();
               } else {
-                new AtMostOnceRunner(parts, ledger, services, r, callRequest(r), sink).start();
+                new AtMostOnceRunner(parts, ledger, incarnation, services, r, callRequest(r), sink)
+                    .start();
               }
             })
         .then(result -> send(ctx, r, result));
@@ -133,7 +131,7 @@
         r.workspace(),
         r.key(),
         RequestDigest.of(r.method(), "/" + r.service() + r.path(), r.body()),
-        new AttemptId(self.entry(), self.incarnation(), attempts.incrementAndGet()),
+        incarnation.nextAttempt(),
         parts.timers().nowMillis(),
         r.deadlineMillis(),
         wallMillis.getAsLong());
--- a/org.ebonypond/src/main/java/org/ebonypond/ledger/RequestLedger.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/ledger/RequestLedger.java
@@ -146,7 +146,7 @@
       return owner ? run(c.attempt()) : describe(r);
     }
     if (r.givenUp().contains(c.attempt()) || isOld(c.attempt())) {
-      return LedgerResult.of(Kind.FENCED);
+      return fenced(c.attempt());
     }
     put(k, r.runBy(c.attempt()));
     return run(c.attempt());
@@ -158,7 +158,7 @@
       return LedgerResult.of(Kind.KEY_EXPIRED);
     }
     if (isOld(c.attempt())) {
-      return LedgerResult.of(Kind.FENCED);
+      return fenced(c.attempt());
     }
     LedgerRecord r =
         new LedgerRecord(c.digest(), Phase.RUNNING, c.attempt(), clock.now(), null, List.of());
@@ -228,6 +228,12 @@
     return LedgerResult.of(Kind.RECORDED);
   }
 
+  /** Names the known incarnation, so that an entry that was taken for lost can go above it. */
+  private LedgerResult fenced(AttemptId attempt) {
+    long known = incarnations.getOrDefault(attempt.entry(), 0L);
+    return new LedgerResult(Kind.FENCED, null, null, known);
+  }
+
   private LedgerResult entryRestarted(LedgerCommand.EntryRestarted c) {
     long known = incarnations.merge(c.entry(), c.incarnation(), Math::max);
     if (known > c.incarnation()) {
