Inject only old orders that an old leader can have sent

It delivered an old leader's order to a member of a group for which that leader had already proposed GroupReady. The scheduler proposes it only after it has read back every member and with no exchange open, so such an order cannot exist.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ControlLoop.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ControlLoop.java
@@ -105,6 +105,11 @@
     frozen = false;
   }
 
+  /** Returns whether a command was proposed and is not applied yet. */
+  public boolean isProposed(ControlCommand c) {
+    return proposed.contains(c);
+  }
+
   /** Stops the leader's work until it is elected or thawed; it keeps its state. */
   public void setFrozen(boolean isFrozen) {
     frozen = isFrozen;
--- a/org.ebonypond.test/src/test/java/org/ebonypond/group/RandomRunTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/group/RandomRunTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlCommand.GroupReady;
 import org.ebonypond.control.ControlCommand.SetZone;
 import org.ebonypond.control.ControlState;
 import org.ebonypond.control.GroupState;
@@ -112,12 +113,14 @@
 
   /**
    * Elects a new leader while an order of the old one is under way, for at most 4 s. Only a member
-   * of a loading group can have such an order: a group is confirmed after its last order ended.
+   * of a loading group whose readiness was not proposed can have such an order: the old leader
+   * proposes it after it has read back every member, and with no exchange open.
    */
   private static void changeLeader(ControlLoop loop, Random random, FakeEngine e) {
     loop.elect(SchedulerSettings.DEFAULT);
     loop.view().groups().values().stream()
         .filter(g -> g.state() == GroupState.LOADING && g.hasMember(e.name()))
+        .filter(g -> !loop.isProposed(new GroupReady(g.group(), g.epoch())))
         .forEach(
             g ->
                 loop.deliverLate(
