Let parts depend on an interface of the peer network

The entry's parts need a fake of the network in tests. Proposals that cannot be decoded are refused before they are committed, because a committed one would stop every replica; read from the code, not seen in a run. The leader keeps its observations in the planner's table.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/AnnouncementRelay.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/AnnouncementRelay.java
@@ -8,7 +8,7 @@
 import java.util.function.Supplier;
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
-import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.server.transport.Peers;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
@@ -20,7 +20,7 @@
 public final class AnnouncementRelay {
   private static final long FLUSH_MILLIS = 200;
 
-  private final PeerNetwork network;
+  private final Peers network;
   private final TimerService timers;
   private final List<ReplicaAddress> replicas;
   private final Supplier<@Nullable String> leader;
@@ -35,7 +35,7 @@
    * @param leader gives the name of the presumed leader, or null
    */
   public AnnouncementRelay(
-      PeerNetwork network,
+      Peers network,
       TimerService timers,
       List<ReplicaAddress> replicas,
       Supplier<@Nullable String> leader) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
@@ -25,7 +25,7 @@
 import org.ebonypond.group.GroupPlanner;
 import org.ebonypond.group.InstanceAnnouncement;
 import org.ebonypond.group.InstanceDetector;
-import org.ebonypond.group.InstanceObservation;
+import org.ebonypond.group.ObservationTable;
 import org.ebonypond.group.OrderScheduler;
 import org.ebonypond.group.PlacementPolicy;
 import org.ebonypond.group.PlannerSettings;
@@ -70,7 +70,7 @@
   private final ReadinessClock readiness = new ReadinessClock();
   private final LeaderDirectory directory;
   private final Consumer<EntryInfo> lostEntries;
-  private final Map<String, InstanceObservation> observations = new HashMap<>();
+  private final ObservationTable observations = new ObservationTable();
   private final Map<ShareTarget, Long> knownAtElection = new HashMap<>();
   private final Set<String> shareTargets = new HashSet<>();
   private long term = -1;
@@ -146,6 +146,7 @@
     }
     long now = timers.nowMillis();
     view = v;
+    observations.retain(v);
     readiness.onView(v, now);
     if (term != status.term()) {
       elected(status.term(), now);
@@ -153,7 +154,7 @@
     updateTargets(now);
     releaseCallsOfLostEntries();
     detector.tick(v, now).forEach(this::propose);
-    planner.plan(v, observations, now).forEach(this::propose);
+    planner.plan(v, observations.view(), now).forEach(this::propose);
     execute(scheduler.poll(v, now, replica.control().status().leaseHeldUntil()));
   }
 
@@ -303,9 +304,7 @@
     detector.announced(a, heard);
     scheduler.announced(a);
     directory.onLoad(load, now);
-    observations.put(
-        a.instance(),
-        new InstanceObservation(a.instance(), a.boot(), "", "", load.active(), heard));
+    observations.announced(a, view, heard);
     ShareAllocator s = allocator;
     ShareTarget t = shareTarget(a);
     if (s != null && t != null && a.status() != EngineStatus.LOADING) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
@@ -9,7 +9,7 @@
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
-import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.server.transport.Peers;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
@@ -22,7 +22,7 @@
   private static final long ATTEMPT_TIMEOUT_MILLIS = 1_500;
   private static final long RETRY_DELAY_MILLIS = 100;
 
-  private final PeerNetwork network;
+  private final Peers network;
   private final TimerService timers;
   private final List<ReplicaAddress> replicas;
   private final Map<String, Integer> leaderOf = new ConcurrentHashMap<>();
@@ -34,7 +34,7 @@
    * @param timers delays attempts
    * @param replicas every control replica
    */
-  public ProposalClient(PeerNetwork network, TimerService timers, List<ReplicaAddress> replicas) {
+  public ProposalClient(Peers network, TimerService timers, List<ReplicaAddress> replicas) {
     this.network = network;
     this.timers = timers;
     this.replicas = List.copyOf(replicas);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -16,7 +16,7 @@
 import org.ebonypond.lease.VoterSet;
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
-import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.server.transport.Peers;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
@@ -32,7 +32,7 @@
   private static final long POLL_MILLIS = 500;
   private static final long POLL_TIMEOUT_MILLIS = 1_000;
 
-  private final PeerNetwork network;
+  private final Peers network;
   private final TimerService timers;
   private final EventSink events;
   private final List<ReplicaAddress> replicas;
@@ -57,7 +57,7 @@
    * @param self describes this process to the replicas
    */
   public ViewFollower(
-      PeerNetwork network,
+      Peers network,
       TimerService timers,
       EventSink events,
       List<ReplicaAddress> replicas,
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/LedgerClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/LedgerClient.java
@@ -11,7 +11,7 @@
 import org.ebonypond.server.replica.LedgerLookup;
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
-import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.server.transport.Peers;
 import org.ebonypond.wire.MessagePackCodec;
 
 /** Brings commands and lookups to the shard of the request ledger that holds a key. */
@@ -19,7 +19,7 @@
   private static final long LOOKUP_TIMEOUT_MILLIS = 500;
 
   private final ProposalClient proposals;
-  private final PeerNetwork network;
+  private final Peers network;
   private final List<ReplicaAddress> replicas;
   private final LedgerSharding sharding;
   private final int shards;
@@ -33,7 +33,7 @@
    * @param shards the number of ledger shards
    */
   public LedgerClient(
-      ProposalClient proposals, PeerNetwork network, List<ReplicaAddress> replicas, int shards) {
+      ProposalClient proposals, Peers network, List<ReplicaAddress> replicas, int shards) {
     this.proposals = proposals;
     this.network = network;
     this.replicas = List.copyOf(replicas);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
@@ -22,7 +22,7 @@
 import org.ebonypond.server.control.ShareTargets;
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
-import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.server.transport.Peers;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
@@ -40,7 +40,7 @@
   /** New demand is sent at once, but not more often than this, in milliseconds. */
   private static final long MIN_ASK_INTERVAL_MILLIS = 20;
 
-  private final PeerNetwork network;
+  private final Peers network;
   private final TimerService timers;
   private final List<ReplicaAddress> replicas;
   private final Supplier<@Nullable String> leader;
@@ -64,7 +64,7 @@
    */
   public ShareClient(
       HolderId id,
-      PeerNetwork network,
+      Peers network,
       TimerService timers,
       List<ReplicaAddress> replicas,
       Supplier<@Nullable String> leader,
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
@@ -16,10 +16,12 @@
 import org.ebonypond.consensus.RaftNode;
 import org.ebonypond.consensus.RoleChange;
 import org.ebonypond.consensus.StateMachine;
+import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlState;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.events.EventSink;
+import org.ebonypond.ledger.LedgerCommand;
 import org.ebonypond.ledger.LedgerResult;
 import org.ebonypond.ledger.RequestLedger;
 import org.ebonypond.server.control.LeaderDigest;
@@ -172,6 +174,10 @@
   }
 
   private CompletableFuture<byte[]> propose(Frame f) {
+    // A committed entry that cannot be decoded would stop every replica, so it is refused before.
+    Class<?> type =
+        f.channel().equals(ReplicaChannels.CONTROL) ? ControlCommand.class : LedgerCommand.class;
+    MessagePackCodec.decode(f.payload(), type);
     return driver(f.channel())
         .propose(f.payload())
         .thenApply(ReplicaService::reply)
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -35,7 +35,7 @@
  * The TCP connections to the other processes: one outgoing connection for each address, opened on
  * first use. Frames to an address that cannot be reached are dropped; questions then fail.
  */
-public final class PeerNetwork implements AutoCloseable {
+public final class PeerNetwork implements Peers, AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(PeerNetwork.class);
   private static final int MAX_FRAME_BYTES = 16 << 20;
   private static final int LENGTH_BYTES = 4;
@@ -98,21 +98,12 @@
     }
   }
 
-  /** Sends a frame that expects no answer; dropped when the address cannot be reached. */
+  @Override
   public void send(InetSocketAddress to, FrameType type, String channel, byte[] payload) {
     write(to, frame(type, channel, 0, payload));
   }
 
-  /**
-   * Sends a question.
-   *
-   * @param to the peer's address
-   * @param type the kind of frame
-   * @param channel the replicated log, or an empty string
-   * @param payload the encoded message
-   * @param timeoutMillis the longest wait for the answer, in milliseconds
-   * @return the payload of the answer; fails with {@code no-quorum} when none arrives in time
-   */
+  @Override
   public CompletableFuture<byte[]> ask(
       InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
     long id = nextCorrelation.getAndIncrement();
