Say outcome-unknown for keyed calls refused before the ledger is asked

Cause: an entry that had no document yet answered a retry with a key as not-run, although an earlier attempt may have run; found by reading. Change: only a malformed request is refused as not-run without the ledger's word.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
@@ -85,7 +85,8 @@
               try {
                 r = read(ctx, body.getBytes());
               } catch (EbonypondException e) {
-                Responses.problem(ctx, Problem.of(e), "");
+                boolean malformed = e.code() == ErrorCode.BAD_REQUEST;
+                Responses.problem(ctx, beforeLedger(Problem.of(e), keyed && !malformed), "");
                 return;
               }
               start(ctx, r);
