Replay recorded traces of the control leader against stated outcomes

The decision classes of the leader are plain, but no recorded run could be driven through them again, so that a change of a decision was only seen by the scenario that a test happens to spell out.

org.ebonypond.trace holds the record kinds, a strict reader and writer of JSON lines, the replay and the stated outcome. The replay takes its views from the recorded commands; a decision that differs shows as a committed command that the replay does not propose. Each term gets a new scheduler that counts tokens from 1, and the trace states the first token of the term, so that token - firstToken + 1 maps a recorded token. An answer that then belongs to another instance is counted and not delivered.

ControlLoop records its inputs.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ControlLoop.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ControlLoop.java
@@ -3,10 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlResult;
 import org.ebonypond.control.ControlState;
@@ -27,6 +26,16 @@
 import org.ebonypond.group.SchedulerOutput;
 import org.ebonypond.group.SchedulerSettings;
 import org.ebonypond.group.StrandedInstances;
+import org.ebonypond.trace.MissingGroups;
+import org.ebonypond.trace.TraceRecord;
+import org.ebonypond.trace.TraceRecord.CommandCommitted;
+import org.ebonypond.trace.TraceRecord.EngineStateRead;
+import org.ebonypond.trace.TraceRecord.OrderAccepted;
+import org.ebonypond.trace.TraceRecord.OrderFailed;
+import org.ebonypond.trace.TraceRecord.ProposalResolved;
+import org.ebonypond.trace.TraceRecord.TermStarted;
+import org.ebonypond.trace.TraceRecord.Tick;
+import org.ebonypond.trace.TraceRecorder;
 
 /**
  * Drives the leader's decision classes against a fake fleet on manual time, as the daemon does.
@@ -37,6 +46,7 @@
   public static final long TICK_MILLIS = 100;
 
   private static final long ANNOUNCE_MILLIS = 500;
+  private static final long LEASE_MILLIS = 1_000;
 
   private final FakeEngineFleet fleet;
   private final PlacementPolicy policy;
@@ -60,6 +70,10 @@
   private long downMillis;
   private long strandedMillis;
   private long moves;
+  private long term = 1;
+  private long leaseMillis = LEASE_MILLIS;
+  private final List<Proposal> proposals = new ArrayList<>();
+  private TraceRecorder trace = new TraceRecorder(r -> {});
 
   private record Late(long at, SchedulerOutput.OrderToSend order) {}
 
@@ -103,6 +117,25 @@
     scheduler.elected(now);
     observations.clear();
     frozen = false;
+    leaseMillis = LEASE_MILLIS;
+    term++;
+    trace.record(new TermStarted(now, term, 1));
+  }
+
+  /** Records the leader's inputs from now on; call before the first step. */
+  public void recordTo(Consumer<TraceRecord> out) {
+    trace = new TraceRecorder(out);
+    trace.record(new TermStarted(now, term, 1));
+  }
+
+  /** Ends the leader's lease; it does not know of a new leader and goes on until the election. */
+  public void endLease() {
+    leaseMillis = 0;
+  }
+
+  /** Returns every proposal that the leaders made, in order. */
+  public List<Proposal> proposals() {
+    return List.copyOf(proposals);
   }
 
   /** Returns whether a command was proposed and is not applied yet. */
@@ -129,6 +162,7 @@
   public ControlResult apply(ControlCommand c) {
     log.add(c);
     index++;
+    trace.record(new CommandCommitted(now, index, c));
     ControlResult result = state.apply(index, c);
     if (result instanceof ControlResult.Accepted) {
       moves += c instanceof ControlCommand.FormGroup f ? f.members().size() : 0;
@@ -172,6 +206,7 @@
   }
 
   private void resolved(ControlCommand c) {
+    trace.record(new ProposalResolved(now, c));
     detector.resolved(c);
     planner.resolved(c);
     scheduler.resolved(c);
@@ -181,14 +216,17 @@
     if (now % ANNOUNCE_MILLIS == 0) {
       fleet.announcements(now).forEach(this::announced);
     }
+    trace.record(new Tick(now, now + leaseMillis));
     List<Proposal> out = new ArrayList<>(detector.tick(view(), now));
     out.addAll(planner.plan(view(), observations.view(), now));
-    sent = scheduler.poll(view(), now, now + 1_000);
+    sent = scheduler.poll(view(), now, now + leaseMillis);
     out.addAll(sent.proposals());
+    proposals.addAll(out);
     out.forEach(p -> proposed.add(p.command()));
   }
 
   private void announced(InstanceAnnouncement a) {
+    trace.announced(a, now, now);
     detector.announced(a, now);
     scheduler.announced(a);
     observations.announced(a, view(), now);
@@ -198,33 +236,40 @@
     for (SchedulerOutput.StateRead r : sent.reads()) {
       FakeEngine e = fleet.get(r.instance());
       if (!fleet.isReachable(e)) {
-        scheduler.failed(r.token(), now);
+        failed(r.token(), r.instance());
       } else if (!lost()) {
+        trace.record(new EngineStateRead(now, r.token(), e.state(now)));
         scheduler.stateRead(r.token(), e.state(now), now);
       }
     }
     for (SchedulerOutput.OrderToSend o : sent.orders()) {
       FakeEngine e = fleet.get(o.instance());
       if (!fleet.isReachable(e)) {
-        scheduler.failed(o.token(), now);
+        failed(o.token(), o.instance());
       } else if (!lost()) {
-        answer(o.token(), e.order(o.order(), now));
+        answer(o, e.order(o.order(), now));
       }
     }
     sent = SchedulerOutput.NONE;
   }
 
-  private void answer(long token, boolean accepted) {
+  private void answer(SchedulerOutput.OrderToSend o, boolean accepted) {
     if (lost()) {
       return;
     }
     if (accepted) {
-      scheduler.orderAccepted(token, now);
+      trace.record(new OrderAccepted(now, o.token(), o.instance()));
+      scheduler.orderAccepted(o.token(), now);
     } else {
-      scheduler.failed(token, now);
+      failed(o.token(), o.instance());
     }
   }
 
+  private void failed(long token, String instance) {
+    trace.record(new OrderFailed(now, token, instance));
+    scheduler.failed(token, now);
+  }
+
   private boolean lost() {
     return lossPercent > 0 && random.nextInt(100) < lossPercent;
   }
@@ -236,24 +281,7 @@
 
   /** Returns how many declared groups of availability zones in service are not ready. */
   public int missing() {
-    ControlView v = view();
-    if (v.document() == null) {
-      return 0;
-    }
-    Map<String, Integer> ready = new HashMap<>();
-    for (GroupRecord g : v.groups().values()) {
-      if (g.state() == GroupState.READY) {
-        ready.merge(g.model() + '/' + g.zone(), 1, Integer::sum);
-      }
-    }
-    int sum = 0;
-    for (var m : v.document().models()) {
-      for (String z : m.zones()) {
-        int have = ready.getOrDefault(m.name() + '/' + z, 0);
-        sum += v.zonesOut().contains(z) ? 0 : Math.max(0, m.groupsPerZone() - have);
-      }
-    }
-    return sum;
+    return MissingGroups.count(view());
   }
 
   /** Returns the ready groups of which a reachable engine does not hold what the group needs. */
--- a/org.ebonypond.test/src/test/java/org/ebonypond/group/Documents.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/group/Documents.java
@@ -7,16 +7,16 @@
 import org.ebonypond.control.ControlCommand.ApplyDocument;
 
 /** Builds service documents for tests. */
-final class Documents {
+public final class Documents {
   private final List<String> tables = new ArrayList<>();
 
-  static Documents create(boolean checksFencing) {
+  public static Documents create(boolean checksFencing) {
     Documents d = new Documents();
     d.tables.add("[[engine_kind]]\nname = \"batcher\"\nchecks_fencing = " + checksFencing);
     return d;
   }
 
-  Documents model(String name, String version, int groups, int size, String... zones) {
+  public Documents model(String name, String version, int groups, int size, String... zones) {
     String list = Arrays.stream(zones).map(z -> '"' + z + '"').collect(Collectors.joining(", "));
     tables.add(
         String.join(
@@ -35,7 +35,7 @@
     return this;
   }
 
-  ApplyDocument version(long version) {
+  public ApplyDocument version(long version) {
     String text = "version = " + version + "\n" + String.join("\n", tables) + "\n";
     return new ApplyDocument(version, text, "operation-" + version);
   }
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/trace/Trace.java
@@ -0,0 +1,16 @@
+package org.ebonypond.trace;
+
+import java.util.List;
+
+/**
+ * A whole trace.
+ *
+ * @param header the first line
+ * @param records the inputs in the order in which they were taken
+ */
+public record Trace(TraceHeader header, List<TraceRecord> records) {
+  /** Copies the list. */
+  public Trace {
+    records = List.copyOf(records);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/trace/TraceHeader.java
@@ -0,0 +1,31 @@
+package org.ebonypond.trace;
+
+import org.ebonypond.group.PlannerSettings;
+import org.ebonypond.group.SchedulerSettings;
+
+/**
+ * The first line of a trace; names the format and what else the decisions depend on.
+ *
+ * @param format always {@link #FORMAT}
+ * @param formatVersion the version of the format
+ * @param policy the name of the placement policy
+ * @param planner times and bounds of the planner
+ * @param scheduler times and bounds of the order scheduler
+ */
+public record TraceHeader(
+    String format,
+    int formatVersion,
+    String policy,
+    PlannerSettings planner,
+    SchedulerSettings scheduler) {
+  /** The name of the format. */
+  public static final String FORMAT = "ebonypond-trace";
+
+  /** The version that this release writes, and the only one that it reads. */
+  public static final int VERSION = 1;
+
+  /** Creates a header of the current format. */
+  public TraceHeader(String policy, PlannerSettings planner, SchedulerSettings scheduler) {
+    this(FORMAT, VERSION, policy, planner, scheduler);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/trace/TraceOutcome.java
@@ -0,0 +1,71 @@
+package org.ebonypond.trace;
+
+import java.util.List;
+import java.util.Set;
+import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.group.EngineOrder;
+
+/**
+ * What a replay yielded. Sums and counts begin at the start of the measurement; lists are complete.
+ *
+ * @param finalView the view after the last record
+ * @param proposals every proposal, in order
+ * @param orders every order, in order
+ * @param groupMillisDown the sum over time of declared groups that were not ready, in
+ *     group-milliseconds
+ * @param instanceMillisStranded the sum over time of stranded instances, in instance-milliseconds
+ * @param moves how many instances were put into groups
+ * @param ordersAfterStepDown how many orders and reads were issued without leadership
+ * @param shortestWaitMillis the shortest time from the start of a term to its first order or read,
+ *     in milliseconds, or -1 if there was none
+ * @param longestDetectionMillis the longest time from the last announcement of a silent instance,
+ *     or from the start of the term, to the proposal that it is down, in milliseconds, or -1
+ * @param zonesWithGroups the availability zones in which a group was ready at some time
+ * @param unproposedCommits the committed commands of the leader that the replay did not propose
+ * @param unmatchedAnswers how many answers belong to no exchange that the replay opened
+ * @param twoGroups how often an instance was seen in two groups
+ * @param violations the invariant violations, in order
+ */
+public record TraceOutcome(
+    ControlView finalView,
+    List<TimedProposal> proposals,
+    List<TimedOrder> orders,
+    long groupMillisDown,
+    long instanceMillisStranded,
+    long moves,
+    long ordersAfterStepDown,
+    long shortestWaitMillis,
+    long longestDetectionMillis,
+    Set<String> zonesWithGroups,
+    List<ControlCommand> unproposedCommits,
+    long unmatchedAnswers,
+    long twoGroups,
+    List<String> violations) {
+  /** Copies the collections. */
+  public TraceOutcome {
+    proposals = List.copyOf(proposals);
+    orders = List.copyOf(orders);
+    zonesWithGroups = Set.copyOf(zonesWithGroups);
+    unproposedCommits = List.copyOf(unproposedCommits);
+    violations = List.copyOf(violations);
+  }
+
+  /**
+   * A proposal.
+   *
+   * @param at the time in milliseconds
+   * @param command the command
+   * @param reason why, for display
+   */
+  public record TimedProposal(long at, ControlCommand command, String reason) {}
+
+  /**
+   * An order.
+   *
+   * @param at the time in milliseconds
+   * @param instance the instance's name
+   * @param order the order
+   */
+  public record TimedOrder(long at, String instance, EngineOrder order) {}
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/trace/package-info.java
@@ -0,0 +1,5 @@
+/** Recorded traces of the control leader's inputs, and their replay against stated outcomes. */
+@NullMarked
+package org.ebonypond.trace;
+
+import org.jspecify.annotations.NullMarked;
