Add the command replay to the tool

A recorded trace could only be replayed from a test. `ebonypond replay TRACE [--expect FILE]` prints the outcome and names each difference from the stated one; the exit code is 0 when the outcome is as stated, 1 when it differs and 2 when a file cannot be used.

--- a/org.ebonypond.pgm.test/src/test/java/org/ebonypond/pgm/UsageTest.java
+++ b/org.ebonypond.pgm.test/src/test/java/org/ebonypond/pgm/UsageTest.java
@@ -25,7 +25,10 @@
         "get --entry 127.0.0.1:1 --timeout-ms 0",
         "timeline --since 5q --entry 127.0.0.1:1",
         "explain request --entry 127.0.0.1:1",
-        "explain zone z --entry 127.0.0.1:1"
+        "explain zone z --entry 127.0.0.1:1",
+        "replay",
+        "replay /nonexistent/file",
+        "replay /nonexistent/file --expect /nonexistent/file"
       })
   void wrongCommandLine(String line) {
     assertEquals(2, run(line.split(" ")));
@@ -43,7 +46,8 @@
         "zone in",
         "status",
         "timeline",
-        "explain"
+        "explain",
+        "replay"
       })
   void everyCommandHasHelp(String command) {
     assertEquals(0, run((command + " --help").split(" ")));
--- a/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/Main.java
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/Main.java
@@ -23,7 +23,8 @@
       GetCommand.class,
       StatusCommand.class,
       TimelineCommand.class,
-      ExplainCommand.class
+      ExplainCommand.class,
+      ReplayCommand.class
     },
     groups = {
       @Group(
--- a/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/ToolMessage.java
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/ToolMessage.java
@@ -17,6 +17,7 @@
   BAD_OPERATION_ID,
   UNREADABLE_FILE,
   INVALID_DOCUMENT,
+  INVALID_FILE,
   VALID_DOCUMENT,
   OPERATION_ID,
   DOCUMENT_APPLIED,
@@ -29,7 +30,8 @@
   UNKNOWN_OUTCOME,
   BAD_ANSWER,
   NO_EVENTS,
-  MISSING_CAUSES;
+  MISSING_CAUSES,
+  OUTCOME_DIFFERS;
 
   private static final ResourceBundle BUNDLE =
       ResourceBundle.getBundle("org.ebonypond.pgm.messages", Locale.ROOT);
--- a/org.ebonypond/src/main/java/org/ebonypond/trace/TraceReplay.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/trace/TraceReplay.java
@@ -138,13 +138,22 @@
     } else if (r instanceof TermStarted t) {
       elected(t);
     } else if (r instanceof StateRestored s) {
-      state.restore(Base64.getDecoder().decode(s.snapshot()));
-      meter.viewed(state.view(), s.at());
+      restore(s);
     } else {
       leads = false;
     }
   }
 
+  private void restore(StateRestored s) {
+    try {
+      state.restore(Base64.getDecoder().decode(s.snapshot()));
+    } catch (IllegalArgumentException e) {
+      throw new EbonypondException(
+          e, ErrorCode.BAD_REQUEST, "the snapshot at " + s.at() + " ms is not Base64");
+    }
+    meter.viewed(state.view(), s.at());
+  }
+
   private void elected(TermStarted t) {
     detector = new InstanceDetector();
     detector.elected(t.at());
