Record the inputs of the control leader into a file

A replay was only possible for runs of the fakes.

A thread of its own writes the file, so that the disk never delays the leader. Recording stops for good, with one log line, when the file cannot be written, reaches trace_max_mb, or is slower than the records arrive; a gap would make the rest useless. An existing file is not changed.

The leader now reads the end of its lease before it plans instead of before it sends orders, so that the tick and its lease are one record; this can only shorten the lease that the scheduler sees.

ControlLeaderTraceTest runs a leader on a real log with a repair: the replay of its trace makes the same proposals in the same order, and its final view equals that of the run.

--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ControlLeaderTraceTest.java
@@ -0,0 +1,228 @@
+package org.ebonypond.server.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Predicate;
+import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlCommand.ApplyDocument;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.group.EngineOrder;
+import org.ebonypond.group.EngineState;
+import org.ebonypond.group.EngineStatus;
+import org.ebonypond.group.InstanceAnnouncement;
+import org.ebonypond.group.PlannerSettings;
+import org.ebonypond.group.SchedulerSettings;
+import org.ebonypond.group.ScoredPolicy;
+import org.ebonypond.junit.FakeEngine;
+import org.ebonypond.junit.FakeEngineFleet;
+import org.ebonypond.server.backend.EngineAdmin;
+import org.ebonypond.server.replica.ReplicaService;
+import org.ebonypond.server.settings.DaemonSettings;
+import org.ebonypond.server.settings.SettingsParser;
+import org.ebonypond.server.timer.ScheduledTimerService;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.time.HybridClock;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.trace.Trace;
+import org.ebonypond.trace.TraceHeader;
+import org.ebonypond.trace.TraceOutcome;
+import org.ebonypond.trace.TraceReader;
+import org.ebonypond.trace.TraceRecord.CommandCommitted;
+import org.ebonypond.trace.TraceReplay;
+import org.ebonypond.wire.MessagePackCodec;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ControlLeaderTraceTest {
+  private static final String DOCUMENT =
+      """
+      version = 1
+      [[engine_kind]]
+      name = "batcher"
+      checks_fencing = true
+      [[model]]
+      name = "drafter"
+      version = "1"
+      engine_kind = "batcher"
+      zones = ["a"]
+      groups_per_zone = 1
+      instances_per_group = 2
+      max_concurrency = 16
+      cold_ceiling = 2
+      warm_seconds = 3
+      """;
+
+  @TempDir Path folder;
+
+  private final ScheduledExecutorService threads = Executors.newScheduledThreadPool(2);
+  private final ExecutorService leaderThread = Executors.newSingleThreadExecutor();
+  private final TimerService timers = new ScheduledTimerService(threads);
+  private final FakeEngineFleet fleet = new FakeEngineFleet();
+
+  private DaemonSettings settings() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      String peer = "127.0.0.1:" + s.getLocalPort();
+      return SettingsParser.parse(
+          String.join(
+              "\n",
+              "node = \"n\"",
+              "zone = \"a\"",
+              "http = \"127.0.0.1:1\"",
+              "peer = \"" + peer + '"',
+              "data_folder = '" + folder.resolve("data") + "'",
+              "ledger_shards = 1",
+              "[[replica]]",
+              "name = \"n\"",
+              "peer = \"" + peer + "\"\n"));
+    }
+  }
+
+  private final class Engines implements EngineAdmin {
+    private FakeEngine at(String address) {
+      FakeEngine e = fleet.get(address.substring(0, address.indexOf(':')));
+      if (!fleet.isReachable(e)) {
+        throw new IllegalStateException("unreachable");
+      }
+      return e;
+    }
+
+    @Override
+    public CompletableFuture<EngineState> readState(String address) {
+      return CompletableFuture.supplyAsync(
+          () -> {
+            synchronized (fleet) {
+              return at(address).state(timers.nowMillis());
+            }
+          });
+    }
+
+    @Override
+    public CompletableFuture<Void> send(String address, EngineOrder order) {
+      return CompletableFuture.runAsync(
+          () -> {
+            synchronized (fleet) {
+              if (!at(address).order(order, timers.nowMillis())) {
+                throw new IllegalStateException("refused");
+              }
+            }
+          });
+    }
+  }
+
+  private void announce(PeerNetwork network, DaemonSettings s) {
+    List<InstanceReport.Item> items;
+    synchronized (fleet) {
+      items =
+          fleet.announcements(timers.nowMillis()).stream()
+              .map(a -> new InstanceReport.Item(a, load(a)))
+              .toList();
+    }
+    byte[] payload = MessagePackCodec.encode(new InstanceReport(items));
+    network.send(s.peer(), FrameType.INSTANCE_REPORT, ReplicaChannels.CONTROL, payload);
+  }
+
+  private static ReportedLoad load(InstanceAnnouncement a) {
+    boolean ready = a.status() == EngineStatus.READY;
+    return new ReportedLoad(a.instance(), a.boot(), ready, 0, 0, 0, 0, 0);
+  }
+
+  private static ControlView await(ReplicaService r, Predicate<GroupRecord> wanted)
+      throws InterruptedException {
+    for (int i = 0; i < 200; i++) {
+      ControlView v = r.control().inspect(n -> r.controlState().view()).join();
+      if (v.groups().values().stream().anyMatch(wanted)) {
+        return v;
+      }
+      Thread.sleep(100);
+    }
+    throw new AssertionError("the group did not reach the state in 20 s");
+  }
+
+  private static boolean isReady(GroupRecord g) {
+    return g.state() == GroupState.READY;
+  }
+
+  /** Runs a replica that leads until a group has lost a member and was repaired. */
+  private ControlView run(Path file) throws IOException, InterruptedException {
+    DaemonSettings s = settings();
+    TraceHeader header =
+        new TraceHeader(
+            new ScoredPolicy().name(), PlannerSettings.DEFAULT, SchedulerSettings.DEFAULT);
+    HybridClock clock = new HybridClock(System::currentTimeMillis);
+    try (PeerNetwork network = new PeerNetwork("n", clock, timers);
+        TraceFile trace = TraceFile.start(file, header, 1 << 20);
+        ReplicaService r =
+            new ReplicaService(s, network, timers, EventSink.NONE, new Random(1), e -> {})) {
+      ControlLeader leader =
+          new ControlLeader(
+              r,
+              timers,
+              leaderThread,
+              new Engines(),
+              new ScoredPolicy(),
+              EventSink.NONE,
+              new LeaderDirectory(timers),
+              e -> {},
+              trace);
+      leader.start(network);
+      r.start();
+      network.listen(s.peer());
+      timers.every(500, () -> announce(network, s));
+      ApplyDocument document = new ApplyDocument(1, DOCUMENT, "operation-1");
+      for (int i = 0; i < 100; i++) {
+        if (r.control().propose(MessagePackCodec.encode(document)).join().failure() == null) {
+          break;
+        }
+        Thread.sleep(100);
+      }
+      ControlView before = await(r, ControlLeaderTraceTest::isReady);
+      GroupRecord g = before.groups().values().iterator().next();
+      synchronized (fleet) {
+        fleet.get(g.members().get(1).instance()).stop();
+      }
+      final ControlView after = await(r, x -> isReady(x) && x.epoch() > g.epoch());
+      Thread.sleep(500);
+      threads.shutdownNow();
+      leaderThread.shutdown();
+      return after;
+    }
+  }
+
+  /** Guards against an input of the leader that a trace lacks or holds in another order. */
+  @Test
+  void replayOfRealRunMakesTheSameProposalsInOrder() throws IOException, InterruptedException {
+    fleet.addZone("a", 1, 3, "batcher", true, 500);
+    Path file = folder.resolve("leader.trace");
+    ControlView last = run(file);
+    Trace t = TraceReader.read(Files.readString(file));
+    TraceOutcome o = TraceReplay.run(t, 0);
+    assertEquals(last, o.finalView());
+    List<ControlCommand> committed =
+        t.records().stream()
+            .filter(r -> r instanceof CommandCommitted)
+            .map(r -> ((CommandCommitted) r).command())
+            .filter(c -> !(c instanceof ApplyDocument))
+            .toList();
+    assertEquals(committed, o.proposals().stream().map(p -> p.command()).toList());
+    assertTrue(committed.size() >= 8, committed.toString());
+    assertEquals(0, o.unmatchedAnswers());
+    assertEquals(List.of(), o.violations());
+    assertTrue(o.longestDetectionMillis() >= 2_000, () -> o.longestDetectionMillis() + " ms");
+  }
+}
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/settings/SettingsParserTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/settings/SettingsParserTest.java
@@ -42,6 +42,7 @@
         "zone = \"java-a\"|zones = \"java-a\"|line 1: key \"zone\" is missing",
         "data_folder = \"data\"|data_dir = \"data\"|line 5: unknown key \"data_dir\"",
         "data_folder = \"data\"|ledger_shards = 2|line 1: key \"data_folder\": is missing",
+        "data_folder = \"data\"|trace_max_mb = 0|line 5: key \"trace_max_mb\": 0 is out of range",
         "name = \"entry-a\"|name = \"entry-b\"|line 5: key \"data_folder\": is set, but no"
       })
   void refusesMistake(String good, String bad, String message) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Map;
@@ -21,6 +22,8 @@
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.events.EventCode;
 import org.ebonypond.group.PlacementPolicy;
+import org.ebonypond.group.PlannerSettings;
+import org.ebonypond.group.SchedulerSettings;
 import org.ebonypond.kernel.PluginRegistry;
 import org.ebonypond.lease.HolderId;
 import org.ebonypond.ledger.LedgerCommand;
@@ -40,6 +43,7 @@
 import org.ebonypond.server.control.LeaderDirectory;
 import org.ebonypond.server.control.ProposalClient;
 import org.ebonypond.server.control.ReportedLoad;
+import org.ebonypond.server.control.TraceFile;
 import org.ebonypond.server.control.ViewFollower;
 import org.ebonypond.server.entry.EntryIncarnation;
 import org.ebonypond.server.entry.EntryParts;
@@ -55,6 +59,7 @@
 import org.ebonypond.server.transport.PeerNetwork;
 import org.ebonypond.time.HybridClock;
 import org.ebonypond.time.TimerService;
+import org.ebonypond.trace.TraceHeader;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -94,6 +99,7 @@
   private final Router router;
   private final RequestGate gate;
   private @Nullable ReplicaService replica;
+  private @Nullable TraceFile trace;
   private @Nullable RatpackServer server;
   private volatile @Nullable EntryIncarnation incarnation;
   private volatile int exitCode;
@@ -196,6 +202,19 @@
     return exitCode;
   }
 
+  private @Nullable TraceFile startTrace() {
+    Path path = settings.traceFile();
+    if (path == null) {
+      return null;
+    }
+    TraceHeader header =
+        new TraceHeader(
+            settings.placementPolicy(), PlannerSettings.DEFAULT, SchedulerSettings.DEFAULT);
+    TraceFile file = TraceFile.start(path, header, (long) settings.traceMaxMegabytes() << 20);
+    trace = file;
+    return file;
+  }
+
   private void startReplica(ExecController controller, HttpClient client, LedgerClient ledger) {
     ReplicaService r =
         new ReplicaService(settings, network, timers, events, new SecureRandom(), this::fatal);
@@ -210,7 +229,8 @@
             PluginRegistry.load(PlacementPolicy.class).get(settings.placementPolicy()),
             events,
             directory,
-            e -> releaseCalls(ledger, e));
+            e -> releaseCalls(ledger, e),
+            startTrace());
     follower.onView(leader::onView);
     leader.start(network);
     r.start();
@@ -330,6 +350,10 @@
               network.close();
               timerThreads.shutdown();
               leaderThread.shutdown();
+              TraceFile t = trace;
+              if (t != null) {
+                t.close();
+              }
               stopped.countDown();
             },
             "stop")
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
@@ -21,6 +21,7 @@
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.events.EventSink;
+import org.ebonypond.group.EngineState;
 import org.ebonypond.group.EngineStatus;
 import org.ebonypond.group.GroupPlanner;
 import org.ebonypond.group.InstanceAnnouncement;
@@ -44,6 +45,7 @@
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.PeerNetwork;
 import org.ebonypond.time.TimerService;
+import org.ebonypond.trace.TraceRecord;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -70,6 +72,7 @@
   private final ReadinessClock readiness = new ReadinessClock();
   private final LeaderDirectory directory;
   private final Consumer<EntryInfo> lostEntries;
+  private final LeaderTrace trace;
   private final ObservationTable observations = new ObservationTable();
   private final Map<ShareTarget, Long> knownAtElection = new HashMap<>();
   private final Set<String> shareTargets = new HashSet<>();
@@ -90,6 +93,7 @@
    * @param events receives the events
    * @param directory collects what only the leader knows
    * @param lostEntries is told of processes that have been silent for long
+   * @param trace takes the inputs of the decisions, or null
    */
   public ControlLeader(
       ReplicaService replica,
@@ -99,7 +103,8 @@
       PlacementPolicy policy,
       EventSink events,
       LeaderDirectory directory,
-      Consumer<EntryInfo> lostEntries) {
+      Consumer<EntryInfo> lostEntries,
+      @Nullable TraceFile trace) {
     this.replica = replica;
     this.timers = timers;
     this.executor = executor;
@@ -108,6 +113,7 @@
     this.scheduler = new OrderScheduler(SchedulerSettings.DEFAULT, events);
     this.directory = directory;
     this.lostEntries = lostEntries;
+    this.trace = new LeaderTrace(trace);
   }
 
   /** Registers the frame handlers and starts the ticks. */
@@ -125,6 +131,9 @@
   private void tick() {
     ReplicaStatus status = replica.control().status();
     if (!status.mayLead(timers.nowMillis())) {
+      if (term >= 0) {
+        trace.record(new TraceRecord.TermEnded(timers.nowMillis()));
+      }
       term = -1;
       allocator = null;
       return;
@@ -133,18 +142,19 @@
       return;
     }
     stepRunning = true;
-    replica
-        .control()
-        .read(() -> replica.controlState().view())
+    trace
+        .read(replica, term != status.term())
         .whenCompleteAsync((v, failure) -> guarded(() -> step(status, v)).run(), executor);
   }
 
-  private void step(ReplicaStatus status, @Nullable ControlView v) {
+  private void step(ReplicaStatus status, @Nullable LeaderView read) {
     stepRunning = false;
-    if (v == null) {
+    if (read == null) {
       return;
     }
-    long now = timers.nowMillis();
+    final long now = timers.nowMillis();
+    final ControlView v = read.view();
+    trace.viewed(read, now);
     view = v;
     observations.retain(v);
     readiness.onView(v, now);
@@ -153,14 +163,17 @@
     }
     updateTargets(now);
     releaseCallsOfLostEntries();
+    long leaseHeldUntil = replica.control().status().leaseHeldUntil();
+    trace.record(new TraceRecord.Tick(now, leaseHeldUntil));
     detector.tick(v, now).forEach(this::propose);
     planner.plan(v, observations.view(), now).forEach(this::propose);
-    execute(scheduler.poll(v, now, replica.control().status().leaseHeldUntil()));
+    execute(scheduler.poll(v, now, leaseHeldUntil));
   }
 
   private void elected(long newTerm, long now) {
     term = newTerm;
     electedMillis = now;
+    trace.elected(newTerm, now);
     detector.elected(now);
     planner.elected();
     scheduler.elected(now);
@@ -245,12 +258,14 @@
         LOG.info("command {} was rejected: {}", c, result);
       }
     }
+    trace.record(new TraceRecord.ProposalResolved(timers.nowMillis(), c));
     detector.resolved(c);
     planner.resolved(c);
     scheduler.resolved(c);
   }
 
   private void execute(SchedulerOutput out) {
+    trace.issued(out);
     out.proposals().forEach(this::propose);
     for (SchedulerOutput.StateRead r : out.reads()) {
       engines
@@ -260,9 +275,9 @@
                   guarded(
                           () -> {
                             if (s == null) {
-                              scheduler.failed(r.token(), timers.nowMillis());
+                              failed(r.token(), r.instance());
                             } else {
-                              scheduler.stateRead(r.token(), s, timers.nowMillis());
+                              stateRead(r.token(), s);
                             }
                           })
                       .run(),
@@ -277,9 +292,9 @@
                           () -> {
                             if (failure != null) {
                               LOG.info("order to {} failed: {}", o.instance(), failure.toString());
-                              scheduler.failed(o.token(), timers.nowMillis());
+                              failed(o.token(), o.instance());
                             } else {
-                              scheduler.orderAccepted(o.token(), timers.nowMillis());
+                              accepted(o.token(), o.instance());
                             }
                           })
                       .run(),
@@ -287,6 +302,24 @@
     }
   }
 
+  private void stateRead(long token, EngineState s) {
+    long now = timers.nowMillis();
+    trace.record(new TraceRecord.EngineStateRead(now, token, s));
+    scheduler.stateRead(token, s, now);
+  }
+
+  private void accepted(long token, String instance) {
+    long now = timers.nowMillis();
+    trace.record(new TraceRecord.OrderAccepted(now, token, instance));
+    scheduler.orderAccepted(token, now);
+  }
+
+  private void failed(long token, String instance) {
+    long now = timers.nowMillis();
+    trace.record(new TraceRecord.OrderFailed(now, token, instance));
+    scheduler.failed(token, now);
+  }
+
   private CompletableFuture<byte[]> report(Frame f) {
     InstanceReport r = MessagePackCodec.decode(f.payload(), InstanceReport.class);
     executor.execute(guarded(() -> r.items().forEach(this::announced)));
@@ -301,6 +334,7 @@
     InstanceAnnouncement a = item.announcement();
     ReportedLoad load = item.load();
     long heard = now - load.announcedAgoMillis();
+    trace.announced(a, heard, now);
     detector.announced(a, heard);
     scheduler.announced(a);
     directory.onLoad(load, now);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/settings/DaemonSettings.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/settings/DaemonSettings.java
@@ -19,6 +19,8 @@
  *     that the load balancer can take it out
  * @param routingPolicy the name of the routing policy plug-in
  * @param placementPolicy the name of the placement policy plug-in
+ * @param traceFile the file that takes the inputs of the control leader, or null
+ * @param traceMaxMegabytes the size in MB at which recording stops
  */
 public record DaemonSettings(
     String node,
@@ -30,7 +32,9 @@
     int ledgerShards,
     int drainNoticeMillis,
     String routingPolicy,
-    String placementPolicy) {
+    String placementPolicy,
+    @Nullable Path traceFile,
+    int traceMaxMegabytes) {
   /** Copies the list. */
   public DaemonSettings {
     replicas = List.copyOf(replicas);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/settings/SettingsParser.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/settings/SettingsParser.java
@@ -17,6 +17,8 @@
   private static final int MAX_LEDGER_SHARDS = 64;
   private static final int MAX_DRAIN_NOTICE_MILLIS = 600_000;
   private static final int DEFAULT_DRAIN_NOTICE_MILLIS = 3_000;
+  private static final int MAX_TRACE_MEGABYTES = 10_000;
+  private static final int DEFAULT_TRACE_MEGABYTES = 64;
   private static final int MAX_PORT = 65_535;
 
   private SettingsParser() {}
@@ -39,6 +41,9 @@
         root.integer("drain_notice_ms", 0, MAX_DRAIN_NOTICE_MILLIS, DEFAULT_DRAIN_NOTICE_MILLIS);
     final String routing = root.string("routing_policy", "prefix-tokens", "prefix-tokens");
     final String placement = root.string("placement_policy", "scored", "scored");
+    final String trace = root.string("trace_file", "leader.trace", "");
+    final int traceSize =
+        root.integer("trace_max_mb", 1, MAX_TRACE_MEGABYTES, DEFAULT_TRACE_MEGABYTES);
     final List<ReplicaAddress> replicas = replicas(root);
     root.rejectUnknownKeys();
     boolean listed = replicas.stream().anyMatch(r -> r.name().equals(node));
@@ -52,9 +57,23 @@
           "is set, but no [[replica]] table names \"" + node + "\"",
           "add the table or remove the key");
     }
+    if (!listed && !trace.isEmpty()) {
+      throw root.bad("trace_file", "is set, but this node is not a replica", "remove the key");
+    }
     Path path = folder.isEmpty() ? null : Path.of(folder);
     return new DaemonSettings(
-        node, zone, http, peer, path, replicas, shards, notice, routing, placement);
+        node,
+        zone,
+        http,
+        peer,
+        path,
+        replicas,
+        shards,
+        notice,
+        routing,
+        placement,
+        trace.isEmpty() ? null : Path.of(trace),
+        traceSize);
   }
 
   private static List<ReplicaAddress> replicas(TableReader root) {
--- a/org.ebonypond/src/main/java/org/ebonypond/trace/TraceReplay.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/trace/TraceReplay.java
@@ -41,7 +41,8 @@
  *
  * <p>Tokens: each term gets a new scheduler, which counts from 1, and the trace states the first
  * token of the term. A recorded token thus maps to {@code token - firstToken + 1}. An answer whose
- * mapped token was not issued for the same instance is counted and not delivered.
+ * mapped token was not issued for the same instance is counted and not delivered; one that belongs
+ * to an earlier term is not delivered, as in the recorded scheduler.
  */
 public final class TraceReplay {
   private final ControlState state = new ControlState(EventSink.NONE);
@@ -244,7 +245,7 @@
 
   private boolean isMatched(long token, String instance) {
     boolean matched = instance.equals(tokens.get(mapped(token)));
-    unmatchedAnswers += matched ? 0 : 1;
+    unmatchedAnswers += matched || token < firstToken ? 0 : 1;
     return matched;
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/trace/TraceWriter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/trace/TraceWriter.java
@@ -1,6 +1,5 @@
 package org.ebonypond.trace;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.Writer;
@@ -8,6 +7,7 @@
 /** Writes a trace: a header line and one JSON object per line. Not thread-safe. */
 public final class TraceWriter implements Closeable {
   private final Writer out;
+  private long written;
 
   /**
    * Writes the header.
@@ -16,7 +16,7 @@
    */
   public TraceWriter(Writer out, TraceHeader header) throws IOException {
     this.out = out;
-    out.write(line(header));
+    append(header);
   }
 
   /**
@@ -25,11 +25,27 @@
    * @throws IOException if it cannot be written
    */
   public void write(TraceRecord r) throws IOException {
-    out.write(line(r));
+    append(r);
   }
 
-  private static String line(Object o) throws JsonProcessingException {
-    return TraceJson.MAPPER.writeValueAsString(o) + '\n';
+  /** Returns how many characters were written. */
+  public long written() {
+    return written;
+  }
+
+  /**
+   * Passes on what is buffered.
+   *
+   * @throws IOException if it cannot be written
+   */
+  public void flush() throws IOException {
+    out.flush();
+  }
+
+  private void append(Object o) throws IOException {
+    String line = TraceJson.MAPPER.writeValueAsString(o) + '\n';
+    out.write(line);
+    written += line.length();
   }
 
   @Override
