Compare a replay with the proposals that the leader made

The test compared the replay of a real run with the committed commands, which lack a proposal that was lost with the lead; in a trial with separate processes, the last proposal before a change of the leader was one.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ControlLeaderTraceTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ControlLeaderTraceTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -14,7 +18,9 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlCommand.ApplyDocument;
 import org.ebonypond.control.ControlView;
@@ -26,6 +32,7 @@
 import org.ebonypond.group.EngineStatus;
 import org.ebonypond.group.InstanceAnnouncement;
 import org.ebonypond.group.PlannerSettings;
+import org.ebonypond.group.Proposal;
 import org.ebonypond.group.SchedulerSettings;
 import org.ebonypond.group.ScoredPolicy;
 import org.ebonypond.junit.FakeEngine;
@@ -43,11 +50,11 @@
 import org.ebonypond.trace.TraceHeader;
 import org.ebonypond.trace.TraceOutcome;
 import org.ebonypond.trace.TraceReader;
-import org.ebonypond.trace.TraceRecord.CommandCommitted;
 import org.ebonypond.trace.TraceReplay;
 import org.ebonypond.wire.MessagePackCodec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.slf4j.LoggerFactory;
 
 class ControlLeaderTraceTest {
   private static final String DOCUMENT =
@@ -200,27 +207,39 @@
       Thread.sleep(500);
       threads.shutdownNow();
       leaderThread.shutdown();
+      assertTrue(leaderThread.awaitTermination(5, TimeUnit.SECONDS));
       return after;
     }
   }
 
+  /** Returns the proposal that the leader logged, if the event is about one. */
+  private static Stream<Proposal> proposal(ILoggingEvent e) {
+    if (!e.getMessage().startsWith("proposes ")) {
+      return Stream.empty();
+    }
+    Object[] a = e.getArgumentArray();
+    return Stream.of(new Proposal((ControlCommand) a[0], (String) a[1]));
+  }
+
   /** Guards against an input of the leader that a trace lacks or holds in another order. */
   @Test
   void replayOfRealRunMakesTheSameProposalsInOrder() throws IOException, InterruptedException {
     fleet.addZone("a", 1, 3, "batcher", true, 500);
-    Path file = folder.resolve("leader.trace");
-    ControlView last = run(file);
+    final Path file = folder.resolve("leader.trace");
+    ListAppender<ILoggingEvent> appender = new ListAppender<>();
+    appender.start();
+    Logger log = (Logger) LoggerFactory.getLogger(ControlLeader.class);
+    log.setLevel(Level.DEBUG);
+    log.addAppender(appender);
+    final ControlView last = run(file);
+    log.detachAppender(appender);
     Trace t = TraceReader.read(Files.readString(file));
     TraceOutcome o = TraceReplay.run(t, 0);
     assertEquals(last, o.finalView());
-    List<ControlCommand> committed =
-        t.records().stream()
-            .filter(r -> r instanceof CommandCommitted)
-            .map(r -> ((CommandCommitted) r).command())
-            .filter(c -> !(c instanceof ApplyDocument))
-            .toList();
-    assertEquals(committed, o.proposals().stream().map(p -> p.command()).toList());
-    assertTrue(committed.size() >= 8, committed.toString());
+    List<Proposal> proposed = appender.list.stream().flatMap(e -> proposal(e)).toList();
+    assertEquals(
+        proposed, o.proposals().stream().map(p -> new Proposal(p.command(), p.reason())).toList());
+    assertTrue(proposed.size() >= 8, proposed.toString());
     assertEquals(0, o.unmatchedAnswers());
     assertEquals(List.of(), o.violations());
     assertTrue(o.longestDetectionMillis() >= 2_000, () -> o.longestDetectionMillis() + " ms");
