Serve waiting requests of a new view without the follower's lock

Cause: ViewFollower calls its listeners under its lock, and RequestGate.onView delivered decisions on that thread, which take the locks of calls. A call asks the follower for the lease under its own lock, so the two orders can deadlock. Change: the gate serves waiting requests in a task of the timer service. The tests of CompletionCall on the manual clock, with fakes of the engines and of the control replica, check that no call runs and no attempt starts under the follower's lock; with the old code that test failed, because the attempt started under the lock.

--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -0,0 +1,137 @@
+package org.ebonypond.server.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.ebonypond.admission.Outcome;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.server.backend.FailureKind;
+import org.ebonypond.server.entry.EntryFixture.Caller;
+import org.ebonypond.server.entry.FakeEngines.FakeAttempt;
+import org.ebonypond.server.http.Problem;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class CompletionCallTest {
+  private static final long DEADLINE = 20_000;
+
+  private final EntryFixture entry = new EntryFixture(2, 1, 1);
+
+  private static Problem problem(Caller c) {
+    Problem p = c.problem;
+    assertNotNull(p);
+    return p;
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FailureKind.class,
+      names = {"NOT_SENT", "NOT_RUN", "OTHER_BOOT", "BROKEN"})
+  void resumesOnTheOtherGroupWithoutGap(FailureKind kind) {
+    final Caller c = entry.call(DEADLINE);
+    FakeAttempt first = entry.engines.last();
+    first.chunk(0, false);
+    first.chunk(2, false);
+    first.fail(kind);
+    FakeAttempt second = entry.engines.last();
+    assertNotEquals(first.request.address(), second.request.address());
+    assertEquals(1, second.request.resumeOffset());
+    first.chunk(1, false);
+    second.chunk(2, true);
+    second.chunk(1, false);
+    assertTrue(c.done);
+    assertEquals(3, c.chunks.size());
+    entry.assertIdle();
+  }
+
+  @Test
+  void leavesAnEngineThatStalls() {
+    final Caller c = entry.call(DEADLINE);
+    FakeAttempt first = entry.engines.last();
+    first.chunk(0, false);
+    entry.timers.advance(5_000);
+    assertTrue(first.stopped);
+    first.chunk(1, true);
+    entry.engines.last().chunk(1, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+
+  @Test
+  void endsAtTheDeadlineWhileStreamingAndWhileWaiting() {
+    final Caller a = entry.call(1_000);
+    final Caller b = entry.call(1_000);
+    final Caller waits = entry.call(1_000);
+    entry.timers.advance(1_000);
+    assertEquals(Outcome.FAILED, problem(a).outcome());
+    assertEquals(Outcome.FAILED, problem(b).outcome());
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    assertTrue(entry.engines.attempts.stream().allMatch(x -> x.stopped));
+    entry.assertIdle();
+  }
+
+  @Test
+  void stopsWhenTheCallerLeavesWhileStreamingAndWhileWaiting() {
+    final Caller a = entry.call(DEADLINE);
+    final Caller b = entry.call(DEADLINE);
+    Caller waits = entry.call(DEADLINE);
+    waits.leave();
+    a.leave();
+    b.leave();
+    entry.timers.advance(1_000);
+    assertEquals(2, entry.engines.attempts.size());
+    assertTrue(entry.engines.attempts.stream().allMatch(x -> x.stopped));
+    entry.assertIdle();
+  }
+
+  @Test
+  void doesNotDispatchWithoutTheViewLease() {
+    entry.call(DEADLINE);
+    entry.call(DEADLINE);
+    final Caller waits = entry.call(DEADLINE);
+    entry.peers.connected = false;
+    entry.timers.advance(4_000);
+    entry.engines.attempts.get(0).chunk(0, true);
+    entry.timers.advance(100);
+    assertEquals(ErrorCode.VIEW_STALE, problem(waits).code());
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    assertEquals(2, entry.engines.attempts.size());
+    entry.engines.attempts.get(1).chunk(0, true);
+    entry.assertIdle();
+  }
+
+  @Test
+  void goesOnWhenItsGroupLeavesReadyAndRefusesNewCallsWithoutGroups() {
+    final Caller c = entry.call(DEADLINE);
+    entry.group("g0", "boot1", GroupState.DRAINING);
+    entry.group("g1", "boot1", GroupState.DOWN);
+    entry.publish();
+    final Caller refused = entry.call(DEADLINE);
+    entry.engines.last().chunk(0, true);
+    assertTrue(c.done);
+    entry.timers.advance(1_100);
+    assertEquals(ErrorCode.NO_CAPACITY, problem(refused).code());
+    assertEquals(Outcome.NOT_RUN, problem(refused).outcome());
+    entry.assertIdle();
+  }
+
+  /** Guards against decisions that run under the lock of the view follower. */
+  @Test
+  void servesWaitingCallsOfNewViewsWithoutTheFollowersLock() {
+    entry.group("g0", "boot1", GroupState.DOWN);
+    entry.group("g1", "boot1", GroupState.DOWN);
+    entry.publish();
+    final Caller c = entry.call(DEADLINE);
+    entry.group("g0", "boot1", GroupState.READY);
+    entry.engines.forbidden = entry.follower;
+    entry.publish();
+    entry.timers.advance(50);
+    entry.engines.last().chunk(0, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
@@ -0,0 +1,258 @@
+package org.ebonypond.server.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.ebonypond.admission.RetryBudget;
+import org.ebonypond.admission.ServiceRates;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupMember;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.control.InstanceKind;
+import org.ebonypond.control.InstanceRecord;
+import org.ebonypond.control.InstanceStatus;
+import org.ebonypond.document.LimitsSpec;
+import org.ebonypond.document.ModelSpec;
+import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.document.WorkspaceSpec;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.junit.ManualTimerService;
+import org.ebonypond.routing.LeastOutstandingPolicy;
+import org.ebonypond.routing.Router;
+import org.ebonypond.routing.RouterSettings;
+import org.ebonypond.routing.RouterState;
+import org.ebonypond.routing.SlotLimiter;
+import org.ebonypond.routing.Target;
+import org.ebonypond.server.control.EntryInfo;
+import org.ebonypond.server.control.ViewFollower;
+import org.ebonypond.server.http.Problem;
+import org.jspecify.annotations.Nullable;
+
+/** The parts of an entry on the manual clock, with groups g0, g1 and so on of one instance each. */
+final class EntryFixture implements SlotLimiter {
+  static final String MODEL = "drafter";
+
+  final ManualTimerService timers = new ManualTimerService();
+  final FakePeers peers = new FakePeers();
+  final FakeEngines engines = new FakeEngines();
+  final RouterState routing = RouterState.create();
+  final ViewFollower follower =
+      new ViewFollower(
+          peers,
+          timers,
+          EventSink.NONE,
+          FakePeers.REPLICAS,
+          () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1));
+  final Router router;
+  final RequestGate gate;
+  final EntryParts parts;
+  private final Map<String, InstanceRecord> instances = new HashMap<>();
+  private final Map<String, GroupRecord> groups = new HashMap<>();
+  private final Set<String> keys = new HashSet<>();
+  private final int maxConcurrency;
+  private boolean modelDeclared = true;
+  private long index;
+  private long ids;
+  private int slots;
+
+  /** The slots whose requests the engines may still run. */
+  int lost;
+
+  EntryFixture(int groupCount, int maxConcurrency, long seed) {
+    this.maxConcurrency = maxConcurrency;
+    this.router =
+        new Router(
+            RouterSettings.of("e1", "z"),
+            new LeastOutstandingPolicy(),
+            routing,
+            this,
+            EventSink.NONE,
+            new SplittableRandom(seed));
+    this.gate = new RequestGate(router, new ServiceRates(), timers);
+    this.parts =
+        new EntryParts(
+            timers,
+            EventSink.NONE,
+            follower,
+            gate,
+            routing,
+            new RetryBudget(100),
+            new RequestTracker(timers, 0, a -> {}),
+            new MetricRegistry());
+    for (int i = 0; i < groupCount; i++) {
+      group("g" + i, "boot1", GroupState.READY);
+    }
+    follower.onView(v -> takeView());
+    publish();
+    follower.start();
+    gate.start();
+  }
+
+  /** Changes a group; in force once it is published. */
+  void group(String name, String boot, GroupState state) {
+    instances.put(
+        name + "a",
+        new InstanceRecord(
+            name + "a",
+            boot,
+            name + ":80",
+            "z",
+            "d",
+            InstanceKind.ENGINE,
+            "batcher",
+            InstanceStatus.UP,
+            ++index));
+    List<GroupMember> members = List.of(new GroupMember(name + "a", boot));
+    groups.put(name, new GroupRecord(name, MODEL, "1", "z", "d", members, state, ++index, index));
+  }
+
+  /** Brings the groups into force through the view follower. */
+  void publish() {
+    peers.commit();
+    follower.poll();
+  }
+
+  /** Removes the model from the document. */
+  void removeModel() {
+    modelDeclared = false;
+    groups.clear();
+    publish();
+  }
+
+  private void takeView() {
+    List<ModelSpec> models =
+        modelDeclared
+            ? List.of(
+                new ModelSpec(
+                    MODEL, "1", List.of(), "batcher", List.of("z"), 10, 1, maxConcurrency, 2, 20))
+            : List.of();
+    ServiceDocument d =
+        new ServiceDocument(
+            1,
+            models,
+            List.of(),
+            List.of(),
+            List.of(new WorkspaceSpec("w", 1, 100)),
+            LimitsSpec.DEFAULT,
+            "");
+    ControlView v = new ControlView(++index, d, "", Set.of(), instances, groups);
+    router.onView(v);
+    for (Target t : targets()) {
+      keys.add(t.key());
+    }
+    gate.onView(v);
+  }
+
+  private List<Target> targets() {
+    List<Target> all = router.table().model(MODEL);
+    return all == null ? List.of() : all;
+  }
+
+  /** Starts a call whose caller waits for a time. */
+  Caller call(long deadlineMillis) {
+    return call(deadlineMillis, 0);
+  }
+
+  Caller call(long deadlineMillis, long firstOffset) {
+    Caller c = new Caller("q" + ids++, firstOffset);
+    long deadline = timers.nowMillis() + deadlineMillis;
+    CompletionRequest r =
+        new CompletionRequest(c.id, "w", MODEL, "prompt", "{}", 8, true, firstOffset, 5, deadline);
+    c.call = new CompletionCall(parts, engines, r, c);
+    c.call.start();
+    return c;
+  }
+
+  /** Checks that no request holds capacity or waits. */
+  void assertIdle() {
+    timers.advance(0);
+    assertEquals(0, slots, "slots in use");
+    assertEquals(0, gate.waitingCount(), "waiting requests");
+    for (String k : keys) {
+      assertEquals(0, routing.load().inFlight(k), "requests in flight at " + k);
+    }
+  }
+
+  @Override
+  public boolean tryAcquire(Target target, long nowMillis) {
+    slots++;
+    return true;
+  }
+
+  @Override
+  public void release(Target target, long nowMillis) {
+    slots--;
+    assertTrue(slots >= 0, "a slot was returned twice");
+  }
+
+  @Override
+  public void lost(Target target, long nowMillis) {
+    release(target, nowMillis);
+    lost++;
+  }
+
+  /** A caller that checks the order of its chunks and that its answer ends once. */
+  final class Caller implements CompletionSink {
+    final String id;
+    final List<String> chunks = new ArrayList<>();
+    @Nullable Problem problem;
+    @Nullable RuntimeException failure;
+    boolean done;
+    @Nullable CompletionCall call;
+    private final long firstOffset;
+
+    Caller(String id, long firstOffset) {
+      this.id = id;
+      this.firstOffset = firstOffset;
+    }
+
+    boolean ended() {
+      return done || problem != null;
+    }
+
+    void leave() {
+      if (call != null) {
+        call.callerGone();
+      }
+    }
+
+    @Override
+    public void chunk(long offset, String json) {
+      assertOpen();
+      assertEquals(firstOffset + chunks.size(), offset, "gap or repetition");
+      assertTrue(json.contains("\"t" + offset + "\""), "another chunk at " + offset);
+      chunks.add(json);
+    }
+
+    @Override
+    public void done() {
+      assertOpen();
+      done = true;
+    }
+
+    @Override
+    public void problem(Problem p) {
+      assertOpen();
+      problem = p;
+      if (failure != null) {
+        throw failure;
+      }
+    }
+
+    private void assertOpen() {
+      assertFalse(ended(), "event after the end of the answer");
+      // A call asks the follower for its lease under its own lock; the reverse order can deadlock.
+      assertFalse(Thread.holdsLock(follower), "a call runs under the follower's lock");
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakePeers.java
@@ -0,0 +1,64 @@
+package org.ebonypond.server.entry;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.ebonypond.consensus.CommittedEntries;
+import org.ebonypond.consensus.EntryType;
+import org.ebonypond.consensus.LogEntry;
+import org.ebonypond.server.control.ViewPollResult;
+import org.ebonypond.server.settings.ReplicaAddress;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.Peers;
+import org.ebonypond.wire.MessagePackCodec;
+
+/** One control replica that answers at once, or not at all while it is cut off. */
+final class FakePeers implements Peers {
+  static final List<ReplicaAddress> REPLICAS =
+      List.of(new ReplicaAddress("r1", new InetSocketAddress("127.0.0.1", 1)));
+
+  /** Whether the replica answers. */
+  boolean connected = true;
+
+  private final Map<FrameType, Supplier<byte[]>> answers = new HashMap<>();
+  private long index;
+
+  FakePeers() {
+    answers.put(FrameType.VIEW_POLL, () -> MessagePackCodec.encode(pollResult()));
+  }
+
+  /** Commits an entry, so that the next poll changes the view. */
+  void commit() {
+    index++;
+  }
+
+  @Override
+  public void send(InetSocketAddress to, FrameType type, String channel, byte[] payload) {}
+
+  @Override
+  public CompletableFuture<byte[]> ask(
+      InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
+    Supplier<byte[]> answer = answers.get(type);
+    return connected && answer != null
+        ? CompletableFuture.completedFuture(answer.get())
+        : CompletableFuture.failedFuture(new IllegalStateException("no answer"));
+  }
+
+  private ViewPollResult pollResult() {
+    List<LogEntry> entries = new java.util.ArrayList<>();
+    for (long i = 1; i <= index; i++) {
+      entries.add(new LogEntry(i, 1, EntryType.NOOP, new byte[0]));
+    }
+    return new ViewPollResult(
+        true,
+        Map.of("r1", "id1"),
+        0,
+        index,
+        "r1",
+        new CommittedEntries(null, entries, index),
+        null);
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
@@ -58,7 +58,8 @@
     if (view.document() != null) {
       admission.configure(view.document());
     }
-    tick();
+    // Not on this thread: the follower holds its lock, and calls ask it for the lease under theirs.
+    timers.after(0, this::tick);
   }
 
   /**
