Answer requests whose model or service is removed from the document

Cause: the router throws for a pool that the document does not declare. A call that was retried after the removal never answered its caller, and each tick of the gate threw while such a request waited, so that decisions of other pools, with their reservations, were lost. Change: the gate takes the pool as one without a free slot, and admission refuses with no-capacity after its grace of 1 s. A receiver that throws no longer takes the decisions behind it with it. Both removal tests failed before the change with the router's exception.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.ebonypond.admission.Outcome;
@@ -48,6 +49,47 @@
     entry.assertIdle();
   }
 
+  /** Guards against an exception of the router that leaves a caller without an answer. */
+  @Test
+  void answersWhenTheModelIsRemovedWhileStreaming() {
+    final Caller c = entry.call(DEADLINE);
+    final FakeAttempt a = entry.engines.last();
+    a.chunk(0, false);
+    entry.removeModel();
+    a.fail(FailureKind.BROKEN);
+    entry.timers.advance(2_000);
+    assertEquals(Outcome.FAILED, problem(c).outcome());
+    entry.assertIdle();
+  }
+
+  @Test
+  void refusesWaitingCallsOnceTheModelIsRemoved() {
+    entry.call(DEADLINE);
+    entry.call(DEADLINE);
+    final Caller waits = entry.call(DEADLINE);
+    entry.removeModel();
+    entry.timers.advance(2_000);
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    entry.engines.attempts.forEach(a -> a.chunk(0, true));
+    entry.assertIdle();
+  }
+
+  /** Guards against one failing receiver that takes the decisions of the others with it. */
+  @Test
+  void deliversTheOtherDecisionsWhenOneReceiverFails() {
+    entry.call(DEADLINE);
+    entry.call(DEADLINE);
+    final Caller fails = entry.call(DEADLINE);
+    final Caller waits = entry.call(DEADLINE);
+    fails.failure = new IllegalStateException("test");
+    entry.removeModel();
+    assertThrows(IllegalStateException.class, () -> entry.timers.advance(2_000));
+    entry.timers.advance(100);
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    entry.engines.attempts.forEach(a -> a.chunk(0, true));
+    entry.assertIdle();
+  }
+
   @Test
   void leavesAnEngineThatStalls() {
     final Caller c = entry.call(DEADLINE);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
@@ -15,6 +15,8 @@
 import org.ebonypond.admission.SlotSource;
 import org.ebonypond.control.ControlView;
 import org.ebonypond.control.InstanceKind;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.routing.Reservation;
 import org.ebonypond.routing.RouteRequest;
 import org.ebonypond.routing.Router;
@@ -125,7 +127,7 @@
   @Override
   public Optional<Reservation> tryAcquire(AdmissionRequest request, long nowMillis) {
     Waiting w = waiting.get(request.id());
-    return w == null ? Optional.empty() : router.choose(w.route, nowMillis);
+    return w == null ? Optional.empty() : choose(List.of(w.route), nowMillis);
   }
 
   @Override
@@ -142,9 +144,21 @@
     }
     return routes.isEmpty()
         ? Optional.empty()
-        : router
-            .chooseAny(routes, nowMillis)
-            .map(x -> new Grant<>(byRoute.get(x.request().id()), x));
+        : choose(routes, nowMillis).map(x -> new Grant<>(byRoute.get(x.request().id()), x));
+  }
+
+  private Optional<Reservation> choose(List<RouteRequest> routes, long nowMillis) {
+    try {
+      return router.chooseAny(routes, nowMillis);
+    } catch (EbonypondException e) {
+      boolean removed =
+          e.code() == ErrorCode.UNKNOWN_MODEL || e.code() == ErrorCode.UNKNOWN_SERVICE;
+      if (removed) {
+        // The pool was removed from the document; admission refuses its requests after the grace.
+        return Optional.empty();
+      }
+      throw e;
+    }
   }
 
   @Override
@@ -160,14 +174,24 @@
   }
 
   private void capacity(String pool) {
-    // Not on this thread: the caller holds the lock of its own call, and the decisions take the
-    // locks
-    // of other calls.
+    // Not on this thread: the caller holds the lock of its own call, and the decisions take
+    // the locks of other calls.
     timers.after(0, () -> deliver(admission.onCapacity(pool, timers.nowMillis())));
   }
 
   private void deliver(List<Decision<Reservation>> decisions) {
-    decisions.forEach(this::deliver);
+    RuntimeException first = null;
+    for (Decision<Reservation> d : decisions) {
+      try {
+        deliver(d);
+      } catch (RuntimeException e) {
+        // The other receivers still get their decisions, each of which may hold a reservation.
+        first = first == null ? e : first;
+      }
+    }
+    if (first != null) {
+      throw first;
+    }
   }
 
   private void deliver(Decision<Reservation> d) {
