Keep a retry without an untried target from blocking its pool

Cause: a retry skips the targets that it has tried. When its remaining targets were suspected, or left the view while it waited, it stayed at the head of the queue until its deadline and all requests behind it waited too, although a tried target had free slots. Change: the tried targets count again once no other target is in service and unsuspected, decided at each choice; a retry that waits for a busy target does not hold up those behind it. The test failed before the change: the retried call was not answered.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -90,6 +90,27 @@
     entry.assertIdle();
   }
 
+  /** Guards against a retry that only a lost group could take and that blocks the whole model. */
+  @Test
+  void servesOthersWhileOneRetryFindsNoGroup() {
+    final Caller retried = entry.call(DEADLINE);
+    final FakeAttempt first = entry.engines.last();
+    Caller lost = entry.call(DEADLINE);
+    FakeAttempt second = entry.engines.last();
+    entry.call(DEADLINE);
+    second.fail(FailureKind.NOT_SENT);
+    lost.leave();
+    first.fail(FailureKind.NOT_RUN);
+    entry.timers.advance(100);
+    // One group is left; it first takes the call that waits, then the retry or the reverse.
+    assertEquals(3, entry.engines.attempts.size());
+    entry.engines.last().chunk(0, true);
+    entry.timers.advance(100);
+    entry.engines.last().chunk(0, true);
+    assertTrue(retried.done);
+    entry.assertIdle();
+  }
+
   @Test
   void leavesAnEngineThatStalls() {
     final Caller c = entry.call(DEADLINE);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
@@ -20,7 +20,6 @@
 import org.ebonypond.routing.Reservation;
 import org.ebonypond.routing.RouteRequest;
 import org.ebonypond.routing.Router;
-import org.ebonypond.routing.RoutingTable;
 import org.ebonypond.routing.Target;
 import org.ebonypond.time.TimerService;
 
@@ -113,10 +112,7 @@
 
   /** Returns whether a target of the request's pool is in service that was not tried. */
   public boolean hasUntried(RouteRequest r, Set<String> tried) {
-    RoutingTable table = router.table();
-    List<Target> all =
-        r.kind() == InstanceKind.ENGINE ? table.model(r.pool()) : table.service(r.pool());
-    return all != null && all.stream().anyMatch(t -> !tried.contains(t.key()));
+    return router.hasUntried(r.kind(), r.pool(), tried);
   }
 
   /** Returns the number of waiting requests over all pools. */
@@ -127,7 +123,7 @@
   @Override
   public Optional<Reservation> tryAcquire(AdmissionRequest request, long nowMillis) {
     Waiting w = waiting.get(request.id());
-    return w == null ? Optional.empty() : choose(List.of(w.route), nowMillis);
+    return w == null ? Optional.empty() : choose(List.of(current(w.route)), nowMillis);
   }
 
   @Override
@@ -139,12 +135,25 @@
       Waiting w = waiting.get(r.id());
       if (w != null) {
         byRoute.put(w.route.id(), r);
-        routes.add(w.route);
+        routes.add(current(w.route));
       }
     }
-    return routes.isEmpty()
-        ? Optional.empty()
-        : choose(routes, nowMillis).map(x -> new Grant<>(byRoute.get(x.request().id()), x));
+    // A retry that waits for a target that it has not tried does not hold up those behind it.
+    for (int first = 0; first < routes.size(); first++) {
+      Optional<Reservation> x = choose(routes.subList(first, routes.size()), nowMillis);
+      if (x.isPresent()) {
+        return Optional.of(new Grant<>(byRoute.get(x.get().request().id()), x.get()));
+      }
+      if (routes.get(first).tried().isEmpty()) {
+        return Optional.empty();
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the route without the tried targets once no other target is left. */
+  private RouteRequest current(RouteRequest r) {
+    return r.tried().isEmpty() || hasUntried(r, r.tried()) ? r : r.withTried(Set.of());
   }
 
   private Optional<Reservation> choose(List<RouteRequest> routes, long nowMillis) {
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -134,6 +134,14 @@
     return p != null && p.all().stream().anyMatch(t -> !parts.suspicion().isSuspected(t));
   }
 
+  /** Returns whether a target that is in service, not suspected and not in the set exists. */
+  public boolean hasUntried(InstanceKind kind, String pool, Set<String> tried) {
+    TargetPool p = snapshot.pools.get(Target.poolKey(kind, pool));
+    return p != null
+        && p.all().stream()
+            .anyMatch(t -> !tried.contains(t.key()) && !parts.suspicion().isSuspected(t));
+  }
+
   /**
    * Chooses a target and reserves capacity there.
    *
