Ignore events of an attempt that has ended while its call waits

Cause: CompletionCall compared events with the number of the last dispatch, also after that attempt had failed or stalled and the call waited in admission. An event already on its way on another thread then ended the attempt twice, which submitted the call twice and lost a reservation, or delivered the last chunk without a reservation, which threw and left the caller without an end. Change: events count only while their attempt runs. Capacity is returned before the sink is called, so that a failing sink leaks none. An engine that contradicts itself counts as failed, as one that stalls.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -1,6 +1,7 @@
 package org.ebonypond.server.entry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -49,6 +50,32 @@
     entry.assertIdle();
   }
 
+  /** Guards against events that pass the end of their attempt on another thread. */
+  @Test
+  void ignoresEventsOfAnAttemptThatEndedWhileTheCallWaitsForAnother() {
+    final Caller other = entry.call(DEADLINE);
+    final FakeAttempt busy = entry.engines.last();
+    final Caller c = entry.call(DEADLINE);
+    FakeAttempt broken = entry.engines.last();
+    broken.chunk(0, false);
+    broken.fail(FailureKind.BROKEN);
+    assertEquals(2, entry.engines.attempts.size());
+
+    broken.listener.onDone();
+    broken.fail(FailureKind.BROKEN);
+    broken.chunk(1, true);
+    assertFalse(c.ended());
+    busy.chunk(0, true);
+    entry.timers.advance(100);
+
+    assertTrue(other.done);
+    assertEquals(3, entry.engines.attempts.size());
+    assertEquals(1, entry.engines.last().request.resumeOffset());
+    entry.engines.last().chunk(1, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+
   /** Guards against an exception of the router that leaves a caller without an answer. */
   @Test
   void answersWhenTheModelIsRemovedWhileStreaming() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -58,6 +58,10 @@
   private TimerService.@Nullable Subscription timer;
   private int admissions;
   private int dispatches;
+
+  /** The number of the attempt whose events count, or 0 while none runs. */
+  private int running;
+
   private long dispatchedMillis;
   private long attemptOffset;
   private double firstTokenMillis;
@@ -200,6 +204,7 @@
     final Target t = java.util.Objects.requireNonNull(reservation).target();
     dispatches = d.attempt();
     dispatchedMillis = parts.timers().nowMillis();
+    running = d.attempt();
     attemptOffset = d.offset();
     firstTokenMillis = 0;
     tried.add(t.key());
@@ -207,7 +212,7 @@
         emit(
             d.attempt() == 1 ? EventCode.REQUEST_DISPATCHED : EventCode.REQUEST_RESUMED,
             Map.of("target", t.key(), "boot", t.boot(), "offset", String.valueOf(d.offset())));
-    attempt =
+    EngineClient.Attempt started =
         engines.start(
             new EngineRequest(
                 request.id(),
@@ -217,10 +222,13 @@
                 request.firstOffset() + d.offset(),
                 request.priority()),
             new AttemptListener(d.attempt()));
+    if (running == d.attempt()) {
+      attempt = started;
+    }
   }
 
   private synchronized void chunk(int number, long offset, String json) {
-    if (ended || number != dispatches) {
+    if (ended || number != running) {
       return;
     }
     boolean last = isLast(json);
@@ -229,7 +237,7 @@
     switch (p.kind()) {
       case DELIVERED -> delivered(p);
       case NO_ROOM, CONTRADICTION -> {
-        stopAttempt();
+        stopEngine();
         retry(number, FailureKind.BROKEN, "chunk " + offset + ": " + p.kind());
       }
       default -> {
@@ -268,9 +276,9 @@
         .metrics()
         .timer("first.token")
         .update((long) firstTokenMillis, java.util.concurrent.TimeUnit.MILLISECONDS);
-    sink.done();
     parts.gate().completed(admission, r, tokens, tokenMillis());
     end();
+    sink.done();
   }
 
   /** Returns the time between tokens of the last attempt, by which groups are compared. */
@@ -281,21 +289,23 @@
   }
 
   private synchronized void attemptEnded(int number) {
-    if (!ended && number == dispatches) {
+    if (!ended && number == running) {
       retry(number, FailureKind.BROKEN, "the answer ended without its last chunk");
     }
   }
 
   private synchronized void attemptFailed(int number, FailureKind kind, String detail) {
-    if (!ended && number == dispatches) {
+    if (!ended && number == running) {
       retry(number, kind, detail);
     }
   }
 
   private void retry(int number, FailureKind kind, String detail) {
-    Reservation r = reservation;
+    final Reservation r = reservation;
     reservation = null;
     attempt = null;
+    // Events of the attempt may still be on their way on other threads.
+    running = 0;
     if (r != null) {
       release(r, kind);
     }
@@ -367,16 +377,21 @@
         Map.of("code", p.code().wireName()));
     parts.metrics().counter("requests.refused").inc();
     stopAttempt();
-    sink.problem(p);
     end();
+    sink.problem(p);
   }
 
-  private void stopAttempt() {
+  private void stopEngine() {
     EngineClient.Attempt a = attempt;
     attempt = null;
+    running = 0;
     if (a != null) {
       a.stop();
     }
+  }
+
+  private void stopAttempt() {
+    stopEngine();
     Reservation r = reservation;
     reservation = null;
     if (r != null) {
@@ -386,6 +401,7 @@
 
   private void end() {
     ended = true;
+    running = 0;
     cancelTimer();
   }
 
@@ -416,10 +432,7 @@
       return;
     }
     if (now >= resume.nextWakeMillis()) {
-      EngineClient.Attempt a = attempt;
-      if (a != null) {
-        a.stop();
-      }
+      stopEngine();
       retry(dispatches, FailureKind.BROKEN, "no chunk for " + STALL_MILLIS + " ms");
       return;
     }
