Do not count a rejected request against its group

Cause: a request that the engine rejects with a client error was closed as a failure of the group: its slot counted as lost until a load report, and the straggler detector recorded an endless latency, so that one workspace's bad requests could eject healthy groups. Change: the reservation is released.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -138,6 +138,21 @@
     entry.assertIdle();
   }
 
+  /** Guards against bad requests of one workspace that eject groups as slow. */
+  @Test
+  void doesNotBlameTheGroupForRejectedRequests() {
+    final String key = entry.router.table().model(EntryFixture.MODEL).get(0).poolKey();
+    for (int i = 0; i < 100; i++) {
+      Caller c = entry.call(DEADLINE);
+      entry.engines.last().fail(FailureKind.REJECTED);
+      assertEquals(Outcome.FAILED, problem(c).outcome());
+      entry.timers.advance(20);
+    }
+    assertEquals(0, entry.lost, "slots that count as lost");
+    assertTrue(entry.routing.stragglers().ejected(key).isEmpty());
+    entry.assertIdle();
+  }
+
   @Test
   void leavesAnEngineThatStalls() {
     final Caller c = entry.call(DEADLINE);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -347,7 +347,8 @@
               List.of(causeId),
               Map.of("boot", t.boot(), "kind", kind.name()));
     }
-    if (isNotRun(kind)) {
+    // A request that the caller got wrong says nothing about the group.
+    if (isNotRun(kind) || kind == FailureKind.REJECTED) {
       parts.gate().released(admission, r);
     } else {
       parts.gate().failed(admission, r);
