Say not-run when the deadline passes before a service call is sent

Cause: a non-idempotent call that still waited in admission at its deadline was answered outcome-unknown, because the call's own timer fires before admission's next tick refuses it. Nothing had been sent, and a caller without a key could not safely repeat it. Change: at the deadline the runner withdraws an attempt that waits in admission; the withdrawal and a decision on another thread exclude each other.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -82,7 +82,7 @@
     final Caller c = entry.call(DEADLINE);
     final FakeAttempt a = entry.engines.last();
     a.chunk(0, false);
-    entry.removeModel();
+    entry.removePools();
     a.fail(FailureKind.BROKEN);
     entry.timers.advance(2_000);
     assertEquals(Outcome.FAILED, problem(c).outcome());
@@ -94,7 +94,7 @@
     entry.call(DEADLINE);
     entry.call(DEADLINE);
     final Caller waits = entry.call(DEADLINE);
-    entry.removeModel();
+    entry.removePools();
     entry.timers.advance(2_000);
     assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
     entry.engines.attempts.forEach(a -> a.chunk(0, true));
@@ -109,7 +109,7 @@
     final Caller fails = entry.call(DEADLINE);
     final Caller waits = entry.call(DEADLINE);
     fails.failure = new IllegalStateException("test");
-    entry.removeModel();
+    entry.removePools();
     assertThrows(IllegalStateException.class, () -> entry.timers.advance(2_000));
     entry.timers.advance(100);
     assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
@@ -6,6 +6,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,6 +25,7 @@
 import org.ebonypond.document.LimitsSpec;
 import org.ebonypond.document.ModelSpec;
 import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.document.ServiceSpec;
 import org.ebonypond.document.WorkspaceSpec;
 import org.ebonypond.events.EventSink;
 import org.ebonypond.junit.ManualTimerService;
@@ -41,18 +43,13 @@
 /** The parts of an entry on the manual clock, with groups g0, g1 and so on of one instance each. */
 final class EntryFixture implements SlotLimiter {
   static final String MODEL = "drafter";
+  static final String SERVICE = "orders";
 
-  final ManualTimerService timers = new ManualTimerService();
-  final FakePeers peers = new FakePeers();
+  final ManualTimerService timers;
+  final FakePeers peers;
   final FakeEngines engines = new FakeEngines();
   final RouterState routing = RouterState.create();
-  final ViewFollower follower =
-      new ViewFollower(
-          peers,
-          timers,
-          EventSink.NONE,
-          FakePeers.REPLICAS,
-          () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1));
+  final ViewFollower follower;
   final Router router;
   final RequestGate gate;
   final EntryParts parts;
@@ -60,7 +57,7 @@
   private final Map<String, GroupRecord> groups = new HashMap<>();
   private final Set<String> keys = new HashSet<>();
   private final int maxConcurrency;
-  private boolean modelDeclared = true;
+  private boolean declared = true;
   private long index;
   private long ids;
   private int slots;
@@ -69,6 +66,19 @@
   int lost;
 
   EntryFixture(int groupCount, int maxConcurrency, long seed) {
+    this(new ManualTimerService(), groupCount, maxConcurrency, seed);
+  }
+
+  EntryFixture(ManualTimerService timers, int groupCount, int maxConcurrency, long seed) {
+    this.timers = timers;
+    this.peers = new FakePeers(timers);
+    this.follower =
+        new ViewFollower(
+            peers,
+            timers,
+            EventSink.NONE,
+            FakePeers.REPLICAS,
+            () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1));
     this.maxConcurrency = maxConcurrency;
     this.router =
         new Router(
@@ -92,6 +102,9 @@
     for (int i = 0; i < groupCount; i++) {
       group("g" + i, "boot1", GroupState.READY);
     }
+    for (int i = 0; i < 2; i++) {
+      instance("s" + i, "boot1", InstanceKind.SERVICE, SERVICE);
+    }
     follower.onView(v -> takeView());
     publish();
     follower.start();
@@ -100,38 +113,40 @@
 
   /** Changes a group; in force once it is published. */
   void group(String name, String boot, GroupState state) {
-    instances.put(
-        name + "a",
-        new InstanceRecord(
-            name + "a",
-            boot,
-            name + ":80",
-            "z",
-            "d",
-            InstanceKind.ENGINE,
-            "batcher",
-            InstanceStatus.UP,
-            ++index));
+    instance(name + "a", boot, InstanceKind.ENGINE, "batcher");
     List<GroupMember> members = List.of(new GroupMember(name + "a", boot));
     groups.put(name, new GroupRecord(name, MODEL, "1", "z", "d", members, state, ++index, index));
   }
 
+  private void instance(String name, String boot, InstanceKind kind, String flavor) {
+    instances.put(
+        name,
+        new InstanceRecord(
+            name, boot, name + ":80", "z", "d", kind, flavor, InstanceStatus.UP, ++index));
+  }
+
+  /** Ends the suspicions of the plain services, as their next announcements do. */
+  void confirmServices() {
+    routing.suspicion().confirmUp("s0", "boot1", timers.nowMillis());
+    routing.suspicion().confirmUp("s1", "boot1", timers.nowMillis());
+  }
+
   /** Brings the groups into force through the view follower. */
   void publish() {
     peers.commit();
     follower.poll();
   }
 
-  /** Removes the model from the document. */
-  void removeModel() {
-    modelDeclared = false;
+  /** Removes the model and the service from the document. */
+  void removePools() {
+    declared = false;
     groups.clear();
     publish();
   }
 
   private void takeView() {
     List<ModelSpec> models =
-        modelDeclared
+        declared
             ? List.of(
                 new ModelSpec(
                     MODEL, "1", List.of(), "batcher", List.of("z"), 10, 1, maxConcurrency, 2, 20))
@@ -140,7 +155,7 @@
         new ServiceDocument(
             1,
             models,
-            List.of(),
+            declared ? List.of(new ServiceSpec(SERVICE, 2, 1, 10, List.of())) : List.of(),
             List.of(),
             List.of(new WorkspaceSpec("w", 1, 100)),
             LimitsSpec.DEFAULT,
@@ -154,8 +169,14 @@
   }
 
   private List<Target> targets() {
-    List<Target> all = router.table().model(MODEL);
-    return all == null ? List.of() : all;
+    List<Target> out = new ArrayList<>();
+    for (List<Target> all :
+        Arrays.asList(router.table().model(MODEL), router.table().service(SERVICE))) {
+      if (all != null) {
+        out.addAll(all);
+      }
+    }
+    return out;
   }
 
   /** Starts a call whose caller waits for a time. */
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakePeers.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakePeers.java
@@ -13,7 +13,9 @@
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
+import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
 
 /** One control replica that answers at once, or not at all while it is cut off. */
 final class FakePeers implements Peers {
@@ -23,10 +25,18 @@
   /** Whether the replica answers. */
   boolean connected = true;
 
+  /** Whether the process was killed, so that nothing leaves or reaches it. */
+  boolean stopped;
+
+  /** The ledger that answers proposals and lookups, if any. */
+  @Nullable FakeLedgerReplica ledger;
+
+  private final TimerService timers;
   private final Map<FrameType, Supplier<byte[]>> answers = new HashMap<>();
   private long index;
 
-  FakePeers() {
+  FakePeers(TimerService timers) {
+    this.timers = timers;
     answers.put(FrameType.VIEW_POLL, () -> MessagePackCodec.encode(pollResult()));
   }
 
@@ -41,12 +51,39 @@
   @Override
   public CompletableFuture<byte[]> ask(
       InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
+    if (stopped) {
+      return new CompletableFuture<>();
+    }
+    if (ledger != null && (type == FrameType.PROPOSE || type == FrameType.LEDGER_LOOKUP)) {
+      return askLedger(ledger, type, payload, timeoutMillis);
+    }
     Supplier<byte[]> answer = answers.get(type);
     return connected && answer != null
         ? CompletableFuture.completedFuture(answer.get())
         : CompletableFuture.failedFuture(new IllegalStateException("no answer"));
   }
 
+  private CompletableFuture<byte[]> askLedger(
+      FakeLedgerReplica replica, FrameType type, byte[] payload, long timeoutMillis) {
+    CompletableFuture<byte[]> out = new CompletableFuture<>();
+    replica.ask(
+        type,
+        payload,
+        answer -> {
+          if (!stopped) {
+            out.complete(answer);
+          }
+        });
+    timers.after(
+        timeoutMillis,
+        () -> {
+          if (!stopped) {
+            out.completeExceptionally(new IllegalStateException("no answer in time"));
+          }
+        });
+    return out;
+  }
+
   private ViewPollResult pollResult() {
     List<LogEntry> entries = new java.util.ArrayList<>();
     for (long i = 1; i <= index; i++) {
--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
@@ -0,0 +1,165 @@
+package org.ebonypond.server.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ebonypond.junit.FakePlainService;
+import org.ebonypond.junit.ManualTimerService;
+import org.ebonypond.ledger.CallRequest;
+import org.ebonypond.ledger.RequestDigest;
+import org.ebonypond.ledger.StoredAnswer;
+import org.ebonypond.server.backend.BackendFailure;
+import org.ebonypond.server.backend.FailureKind;
+import org.ebonypond.server.backend.ServiceClient;
+import org.ebonypond.server.backend.ServiceRequest;
+import org.ebonypond.server.control.ProposalClient;
+import org.ebonypond.server.http.Problem;
+import org.jspecify.annotations.Nullable;
+
+/** One incarnation of an entry that calls a plain service and can stop like a killed process. */
+final class ServiceEntry implements ServiceClient {
+  final EntryFixture entry;
+  final EntryIncarnation incarnation;
+  private final ManualTimerService timers;
+  private final FakePlainService service;
+  private final LedgerClient ledger;
+  private int calls;
+
+  ServiceEntry(
+      String name,
+      long number,
+      ManualTimerService timers,
+      FakeLedgerReplica replica,
+      FakePlainService service) {
+    this.timers = timers;
+    this.service = service;
+    this.entry = new EntryFixture(timers, 1, 4, number);
+    entry.peers.ledger = replica;
+    ProposalClient proposals = new ProposalClient(entry.peers, timers, FakePeers.REPLICAS);
+    this.ledger = new LedgerClient(proposals, entry.peers, FakePeers.REPLICAS, 1);
+    this.incarnation = new EntryIncarnation(name, number, timers::nowMillis, ledger);
+    incarnation.announce();
+  }
+
+  /** Drops every message from and to the process from now on. */
+  void kill() {
+    entry.peers.stopped = true;
+  }
+
+  Call call(@Nullable String key, String body, long deadlineMillis) {
+    String id = incarnation.current() + "/" + System.identityHashCode(this) + "/" + ++calls;
+    long now = timers.nowMillis();
+    ServiceCallRequest r =
+        new ServiceCallRequest(
+            id,
+            "w",
+            EntryFixture.SERVICE,
+            "POST",
+            "/orders",
+            List.of(),
+            body.getBytes(StandardCharsets.UTF_8),
+            key,
+            false,
+            5,
+            now + deadlineMillis);
+    CallRequest c =
+        new CallRequest(
+            "w",
+            key,
+            RequestDigest.of("POST", "/orders", r.body()),
+            incarnation.nextAttempt(),
+            now,
+            r.deadlineMillis(),
+            now);
+    Call call = new Call(this, id, body);
+    new AtMostOnceRunner(entry.parts, ledger, incarnation, this, r, c, call).start();
+    return call;
+  }
+
+  @Override
+  public CompletableFuture<StoredAnswer> call(ServiceRequest r) {
+    CompletableFuture<StoredAnswer> out = new CompletableFuture<>();
+    if (entry.peers.stopped) {
+      return out;
+    }
+    String body = new String(r.body(), StandardCharsets.UTF_8);
+    service.send(
+        r.requestId(),
+        body,
+        new FakePlainService.Client() {
+          @Override
+          public void notWritten() {
+            end(() -> out.completeExceptionally(failure(FailureKind.NOT_SENT)));
+          }
+
+          @Override
+          public void connectionLost() {
+            end(() -> out.completeExceptionally(failure(FailureKind.BROKEN)));
+          }
+
+          @Override
+          public void answered(StoredAnswer answer) {
+            end(() -> out.complete(answer));
+          }
+        });
+    return out;
+  }
+
+  private void end(Runnable event) {
+    if (!entry.peers.stopped) {
+      event.run();
+    }
+  }
+
+  private static BackendFailure failure(FailureKind kind) {
+    return new BackendFailure(kind, "test");
+  }
+
+  /** A caller that takes one answer; the body of its request names the work. */
+  static final class Call implements ServiceCallSink {
+    final String id;
+    final String body;
+    @Nullable StoredAnswer answer;
+    @Nullable Problem problem;
+    int ends;
+    private final ServiceEntry owner;
+
+    Call(ServiceEntry owner, String id, String body) {
+      this.owner = owner;
+      this.id = id;
+      this.body = body;
+    }
+
+    boolean lostItsEntry() {
+      return owner.entry.peers.stopped;
+    }
+
+    @Override
+    public void answer(StoredAnswer a, boolean replayed) {
+      ends += owner.entry.peers.stopped ? 0 : 1;
+      answer = a;
+    }
+
+    @Override
+    public void problem(Problem p) {
+      ends += owner.entry.peers.stopped ? 0 : 1;
+      problem = p;
+    }
+
+    void check(FakePlainService service) {
+      if (lostItsEntry()) {
+        return;
+      }
+      assertEquals(1, ends, "answers to " + id);
+      if (answer != null) {
+        assertEquals(FakePlainService.answerOf(body), answer);
+        assertNull(problem);
+      } else if (problem != null && problem.outcome() == org.ebonypond.admission.Outcome.NOT_RUN) {
+        service.declareNotRun(id);
+      }
+    }
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
@@ -205,7 +205,14 @@
   }
 
   private synchronized void onTimer() {
-    run(call.onTimer(now()));
+    long now = now();
+    if (now >= request.deadlineMillis() && dispatch.withdraw()) {
+      // The call still waits in admission, so that it surely did not run.
+      refusal = Problem.notRun(ErrorCode.DEADLINE_TOO_CLOSE, 1, "0", "0");
+      run(call.onNotWritten(false, now));
+      return;
+    }
+    run(call.onTimer(now));
   }
 
   private void schedule() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.ebonypond.admission.AdmissionRequest;
 import org.ebonypond.admission.Decision;
@@ -29,6 +30,7 @@
   private final ServiceClient services;
   private final ServiceCallRequest request;
   private final Set<String> tried = new HashSet<>();
+  private final AtomicReference<@Nullable AdmissionRequest> waiting = new AtomicReference<>();
   private int attempts;
 
   /** What became of an attempt. */
@@ -73,16 +75,39 @@
             request.priority(),
             1,
             request.deadlineMillis());
+    waiting.set(a);
     Consumer<Decision<Reservation>> receiver = d -> decided(a, d, timeoutMillis, result);
     parts.gate().submit(a, route.withTried(tried), receiver);
   }
 
+  /**
+   * Withdraws an attempt that waits in admission.
+   *
+   * @return whether nothing was sent and nothing will be; the result is not called any more
+   */
+  boolean withdraw() {
+    AdmissionRequest a = waiting.getAndSet(null);
+    if (a == null) {
+      return false;
+    }
+    parts.gate().cancel(a);
+    return true;
+  }
+
   private void decided(
       AdmissionRequest a, Decision<Reservation> d, long timeoutMillis, Result result) {
+    boolean withdrawn = !waiting.compareAndSet(a, null);
     if (d instanceof Decision.Admitted<Reservation> admitted) {
+      if (withdrawn) {
+        parts.gate().released(a, admitted.reservation());
+        return;
+      }
       dispatch(a, admitted.reservation(), timeoutMillis, result);
       return;
     }
+    if (withdrawn) {
+      return;
+    }
     Decision.Refused<Reservation> r = (Decision.Refused<Reservation>) d;
     long left = Math.max(0, request.deadlineMillis() - parts.timers().nowMillis());
     Object[] arguments =
