Count a load report only for the exact boot identity of a share

Cause: ShareClient accepted a report when the boot identity of the share ended with the reported one, so that the report of another boot whose identity is a suffix freed slots of lost connections on a starting server. Change: the identities must be equal. The test failed before with a slot freed by the report of boot "ot-1" for "boot-1"; identities of real servers are random, so the case is rare.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakePeers.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakePeers.java
@@ -1,10 +1,12 @@
 package org.ebonypond.server.entry;
 
 import java.net.InetSocketAddress;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.ebonypond.consensus.CommittedEntries;
 import org.ebonypond.consensus.EntryType;
@@ -15,7 +17,6 @@
 import org.ebonypond.server.transport.Peers;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
-import org.jspecify.annotations.Nullable;
 
 /** One control replica that answers at once, or not at all while it is cut off. */
 final class FakePeers implements Peers {
@@ -28,8 +29,13 @@
   /** Whether the process was killed, so that nothing leaves or reaches it. */
   boolean stopped;
 
-  /** The ledger that answers proposals and lookups, if any. */
-  @Nullable FakeLedgerReplica ledger;
+  /** What answers a kind of frame, in place of the replica. */
+  final Map<FrameType, Exchange> exchanges = new EnumMap<>(FrameType.class);
+
+  /** Answers a question late, more than once or never. */
+  interface Exchange {
+    void ask(FrameType type, byte[] payload, Consumer<byte[]> reply);
+  }
 
   private final TimerService timers;
   private final Map<FrameType, Supplier<byte[]>> answers = new HashMap<>();
@@ -54,8 +60,9 @@
     if (stopped) {
       return new CompletableFuture<>();
     }
-    if (ledger != null && (type == FrameType.PROPOSE || type == FrameType.LEDGER_LOOKUP)) {
-      return askLedger(ledger, type, payload, timeoutMillis);
+    Exchange exchange = exchanges.get(type);
+    if (exchange != null) {
+      return exchange(exchange, type, payload, timeoutMillis);
     }
     Supplier<byte[]> answer = answers.get(type);
     return connected && answer != null
@@ -63,10 +70,10 @@
         : CompletableFuture.failedFuture(new IllegalStateException("no answer"));
   }
 
-  private CompletableFuture<byte[]> askLedger(
-      FakeLedgerReplica replica, FrameType type, byte[] payload, long timeoutMillis) {
+  private CompletableFuture<byte[]> exchange(
+      Exchange exchange, FrameType type, byte[] payload, long timeoutMillis) {
     CompletableFuture<byte[]> out = new CompletableFuture<>();
-    replica.ask(
+    exchange.ask(
         type,
         payload,
         answer -> {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
@@ -17,6 +17,7 @@
 import org.ebonypond.server.backend.ServiceRequest;
 import org.ebonypond.server.control.ProposalClient;
 import org.ebonypond.server.http.Problem;
+import org.ebonypond.server.transport.FrameType;
 import org.jspecify.annotations.Nullable;
 
 /** One incarnation of an entry that calls a plain service and can stop like a killed process. */
@@ -37,7 +38,8 @@
     this.timers = timers;
     this.service = service;
     this.entry = new EntryFixture(timers, 1, 4, number);
-    entry.peers.ledger = replica;
+    entry.peers.exchanges.put(FrameType.PROPOSE, replica::ask);
+    entry.peers.exchanges.put(FrameType.LEDGER_LOOKUP, replica::ask);
     ProposalClient proposals = new ProposalClient(entry.peers, timers, FakePeers.REPLICAS);
     this.ledger = new LedgerClient(proposals, entry.peers, FakePeers.REPLICAS, 1);
     this.incarnation = new EntryIncarnation(name, number, timers::nowMillis, ledger);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
@@ -46,7 +46,7 @@
   private final Supplier<@Nullable String> leader;
   private final ShareHolder holder;
   private final Runnable onGrant;
-  private final Map<String, ShareTarget> byInstance = new HashMap<>();
+  private final Map<String, Target> byInstance = new HashMap<>();
   private final Map<ShareTarget, Integer> refused = new HashMap<>();
   private Set<String> names = Set.of();
   private long lastAskMillis = Long.MIN_VALUE / 2;
@@ -104,15 +104,18 @@
       ShareTarget s = ShareTargets.of(t);
       holder.onBoot(s);
       present.add(s.name());
-      byInstance.put(t.instance(), s);
+      byInstance.put(t.instance(), t);
     }
   }
 
   /** Takes a load report that the control leader passed on. */
   public synchronized void onLoad(ReportedLoad load) {
-    ShareTarget t = byInstance.get(load.instance());
-    if (t != null && t.boot().endsWith(load.boot())) {
-      holder.onLoad(t, timers.nowMillis() - load.ageMillis(), load.active() + load.waiting());
+    Target t = byInstance.get(load.instance());
+    if (t != null && t.boot().equals(load.boot())) {
+      holder.onLoad(
+          ShareTargets.of(t),
+          timers.nowMillis() - load.ageMillis(),
+          load.active() + load.waiting());
     }
   }
 
