Keep a proposal that fails late from forgetting the new leader

Cause: each failed proposal moved the remembered leader on from the replica that it had asked, also when another proposal had found the new leader meanwhile. After a leader froze, proposals that timed out later sent the next ones to a replica that refuses them. Change: the remembered leader moves only if it still is the replica that failed.

--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/HeldPeers.java
@@ -0,0 +1,48 @@
+package org.ebonypond.server.control;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ebonypond.server.settings.ReplicaAddress;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.Peers;
+import org.ebonypond.wire.MessagePackCodec;
+
+/** Three replicas, r0 to r2, whose answers wait until a test gives them. */
+final class HeldPeers implements Peers {
+  static final List<ReplicaAddress> REPLICAS =
+      List.of(replica("r0", 0), replica("r1", 1), replica("r2", 2));
+
+  final List<Question> questions = new ArrayList<>();
+
+  private static ReplicaAddress replica(String name, int port) {
+    return new ReplicaAddress(name, new InetSocketAddress("127.0.0.1", port));
+  }
+
+  Question last() {
+    return questions.get(questions.size() - 1);
+  }
+
+  @Override
+  public void send(InetSocketAddress to, FrameType type, String channel, byte[] payload) {}
+
+  @Override
+  public CompletableFuture<byte[]> ask(
+      InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
+    Question q = new Question(to.getPort(), payload, new CompletableFuture<>());
+    questions.add(q);
+    return q.answer;
+  }
+
+  /** A question to a replica. */
+  record Question(int replica, byte[] payload, CompletableFuture<byte[]> answer) {
+    void reply(Object message) {
+      answer.complete(MessagePackCodec.encode(message));
+    }
+
+    void fail() {
+      answer.completeExceptionally(new IllegalStateException("no answer in time"));
+    }
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
@@ -108,7 +108,9 @@
       }
       boolean refused = reply != null && reply.failure() == ErrorCode.NOT_LEADER;
       mayBeAccepted |= !refused;
-      leaderOf.put(channel, next(target, reply == null ? null : reply.leader()));
+      int next = next(target, reply == null ? null : reply.leader());
+      // Another proposal may have found the leader since this one was sent.
+      leaderOf.compute(channel, (k, known) -> known == null || known == target ? next : known);
       timers.after(RETRY_DELAY_MILLIS, this::attempt);
     }
 
