Isolate the listeners of the control view from each other

Cause: an exception of one listener of ViewFollower ended the handling of the answer: later listeners missed the view for good, because the entries count as applied, and the answer did not renew the lease. Change: the failure is logged and the others go on.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -155,7 +155,7 @@
     if (d != null) {
       leader = r.name();
       digest = d;
-      digestListeners.forEach(l -> l.accept(d));
+      tell(digestListeners, d);
     } else if (result.leader() != null) {
       leader = result.leader();
     }
@@ -190,10 +190,21 @@
     }
     view = state.view();
     ControlView v = view;
-    viewListeners.forEach(l -> l.accept(v));
+    tell(viewListeners, v);
     return appliedIndex < c.appliedIndex();
   }
 
+  /** Passes news on; a listener that fails cuts neither the others nor the lease off. */
+  private static <T> void tell(List<Consumer<T>> listeners, T news) {
+    for (Consumer<T> l : listeners) {
+      try {
+        l.accept(news);
+      } catch (RuntimeException e) {
+        LOG.error("a listener of the control view failed", e);
+      }
+    }
+  }
+
   private void reportLease() {
     boolean held = lease.mayStart(timers.nowMillis());
     if (held != leaseHeld) {
