--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
@@ -228,6 +228,7 @@
     final List<String> chunks = new ArrayList<>();
     @Nullable Problem problem;
     @Nullable RuntimeException failure;
+    Runnable onEnd = () -> {};
     boolean done;
     @Nullable CompletionCall call;
     private final long firstOffset;
@@ -259,12 +260,14 @@
     public void done() {
       assertOpen();
       done = true;
+      onEnd.run();
     }
 
     @Override
     public void problem(Problem p) {
       assertOpen();
       problem = p;
+      onEnd.run();
       if (failure != null) {
         throw failure;
       }
