Await the answer of an idempotent call only until its deadline

Cause: the longest wait for the answer was computed before the call entered admission and counted from the dispatch, so that the wait in admission was added to it. A call with a 10 s deadline that waited 3 s had no answer at its deadline, and a shutdown waited as much longer. Change: ServiceDispatch takes the time until which the answer is awaited and computes the rest at the dispatch. The test failed before with no answer at the deadline.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/AtMostOnceRunnerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/AtMostOnceRunnerTest.java
@@ -124,6 +124,26 @@
     e.entry.assertIdle();
   }
 
+  /** Guards against a call whose wait in admission is added to the time that its caller waits. */
+  @Test
+  void idempotentCallEndsByItsDeadlineAfterWaitingInAdmission() {
+    service.set(() -> 3_000, 0, 0);
+    ServiceEntry e = entry("a", 1);
+    for (int i = 0; i < 4; i++) {
+      e.callIdempotent("busy" + i, 20_000);
+    }
+    final Call c = e.callIdempotent("k", 10_000);
+    timers.advance(2_500);
+    service.set(() -> 60_000, 0, 0);
+    timers.advance(7_500);
+    assertEquals(1, service.executions("k"));
+    assertEquals(1, c.ends);
+    assertEquals(Outcome.FAILED, problem(c).outcome());
+    timers.advance(120_000);
+    assertEquals(1, c.ends);
+    e.entry.assertIdle();
+  }
+
   @ParameterizedTest
   @MethodSource("seeds")
   void callsRunAtMostOnceUnderFaults(long seed) {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.ebonypond.admission.RetryPolicy;
+import org.ebonypond.admission.ServiceRates;
 import org.ebonypond.junit.FakePlainService;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.ledger.CallRequest;
@@ -27,6 +29,7 @@
   private final ManualTimerService timers;
   private final FakePlainService service;
   private final LedgerClient ledger;
+  private final String name;
   private int calls;
 
   ServiceEntry(
@@ -35,6 +38,7 @@
       ManualTimerService timers,
       FakeLedgerReplica replica,
       FakePlainService service) {
+    this.name = name + "-" + number;
     this.timers = timers;
     this.service = service;
     this.entry = new EntryFixture(timers, 1, 4, number);
@@ -51,22 +55,33 @@
     entry.peers.stopped = true;
   }
 
+  private ServiceCallRequest request(
+      @Nullable String key, String body, boolean idempotent, long deadlineMillis) {
+    return new ServiceCallRequest(
+        name + "/" + incarnation.current() + "/" + ++calls,
+        "w",
+        EntryFixture.SERVICE,
+        "POST",
+        "/orders",
+        List.of(),
+        body.getBytes(StandardCharsets.UTF_8),
+        key,
+        idempotent,
+        5,
+        timers.nowMillis() + deadlineMillis);
+  }
+
+  Call callIdempotent(String body, long deadlineMillis) {
+    ServiceCallRequest r = request(null, body, true, deadlineMillis);
+    Call call = new Call(this, r.id(), body);
+    RetryPolicy policy = new RetryPolicy(entry.parts.budget(), new ServiceRates());
+    new RepeatableCall(entry.parts, policy, this, r, call).start();
+    return call;
+  }
+
   Call call(@Nullable String key, String body, long deadlineMillis) {
-    String id = incarnation.current() + "/" + System.identityHashCode(this) + "/" + ++calls;
+    final ServiceCallRequest r = request(key, body, false, deadlineMillis);
     long now = timers.nowMillis();
-    ServiceCallRequest r =
-        new ServiceCallRequest(
-            id,
-            "w",
-            EntryFixture.SERVICE,
-            "POST",
-            "/orders",
-            List.of(),
-            body.getBytes(StandardCharsets.UTF_8),
-            key,
-            false,
-            5,
-            now + deadlineMillis);
     CallRequest c =
         new CallRequest(
             "w",
@@ -76,7 +91,7 @@
             now,
             r.deadlineMillis(),
             now);
-    Call call = new Call(this, id, body);
+    Call call = new Call(this, r.id(), body);
     new AtMostOnceRunner(entry.parts, ledger, incarnation, this, r, c, call).start();
     return call;
   }
@@ -87,6 +102,8 @@
     if (entry.peers.stopped) {
       return out;
     }
+    timers.after(
+        r.timeoutMillis(), () -> end(() -> out.completeExceptionally(failure(FailureKind.BROKEN))));
     String body = new String(r.body(), StandardCharsets.UTF_8);
     service.send(
         r.requestId(),
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
@@ -132,9 +132,8 @@
   }
 
   private void startDispatch() {
-    long timeout = request.deadlineMillis() - now() + LATE_ANSWER_MILLIS;
     dispatch.start(
-        timeout,
+        request.deadlineMillis() + LATE_ANSWER_MILLIS,
         new ServiceDispatch.Result() {
           @Override
           public void answered(StoredAnswer answer) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RepeatableCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RepeatableCall.java
@@ -50,8 +50,7 @@
   }
 
   private void attempt() {
-    long left = request.deadlineMillis() - parts.timers().nowMillis();
-    dispatch.start(Math.max(1, left), new AttemptResult());
+    dispatch.start(request.deadlineMillis(), new AttemptResult());
   }
 
   private void failed(FailureKind kind) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
@@ -59,10 +59,10 @@
   /**
    * Starts an attempt.
    *
-   * @param timeoutMillis the longest wait for the answer after the dispatch, in milliseconds
+   * @param untilMillis the time on this entry's clock until which the answer is awaited
    * @param result receives what became of it, perhaps before this call returns
    */
-  void start(long timeoutMillis, Result result) {
+  void start(long untilMillis, Result result) {
     RouteRequest route = RouteRequest.service(request.id(), request.service(), request.workspace());
     if (!parts.gate().hasUntried(route, tried)) {
       tried.clear();
@@ -76,7 +76,7 @@
             1,
             request.deadlineMillis());
     waiting.set(a);
-    Consumer<Decision<Reservation>> receiver = d -> decided(a, d, timeoutMillis, result);
+    Consumer<Decision<Reservation>> receiver = d -> decided(a, d, untilMillis, result);
     parts.gate().submit(a, route.withTried(tried), receiver);
   }
 
@@ -95,14 +95,14 @@
   }
 
   private void decided(
-      AdmissionRequest a, Decision<Reservation> d, long timeoutMillis, Result result) {
+      AdmissionRequest a, Decision<Reservation> d, long untilMillis, Result result) {
     boolean withdrawn = !waiting.compareAndSet(a, null);
     if (d instanceof Decision.Admitted<Reservation> admitted) {
       if (withdrawn) {
         parts.gate().released(a, admitted.reservation());
         return;
       }
-      dispatch(a, admitted.reservation(), timeoutMillis, result);
+      dispatch(a, admitted.reservation(), untilMillis, result);
       return;
     }
     if (withdrawn) {
@@ -117,7 +117,7 @@
     result.refused(Problem.notRun(r.code(), r.retryAfterSeconds(), arguments));
   }
 
-  private void dispatch(AdmissionRequest a, Reservation r, long timeoutMillis, Result result) {
+  private void dispatch(AdmissionRequest a, Reservation r, long untilMillis, Result result) {
     if (!parts.follower().mayStart()) {
       parts.gate().released(a, r);
       result.refused(Problem.notRun(ErrorCode.VIEW_STALE, 1));
@@ -142,7 +142,7 @@
                 request.path(),
                 request.headers(),
                 request.body(),
-                timeoutMillis,
+                Math.max(1, untilMillis - parts.timers().nowMillis()),
                 request.idempotent()))
         .whenComplete((answer, failure) -> ended(a, r, answer, failure, cause, result));
   }
