--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -0,0 +1,242 @@
+package org.ebonypond.server.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.ebonypond.admission.Outcome;
+import org.ebonypond.control.GroupState;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.server.backend.FailureKind;
+import org.ebonypond.server.entry.EntryFixture.Caller;
+import org.ebonypond.server.entry.FakeEngines.FakeAttempt;
+import org.ebonypond.server.http.Problem;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class CompletionCallTest {
+  private static final long DEADLINE = 20_000;
+
+  private final EntryFixture entry = new EntryFixture(2, 1, 1);
+
+  private static Problem problem(Caller c) {
+    Problem p = c.problem;
+    assertNotNull(p);
+    return p;
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FailureKind.class,
+      names = {"NOT_SENT", "NOT_RUN", "OTHER_BOOT", "BROKEN"})
+  void resumesOnTheOtherGroupWithoutGap(FailureKind kind) {
+    final Caller c = entry.call(DEADLINE);
+    FakeAttempt first = entry.engines.last();
+    first.chunk(0, false);
+    first.chunk(2, false);
+    first.fail(kind);
+    FakeAttempt second = entry.engines.last();
+    assertNotEquals(first.request.address(), second.request.address());
+    assertEquals(1, second.request.resumeOffset());
+    first.chunk(1, false);
+    second.chunk(2, true);
+    second.chunk(1, false);
+    assertTrue(c.done);
+    assertEquals(3, c.chunks.size());
+    entry.assertIdle();
+  }
+
+  /** Guards against events that pass the end of their attempt on another thread. */
+  @Test
+  void ignoresEventsOfAnAttemptThatEndedWhileTheCallWaitsForAnother() {
+    final Caller other = entry.call(DEADLINE);
+    final FakeAttempt busy = entry.engines.last();
+    final Caller c = entry.call(DEADLINE);
+    FakeAttempt broken = entry.engines.last();
+    broken.chunk(0, false);
+    broken.fail(FailureKind.BROKEN);
+    assertEquals(2, entry.engines.attempts.size());
+
+    broken.listener.onDone();
+    broken.fail(FailureKind.BROKEN);
+    broken.chunk(1, true);
+    assertFalse(c.ended());
+    busy.chunk(0, true);
+    entry.timers.advance(100);
+
+    assertTrue(other.done);
+    assertEquals(3, entry.engines.attempts.size());
+    assertEquals(1, entry.engines.last().request.resumeOffset());
+    entry.engines.last().chunk(1, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+
+  /** Guards against an exception of the router that leaves a caller without an answer. */
+  @Test
+  void answersWhenTheModelIsRemovedWhileStreaming() {
+    final Caller c = entry.call(DEADLINE);
+    final FakeAttempt a = entry.engines.last();
+    a.chunk(0, false);
+    entry.removePools();
+    a.fail(FailureKind.BROKEN);
+    entry.timers.advance(2_000);
+    assertEquals(Outcome.FAILED, problem(c).outcome());
+    entry.assertIdle();
+  }
+
+  @Test
+  void refusesWaitingCallsOnceTheModelIsRemoved() {
+    entry.call(DEADLINE);
+    entry.call(DEADLINE);
+    final Caller waits = entry.call(DEADLINE);
+    entry.removePools();
+    entry.timers.advance(2_000);
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    entry.engines.attempts.forEach(a -> a.chunk(0, true));
+    entry.assertIdle();
+  }
+
+  /** Guards against one failing receiver that takes the decisions of the others with it. */
+  @Test
+  void deliversTheOtherDecisionsWhenOneReceiverFails() {
+    entry.call(DEADLINE);
+    entry.call(DEADLINE);
+    final Caller fails = entry.call(DEADLINE);
+    final Caller waits = entry.call(DEADLINE);
+    fails.failure = new IllegalStateException("test");
+    entry.removePools();
+    assertThrows(IllegalStateException.class, () -> entry.timers.advance(2_000));
+    entry.timers.advance(100);
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    entry.engines.attempts.forEach(a -> a.chunk(0, true));
+    entry.assertIdle();
+  }
+
+  /** Guards against a retry that only a lost group could take and that blocks the whole model. */
+  @Test
+  void servesOthersWhileOneRetryFindsNoGroup() {
+    final Caller retried = entry.call(DEADLINE);
+    final FakeAttempt first = entry.engines.last();
+    Caller lost = entry.call(DEADLINE);
+    FakeAttempt second = entry.engines.last();
+    entry.call(DEADLINE);
+    second.fail(FailureKind.NOT_SENT);
+    lost.leave();
+    first.fail(FailureKind.NOT_RUN);
+    entry.timers.advance(100);
+    // One group is left; it first takes the call that waits, then the retry or the reverse.
+    assertEquals(3, entry.engines.attempts.size());
+    entry.engines.last().chunk(0, true);
+    entry.timers.advance(100);
+    entry.engines.last().chunk(0, true);
+    assertTrue(retried.done);
+    entry.assertIdle();
+  }
+
+  /** Guards against bad requests of one workspace that eject groups as slow. */
+  @Test
+  void doesNotBlameTheGroupForRejectedRequests() {
+    final String key = entry.router.table().model(EntryFixture.MODEL).get(0).poolKey();
+    for (int i = 0; i < 100; i++) {
+      Caller c = entry.call(DEADLINE);
+      entry.engines.last().fail(FailureKind.REJECTED);
+      assertEquals(Outcome.FAILED, problem(c).outcome());
+      entry.timers.advance(20);
+    }
+    assertEquals(0, entry.lost, "slots that count as lost");
+    assertTrue(entry.routing.stragglers().ejected(key).isEmpty());
+    entry.assertIdle();
+  }
+
+  @Test
+  void leavesAnEngineThatStalls() {
+    final Caller c = entry.call(DEADLINE);
+    FakeAttempt first = entry.engines.last();
+    first.chunk(0, false);
+    entry.timers.advance(5_000);
+    assertTrue(first.stopped);
+    first.chunk(1, true);
+    entry.engines.last().chunk(1, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+
+  @Test
+  void endsAtTheDeadlineWhileStreamingAndWhileWaiting() {
+    final Caller a = entry.call(1_000);
+    final Caller b = entry.call(1_000);
+    final Caller waits = entry.call(1_000);
+    entry.timers.advance(1_000);
+    assertEquals(Outcome.FAILED, problem(a).outcome());
+    assertEquals(Outcome.FAILED, problem(b).outcome());
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    assertTrue(entry.engines.attempts.stream().allMatch(x -> x.stopped));
+    entry.assertIdle();
+  }
+
+  @Test
+  void stopsWhenTheCallerLeavesWhileStreamingAndWhileWaiting() {
+    final Caller a = entry.call(DEADLINE);
+    final Caller b = entry.call(DEADLINE);
+    Caller waits = entry.call(DEADLINE);
+    waits.leave();
+    a.leave();
+    b.leave();
+    entry.timers.advance(1_000);
+    assertEquals(2, entry.engines.attempts.size());
+    assertTrue(entry.engines.attempts.stream().allMatch(x -> x.stopped));
+    entry.assertIdle();
+  }
+
+  @Test
+  void doesNotDispatchWithoutTheViewLease() {
+    entry.call(DEADLINE);
+    entry.call(DEADLINE);
+    final Caller waits = entry.call(DEADLINE);
+    entry.peers.connected = false;
+    entry.timers.advance(4_000);
+    entry.engines.attempts.get(0).chunk(0, true);
+    entry.timers.advance(100);
+    assertEquals(ErrorCode.VIEW_STALE, problem(waits).code());
+    assertEquals(Outcome.NOT_RUN, problem(waits).outcome());
+    assertEquals(2, entry.engines.attempts.size());
+    entry.engines.attempts.get(1).chunk(0, true);
+    entry.assertIdle();
+  }
+
+  @Test
+  void goesOnWhenItsGroupLeavesReadyAndRefusesNewCallsWithoutGroups() {
+    final Caller c = entry.call(DEADLINE);
+    entry.group("g0", "boot1", GroupState.DRAINING);
+    entry.group("g1", "boot1", GroupState.DOWN);
+    entry.publish();
+    final Caller refused = entry.call(DEADLINE);
+    entry.engines.last().chunk(0, true);
+    assertTrue(c.done);
+    entry.timers.advance(1_100);
+    assertEquals(ErrorCode.NO_CAPACITY, problem(refused).code());
+    assertEquals(Outcome.NOT_RUN, problem(refused).outcome());
+    entry.assertIdle();
+  }
+
+  /** Guards against decisions that run under the lock of the view follower. */
+  @Test
+  void servesWaitingCallsOfNewViewsWithoutTheFollowersLock() {
+    entry.group("g0", "boot1", GroupState.DOWN);
+    entry.group("g1", "boot1", GroupState.DOWN);
+    entry.publish();
+    final Caller c = entry.call(DEADLINE);
+    entry.group("g0", "boot1", GroupState.READY);
+    entry.engines.forbidden = entry.follower;
+    entry.publish();
+    entry.timers.advance(50);
+    entry.engines.last().chunk(0, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
@@ -15,10 +15,11 @@
 import org.ebonypond.admission.SlotSource;
 import org.ebonypond.control.ControlView;
 import org.ebonypond.control.InstanceKind;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.routing.Reservation;
 import org.ebonypond.routing.RouteRequest;
 import org.ebonypond.routing.Router;
-import org.ebonypond.routing.RoutingTable;
 import org.ebonypond.routing.Target;
 import org.ebonypond.time.TimerService;
 
@@ -58,7 +59,8 @@
     if (view.document() != null) {
       admission.configure(view.document());
     }
-    tick();
+    // Not on this thread: the follower holds its lock, and calls ask it for the lease under theirs.
+    timers.after(0, this::tick);
   }
 
   /**
@@ -110,10 +112,7 @@
 
   /** Returns whether a target of the request's pool is in service that was not tried. */
   public boolean hasUntried(RouteRequest r, Set<String> tried) {
-    RoutingTable table = router.table();
-    List<Target> all =
-        r.kind() == InstanceKind.ENGINE ? table.model(r.pool()) : table.service(r.pool());
-    return all != null && all.stream().anyMatch(t -> !tried.contains(t.key()));
+    return router.hasUntried(r.kind(), r.pool(), tried);
   }
 
   /** Returns the number of waiting requests over all pools. */
@@ -124,7 +123,7 @@
   @Override
   public Optional<Reservation> tryAcquire(AdmissionRequest request, long nowMillis) {
     Waiting w = waiting.get(request.id());
-    return w == null ? Optional.empty() : router.choose(w.route, nowMillis);
+    return w == null ? Optional.empty() : choose(List.of(current(w.route)), nowMillis);
   }
 
   @Override
@@ -136,14 +135,39 @@
       Waiting w = waiting.get(r.id());
       if (w != null) {
         byRoute.put(w.route.id(), r);
-        routes.add(w.route);
+        routes.add(current(w.route));
       }
     }
-    return routes.isEmpty()
-        ? Optional.empty()
-        : router
-            .chooseAny(routes, nowMillis)
-            .map(x -> new Grant<>(byRoute.get(x.request().id()), x));
+    // A retry that waits for a target that it has not tried does not hold up those behind it.
+    for (int first = 0; first < routes.size(); first++) {
+      Optional<Reservation> x = choose(routes.subList(first, routes.size()), nowMillis);
+      if (x.isPresent()) {
+        return Optional.of(new Grant<>(byRoute.get(x.get().request().id()), x.get()));
+      }
+      if (routes.get(first).tried().isEmpty()) {
+        return Optional.empty();
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the route without the tried targets once no other target is left. */
+  private RouteRequest current(RouteRequest r) {
+    return r.tried().isEmpty() || hasUntried(r, r.tried()) ? r : r.withTried(Set.of());
+  }
+
+  private Optional<Reservation> choose(List<RouteRequest> routes, long nowMillis) {
+    try {
+      return router.chooseAny(routes, nowMillis);
+    } catch (EbonypondException e) {
+      boolean removed =
+          e.code() == ErrorCode.UNKNOWN_MODEL || e.code() == ErrorCode.UNKNOWN_SERVICE;
+      if (removed) {
+        // The pool was removed from the document; admission refuses its requests after the grace.
+        return Optional.empty();
+      }
+      throw e;
+    }
   }
 
   @Override
@@ -159,14 +183,24 @@
   }
 
   private void capacity(String pool) {
-    // Not on this thread: the caller holds the lock of its own call, and the decisions take the
-    // locks
-    // of other calls.
+    // Not on this thread: the caller holds the lock of its own call, and the decisions take
+    // the locks of other calls.
     timers.after(0, () -> deliver(admission.onCapacity(pool, timers.nowMillis())));
   }
 
   private void deliver(List<Decision<Reservation>> decisions) {
-    decisions.forEach(this::deliver);
+    RuntimeException first = null;
+    for (Decision<Reservation> d : decisions) {
+      try {
+        deliver(d);
+      } catch (RuntimeException e) {
+        // The other receivers still get their decisions, each of which may hold a reservation.
+        first = first == null ? e : first;
+      }
+    }
+    if (first != null) {
+      throw first;
+    }
   }
 
   private void deliver(Decision<Reservation> d) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.ebonypond.admission.AdmissionRequest;
 import org.ebonypond.admission.Decision;
@@ -29,6 +30,7 @@
   private final ServiceClient services;
   private final ServiceCallRequest request;
   private final Set<String> tried = new HashSet<>();
+  private final AtomicReference<@Nullable AdmissionRequest> waiting = new AtomicReference<>();
   private int attempts;
 
   /** What became of an attempt. */
@@ -57,10 +59,10 @@
   /**
    * Starts an attempt.
    *
-   * @param timeoutMillis the longest wait for the answer after the dispatch, in milliseconds
+   * @param untilMillis the time on this entry's clock until which the answer is awaited
    * @param result receives what became of it, perhaps before this call returns
    */
-  void start(long timeoutMillis, Result result) {
+  void start(long untilMillis, Result result) {
     RouteRequest route = RouteRequest.service(request.id(), request.service(), request.workspace());
     if (!parts.gate().hasUntried(route, tried)) {
       tried.clear();
@@ -73,14 +75,37 @@
             request.priority(),
             1,
             request.deadlineMillis());
-    Consumer<Decision<Reservation>> receiver = d -> decided(a, d, timeoutMillis, result);
+    waiting.set(a);
+    Consumer<Decision<Reservation>> receiver = d -> decided(a, d, untilMillis, result);
     parts.gate().submit(a, route.withTried(tried), receiver);
   }
 
+  /**
+   * Withdraws an attempt that waits in admission.
+   *
+   * @return whether nothing was sent and nothing will be; the result is not called any more
+   */
+  boolean withdraw() {
+    AdmissionRequest a = waiting.getAndSet(null);
+    if (a == null) {
+      return false;
+    }
+    parts.gate().cancel(a);
+    return true;
+  }
+
   private void decided(
-      AdmissionRequest a, Decision<Reservation> d, long timeoutMillis, Result result) {
+      AdmissionRequest a, Decision<Reservation> d, long untilMillis, Result result) {
+    boolean withdrawn = !waiting.compareAndSet(a, null);
     if (d instanceof Decision.Admitted<Reservation> admitted) {
-      dispatch(a, admitted.reservation(), timeoutMillis, result);
+      if (withdrawn) {
+        parts.gate().released(a, admitted.reservation());
+        return;
+      }
+      dispatch(a, admitted.reservation(), untilMillis, result);
+      return;
+    }
+    if (withdrawn) {
       return;
     }
     Decision.Refused<Reservation> r = (Decision.Refused<Reservation>) d;
@@ -92,7 +117,7 @@
     result.refused(Problem.notRun(r.code(), r.retryAfterSeconds(), arguments));
   }
 
-  private void dispatch(AdmissionRequest a, Reservation r, long timeoutMillis, Result result) {
+  private void dispatch(AdmissionRequest a, Reservation r, long untilMillis, Result result) {
     if (!parts.follower().mayStart()) {
       parts.gate().released(a, r);
       result.refused(Problem.notRun(ErrorCode.VIEW_STALE, 1));
@@ -117,7 +142,7 @@
                 request.path(),
                 request.headers(),
                 request.body(),
-                timeoutMillis,
+                Math.max(1, untilMillis - parts.timers().nowMillis()),
                 request.idempotent()))
         .whenComplete((answer, failure) -> ended(a, r, answer, failure, cause, result));
   }
