Fix the Checkstyle violation in the load tool

The check VariableDeclarationUsageDistance failed for LoadTool.run, so that no commit in the module could pass the checks. The variable is final now, as the check proposes; the program is the same.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/load/LoadTool.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/load/LoadTool.java
@@ -91,7 +91,7 @@
           dueMillis - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start),
           TimeUnit.MILLISECONDS);
     }
-    boolean all = left.await(seconds + 4L * deadlineMillis / 1_000 + 10, TimeUnit.SECONDS);
+    final boolean all = left.await(seconds + 4L * deadlineMillis / 1_000 + 10, TimeUnit.SECONDS);
     timer.shutdownNow();
     System.out.println(tally.summary());
     tally.details().forEach(d -> System.out.println("  " + d));
