Add one report of all benchmarks

The capacity page needs figures that come from one run and can be referred to by identifier. scripts/bench runs the single benchmarks as processes, turns their tables into rows, measures message and state sizes in process, and writes report.txt and report.csv. The measurements on running daemons are included, but have not passed yet.

--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/BenchReport.java
@@ -0,0 +1,186 @@
+package org.ebonypond.bench.report;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/** Runs every measurement behind the capacity page and writes one report. */
+@Command(name = "bench", description = "Writes the report behind the capacity page")
+public final class BenchReport {
+  private static final long FULL_SECONDS = 150;
+  private static final long QUICK_SECONDS = 18;
+
+  @Option(name = "--quick", description = "A short run that only checks the command")
+  private boolean quick;
+
+  @Option(name = "--out", description = "The folder of the report")
+  private String out = "run/bench";
+
+  @Option(name = "--base-port", description = "The first port of the processes on loopback")
+  private int basePort = 25_000;
+
+  private final Rows rows = new Rows();
+  private final List<String> notes = new ArrayList<>();
+
+  /** Required by the command-line library. */
+  public BenchReport() {}
+
+  /** Runs the command; exits with 1 when a measurement failed. */
+  public static void main(String[] args) throws Exception {
+    System.exit(SingleCommand.singleCommand(BenchReport.class).parse(args).run());
+  }
+
+  private int run() throws Exception {
+    Path folder = Path.of(out).toAbsolutePath();
+    Files.createDirectories(folder);
+    Path scratch = Files.createTempDirectory(folder, "processes");
+    Instant start = Instant.now();
+    final double loadBefore = load();
+    try (ChildProcesses children = new ChildProcesses(scratch)) {
+      step("single benchmarks", () -> single(children, scratch));
+      step("sizes", this::sizes);
+      step("processes", () -> processes(children, scratch));
+    }
+    notes.add(
+        0,
+        String.format(
+            Locale.ROOT,
+            "# %s run of %s, %d s, %d processors, load average %.1f before and %.1f after",
+            quick ? "quick" : "full",
+            start.truncatedTo(ChronoUnit.SECONDS),
+            Instant.now().getEpochSecond() - start.getEpochSecond(),
+            Runtime.getRuntime().availableProcessors(),
+            loadBefore,
+            load()));
+    rows.write(folder, notes);
+    notes.forEach(System.out::println);
+    rows.text().forEach(System.out::println);
+    boolean failed = notes.stream().anyMatch(n -> n.startsWith("# FAILED"));
+    if (!failed) {
+      delete(scratch);
+    }
+    return failed ? 1 : 0;
+  }
+
+  /** Goes on after a failure, so that the other rows are written; the report names the failure. */
+  private void step(String name, Step s) throws InterruptedException {
+    long start = System.nanoTime();
+    try {
+      s.run();
+    } catch (InterruptedException e) {
+      throw e;
+    } catch (Exception e) {
+      notes.add("# FAILED " + name + ": " + e);
+    }
+    long seconds = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start);
+    System.err.printf(Locale.ROOT, "%s: %d s%n", name, seconds);
+  }
+
+  private void single(ChildProcesses children, Path scratch) throws Exception {
+    String folder = scratch.toString();
+    List<Single> all =
+        List.of(
+            new Single("LogBench", List.of(folder, quick ? "1" : "3"), BenchTables::log),
+            new Single("LedgerBench", List.of(quick ? "20000" : "200000"), BenchTables::ledger),
+            new Single("RoutingBench", List.of(quick ? "50" : "1000"), BenchTables::routing),
+            new Single("PlacementBench", List.of("0", "1"), BenchTables::placement));
+    List<Process> running = new ArrayList<>();
+    for (Single s : all) {
+      Process p =
+          children.start(s.name, List.of("-Xmx3g"), "org.ebonypond.bench." + s.name, s.args);
+      running.add(p);
+      if (!quick) {
+        await(s.name, p, FULL_SECONDS);
+      }
+    }
+    // A quick run measures all at once: it checks the command, and its figures are not used.
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(QUICK_SECONDS);
+    for (int i = 0; i < all.size(); i++) {
+      Single s = all.get(i);
+      if (quick) {
+        await(s.name, running.get(i), TimeUnit.NANOSECONDS.toSeconds(end - System.nanoTime()));
+      }
+      try {
+        s.parser.accept(children.output(s.name), rows);
+      } catch (IllegalStateException e) {
+        notes.add((quick ? "# incomplete: " : "# FAILED ") + e.getMessage());
+      }
+    }
+  }
+
+  private void await(String name, Process p, long seconds) throws InterruptedException {
+    if (!p.waitFor(Math.max(1, seconds), TimeUnit.SECONDS)) {
+      notes.add("# " + name + " was stopped after " + seconds + " s");
+      p.destroyForcibly().waitFor();
+    } else if (p.exitValue() != 0) {
+      notes.add("# FAILED " + name + ": exit code " + p.exitValue());
+    }
+  }
+
+  private void sizes() {
+    int[] sizes = quick ? new int[] {10, 100, 1_000} : new int[] {10, 100, 1_000, 10_000, 80_000};
+    new SizeRows(rows, sizes).measure();
+  }
+
+  private void processes(ChildProcesses children, Path scratch) throws Exception {
+    Cluster cluster = new Cluster(children, scratch, basePort);
+    cluster.grow(Cluster.REPLICAS);
+    cluster.apply(document(1), "bench-1");
+    double window = quick ? 2 : 10;
+    int[] workers = quick ? new int[] {0, 30} : new int[] {0, 30, 100, 300};
+    new NodeRows(rows, cluster, window).measure(workers);
+    int[] followers = quick ? new int[] {3, 9} : new int[] {3, 9, 30, 100};
+    new ViewRows(rows, cluster, BenchReport::document, 1, followers, quick ? 2 : 10, window)
+        .measure();
+    new RouteRows(rows, cluster, children, quick ? 3 : 20).measure();
+    for (int entries : quick ? new int[0] : new int[] {9, 30}) {
+      cluster.grow(entries);
+      new NodeRows(rows, cluster, window).measure(0, 100);
+    }
+  }
+
+  private static String document(long version) {
+    return String.join(
+        "\n",
+        "version = " + version,
+        "[[service]]",
+        "name = \"orders\"",
+        "max_concurrency = 5000",
+        "cold_ceiling = 1000",
+        "warm_seconds = 1",
+        "idempotent = [\"GET /orders/*\"]",
+        "[[workspace]]",
+        "name = \"surabaya\"",
+        "max_queued = 5000",
+        "");
+  }
+
+  private static double load() throws IOException {
+    return Double.parseDouble(Files.readString(Path.of("/proc/loadavg")).split(" ")[0]);
+  }
+
+  private static void delete(Path folder) throws IOException {
+    try (var files = Files.walk(folder)) {
+      for (Path p : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+        Files.delete(p);
+      }
+    }
+  }
+
+  private record Single(String name, List<String> args, BiConsumer<List<String>, Rows> parser) {}
+
+  /** A part of the run. */
+  private interface Step {
+    void run() throws Exception;
+  }
+}
--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/NodeRows.java
@@ -0,0 +1,52 @@
+package org.ebonypond.bench.report;
+
+import java.util.Locale;
+
+/** Measures what the daemons of an idle system use, by number of entries and workers. */
+final class NodeRows {
+  private static final double MEGABYTE = 1 << 20;
+
+  /** Longer than the time for which the leader remembers a load. */
+  private static final long SETTLE_MILLIS = 6_000;
+
+  private final Rows rows;
+  private final Cluster cluster;
+  private final double windowSeconds;
+
+  NodeRows(Rows rows, Cluster cluster, double windowSeconds) {
+    this.rows = rows;
+    this.cluster = cluster;
+    this.windowSeconds = windowSeconds;
+  }
+
+  void measure(int... workers) throws Exception {
+    double[] x = new double[workers.length];
+    double[] cpu = new double[workers.length];
+    double[] sent = new double[workers.length];
+    for (int i = 0; i < workers.length; i++) {
+      try (Announcements a = new Announcements(cluster, workers[i])) {
+        Thread.sleep(SETTLE_MILLIS / 2);
+        Window w = Window.measure(cluster, windowSeconds);
+        String at = String.format(Locale.ROOT, ".e%d.w%d", cluster.size(), workers[i]);
+        add("leader" + at, w.leader());
+        add("replica" + at, w.followers());
+        if (cluster.size() > Cluster.REPLICAS) {
+          add("entry" + at, w.entries());
+        }
+        x[i] = workers[i];
+        cpu[i] = w.leader().cpuPercent();
+        sent[i] = w.leader().sentBytesPerSecond();
+      }
+      Thread.sleep(SETTLE_MILLIS);
+    }
+    String at = ".slope.e" + cluster.size();
+    rows.add("node.leader.cpu" + at, Line.fit(x, cpu).slope(), "% per worker", "Line");
+    rows.add("node.leader.sent" + at, Line.fit(x, sent).slope(), "B/s per worker", "Line");
+  }
+
+  private void add(String who, Window.Use u) {
+    rows.add("node." + who + ".cpu", u.cpuPercent(), "% of a core", "/proc/PID/stat");
+    rows.add("node." + who + ".sent", u.sentBytesPerSecond(), "B/s", "/metrics peer_sent_bytes");
+    rows.add("node." + who + ".rss", u.residentBytes() / MEGABYTE, "MB", "/proc/PID/status VmRSS");
+  }
+}
--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/ProcStat.java
@@ -0,0 +1,48 @@
+package org.ebonypond.bench.report;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * What the kernel knows of a process.
+ *
+ * @param cpuSeconds the processor time in user and kernel mode since its start
+ * @param residentBytes the memory that it occupies now
+ */
+public record ProcStat(double cpuSeconds, long residentBytes) {
+  /** The unit of times in /proc: USER_HZ is 100 on all supported platforms. */
+  private static final double TICKS_PER_SECOND = 100;
+
+  /** Fields after the command's name: the state is 0, so that utime is 11 and stime is 12. */
+  private static final int UTIME = 11;
+
+  private static final int STIME = 12;
+  private static final int BYTES_PER_KB = 1_024;
+
+  /**
+   * Reads a running process.
+   *
+   * @throws IOException if there is no such process
+   */
+  public static ProcStat read(long pid) throws IOException {
+    Path folder = Path.of("/proc", String.valueOf(pid));
+    return parse(
+        Files.readString(folder.resolve("stat")), Files.readAllLines(folder.resolve("status")));
+  }
+
+  /** Parses the content of the files {@code stat} and {@code status}. */
+  static ProcStat parse(String stat, List<String> status) {
+    // The name of the command is in parentheses and may hold spaces and parentheses.
+    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).trim().split(" ");
+    double ticks = Long.parseLong(fields[UTIME]) + Long.parseLong(fields[STIME]);
+    for (String line : status) {
+      if (line.startsWith("VmRSS:")) {
+        String[] words = line.trim().split("\\s+");
+        return new ProcStat(ticks / TICKS_PER_SECOND, Long.parseLong(words[1]) * BYTES_PER_KB);
+      }
+    }
+    throw new IllegalArgumentException("the status has no VmRSS line");
+  }
+}
--- /dev/null
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/SizeRows.java
@@ -0,0 +1,175 @@
+package org.ebonypond.bench.report;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ebonypond.consensus.CommittedEntries;
+import org.ebonypond.control.ControlCommand;
+import org.ebonypond.control.ControlCommand.InstanceDown;
+import org.ebonypond.control.InstanceKind;
+import org.ebonypond.group.EngineStatus;
+import org.ebonypond.group.InstanceAnnouncement;
+import org.ebonypond.server.control.EntryInfo;
+import org.ebonypond.server.control.InstanceReport;
+import org.ebonypond.server.control.LeaderDigest;
+import org.ebonypond.server.control.ReportedLoad;
+import org.ebonypond.server.control.ViewPoll;
+import org.ebonypond.server.control.ViewPollResult;
+import org.ebonypond.wire.MessagePackCodec;
+
+/** Sizes of messages and of the control state by number of instances, and the time of a view. */
+final class SizeRows {
+  private static final String SOURCE = "SizeRows";
+  private static final int REPEATS = 15;
+
+  private final Rows rows;
+  private final int[] sizes;
+
+  SizeRows(Rows rows, int[] sizes) {
+    this.rows = rows;
+    this.sizes = sizes.clone();
+  }
+
+  void measure() {
+    rows.add("size.poll", encoded(poll(7)), "B", SOURCE);
+    rows.add("size.poll-result.empty", encoded(result(null)), "B", SOURCE);
+    rows.add("size.command.register", encoded(register()), "B", SOURCE);
+    rows.add("size.command.document", encoded(document()), "B", SOURCE);
+    Map<String, double[]> series = new HashMap<>();
+    for (int i = 0; i < sizes.length; i++) {
+      measure(sizes[i], i, series);
+    }
+    double[] x = Arrays.stream(sizes).asDoubleStream().toArray();
+    slope("size.digest", "B/instance", x, series);
+    slope("size.report", "B/instance", x, series);
+    slope("state.snapshot", "B/instance", x, series);
+    slope("state.view", "ms/instance", x, series);
+    slope("state.restore", "ms/instance", x, series);
+    double[] entries = {10, 100, 1_000, 2_000};
+    double[] bytes = new double[entries.length];
+    for (int i = 0; i < entries.length; i++) {
+      bytes[i] = encoded(result(new LeaderDigest(entries((int) entries[i]), List.of())));
+    }
+    rows.add("size.entry-list.2000", bytes[entries.length - 1], "B", SOURCE);
+    rows.add("size.entry-list.slope", Line.fit(entries, bytes).slope(), "B/entry", SOURCE);
+  }
+
+  private void measure(int n, int at, Map<String, double[]> series) {
+    LeaderDigest digest = new LeaderDigest(List.of(), loads(n));
+    add("size.digest", n, at, encoded(result(digest)), "B", series);
+    add("size.report", n, at, encoded(new InstanceReport(items(n))), "B", series);
+    ControlStates s = ControlStates.of(n);
+    byte[] snapshot = s.state.snapshot();
+    add("state.snapshot", n, at, snapshot.length, "B", series);
+    double[] view = new double[REPEATS];
+    double[] restore = new double[REPEATS];
+    double[] apply = new double[REPEATS];
+    for (int i = 0; i < REPEATS; i++) {
+      final long t0 = System.nanoTime();
+      s.apply(new InstanceDown(ControlStates.name(i % n), bootOf(i, n), "bench"));
+      final long t1 = System.nanoTime();
+      s.state.view();
+      final long t2 = System.nanoTime();
+      s.apply(ControlStates.register(i % n, "boot-" + (i / n + 2)));
+      s.state.view();
+      final long t3 = System.nanoTime();
+      new org.ebonypond.control.ControlState(org.ebonypond.events.EventSink.NONE).restore(snapshot);
+      restore[i] = (System.nanoTime() - t3) / 1e6;
+      view[i] = (t2 - t1) / 1e6;
+      apply[i] = (t1 - t0) / 1e3;
+    }
+    add("state.view", n, at, median(view), "ms", series);
+    add("state.restore", n, at, median(restore), "ms", series);
+    rows.add("state.apply." + n, median(apply), "us", SOURCE);
+  }
+
+  private static String bootOf(int run, int instances) {
+    return "boot-" + (run / instances + 1);
+  }
+
+  private void add(
+      String id, int n, int at, double value, String unit, Map<String, double[]> series) {
+    rows.add(id + "." + n, value, unit, SOURCE);
+    series.computeIfAbsent(id, k -> new double[sizes.length])[at] = value;
+  }
+
+  private void slope(String id, String unit, double[] x, Map<String, double[]> series) {
+    rows.add(id + ".slope", Line.fit(x, series.get(id)).slope(), unit, "Line");
+  }
+
+  private static double median(double[] values) {
+    Arrays.sort(values);
+    return values[values.length / 2];
+  }
+
+  private static int encoded(Object message) {
+    return MessagePackCodec.encode(message).length;
+  }
+
+  private static ControlCommand register() {
+    return ControlStates.register(1, ControlStates.boot(1));
+  }
+
+  private static ControlCommand document() {
+    return new ControlCommand.ApplyDocument(2, ControlStates.document(2), "bench-2");
+  }
+
+  private static ViewPoll poll(int i) {
+    return new ViewPoll("entry-" + i, "zone-1", "10.20.30.40:8080", true, 100_000);
+  }
+
+  private static ViewPollResult result(@org.jspecify.annotations.Nullable LeaderDigest digest) {
+    Map<String, String> members = new HashMap<>();
+    for (int i = 1; i <= 3; i++) {
+      members.put("entry-" + i, "0123456789abcdef0123456789abcde" + i);
+    }
+    CommittedEntries none = new CommittedEntries(null, List.of(), 100_000);
+    return new ViewPollResult(true, members, 1, 100_000, "entry-1", none, digest);
+  }
+
+  private static List<EntryInfo> entries(int n) {
+    List<EntryInfo> out = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      out.add(new EntryInfo("entry-" + i, "zone-1", "10.20.30.40:8080", true));
+    }
+    return out;
+  }
+
+  private static List<ReportedLoad> loads(int n) {
+    List<ReportedLoad> out = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      out.add(load(i));
+    }
+    return out;
+  }
+
+  private static ReportedLoad load(int i) {
+    return new ReportedLoad(
+        ControlStates.name(i), ControlStates.boot(i), true, 500 + i % 500, i % 500, 12, 3, 18_000);
+  }
+
+  private static List<InstanceReport.Item> items(int n) {
+    List<InstanceReport.Item> out = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      var r = ControlStates.register(i, ControlStates.boot(i));
+      out.add(
+          new InstanceReport.Item(
+              new InstanceAnnouncement(
+                  r.instance(),
+                  r.boot(),
+                  r.address(),
+                  r.zone(),
+                  r.domain(),
+                  InstanceKind.ENGINE,
+                  r.flavor(),
+                  EngineStatus.READY,
+                  "drafter-" + i / 8,
+                  50_000 + i,
+                  12),
+              load(i)));
+    }
+    return out;
+  }
+}
