--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/Announcements.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/Announcements.java
@@ -19,8 +19,14 @@
   private final Cluster cluster;
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
 
+  private final int workers;
+
   Announcements(Cluster cluster, int workers) {
     this.cluster = cluster;
+    this.workers = workers;
+  }
+
+  void start() {
     for (int i = 0; i < workers; i++) {
       int n = i;
       // Spread over the period, as independent servers are.
--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/SizeRows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/SizeRows.java
@@ -8,7 +8,9 @@
 import org.ebonypond.consensus.CommittedEntries;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlCommand.InstanceDown;
+import org.ebonypond.control.ControlState;
 import org.ebonypond.control.InstanceKind;
+import org.ebonypond.events.EventSink;
 import org.ebonypond.group.EngineStatus;
 import org.ebonypond.group.InstanceAnnouncement;
 import org.ebonypond.server.control.EntryInfo;
@@ -18,6 +20,7 @@
 import org.ebonypond.server.control.ViewPoll;
 import org.ebonypond.server.control.ViewPollResult;
 import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
 
 /** Sizes of messages and of the control state by number of instances, and the time of a view. */
 final class SizeRows {
@@ -35,6 +38,7 @@
   void measure() {
     rows.add("size.poll", encoded(poll(7)), "B", SOURCE);
     rows.add("size.poll-result.empty", encoded(result(null)), "B", SOURCE);
+    rows.add("size.announcement", Announcements.body(1).length(), "B", SOURCE);
     rows.add("size.command.register", encoded(register()), "B", SOURCE);
     rows.add("size.command.document", encoded(document()), "B", SOURCE);
     Map<String, double[]> series = new HashMap<>();
@@ -75,7 +79,7 @@
       s.apply(ControlStates.register(i % n, "boot-" + (i / n + 2)));
       s.state.view();
       final long t3 = System.nanoTime();
-      new org.ebonypond.control.ControlState(org.ebonypond.events.EventSink.NONE).restore(snapshot);
+      new ControlState(EventSink.NONE).restore(snapshot);
       restore[i] = (System.nanoTime() - t3) / 1e6;
       view[i] = (t2 - t1) / 1e6;
       apply[i] = (t1 - t0) / 1e3;
@@ -120,7 +124,7 @@
     return new ViewPoll("entry-" + i, "zone-1", "10.20.30.40:8080", true, 100_000);
   }
 
-  private static ViewPollResult result(@org.jspecify.annotations.Nullable LeaderDigest digest) {
+  private static ViewPollResult result(@Nullable LeaderDigest digest) {
     Map<String, String> members = new HashMap<>();
     for (int i = 1; i <= 3; i++) {
       members.put("entry-" + i, "0123456789abcdef0123456789abcde" + i);
