Work the capacity figures out from a report

Figures on the capacity page were to be traced to rows by hand. The formulas are now in one resource, and Capacity evaluates them over report.csv and prints both tables of the page.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/BenchReport.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/BenchReport.java
@@ -66,6 +66,7 @@
             loadBefore,
             load()));
     rows.write(folder, notes);
+    writeCapacity(folder);
     notes.forEach(System.out::println);
     rows.text().forEach(System.out::println);
     boolean failed = notes.stream().anyMatch(n -> n.startsWith("# FAILED"));
@@ -75,6 +76,17 @@
     return failed ? 1 : 0;
   }
 
+  /** Works the figures of the capacity page out, from the rounded rows that the report shows. */
+  private void writeCapacity(Path folder) throws IOException {
+    try {
+      List<String> lines = Capacity.standard().markdown(Rows.read(rows.csv()));
+      Files.write(folder.resolve("capacity.md"), lines);
+    } catch (IllegalArgumentException e) {
+      Files.deleteIfExists(folder.resolve("capacity.md"));
+      System.err.println("capacity.md is not written: " + e.getMessage());
+    }
+  }
+
   /** Goes on after a failure, so that the other rows are written; the report names the failure. */
   private void step(String name, Step s) throws InterruptedException {
     long start = System.nanoTime();
@@ -147,7 +159,9 @@
         .measure();
     int[] workers = quick ? new int[] {0, 30} : new int[] {0, 30, 100, 300};
     new NodeRows(rows, cluster, window, quick ? 1_000 : 6_000).measure(workers);
-    new RouteRows(rows, cluster, children, quick ? 3 : 20).measure();
+    RouteRows route = new RouteRows(rows, cluster, children, quick ? 3 : 20);
+    route.measure();
+    route.failures().forEach(f -> notes.add("# route: " + f));
     for (int entries : quick ? new int[0] : new int[] {9, 30}) {
       cluster.grow(entries);
       cluster.awaitReady();
--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/RouteRows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/RouteRows.java
@@ -8,12 +8,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Phaser;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Compares calls through an entry with direct calls to the same service stand-in. Arrivals are
@@ -32,6 +33,7 @@
   private final Cluster cluster;
   private final ChildProcesses children;
   private final int seconds;
+  private List<String> failures = List.of();
 
   RouteRows(Rows rows, Cluster cluster, ChildProcesses children, int seconds) {
     this.rows = rows;
@@ -42,8 +44,8 @@
 
   void measure() throws Exception {
     startService();
-    run(Math.max(3, seconds / 2), "warm", new AtomicLong());
-    AtomicLong failed = new AtomicLong();
+    run(Math.max(3, seconds / 2), "warm", new Failures());
+    Failures failed = new Failures();
     double before = cpu();
     Map<Path, Histogram> times = run(seconds, "run", failed);
     final double cpu = cpu() - before;
@@ -58,7 +60,8 @@
       compare("added", direct, "route.routed." + q, q);
       compare("keyed-added", direct, "route.keyed." + q, q);
     }
-    rows.add("route.failed", failed.get(), "calls", SOURCE);
+    rows.add("route.failed", failed.total(), "calls", SOURCE);
+    failures = failed.lines();
     rows.add("route.seconds", seconds, "s", SOURCE);
     double routed = times.get(Path.ROUTED).getTotalCount() + times.get(Path.KEYED).getTotalCount();
     rows.add("route.cpu", cpu * 1e6 / routed, "us/call", "/proc/PID/stat of 3 daemons");
@@ -107,7 +110,7 @@
     return sum;
   }
 
-  private Map<Path, Histogram> run(int forSeconds, String keys, AtomicLong failed) {
+  private Map<Path, Histogram> run(int forSeconds, String keys, Failures failed) {
     Map<Path, Histogram> times = new EnumMap<>(Path.class);
     for (Path p : Path.values()) {
       times.put(p, new ConcurrentHistogram(3));
@@ -128,7 +131,7 @@
                 if (a != null && a.statusCode() / 100 == 2) {
                   times.get(p).recordValue((System.nanoTime() - due) / 1_000);
                 } else {
-                  failed.incrementAndGet();
+                  failed.add(p, a, e);
                 }
                 open.arriveAndDeregister();
               });
@@ -157,6 +160,33 @@
     return h.getValueAtPercentile(percentile) / MICROS;
   }
 
+  /** Returns how many calls failed in which way, of which a report must not be silent. */
+  List<String> failures() {
+    return failures;
+  }
+
+  /** Counts the calls that were not answered with a success. Thread-safe. */
+  private static final class Failures {
+    private final Map<String, Integer> counts = new TreeMap<>();
+
+    synchronized void add(Path p, @Nullable HttpResponse<String> a, @Nullable Throwable e) {
+      String what = String.valueOf(e);
+      if (a != null) {
+        int at = a.body().indexOf("\"outcome\"");
+        what = a.statusCode() + " " + (at < 0 ? "" : a.body().substring(at));
+      }
+      counts.merge(p.id() + ": " + what, 1, Integer::sum);
+    }
+
+    synchronized int total() {
+      return counts.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    synchronized List<String> lines() {
+      return counts.entrySet().stream().map(c -> c.getValue() + " calls " + c.getKey()).toList();
+    }
+  }
+
   /** The ways to the service: a lookup without and with an entry, and a call with a key. */
   private enum Path {
     DIRECT,
--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/Rows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/Rows.java
@@ -35,11 +35,49 @@
    * @throws IllegalArgumentException if there is no such row
    */
   public double value(String id) {
+    return row(id).value();
+  }
+
+  /**
+   * Returns a row.
+   *
+   * @throws IllegalArgumentException if there is no such row
+   */
+  public Row row(String id) {
     Row r = byId.get(id);
     if (r == null) {
       throw new IllegalArgumentException("no row " + id);
     }
-    return r.value();
+    return r;
+  }
+
+  /** Returns whether there is a row of this identifier. */
+  public boolean contains(String id) {
+    return byId.containsKey(id);
+  }
+
+  /** Returns a copy that can be extended. */
+  public Rows copy() {
+    Rows r = new Rows();
+    r.byId.putAll(byId);
+    return r;
+  }
+
+  /**
+   * Reads the CSV form. Fields with quotes must be the last ones of their line.
+   *
+   * @throws IllegalArgumentException if a line has fewer than four fields
+   */
+  public static Rows read(List<String> csv) {
+    Rows rows = new Rows();
+    for (String line : csv.subList(1, csv.size())) {
+      String[] fields = line.split(",", 4);
+      if (fields.length < 4) {
+        throw new IllegalArgumentException("not a row: " + line);
+      }
+      rows.add(fields[0], Double.parseDouble(fields[1]), fields[2], unquote(fields[3]));
+    }
+    return rows;
   }
 
   /** Returns all rows. */
@@ -77,6 +115,13 @@
     Files.write(folder.resolve("report.txt"), lines);
   }
 
+  private static String unquote(String field) {
+    if (!field.startsWith("\"")) {
+      return field;
+    }
+    return field.substring(1, field.length() - 1).replace("\"\"", "\"");
+  }
+
   private static String quote(String field) {
     if (field.chars().noneMatch(c -> c == ',' || c == '"' || c == '\n')) {
       return field;
