--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/RouteRows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/RouteRows.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.Phaser;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +25,7 @@
  */
 final class RouteRows {
   private static final String SOURCE = "RouteRows";
+  private static final Pattern OUTCOME = Pattern.compile("\"outcome\":\"([a-z-]+)\"");
   private static final int RATE = 300;
   private static final int LATENCY_MILLIS = 5;
   private static final int OK = 200;
@@ -172,8 +175,9 @@
     synchronized void add(Path p, @Nullable HttpResponse<String> a, @Nullable Throwable e) {
       String what = String.valueOf(e);
       if (a != null) {
-        int at = a.body().indexOf("\"outcome\"");
-        what = a.statusCode() + " " + (at < 0 ? "" : a.body().substring(at));
+        // Only the outcome, because identifiers in the body differ with each call.
+        Matcher m = OUTCOME.matcher(a.body());
+        what = a.statusCode() + (m.find() ? " " + m.group(1) : "");
       }
       counts.merge(p.id() + ": " + what, 1, Integer::sum);
     }
