Bound the leader's digest by what an entry asks for, and end calls whole

Cause: each digest held the loads of all workers (135 B each, 1.35 MB at 10,000, twice a second), so that the control traffic of an entry grew with the fleet. By reading: a leader that was frozen between its tick and its step could act with the scheduler of its earlier term; a process could exit before the ledger held the outcome of an answered call; the retry budget paid for calls that are never repeated.

Change: a poll names the instances that the entry prefers or suspects, and asks for the list of processes only each tenth time. The leader's step ends when its term or lease ended. A call counts as in flight until the ledger holds its outcome.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/SizeRows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/SizeRows.java
@@ -121,7 +121,8 @@
   }
 
   private static ViewPoll poll(int i) {
-    return new ViewPoll("entry-" + i, "zone-1", "10.20.30.40:8080", true, 100_000);
+    return new ViewPoll(
+        "entry-" + i, "zone-1", "10.20.30.40:8080", true, 1, 100_000, false, List.of());
   }
 
   private static ViewPollResult result(@Nullable LeaderDigest digest) {
@@ -136,7 +137,7 @@
   private static List<EntryInfo> entries(int n) {
     List<EntryInfo> out = new ArrayList<>();
     for (int i = 0; i < n; i++) {
-      out.add(new EntryInfo("entry-" + i, "zone-1", "10.20.30.40:8080", true));
+      out.add(new EntryInfo("entry-" + i, "zone-1", "10.20.30.40:8080", true, 1));
     }
     return out;
   }
--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/ViewRows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/ViewRows.java
@@ -80,9 +80,9 @@
   private PeerNetwork follow(int i, ScheduledTimerService timers, Map<String, Long> inForce) {
     String name = "follower-" + i;
     PeerNetwork network = new PeerNetwork(name, new HybridClock(System::currentTimeMillis), timers);
-    EntryInfo self = new EntryInfo(name, "zone-" + i % 3, "127.0.0.1:1", false);
+    EntryInfo self = new EntryInfo(name, "zone-" + i % 3, "127.0.0.1:1", false, 1);
     ViewFollower f =
-        new ViewFollower(network, timers, EventSink.NONE, cluster.replicas(), () -> self);
+        new ViewFollower(network, timers, EventSink.NONE, cluster.replicas(), () -> self, List::of);
     f.onView(v -> inForce.put(name, v.document() == null ? 0 : v.document().version()));
     f.start();
     return network;
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ViewFollowerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ViewFollowerTest.java
@@ -35,7 +35,8 @@
           timers,
           events,
           HeldPeers.REPLICAS,
-          () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1));
+          () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1),
+          java.util.List::of);
 
   private static byte[] register(long index) {
     ControlCommand c =
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/AtMostOnceRunnerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/AtMostOnceRunnerTest.java
@@ -175,6 +175,7 @@
     assertTrue(calls.stream().filter(c -> c.answer != null).count() > 20, "the run is too calm");
     for (ServiceEntry e : entries) {
       e.entry.assertIdle();
+      assertEquals(0, e.unfinished, "a shutdown would wait for ever");
     }
   }
 }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
@@ -78,7 +78,8 @@
             timers,
             EventSink.NONE,
             FakePeers.REPLICAS,
-            () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1));
+            () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1),
+            java.util.List::of);
     this.maxConcurrency = maxConcurrency;
     this.router =
         new Router(
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
@@ -32,6 +32,9 @@
   private final String name;
   private int calls;
 
+  /** Calls that were started and whose outcome the ledger does not hold yet. */
+  int unfinished;
+
   ServiceEntry(
       String name,
       long number,
@@ -92,7 +95,9 @@
             r.deadlineMillis(),
             now);
     Call call = new Call(this, r.id(), body);
-    new AtMostOnceRunner(entry.parts, ledger, incarnation, this, r, c, call).start();
+    unfinished++;
+    new AtMostOnceRunner(entry.parts, ledger, incarnation, this, r, c, call, () -> unfinished--)
+        .start();
     return call;
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -5,8 +5,11 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -116,7 +119,9 @@
         new EventLog(
             settings.node(), Long.toString(holder.incarnation(), 36), clock, EVENT_CAPACITY);
     this.network = new PeerNetwork(settings.node(), clock, timers);
-    this.follower = new ViewFollower(network, timers, events, settings.replicas(), this::describe);
+    this.follower =
+        new ViewFollower(
+            network, timers, events, settings.replicas(), this::describe, this::loadsOf);
     this.tracker = new RequestTracker(timers, settings.drainNoticeMillis(), this::shutdownStep);
     this.shares =
         new ShareClient(
@@ -310,6 +315,14 @@
         RELEASE_CALLS_MILLIS);
   }
 
+  /** Returns the instances that this entry prefers or suspects; bounded whatever the fleet. */
+  private List<String> loadsOf() {
+    Set<String> out = new TreeSet<>();
+    router.preferred().forEach(t -> out.add(t.instance()));
+    routing.suspicion().suspected().forEach(s -> out.add(s.instance()));
+    return List.copyOf(out);
+  }
+
   private EntryInfo describe() {
     String address =
         settings.http().getAddress().getHostAddress() + ":" + settings.http().getPort();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
@@ -149,7 +149,10 @@
 
   private void step(ReplicaStatus status, @Nullable LeaderView read) {
     stepRunning = false;
-    if (read == null) {
+    ReplicaStatus current = replica.control().status();
+    boolean leadsOn = current.term() == status.term() && current.mayLead(timers.nowMillis());
+    if (read == null || !leadsOn) {
+      // A leader that was frozen since the tick must not act on the view of its earlier term.
       return;
     }
     final long now = timers.nowMillis();
@@ -364,21 +367,23 @@
     ShareRequest r = MessagePackCodec.decode(f.payload(), ShareRequest.class);
     CompletableFuture<byte[]> answer = new CompletableFuture<>();
     executor.execute(
-        () -> {
-          ShareAllocator a = allocator;
-          boolean leads = replica.control().status().mayLead(timers.nowMillis());
-          if (a == null || !leads) {
-            answer.completeExceptionally(new EbonypondException(ErrorCode.NOT_LEADER, "unknown"));
-            return;
-          }
-          List<ShareGrant> grants = new ArrayList<>(a.onRequest(r, timers.nowMillis()));
-          if (grants.isEmpty()) {
-            answer.completeExceptionally(
-                new EbonypondException(ErrorCode.COMMAND_REJECTED, "overtaken share request"));
-            return;
-          }
-          answer.complete(MessagePackCodec.encode(grants.get(0)));
-        });
+        guarded(
+            () -> {
+              ShareAllocator a = allocator;
+              boolean leads = replica.control().status().mayLead(timers.nowMillis());
+              if (a == null || !leads) {
+                answer.completeExceptionally(
+                    new EbonypondException(ErrorCode.NOT_LEADER, "unknown"));
+                return;
+              }
+              List<ShareGrant> grants = new ArrayList<>(a.onRequest(r, timers.nowMillis()));
+              if (grants.isEmpty()) {
+                answer.completeExceptionally(
+                    new EbonypondException(ErrorCode.COMMAND_REJECTED, "overtaken share request"));
+                return;
+              }
+              answer.complete(MessagePackCodec.encode(grants.get(0)));
+            }));
     return answer;
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
@@ -31,13 +31,18 @@
     loads.values().removeIf(h -> now - h.at >= FORGET_MILLIS);
     List<EntryInfo> known = new ArrayList<>();
     for (Heard<EntryInfo> h : entries.values()) {
-      if (now - h.at < FORGET_MILLIS) {
+      if (p.listEntries() && now - h.at < FORGET_MILLIS) {
         known.add(h.value);
       }
     }
     known.sort(java.util.Comparator.comparing(EntryInfo::node));
     List<ReportedLoad> reported = new ArrayList<>();
-    loads.values().forEach(h -> reported.add(h.value.olderBy(now - h.at)));
+    for (String instance : p.loadsOf()) {
+      Heard<ReportedLoad> h = loads.get(instance);
+      if (h != null) {
+        reported.add(h.value.olderBy(now - h.at));
+      }
+    }
     return new LeaderDigest(known, reported);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -32,11 +32,15 @@
   private static final long POLL_MILLIS = 500;
   private static final long POLL_TIMEOUT_MILLIS = 1_000;
 
+  /** The list of processes serves operators; its size grows with the fleet. */
+  private static final int LIST_ENTRIES_EVERY = 10;
+
   private final Peers network;
   private final TimerService timers;
   private final EventSink events;
   private final List<ReplicaAddress> replicas;
   private final Supplier<EntryInfo> self;
+  private final Supplier<List<String>> loadsOf;
   private final ControlState state = new ControlState(EventSink.NONE);
   private final ViewLease lease = new ViewLease();
   private final List<Consumer<ControlView>> viewListeners = new CopyOnWriteArrayList<>();
@@ -55,18 +59,21 @@
    * @param events receives the changes of the lease and of the view
    * @param replicas every control replica
    * @param self describes this process to the replicas
+   * @param loadsOf names the instances whose loads this process needs
    */
   public ViewFollower(
       Peers network,
       TimerService timers,
       EventSink events,
       List<ReplicaAddress> replicas,
-      Supplier<EntryInfo> self) {
+      Supplier<EntryInfo> self,
+      Supplier<List<String>> loadsOf) {
     this.network = network;
     this.timers = timers;
     this.events = events;
     this.replicas = List.copyOf(replicas);
     this.self = self;
+    this.loadsOf = loadsOf;
   }
 
   /** Adds a listener that receives each new view, in order. */
@@ -121,8 +128,18 @@
     synchronized (this) {
       applied = appliedIndex;
     }
+    // Only the leader answers with a digest, so the others need not know what it shall contain.
+    boolean toLeader = r.name().equals(leader);
     ViewPoll p =
-        new ViewPoll(me.node(), me.zone(), me.address(), me.ready(), me.incarnation(), applied);
+        new ViewPoll(
+            me.node(),
+            me.zone(),
+            me.address(),
+            me.ready(),
+            me.incarnation(),
+            applied,
+            digest == null || pollId % LIST_ENTRIES_EVERY == 0,
+            toLeader ? loadsOf.get() : List.of());
     network
         .ask(
             r.address(),
@@ -154,7 +171,9 @@
     LeaderDigest d = result.digest();
     if (d != null) {
       leader = r.name();
-      digest = d;
+      LeaderDigest before = digest;
+      boolean listed = before == null || !d.entries().isEmpty();
+      digest = listed ? d : new LeaderDigest(before.entries(), d.loads());
       tell(digestListeners, d);
     } else if (result.leader() != null) {
       leader = result.leader();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewPoll.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewPoll.java
@@ -1,5 +1,7 @@
 package org.ebonypond.server.control;
 
+import java.util.List;
+
 /**
  * A process's question for the committed control state.
  *
@@ -9,6 +11,20 @@
  * @param ready whether it serves callers
  * @param incarnation the incarnation under which it runs calls
  * @param appliedIndex the last index that it has applied
+ * @param listEntries whether the leader's digest shall list the processes
+ * @param loadsOf the instances whose loads the leader's digest shall give
  */
 public record ViewPoll(
-    String node, String zone, String http, boolean ready, long incarnation, long appliedIndex) {}
+    String node,
+    String zone,
+    String http,
+    boolean ready,
+    long incarnation,
+    long appliedIndex,
+    boolean listEntries,
+    List<String> loadsOf) {
+  /** Copies the list. */
+  public ViewPoll {
+    loadsOf = List.copyOf(loadsOf);
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
@@ -34,10 +34,12 @@
   private final EntryIncarnation incarnation;
   private final ServiceCallRequest request;
   private final ServiceCallSink sink;
+  private final Runnable onFinished;
   private final AtMostOnceCall call;
   private final ServiceDispatch dispatch;
   private TimerService.@Nullable Subscription timer;
   private @Nullable Problem refusal;
+  private boolean finished;
 
   /**
    * Creates a call that has not started.
@@ -49,6 +51,7 @@
    * @param request what the caller asked for
    * @param callRequest the request as the decision class sees it
    * @param sink receives the answer
+   * @param onFinished is called once when the ledger holds the outcome, perhaps after the answer
    */
   public AtMostOnceRunner(
       EntryParts parts,
@@ -57,12 +60,14 @@
       ServiceClient services,
       ServiceCallRequest request,
       CallRequest callRequest,
-      ServiceCallSink sink) {
+      ServiceCallSink sink,
+      Runnable onFinished) {
     this.parts = parts;
     this.ledger = ledger;
     this.incarnation = incarnation;
     this.request = request;
     this.sink = sink;
+    this.onFinished = onFinished;
     this.call = new AtMostOnceCall(callRequest);
     this.dispatch = new ServiceDispatch(parts, services, request);
   }
@@ -76,6 +81,10 @@
   private void run(List<CallAction> actions) {
     actions.forEach(this::run);
     schedule();
+    if (call.phase() == AtMostOnceCall.Phase.FINISHED && !finished) {
+      finished = true;
+      onFinished.run();
+    }
   }
 
   private void run(CallAction a) {
@@ -199,7 +208,8 @@
       run(call.onConnectionLost(now()));
       return;
     }
-    boolean elsewhere = parts.budget().tryRetry(request.workspace(), now());
+    boolean mayRepeat = request.key() != null && !call.isAnswered();
+    boolean elsewhere = mayRepeat && parts.budget().tryRetry(request.workspace(), now());
     run(call.onNotWritten(elsewhere, now()));
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.ebonypond.admission.RetryPolicy;
 import org.ebonypond.document.ServiceSpec;
@@ -76,7 +77,15 @@
       Responses.problem(ctx, beforeLedger(p, keyed), "");
       return;
     }
-    ctx.onClose(outcome -> parts.tracker().end());
+    // The process must not exit before the ledger holds the outcome of a call that was answered.
+    AtomicInteger open = new AtomicInteger(1);
+    Runnable end =
+        () -> {
+          if (open.decrementAndGet() == 0) {
+            parts.tracker().end();
+          }
+        };
+    ctx.onClose(outcome -> end.run());
     ctx.getRequest()
         .getBody()
         .then(
@@ -89,11 +98,11 @@
                 Responses.problem(ctx, beforeLedger(Problem.of(e), keyed && !malformed), "");
                 return;
               }
-              start(ctx, r);
+              start(ctx, r, open, end);
             });
   }
 
-  private void start(Context ctx, ServiceCallRequest r) {
+  private void start(Context ctx, ServiceCallRequest r, AtomicInteger open, Runnable end) {
     if (!parts.follower().mayStart()) {
       Problem p = Problem.notRun(ErrorCode.VIEW_STALE, 1);
       Responses.problem(ctx, beforeLedger(p, r.key() != null), r.id());
@@ -105,7 +114,9 @@
               if (r.idempotent()) {
                 new RepeatableCall(parts, policy, services, r, sink).start();
               } else {
-                new AtMostOnceRunner(parts, ledger, incarnation, services, r, callRequest(r), sink)
+                open.incrementAndGet();
+                new AtMostOnceRunner(
+                        parts, ledger, incarnation, services, r, callRequest(r), sink, end)
                     .start();
               }
             })
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -91,11 +91,12 @@
 
   /** Returns the groups whose cache events this entry should read. */
   public List<Target> hinted() {
-    List<Target> out = new ArrayList<>();
-    for (TargetPool p : snapshot.pools.values()) {
-      p.subset().stream().filter(t -> t.kind() == InstanceKind.ENGINE).forEach(out::add);
-    }
-    return out;
+    return preferred().stream().filter(t -> t.kind() == InstanceKind.ENGINE).toList();
+  }
+
+  /** Returns the targets that this entry prefers, whose loads it should know. */
+  public List<Target> preferred() {
+    return snapshot.pools.values().stream().flatMap(p -> p.subset().stream()).toList();
   }
 
   /** Takes a load report of an instance; those of instances that take no requests are ignored. */
