Move the election timer, leader and lease out of RaftNode

Change: ElectionTimer holds the election timeout and the last contact of a leader, KnownLeader the leader and its term, Replication the loss of the quorum and the lease, and Outbox the early answer to a request whose acknowledgement waits. No behaviour changes; the random draws keep their order.

--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -6,8 +6,9 @@
 import java.util.random.RandomGenerator;
 import org.ebonypond.consensus.internal.Applier;
 import org.ebonypond.consensus.internal.Ballot;
+import org.ebonypond.consensus.internal.ElectionTimer;
 import org.ebonypond.consensus.internal.Genesis;
-import org.ebonypond.consensus.internal.Invariant;
+import org.ebonypond.consensus.internal.KnownLeader;
 import org.ebonypond.consensus.internal.LogReceiver;
 import org.ebonypond.consensus.internal.Outbox;
 import org.ebonypond.consensus.internal.Proposals;
@@ -35,7 +36,6 @@
   private static final byte[] NOTHING = {};
 
   private final RaftConfig config;
-  private final RandomGenerator random;
   private final EventSink events;
   private final RaftLog log;
   private final String identity;
@@ -45,17 +45,12 @@
   private final Applier applier;
   private final LogReceiver receiver;
   private final Outbox outbox;
+  private final ElectionTimer timer;
+  private final KnownLeader leader = new KnownLeader();
 
   private RaftRole role = RaftRole.FOLLOWER;
-  private @Nullable String leader;
-  private String leaderIdentity = "";
-  private long leaderTerm = -1;
   private @Nullable Replication replication;
   private @Nullable RuntimeException failure;
-  private long electionDeadline;
-  private long lastLeaderContact;
-  private long leaderSince;
-  private long leaderFirstIndex;
   private long lastNow;
   private List<RoleChange> roleChanges = new ArrayList<>();
   private @Nullable RoleChange lastChange;
@@ -74,7 +69,6 @@
       EventSink events,
       long now) {
     this.config = config;
-    this.random = random;
     this.events = events;
     this.log = new RaftLog(storage);
     this.identity = storage.identity();
@@ -87,8 +81,8 @@
     // After a restart the replica does not know when it last heard from a leader. It refuses votes
     // for one election timeout, because that leader may still rely on its lease. Without any term
     // there was no leader.
-    lastLeaderContact = ballot.term() == 0 ? now - config.electionMaxMillis() : now;
-    resetElectionDeadline(now);
+    long lastContact = ballot.term() == 0 ? now - config.electionMaxMillis() : now;
+    this.timer = new ElectionTimer(config, random, lastContact, now);
     become(idleRole());
   }
 
@@ -120,7 +114,7 @@
         now,
         () -> {
           if (role != RaftRole.LEADER) {
-            proposals.refuse(proposalId, leader);
+            proposals.refuse(proposalId, leader.name());
             return;
           }
           LogEntry e = log.append(ballot.term(), EntryType.COMMAND, command);
@@ -181,7 +175,7 @@
 
   /** Returns the name of the presumed leader, or null. */
   public @Nullable String leaderHint() {
-    return leader;
+    return leader.name();
   }
 
   /** Returns the current term. */
@@ -231,11 +225,7 @@
    */
   public long leaseHeldUntil() {
     Replication r = replication;
-    if (r == null || applier.applied() < leaderFirstIndex) {
-      return Long.MIN_VALUE;
-    }
-    long contact = r.quorumContact(lastNow);
-    return contact == Long.MIN_VALUE ? contact : contact + config.electionMinMillis() * 9 / 10;
+    return r == null ? Long.MIN_VALUE : r.leaseHeldUntil(lastNow, applier.applied());
   }
 
   /** Returns whether this replica may act as the leader at a time. */
@@ -273,13 +263,9 @@
   /** Ends the leadership of a replica that lost contact to a quorum, or that was frozen. */
   private void checkQuorum(long now) {
     Replication r = replication;
-    if (r == null) {
-      return;
-    }
-    long contact = Math.max(leaderSince, r.quorumContact(now));
-    if (now - contact >= config.electionMinMillis()) {
+    if (r != null && r.hasLostQuorum(now)) {
       becomeFollower(ballot.term(), null, "");
-      resetElectionDeadline(now);
+      timer.reset(now);
     }
   }
 
@@ -288,16 +274,16 @@
       replication.heartbeat(now, applier.commit());
       return;
     }
-    if (now < electionDeadline) {
+    if (!timer.isDue(now)) {
       return;
     }
-    resetElectionDeadline(now);
+    timer.reset(now);
     if (!log.isHardStateDurable()) {
       // No message of a further election could go out, so the term would only rise.
       return;
     }
-    leader = null;
-    if (log.isEmpty() && leaderTerm < 0) {
+    leader.forget();
+    if (log.isEmpty() && !leader.everKnown()) {
       startGenesis(now);
     } else if (isVoter()) {
       startPreVote(now);
@@ -331,9 +317,9 @@
 
   private void startElection(long now) {
     ballot.startTerm();
-    leader = null;
+    leader.forget();
     become(RaftRole.CANDIDATE);
-    resetElectionDeadline(now);
+    timer.reset(now);
     ballot.collect();
     ballot.requestVotes(false, this::send);
     if (ballot.isWon()) {
@@ -342,41 +328,27 @@
   }
 
   private void becomeLeader(long now) {
-    noteLeader(config.self(), identity);
-    leaderSince = now;
-    leaderFirstIndex = log.append(ballot.term(), EntryType.NOOP, NOTHING).index();
+    leader.note(ballot.term(), config.self(), identity);
+    log.append(ballot.term(), EntryType.NOOP, NOTHING);
     replication = new Replication(config, log, ballot.term(), this::send, now);
     become(RaftRole.LEADER);
     emit(EventCode.LEADER_ELECTED, Map.of("term", String.valueOf(ballot.term())));
     replication.heartbeat(now, applier.commit());
   }
 
-  /** Notes the leader of the current term; there is only one. */
-  private void noteLeader(String name, String leaderId) {
-    Invariant.check(
-        leaderTerm != ballot.term() || leaderIdentity.equals(leaderId),
-        "two leaders in term %d: %s and %s",
-        ballot.term(),
-        leaderIdentity,
-        leaderId);
-    leader = name;
-    leaderIdentity = leaderId;
-    leaderTerm = ballot.term();
-  }
-
   private void becomeFollower(long term, @Nullable String newLeader, String leaderId) {
     if (term > ballot.term()) {
       ballot.raise(term);
-      leader = null;
+      leader.forget();
     }
     if (role == RaftRole.LEADER) {
       emit(EventCode.LEADER_STEPPED_DOWN, Map.of("term", String.valueOf(ballot.term())));
       replication = null;
-      leader = null;
+      leader.forget();
       proposals.abandon(newLeader);
     }
     if (newLeader != null) {
-      noteLeader(newLeader, leaderId);
+      leader.note(ballot.term(), newLeader, leaderId);
     }
     become(idleRole());
   }
@@ -387,7 +359,7 @@
 
   private void become(RaftRole next) {
     role = next;
-    RoleChange change = new RoleChange(next, ballot.term(), leader);
+    RoleChange change = new RoleChange(next, ballot.term(), leader.name());
     if (!change.equals(lastChange)) {
       lastChange = change;
       roleChanges.add(change);
@@ -399,7 +371,7 @@
       onVoteRequest(now, name, m);
     } else if (message instanceof RaftMessage.AppendRequest m) {
       if (followLeader(now, name, m, m.to(), m.sentAt())) {
-        acknowledge(name, receiver.append(ballot.term(), m));
+        outbox.acknowledge(name, receiver.append(ballot.term(), m));
       }
     } else if (message instanceof RaftMessage.SnapshotRequest m) {
       if (followLeader(now, name, m, m.to(), m.sentAt())) {
@@ -412,18 +384,6 @@
     }
   }
 
-  /**
-   * Sends an acknowledgement. If it has to wait while a sync is under way, an answer that claims
-   * only what is durable goes ahead of it, so that the leader does not lose contact.
-   */
-  private void acknowledge(String name, RaftMessage.AppendReply r) {
-    long durable = log.durableIndex();
-    if (r.success() && r.index() > durable && log.isSyncing() && log.isHardStateDurable()) {
-      send(name, new RaftMessage.AppendReply(r.term(), r.from(), true, durable, r.sentAt()));
-    }
-    send(name, r);
-  }
-
   private void onReply(long now, String name, RaftMessage message) {
     if (message instanceof RaftMessage.VoteReply m && m.preVote() && m.granted()) {
       onVoteReply(now, name, m);
@@ -492,7 +452,7 @@
     }
     boolean granted = !refused && m.term() == ballot.term() && ballot.voteFor(m.from());
     if (granted) {
-      resetElectionDeadline(now);
+      timer.reset(now);
     }
     send(name, new RaftMessage.VoteReply(ballot.term(), identity, false, granted));
   }
@@ -506,7 +466,7 @@
     if (role == RaftRole.PRE_CANDIDATE && config.self().compareTo(name) < 0) {
       return;
     }
-    resetElectionDeadline(now);
+    timer.reset(now);
     if (role == RaftRole.PRE_CANDIDATE) {
       become(idleRole());
     }
@@ -514,7 +474,7 @@
 
   /** Returns whether a leader may rely on this replica not to vote for another. */
   private boolean hearsLeader(long now) {
-    return role == RaftRole.LEADER || now - lastLeaderContact < config.electionMinMillis();
+    return role == RaftRole.LEADER || timer.hearsLeader(now);
   }
 
   /** Accepts the sender of a request as the leader of its term, or answers and returns false. */
@@ -525,8 +485,7 @@
       return false;
     }
     becomeFollower(m.term(), name, m.from());
-    lastLeaderContact = now;
-    resetElectionDeadline(now);
+    timer.leaderContact(now);
     return true;
   }
 
@@ -535,7 +494,7 @@
     outbox.release(ballot.term());
     if (role == RaftRole.CANDIDATE) {
       // The requests for votes may go out only now.
-      resetElectionDeadline(now);
+      timer.reset(now);
     }
   }
 
@@ -560,11 +519,6 @@
     outbox.add(to, message);
   }
 
-  private void resetElectionDeadline(long now) {
-    electionDeadline =
-        now + random.nextLong(config.electionMinMillis(), config.electionMaxMillis());
-  }
-
   private void emit(EventCode code, Map<String, String> fields) {
     events.emit(code, "replica/" + config.self(), fields);
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Outbox.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Outbox.java
@@ -29,6 +29,18 @@
     }
   }
 
+  /**
+   * Takes an acknowledgement. If it has to wait while a sync is under way, an answer that claims
+   * only what is durable goes ahead of it, so that the leader does not lose contact.
+   */
+  public void acknowledge(String to, RaftMessage.AppendReply r) {
+    long durable = log.durableIndex();
+    if (r.success() && r.index() > durable && log.isSyncing() && log.isHardStateDurable()) {
+      add(to, new RaftMessage.AppendReply(r.term(), r.from(), true, durable, r.sentAt()));
+    }
+    add(to, r);
+  }
+
   /**
    * Releases the messages that waited for a sync that has ended. A message of an earlier term, or
    * an acknowledgement of entries that were replaced meanwhile, is dropped.
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -23,10 +23,13 @@
   private final long term;
   private final BiConsumer<String, RaftMessage> out;
   private final Map<String, Progress> peers = new TreeMap<>();
+  private final long since;
+  private final long firstIndex;
   private long nextHeartbeat;
 
   /**
-   * Starts a leader's term; the first heartbeat is due at once.
+   * Starts a leader's term, whose first entry is the last of the log; the first heartbeat is due at
+   * once.
    *
    * @param out takes the messages, with the name of the receiver
    */
@@ -37,6 +40,8 @@
     this.term = term;
     this.out = out;
     this.nextHeartbeat = now;
+    this.since = now;
+    this.firstIndex = log.lastIndex();
     Membership m = log.membership();
     for (String name : config.replicas()) {
       if (!name.equals(config.self())) {
@@ -170,8 +175,19 @@
     }
   }
 
+  /** Returns whether no quorum has answered for the shortest election timeout. */
+  public boolean hasLostQuorum(long now) {
+    return now - Math.max(since, quorumContact(now)) >= config.electionMinMillis();
+  }
+
+  /** Returns the end of the lease, see {@link org.ebonypond.consensus.RaftNode#leaseHeldUntil}. */
+  public long leaseHeldUntil(long now, long applied) {
+    long contact = applied < firstIndex ? Long.MIN_VALUE : quorumContact(now);
+    return contact == Long.MIN_VALUE ? contact : contact + config.electionMinMillis() * 9 / 10;
+  }
+
   /** Returns the latest time since which a quorum has certainly heard from this leader. */
-  public long quorumContact(long now) {
+  private long quorumContact(long now) {
     return quorum(now, false);
   }
 
