--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -6,9 +6,11 @@
 import java.util.random.RandomGenerator;
 import org.ebonypond.consensus.internal.Applier;
 import org.ebonypond.consensus.internal.Ballot;
+import org.ebonypond.consensus.internal.ElectionTimer;
 import org.ebonypond.consensus.internal.Genesis;
-import org.ebonypond.consensus.internal.Invariant;
+import org.ebonypond.consensus.internal.KnownLeader;
 import org.ebonypond.consensus.internal.LogReceiver;
+import org.ebonypond.consensus.internal.Outbox;
 import org.ebonypond.consensus.internal.Proposals;
 import org.ebonypond.consensus.internal.RaftLog;
 import org.ebonypond.consensus.internal.Replication;
@@ -21,8 +23,12 @@
 
 /**
  * One replica of a replicated log (Raft with pre-vote, check-quorum, learners and snapshots). Not
- * thread-safe; holds no thread, socket, file or clock. A driver passes in ticks, messages and
- * proposals, then calls {@link #flush}, and carries its output. Times are monotonic milliseconds.
+ * thread-safe; holds no thread, socket, file or clock. Times are monotonic milliseconds.
+ *
+ * <p>A driver passes in ticks, messages and proposals, then calls {@link #advance} and carries its
+ * output, which holds only what may go out now. It then calls {@link #beginSync}, runs the sync on
+ * any thread, and calls {@link #syncEnded}; meanwhile it goes on with ticks, messages and
+ * proposals. {@link #flush} does all of that on one thread.
  *
  * <p>A failure is thrown and is fatal: every later call throws it again.
  */
@@ -30,7 +36,6 @@
   private static final byte[] NOTHING = {};
 
   private final RaftConfig config;
-  private final RandomGenerator random;
   private final EventSink events;
   private final RaftLog log;
   private final String identity;
@@ -39,19 +44,14 @@
   private final Ballot ballot;
   private final Applier applier;
   private final LogReceiver receiver;
+  private final Outbox outbox;
+  private final ElectionTimer timer;
+  private final KnownLeader leader = new KnownLeader();
 
   private RaftRole role = RaftRole.FOLLOWER;
-  private @Nullable String leader;
-  private String leaderIdentity = "";
-  private long leaderTerm = -1;
   private @Nullable Replication replication;
   private @Nullable RuntimeException failure;
-  private long electionDeadline;
-  private long lastLeaderContact;
-  private long leaderSince;
-  private long leaderFirstIndex;
   private long lastNow;
-  private List<RaftOutput.Outbound> messages = new ArrayList<>();
   private List<RoleChange> roleChanges = new ArrayList<>();
   private @Nullable RoleChange lastChange;
 
@@ -69,7 +69,6 @@
       EventSink events,
       long now) {
     this.config = config;
-    this.random = random;
     this.events = events;
     this.log = new RaftLog(storage);
     this.identity = storage.identity();
@@ -77,12 +76,13 @@
     this.genesis = new Genesis(config, log, ballot);
     this.applier = new Applier(config, log, machine, proposals, events);
     this.receiver = new LogReceiver(log, applier);
+    this.outbox = new Outbox(log);
     this.lastNow = now;
     // After a restart the replica does not know when it last heard from a leader. It refuses votes
     // for one election timeout, because that leader may still rely on its lease. Without any term
     // there was no leader.
-    lastLeaderContact = ballot.term() == 0 ? now - config.electionMaxMillis() : now;
-    resetElectionDeadline(now);
+    long lastContact = ballot.term() == 0 ? now - config.electionMaxMillis() : now;
+    this.timer = new ElectionTimer(config, random, lastContact, now);
     become(idleRole());
   }
 
@@ -104,7 +104,7 @@
   }
 
   /**
-   * Takes a proposal; its result is part of the output of a later flush.
+   * Takes a proposal; its result is part of a later output.
    *
    * @param proposalId a number that is unique among the pending proposals of this replica
    * @param command the encoded command
@@ -114,7 +114,7 @@
         now,
         () -> {
           if (role != RaftRole.LEADER) {
-            proposals.refuse(proposalId, leader);
+            proposals.refuse(proposalId, leader.name());
             return;
           }
           LogEntry e = log.append(ballot.term(), EntryType.COMMAND, command);
@@ -122,15 +122,47 @@
         });
   }
 
-  /** Syncs the storage once, applies what is committed, and returns what is to be sent. */
-  public RaftOutput flush(long now) {
-    guarded(now, () -> onFlush(now));
-    RaftOutput output = new RaftOutput(messages, proposals.drain(), roleChanges);
-    messages = new ArrayList<>();
+  /** Applies what is committed, and returns what may go out before a further sync has ended. */
+  public RaftOutput advance(long now) {
+    guarded(now, () -> onAdvance(now));
+    RaftOutput output = new RaftOutput(outbox.drain(), proposals.drain(), roleChanges);
     roleChanges = new ArrayList<>();
     return output;
   }
 
+  /**
+   * Begins a sync of everything up to now; the caller runs it once, on any thread, and then calls
+   * {@link #syncEnded} or {@link #syncFailed}.
+   *
+   * @return the sync, or null if none is wanted or if one is under way
+   */
+  public @Nullable Runnable beginSync() {
+    Runnable[] sync = new Runnable[1];
+    guarded(lastNow, () -> sync[0] = log.beginSync());
+    return sync[0];
+  }
+
+  /** Takes the news that the sync that was begun last has made durable what it covers. */
+  public void syncEnded(long now) {
+    guarded(now, () -> onSyncEnded(now));
+  }
+
+  /** Takes the news that the sync that was begun last has failed, which is fatal. */
+  public void syncFailed(RuntimeException cause) {
+    failure = failure == null ? cause : failure;
+  }
+
+  /** Advances, and syncs on this thread as long as a sync is wanted. */
+  public RaftOutput flush(long now) {
+    RaftOutput output = advance(now);
+    for (Runnable sync = beginSync(); sync != null; sync = beginSync()) {
+      guarded(now, sync);
+      syncEnded(now);
+      output = output.followedBy(advance(now));
+    }
+    return output;
+  }
+
   /** Returns the role at the last call. */
   public RaftRole role() {
     return role;
@@ -143,7 +175,7 @@
 
   /** Returns the name of the presumed leader, or null. */
   public @Nullable String leaderHint() {
-    return leader;
+    return leader.name();
   }
 
   /** Returns the current term. */
@@ -193,11 +225,7 @@
    */
   public long leaseHeldUntil() {
     Replication r = replication;
-    if (r == null || applier.applied() < leaderFirstIndex) {
-      return Long.MIN_VALUE;
-    }
-    long contact = r.quorumContact(lastNow);
-    return contact == Long.MIN_VALUE ? contact : contact + config.electionMinMillis() * 9 / 10;
+    return r == null ? Long.MIN_VALUE : r.leaseHeldUntil(lastNow, applier.applied());
   }
 
   /** Returns whether this replica may act as the leader at a time. */
@@ -235,13 +263,9 @@
   /** Ends the leadership of a replica that lost contact to a quorum, or that was frozen. */
   private void checkQuorum(long now) {
     Replication r = replication;
-    if (r == null) {
-      return;
-    }
-    long contact = Math.max(leaderSince, r.quorumContact(now));
-    if (now - contact >= config.electionMinMillis()) {
+    if (r != null && r.hasLostQuorum(now)) {
       becomeFollower(ballot.term(), null, "");
-      resetElectionDeadline(now);
+      timer.reset(now);
     }
   }
 
@@ -250,12 +274,16 @@
       replication.heartbeat(now, applier.commit());
       return;
     }
-    if (now < electionDeadline) {
+    if (!timer.isDue(now)) {
       return;
     }
-    resetElectionDeadline(now);
-    leader = null;
-    if (log.isEmpty() && leaderTerm < 0) {
+    timer.reset(now);
+    if (!log.isHardStateDurable()) {
+      // No message of a further election could go out, so the term would only rise.
+      return;
+    }
+    leader.forget();
+    if (log.isEmpty() && !leader.everKnown()) {
       startGenesis(now);
     } else if (isVoter()) {
       startPreVote(now);
@@ -289,9 +317,9 @@
 
   private void startElection(long now) {
     ballot.startTerm();
-    leader = null;
+    leader.forget();
     become(RaftRole.CANDIDATE);
-    resetElectionDeadline(now);
+    timer.reset(now);
     ballot.collect();
     ballot.requestVotes(false, this::send);
     if (ballot.isWon()) {
@@ -300,41 +328,27 @@
   }
 
   private void becomeLeader(long now) {
-    noteLeader(config.self(), identity);
-    leaderSince = now;
-    leaderFirstIndex = log.append(ballot.term(), EntryType.NOOP, NOTHING).index();
+    leader.note(ballot.term(), config.self(), identity);
+    log.append(ballot.term(), EntryType.NOOP, NOTHING);
     replication = new Replication(config, log, ballot.term(), this::send, now);
     become(RaftRole.LEADER);
     emit(EventCode.LEADER_ELECTED, Map.of("term", String.valueOf(ballot.term())));
     replication.heartbeat(now, applier.commit());
   }
 
-  /** Notes the leader of the current term; there is only one. */
-  private void noteLeader(String name, String leaderId) {
-    Invariant.check(
-        leaderTerm != ballot.term() || leaderIdentity.equals(leaderId),
-        "two leaders in term %d: %s and %s",
-        ballot.term(),
-        leaderIdentity,
-        leaderId);
-    leader = name;
-    leaderIdentity = leaderId;
-    leaderTerm = ballot.term();
-  }
-
   private void becomeFollower(long term, @Nullable String newLeader, String leaderId) {
     if (term > ballot.term()) {
       ballot.raise(term);
-      leader = null;
+      leader.forget();
     }
     if (role == RaftRole.LEADER) {
       emit(EventCode.LEADER_STEPPED_DOWN, Map.of("term", String.valueOf(ballot.term())));
       replication = null;
-      leader = null;
+      leader.forget();
       proposals.abandon(newLeader);
     }
     if (newLeader != null) {
-      noteLeader(newLeader, leaderId);
+      leader.note(ballot.term(), newLeader, leaderId);
     }
     become(idleRole());
   }
@@ -345,7 +359,7 @@
 
   private void become(RaftRole next) {
     role = next;
-    RoleChange change = new RoleChange(next, ballot.term(), leader);
+    RoleChange change = new RoleChange(next, ballot.term(), leader.name());
     if (!change.equals(lastChange)) {
       lastChange = change;
       roleChanges.add(change);
@@ -357,7 +371,7 @@
       onVoteRequest(now, name, m);
     } else if (message instanceof RaftMessage.AppendRequest m) {
       if (followLeader(now, name, m, m.to(), m.sentAt())) {
-        send(name, receiver.append(ballot.term(), m));
+        outbox.acknowledge(name, receiver.append(ballot.term(), m));
       }
     } else if (message instanceof RaftMessage.SnapshotRequest m) {
       if (followLeader(now, name, m, m.to(), m.sentAt())) {
@@ -438,7 +452,7 @@
     }
     boolean granted = !refused && m.term() == ballot.term() && ballot.voteFor(m.from());
     if (granted) {
-      resetElectionDeadline(now);
+      timer.reset(now);
     }
     send(name, new RaftMessage.VoteReply(ballot.term(), identity, false, granted));
   }
@@ -452,7 +466,7 @@
     if (role == RaftRole.PRE_CANDIDATE && config.self().compareTo(name) < 0) {
       return;
     }
-    resetElectionDeadline(now);
+    timer.reset(now);
     if (role == RaftRole.PRE_CANDIDATE) {
       become(idleRole());
     }
@@ -460,7 +474,7 @@
 
   /** Returns whether a leader may rely on this replica not to vote for another. */
   private boolean hearsLeader(long now) {
-    return role == RaftRole.LEADER || now - lastLeaderContact < config.electionMinMillis();
+    return role == RaftRole.LEADER || timer.hearsLeader(now);
   }
 
   /** Accepts the sender of a request as the leader of its term, or answers and returns false. */
@@ -471,24 +485,27 @@
       return false;
     }
     becomeFollower(m.term(), name, m.from());
-    lastLeaderContact = now;
-    resetElectionDeadline(now);
+    timer.leaderContact(now);
     return true;
   }
 
-  private void onFlush(long now) {
-    log.sync();
+  private void onSyncEnded(long now) {
+    log.syncEnded();
+    outbox.release(ballot.term());
+    if (role == RaftRole.CANDIDATE) {
+      // The requests for votes may go out only now.
+      timer.reset(now);
+    }
+  }
+
+  private void onAdvance(long now) {
     Replication r = replication;
     if (r != null) {
       r.advanceCommit(applier);
     }
     applier.applyCommitted();
     if (r != null) {
-      if (r.reconfigure(now, applier.commit())) {
-        log.sync();
-        r.advanceCommit(applier);
-        applier.applyCommitted();
-      }
+      r.reconfigure(now, applier.commit());
       r.sendEntries(now, applier.commit());
     }
     applier.compact();
@@ -499,12 +516,7 @@
   }
 
   private void send(String to, RaftMessage message) {
-    messages.add(new RaftOutput.Outbound(to, message));
-  }
-
-  private void resetElectionDeadline(long now) {
-    electionDeadline =
-        now + random.nextLong(config.electionMinMillis(), config.electionMaxMillis());
+    outbox.add(to, message);
   }
 
   private void emit(EventCode code, Map<String, String> fields) {
