--- a/org.ebonypond/src/main/java/org/ebonypond/control/ControlTables.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/ControlTables.java
@@ -144,10 +144,10 @@
 
   ControlView view() {
     if (instanceCopy == null) {
-      instanceCopy = Map.copyOf(instances);
+      instanceCopy = OrderedMap.copyOf(instances);
     }
     if (groupCopy == null) {
-      groupCopy = Map.copyOf(groups);
+      groupCopy = OrderedMap.copyOf(groups);
     }
     return new ControlView(
         index, document, documentAuthor, zonesOut, instanceCopy, groupCopy, groupSequence);
--- a/org.ebonypond/src/main/java/org/ebonypond/control/ControlView.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/control/ControlView.java
@@ -28,8 +28,8 @@
   /** Copies the collections. */
   public ControlView {
     zonesOut = Set.copyOf(zonesOut);
-    instances = Map.copyOf(instances);
-    groups = Map.copyOf(groups);
+    instances = OrderedMap.copyOf(instances);
+    groups = OrderedMap.copyOf(groups);
   }
 
   /** Creates a view in which no group name has been used. */
