Send the list of processes only when an operator asks

Cause: at 2,000 entries the list alone is 121 kB; once in 5 s it would take 24 KB/s of the 27 KB/s that an entry may use for control. Change: the list comes with a status request, and each 60 s.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/SizeRows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/SizeRows.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.ebonypond.consensus.CommittedEntries;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlCommand.InstanceDown;
@@ -24,6 +25,9 @@
 
 /** Sizes of messages and of the control state by number of instances, and the time of a view. */
 final class SizeRows {
+  /** The most groups of a model whose loads an entry asks for. */
+  private static final int SUBSET = 64;
+
   private static final String SOURCE = "SizeRows";
   private static final int REPEATS = 15;
 
@@ -37,6 +41,9 @@
 
   void measure() {
     rows.add("size.poll", encoded(poll(7)), "B", SOURCE);
+    rows.add("size.poll." + SUBSET, encoded(pollOf(SUBSET)), "B", SOURCE);
+    LeaderDigest subset = new LeaderDigest(List.of(), loads(SUBSET));
+    rows.add("size.digest." + SUBSET, encoded(result(subset)), "B", SOURCE);
     rows.add("size.poll-result.empty", encoded(result(null)), "B", SOURCE);
     rows.add("size.announcement", Announcements.body(1).length(), "B", SOURCE);
     rows.add("size.command.register", encoded(register()), "B", SOURCE);
@@ -125,6 +132,12 @@
         "entry-" + i, "zone-1", "10.20.30.40:8080", true, 1, 100_000, false, List.of());
   }
 
+  /** Returns a poll that names the instances of a subset of groups. */
+  private static ViewPoll pollOf(int subset) {
+    List<String> names = IntStream.range(0, subset).mapToObj(ControlStates::name).toList();
+    return new ViewPoll("entry-1", "zone-1", "10.20.30.40:8080", true, 1, 100_000, false, names);
+  }
+
   private static ViewPollResult result(@Nullable LeaderDigest digest) {
     Map<String, String> members = new HashMap<>();
     for (int i = 1; i <= 3; i++) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -1,6 +1,9 @@
 package org.ebonypond.server.control;
 
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -32,8 +35,13 @@
   private static final long POLL_MILLIS = 500;
   private static final long POLL_TIMEOUT_MILLIS = 1_000;
 
-  /** The list of processes serves operators; its size grows with the fleet. */
-  private static final int LIST_ENTRIES_EVERY = 10;
+  /**
+   * Every 60 s; the list of processes serves operators, grows with the fleet, and is asked for anew
+   * when an operator wants it.
+   */
+  private static final int LIST_ENTRIES_EVERY = 120;
+
+  private static final long LIST_TIMEOUT_MILLIS = 700;
 
   private final Peers network;
   private final TimerService timers;
@@ -45,6 +53,8 @@
   private final ViewLease lease = new ViewLease();
   private final List<Consumer<ControlView>> viewListeners = new CopyOnWriteArrayList<>();
   private final List<Consumer<LeaderDigest>> digestListeners = new CopyOnWriteArrayList<>();
+  private final Queue<CompletableFuture<@Nullable LeaderDigest>> listWaiters =
+      new ConcurrentLinkedQueue<>();
   private long appliedIndex;
   private boolean leaseHeld;
   private volatile ControlView view = ControlView.EMPTY;
@@ -122,6 +132,24 @@
     replicas.forEach(r -> ask(id, r));
   }
 
+  /**
+   * Asks the leader for the list of processes.
+   *
+   * @return the latest digest with a list; an older one, or null, if no leader answers in time
+   */
+  public CompletableFuture<@Nullable LeaderDigest> refreshEntries() {
+    CompletableFuture<@Nullable LeaderDigest> fresh = new CompletableFuture<>();
+    listWaiters.add(fresh);
+    timers.after(
+        LIST_TIMEOUT_MILLIS,
+        () -> {
+          listWaiters.remove(fresh);
+          fresh.complete(digest);
+        });
+    poll();
+    return fresh;
+  }
+
   private void ask(long pollId, ReplicaAddress r) {
     EntryInfo me = self.get();
     long applied;
@@ -138,7 +166,7 @@
             me.ready(),
             me.incarnation(),
             applied,
-            digest == null || pollId % LIST_ENTRIES_EVERY == 0,
+            digest == null || !listWaiters.isEmpty() || pollId % LIST_ENTRIES_EVERY == 0,
             toLeader ? loadsOf.get() : List.of());
     network
         .ask(
@@ -174,6 +202,10 @@
       LeaderDigest before = digest;
       boolean listed = before == null || !d.entries().isEmpty();
       digest = listed ? d : new LeaderDigest(before.entries(), d.loads());
+      if (!d.entries().isEmpty()) {
+        listWaiters.forEach(w -> w.complete(d));
+        listWaiters.clear();
+      }
       tell(digestListeners, d);
     } else if (result.leader() != null) {
       leader = result.leader();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AdminHandlers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AdminHandlers.java
@@ -141,6 +141,12 @@
   }
 
   private void status(Context ctx) {
+    Promise.<ListedEntries>async(
+            down -> follower.refreshEntries().thenAccept(d -> down.success(new ListedEntries(d))))
+        .then(listed -> status(ctx, listed.digest));
+  }
+
+  private void status(Context ctx, @Nullable LeaderDigest digest) {
     ControlView v = follower.view();
     EntryInfo me = self.get();
     ObjectNode n = JSON.createObjectNode();
@@ -153,7 +159,6 @@
     ArrayNode out = n.putArray("zonesOut");
     v.zonesOut().stream().sorted().forEach(out::add);
     ArrayNode entries = n.putArray("entries");
-    LeaderDigest digest = follower.digest();
     if (digest == null) {
       entries.addObject().put("node", me.node()).put("address", me.address());
     } else {
@@ -224,5 +229,7 @@
     return t instanceof java.util.concurrent.CompletionException ? t.getCause() : t;
   }
 
+  private record ListedEntries(@Nullable LeaderDigest digest) {}
+
   private record Reply(@Nullable ControlResult result, @Nullable Throwable failure) {}
 }
