--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/load/Tally.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/load/Tally.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
@@ -71,7 +72,7 @@
     List<String> out = new ArrayList<>();
     StringBuilder head = new StringBuilder("second");
     for (Verdict v : Verdict.values()) {
-      head.append(',').append(v.name().toLowerCase(java.util.Locale.ROOT));
+      head.append(',').append(v.name().toLowerCase(Locale.ROOT));
     }
     out.add(head.toString());
     bySecond.forEach(
--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/BenchReport.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/BenchReport.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -192,7 +193,7 @@
 
   private static void delete(Path folder) throws IOException {
     try (var files = Files.walk(folder)) {
-      for (Path p : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+      for (Path p : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.delete(p);
       }
     }
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/SimulatedEntry.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/SimulatedEntry.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.ledger.AtMostOnceCall;
 import org.ebonypond.ledger.AttemptId;
 import org.ebonypond.ledger.CallAction;
-import org.ebonypond.ledger.CallOutcome;
 import org.ebonypond.ledger.CallRequest;
 import org.ebonypond.ledger.LedgerCommand;
 import org.ebonypond.ledger.LedgerResult;
@@ -219,7 +219,7 @@
     }
 
     private void answer(CallAction action) {
-      if (action instanceof CallAction.AnswerProblem p && p.outcome() == CallOutcome.NOT_RUN) {
+      if (action instanceof CallAction.AnswerProblem p && p.outcome() == Outcome.NOT_RUN) {
         service.declareNotRun(attempt.toString());
       }
       closed = true;
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RandomRaftRun.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RandomRaftRun.java
@@ -178,5 +178,6 @@
     }
     System.out.println(
         count + " seeds, " + failed + " failed, " + acknowledged + " log entries acknowledged");
+    System.exit(failed == 0 ? 0 : 1);
   }
 }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ViewFollowerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ViewFollowerTest.java
@@ -36,7 +36,7 @@
           events,
           HeldPeers.REPLICAS,
           () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1),
-          java.util.List::of);
+          List::of);
 
   private static byte[] register(long index) {
     ControlCommand c =
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -7,9 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import org.ebonypond.admission.Outcome;
 import org.ebonypond.control.GroupState;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.server.backend.FailureKind;
 import org.ebonypond.server.entry.EntryFixture.Caller;
 import org.ebonypond.server.entry.FakeEngines.FakeAttempt;
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
@@ -79,7 +79,7 @@
             EventSink.NONE,
             FakePeers.REPLICAS,
             () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1),
-            java.util.List::of);
+            List::of);
     this.maxConcurrency = maxConcurrency;
     this.router =
         new Router(
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakePeers.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakePeers.java
@@ -1,6 +1,7 @@
 package org.ebonypond.server.entry;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -92,7 +93,7 @@
   }
 
   private ViewPollResult pollResult() {
-    List<LogEntry> entries = new java.util.ArrayList<>();
+    List<LogEntry> entries = new ArrayList<>();
     for (long i = 1; i <= index; i++) {
       entries.add(new LogEntry(i, 1, EntryType.NOOP, new byte[0]));
     }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ServiceEntry.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.ebonypond.admission.RetryPolicy;
 import org.ebonypond.admission.ServiceRates;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.junit.FakePlainService;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.ledger.CallRequest;
@@ -181,7 +182,7 @@
       if (answer != null) {
         assertEquals(FakePlainService.answerOf(body), answer);
         assertNull(problem);
-      } else if (problem != null && problem.outcome() == org.ebonypond.admission.Outcome.NOT_RUN) {
+      } else if (problem != null && problem.outcome() == Outcome.NOT_RUN) {
         service.declareNotRun(id);
       }
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
 import java.net.URI;
 import java.time.Duration;
@@ -56,8 +57,7 @@
   /** Returns whether a failure of a call shows that nothing was sent. */
   static FailureKind kindOf(Throwable t) {
     for (Throwable c = t; c != null; c = c.getCause()) {
-      boolean connecting =
-          c instanceof ConnectException || c instanceof io.netty.channel.ConnectTimeoutException;
+      boolean connecting = c instanceof ConnectException || c instanceof ConnectTimeoutException;
       if (connecting) {
         return FailureKind.NOT_SENT;
       }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
@@ -1,11 +1,5 @@
 package org.ebonypond.server.control;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -13,16 +7,10 @@
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlResult;
 import org.ebonypond.control.ControlView;
-import org.ebonypond.control.GroupRecord;
-import org.ebonypond.control.InstanceRecord;
-import org.ebonypond.document.ModelSpec;
-import org.ebonypond.document.ServiceDocument;
-import org.ebonypond.document.ServiceSpec;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.events.EventSink;
 import org.ebonypond.group.EngineState;
-import org.ebonypond.group.EngineStatus;
 import org.ebonypond.group.GroupPlanner;
 import org.ebonypond.group.InstanceAnnouncement;
 import org.ebonypond.group.InstanceDetector;
@@ -33,11 +21,7 @@
 import org.ebonypond.group.Proposal;
 import org.ebonypond.group.SchedulerOutput;
 import org.ebonypond.group.SchedulerSettings;
-import org.ebonypond.lease.CeilingRamp;
-import org.ebonypond.lease.ShareAllocator;
-import org.ebonypond.lease.ShareGrant;
 import org.ebonypond.lease.ShareRequest;
-import org.ebonypond.lease.ShareTarget;
 import org.ebonypond.server.backend.EngineAdmin;
 import org.ebonypond.server.replica.ReplicaService;
 import org.ebonypond.server.replica.ReplicaStatus;
@@ -69,16 +53,13 @@
   private final InstanceDetector detector = new InstanceDetector();
   private final GroupPlanner planner;
   private final OrderScheduler scheduler;
-  private final ReadinessClock readiness = new ReadinessClock();
+  private final ShareGranter shares = new ShareGranter();
   private final LeaderDirectory directory;
   private final Consumer<EntryInfo> lostEntries;
   private final LeaderTrace trace;
   private final ObservationTable observations = new ObservationTable();
-  private final Map<ShareTarget, Long> knownAtElection = new HashMap<>();
-  private final Set<String> shareTargets = new HashSet<>();
   private long term = -1;
   private long electedMillis;
-  private @Nullable ShareAllocator allocator;
   private ControlView view = ControlView.EMPTY;
   private boolean stepRunning;
 
@@ -125,7 +106,7 @@
 
   /** Takes a view of this process, whether or not it leads. */
   public void onView(ControlView v) {
-    executor.execute(guarded(() -> readiness.onView(v, timers.nowMillis())));
+    executor.execute(guarded(() -> shares.onView(v, timers.nowMillis())));
   }
 
   private void tick() {
@@ -135,7 +116,7 @@
         trace.record(new TraceRecord.TermEnded(timers.nowMillis()));
       }
       term = -1;
-      allocator = null;
+      shares.ended();
       return;
     }
     if (stepRunning) {
@@ -160,11 +141,11 @@
     trace.viewed(read, now);
     view = v;
     observations.retain(v);
-    readiness.onView(v, now);
+    shares.onView(v, now);
     if (term != status.term()) {
       elected(status.term(), now);
     }
-    updateTargets(now);
+    shares.update(v, now);
     releaseCallsOfLostEntries();
     long leaseHeldUntil = replica.control().status().leaseHeldUntil();
     trace.record(new TraceRecord.Tick(now, leaseHeldUntil));
@@ -182,10 +163,7 @@
     scheduler.elected(now);
     observations.clear();
     directory.clear();
-    allocator = new ShareAllocator(newTerm, now);
-    shareTargets.clear();
-    knownAtElection.clear();
-    knownAtElection.putAll(readiness.targets());
+    shares.elected(newTerm, now);
   }
 
   /**
@@ -199,47 +177,6 @@
     }
   }
 
-  private void updateTargets(long now) {
-    ShareAllocator a = allocator;
-    ServiceDocument d = view.document();
-    if (a == null || d == null) {
-      return;
-    }
-    Set<String> present = new HashSet<>();
-    Map<ShareTarget, Long> since = readiness.targets();
-    for (GroupRecord g : view.groups().values()) {
-      ShareTarget t = ShareTargets.of(g);
-      ModelSpec m = d.model(g.model()).orElse(null);
-      if (m != null && since.containsKey(t)) {
-        present.add(t.name());
-        a.addTarget(
-            t,
-            ramp(m.coldCeiling(), m.maxConcurrency(), m.warmSeconds(), since.get(t)),
-            !knownAtElection.containsKey(t));
-      }
-    }
-    for (InstanceRecord i : view.instances().values()) {
-      ShareTarget t = ShareTargets.of(i);
-      ServiceSpec s = d.service(i.flavor()).orElse(null);
-      if (s != null && since.containsKey(t)) {
-        present.add(t.name());
-        a.addTarget(
-            t,
-            ramp(s.coldCeiling(), s.maxConcurrency(), s.warmSeconds(), since.get(t)),
-            !knownAtElection.containsKey(t));
-      }
-    }
-    shareTargets.removeAll(present);
-    shareTargets.forEach(gone -> a.removeTarget(gone, now));
-    shareTargets.clear();
-    shareTargets.addAll(present);
-    a.lapse(now);
-  }
-
-  private static CeilingRamp ramp(int cold, int max, int warmSeconds, long since) {
-    return new CeilingRamp(cold, max, warmSeconds * 1_000L, since);
-  }
-
   private void propose(Proposal p) {
     ControlCommand c = p.command();
     LOG.debug("proposes {} because {}", c, p.reason());
@@ -342,48 +279,24 @@
     scheduler.announced(a);
     directory.onLoad(load, now);
     observations.announced(a, view, heard);
-    ShareAllocator s = allocator;
-    ShareTarget t = shareTarget(a);
-    if (s != null && t != null && a.status() != EngineStatus.LOADING) {
-      s.onLoad(t, now - load.ageMillis(), load.active() + load.waiting());
-    }
-  }
-
-  /** Returns the start whose requests an announced instance runs, or null if it runs none. */
-  private @Nullable ShareTarget shareTarget(InstanceAnnouncement a) {
-    InstanceRecord i = view.instances().get(a.instance());
-    if (i == null || !i.boot().equals(a.boot())) {
-      return null;
-    }
-    GroupRecord g = a.group().isEmpty() ? null : view.groups().get(a.group());
-    if (g == null) {
-      return ShareTargets.of(i);
-    }
-    boolean first = g.members().get(0).instance().equals(a.instance());
-    return first ? ShareTargets.of(g) : null;
+    shares.announced(view, a, load, now);
   }
 
   private CompletableFuture<byte[]> shareRequest(Frame f) {
     ShareRequest r = MessagePackCodec.decode(f.payload(), ShareRequest.class);
     CompletableFuture<byte[]> answer = new CompletableFuture<>();
     executor.execute(
-        guarded(
-            () -> {
-              ShareAllocator a = allocator;
-              boolean leads = replica.control().status().mayLead(timers.nowMillis());
-              if (a == null || !leads) {
-                answer.completeExceptionally(
-                    new EbonypondException(ErrorCode.NOT_LEADER, "unknown"));
-                return;
-              }
-              List<ShareGrant> grants = new ArrayList<>(a.onRequest(r, timers.nowMillis()));
-              if (grants.isEmpty()) {
-                answer.completeExceptionally(
-                    new EbonypondException(ErrorCode.COMMAND_REJECTED, "overtaken share request"));
-                return;
-              }
-              answer.complete(MessagePackCodec.encode(grants.get(0)));
-            }));
+        () -> {
+          try {
+            long now = timers.nowMillis();
+            if (!replica.control().status().mayLead(now)) {
+              throw new EbonypondException(ErrorCode.NOT_LEADER, "unknown");
+            }
+            answer.complete(MessagePackCodec.encode(shares.onRequest(r, now)));
+          } catch (RuntimeException e) {
+            answer.completeExceptionally(e);
+          }
+        });
     return answer;
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/LeaderDirectory.java
@@ -1,6 +1,7 @@
 package org.ebonypond.server.control;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +36,7 @@
         known.add(h.value);
       }
     }
-    known.sort(java.util.Comparator.comparing(EntryInfo::node));
+    known.sort(Comparator.comparing(EntryInfo::node));
     List<ReportedLoad> reported = new ArrayList<>();
     for (String instance : p.loadsOf()) {
       Heard<ReportedLoad> h = loads.get(instance);
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ShareGranter.java
@@ -0,0 +1,137 @@
+package org.ebonypond.server.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ebonypond.control.ControlView;
+import org.ebonypond.control.GroupRecord;
+import org.ebonypond.control.InstanceRecord;
+import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.group.EngineStatus;
+import org.ebonypond.group.InstanceAnnouncement;
+import org.ebonypond.lease.CeilingRamp;
+import org.ebonypond.lease.ShareAllocator;
+import org.ebonypond.lease.ShareGrant;
+import org.ebonypond.lease.ShareRequest;
+import org.ebonypond.lease.ShareTarget;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The control leader's part in sharing the ceilings of starting backend servers: keeps the targets
+ * of the allocator in step with the view. Not thread-safe.
+ */
+final class ShareGranter {
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final ReadinessClock readiness = new ReadinessClock();
+  private final Map<ShareTarget, Long> knownAtElection = new HashMap<>();
+  private final Set<String> targets = new HashSet<>();
+  private @Nullable ShareAllocator allocator;
+
+  /** Takes a view of this process, whether or not it leads. */
+  void onView(ControlView v, long now) {
+    readiness.onView(v, now);
+  }
+
+  /** Begins a term of this replica as the leader. */
+  void elected(long term, long now) {
+    allocator = new ShareAllocator(term, now);
+    targets.clear();
+    knownAtElection.clear();
+    knownAtElection.putAll(readiness.targets());
+  }
+
+  /** Ends the leadership of this replica. */
+  void ended() {
+    allocator = null;
+  }
+
+  /** Takes the current view of the leader. */
+  void update(ControlView v, long now) {
+    readiness.onView(v, now);
+    ShareAllocator a = allocator;
+    ServiceDocument d = v.document();
+    if (a == null || d == null) {
+      return;
+    }
+    Map<ShareTarget, CeilingRamp> present = new HashMap<>();
+    Map<ShareTarget, Long> since = readiness.targets();
+    for (GroupRecord g : v.groups().values()) {
+      ShareTarget t = ShareTargets.of(g);
+      d.model(g.model())
+          .ifPresent(
+              m -> add(present, t, m.coldCeiling(), m.maxConcurrency(), m.warmSeconds(), since));
+    }
+    for (InstanceRecord i : v.instances().values()) {
+      ShareTarget t = ShareTargets.of(i);
+      d.service(i.flavor())
+          .ifPresent(
+              s -> add(present, t, s.coldCeiling(), s.maxConcurrency(), s.warmSeconds(), since));
+    }
+    present.forEach((t, ramp) -> a.addTarget(t, ramp, !knownAtElection.containsKey(t)));
+    present.keySet().forEach(t -> targets.remove(t.name()));
+    targets.forEach(gone -> a.removeTarget(gone, now));
+    targets.clear();
+    present.keySet().forEach(t -> targets.add(t.name()));
+    a.lapse(now);
+  }
+
+  private static void add(
+      Map<ShareTarget, CeilingRamp> present,
+      ShareTarget t,
+      int coldCeiling,
+      int maxConcurrency,
+      int warmSeconds,
+      Map<ShareTarget, Long> since) {
+    Long ready = since.get(t);
+    if (ready != null) {
+      long warmMillis = warmSeconds * MILLIS_PER_SECOND;
+      present.put(t, new CeilingRamp(coldCeiling, maxConcurrency, warmMillis, ready));
+    }
+  }
+
+  /** Takes the load that an announcement reported. */
+  void announced(ControlView v, InstanceAnnouncement a, ReportedLoad load, long now) {
+    ShareAllocator s = allocator;
+    ShareTarget t = targetOf(v, a);
+    if (s != null && t != null && a.status() != EngineStatus.LOADING) {
+      s.onLoad(t, now - load.ageMillis(), load.active() + load.waiting());
+    }
+  }
+
+  /** Returns the start whose requests an announced instance runs, or null if it runs none. */
+  private static @Nullable ShareTarget targetOf(ControlView v, InstanceAnnouncement a) {
+    InstanceRecord i = v.instances().get(a.instance());
+    if (i == null || !i.boot().equals(a.boot())) {
+      return null;
+    }
+    GroupRecord g = a.group().isEmpty() ? null : v.groups().get(a.group());
+    if (g == null) {
+      return ShareTargets.of(i);
+    }
+    boolean first = g.members().get(0).instance().equals(a.instance());
+    return first ? ShareTargets.of(g) : null;
+  }
+
+  /**
+   * Answers a request for shares.
+   *
+   * @throws EbonypondException {@code not-leader} if this replica does not lead, or {@code
+   *     command-rejected} if a later request of the holder was answered before
+   */
+  ShareGrant onRequest(ShareRequest r, long now) {
+    ShareAllocator a = allocator;
+    if (a == null) {
+      throw new EbonypondException(ErrorCode.NOT_LEADER, "unknown");
+    }
+    List<ShareGrant> grants = a.onRequest(r, now);
+    if (grants.isEmpty()) {
+      throw new EbonypondException(ErrorCode.COMMAND_REJECTED, "overtaken share request");
+    }
+    return grants.get(0);
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -190,7 +191,7 @@
       more = take(result.committed());
       if (result.voter()) {
         VoterSet voters =
-            new VoterSet(result.membershipIndex(), java.util.Set.copyOf(result.members().values()));
+            new VoterSet(result.membershipIndex(), Set.copyOf(result.members().values()));
         lease.onReply(pollId, result.members().get(r.name()), voters, result.durableIndex());
       }
       lease.onApplied(appliedIndex);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/AtMostOnceRunner.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.events.EventCode;
 import org.ebonypond.ledger.AtMostOnceCall;
 import org.ebonypond.ledger.CallAction;
-import org.ebonypond.ledger.CallOutcome;
 import org.ebonypond.ledger.CallRequest;
 import org.ebonypond.ledger.LedgerResult;
 import org.ebonypond.ledger.StoredAnswer;
@@ -124,7 +124,7 @@
 
   private Problem problem(CallAction.AnswerProblem p) {
     emit(
-        p.outcome() == CallOutcome.OUTCOME_UNKNOWN
+        p.outcome() == Outcome.OUTCOME_UNKNOWN
             ? EventCode.REQUEST_OUTCOME_UNKNOWN
             : EventCode.REQUEST_REFUSED,
         Map.of("code", p.code().wireName()));
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -6,10 +6,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.ebonypond.admission.AdmissionRequest;
 import org.ebonypond.admission.Decision;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.events.EventCode;
 import org.ebonypond.routing.PromptBlocks;
 import org.ebonypond.routing.Reservation;
@@ -201,7 +204,7 @@
   }
 
   private void dispatch(StreamAction.Dispatch d) {
-    final Target t = java.util.Objects.requireNonNull(reservation).target();
+    final Target t = Objects.requireNonNull(reservation).target();
     dispatches = d.attempt();
     dispatchedMillis = parts.timers().nowMillis();
     running = d.attempt();
@@ -267,15 +270,12 @@
   }
 
   private void completed() {
-    final Reservation r = java.util.Objects.requireNonNull(reservation);
+    final Reservation r = Objects.requireNonNull(reservation);
     reservation = null;
     int tokens = (int) assembler.resumeOffset();
     emit(EventCode.REQUEST_COMPLETED, Map.of("tokens", String.valueOf(tokens)));
     parts.metrics().counter("requests.completed").inc();
-    parts
-        .metrics()
-        .timer("first.token")
-        .update((long) firstTokenMillis, java.util.concurrent.TimeUnit.MILLISECONDS);
+    parts.metrics().timer("first.token").update((long) firstTokenMillis, TimeUnit.MILLISECONDS);
     parts.gate().completed(admission, r, tokens, tokenMillis());
     end();
     sink.done();
@@ -372,9 +372,7 @@
 
   private void problem(Problem p) {
     emit(
-        p.outcome() == org.ebonypond.admission.Outcome.NOT_RUN
-            ? EventCode.REQUEST_REFUSED
-            : EventCode.REQUEST_FAILED,
+        p.outcome() == Outcome.NOT_RUN ? EventCode.REQUEST_REFUSED : EventCode.REQUEST_FAILED,
         Map.of("code", p.code().wireName()));
     parts.metrics().counter("requests.refused").inc();
     stopAttempt();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AdminHandlers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AdminHandlers.java
@@ -6,6 +6,8 @@
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlResult;
 import org.ebonypond.control.ControlView;
@@ -15,6 +17,7 @@
 import org.ebonypond.document.ServiceDocument;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.events.Event;
 import org.ebonypond.server.control.EntryInfo;
 import org.ebonypond.server.control.LeaderDigest;
@@ -35,16 +38,13 @@
   private static final long PROPOSAL_MILLIS = 5_000;
   private static final int MAX_EVENTS = 1_000;
 
-  private final java.util.function.Supplier<EntryInfo> self;
+  private final Supplier<EntryInfo> self;
   private final ViewFollower follower;
   private final ProposalClient proposals;
   private final EventLog events;
 
   AdminHandlers(
-      java.util.function.Supplier<EntryInfo> self,
-      ViewFollower follower,
-      ProposalClient proposals,
-      EventLog events) {
+      Supplier<EntryInfo> self, ViewFollower follower, ProposalClient proposals, EventLog events) {
     this.self = self;
     this.follower = follower;
     this.proposals = proposals;
@@ -65,12 +65,7 @@
     if (d == null) {
       Responses.problem(
           ctx,
-          new Problem(
-              404,
-              ErrorCode.BAD_REQUEST,
-              org.ebonypond.admission.Outcome.NOT_RUN,
-              "no document is in force",
-              -1),
+          new Problem(404, ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, "no document is in force", -1),
           "");
       return;
     }
@@ -226,7 +221,7 @@
   }
 
   private static @Nullable Throwable cause(@Nullable Throwable t) {
-    return t instanceof java.util.concurrent.CompletionException ? t.getCause() : t;
+    return t instanceof CompletionException ? t.getCause() : t;
   }
 
   private record ListedEntries(@Nullable LeaderDigest digest) {}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CompletionHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CompletionHandler.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Objects;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.server.backend.EngineClient;
@@ -199,11 +200,11 @@
     }
 
     private AnswerStream stream() {
-      return java.util.Objects.requireNonNull(stream);
+      return Objects.requireNonNull(stream);
     }
 
     private Downstream<? super StreamStart> start() {
-      return java.util.Objects.requireNonNull(start);
+      return Objects.requireNonNull(start);
     }
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/EntryHandlers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/EntryHandlers.java
@@ -1,6 +1,7 @@
 package org.ebonypond.server.http;
 
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.ebonypond.admission.RetryPolicy;
 import org.ebonypond.server.backend.EngineClient;
 import org.ebonypond.server.backend.ServiceClient;
@@ -47,7 +48,7 @@
       ProposalClient proposals,
       EventLog events,
       EntryIncarnation incarnation,
-      java.util.function.Supplier<EntryInfo> self,
+      Supplier<EntryInfo> self,
       LongSupplier wallMillis) {
     this.parts = parts;
     this.completions = new CompletionHandler(parts, engines);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/Problem.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/Problem.java
@@ -3,10 +3,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
-import org.ebonypond.admission.Outcome;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.errors.Messages;
+import org.ebonypond.errors.Outcome;
 
 /**
  * An RFC 9457 problem.
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/ServiceHandler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
@@ -10,6 +11,7 @@
 import org.ebonypond.document.ServiceSpec;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.ledger.AnswerHeader;
 import org.ebonypond.ledger.CallRequest;
 import org.ebonypond.ledger.RequestDigest;
@@ -132,7 +134,7 @@
         ? new Problem(
             refusal.status(),
             refusal.code(),
-            org.ebonypond.admission.Outcome.OUTCOME_UNKNOWN,
+            Outcome.OUTCOME_UNKNOWN,
             refusal.detail(),
             refusal.retryAfterSeconds())
         : refusal;
@@ -206,7 +208,7 @@
       Responses.problem(ctx, result.problem, r.id());
       return;
     }
-    StoredAnswer a = java.util.Objects.requireNonNull(result.answer);
+    StoredAnswer a = Objects.requireNonNull(result.answer);
     ctx.getResponse().status(a.status());
     for (AnswerHeader h : a.headers()) {
       ctx.getResponse().getHeaders().set(h.name(), h.value());
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -14,6 +15,7 @@
 import org.ebonypond.consensus.ProposalResult;
 import org.ebonypond.consensus.RaftConfig;
 import org.ebonypond.consensus.RaftNode;
+import org.ebonypond.consensus.RaftRole;
 import org.ebonypond.consensus.RoleChange;
 import org.ebonypond.consensus.StateMachine;
 import org.ebonypond.control.ControlCommand;
@@ -131,7 +133,7 @@
   }
 
   private void open(String channel, StateMachine machine, Consumer<RoleChange> role) {
-    Path folder = java.util.Objects.requireNonNull(settings.dataFolder()).resolve(channel);
+    Path folder = Objects.requireNonNull(settings.dataFolder()).resolve(channel);
     LogStorage storage = FileLogStorage.open(folder, settings.node(), random, events);
     List<String> names = settings.replicas().stream().map(ReplicaAddress::name).toList();
     RaftConfig config = RaftConfig.standard(settings.node(), names);
@@ -158,7 +160,7 @@
   }
 
   private void controlRoleChanged(RoleChange change) {
-    leadsControl = change.role() == org.ebonypond.consensus.RaftRole.LEADER;
+    leadsControl = change.role() == RaftRole.LEADER;
   }
 
   private void send(String channel, String toReplica, byte[] payload) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
@@ -143,7 +144,7 @@
     if (connecting.isDone()) {
       return writeTo(connecting.channel(), frame);
     }
-    io.netty.channel.ChannelPromise p = connecting.channel().newPromise();
+    ChannelPromise p = connecting.channel().newPromise();
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/admission/RetryPolicyTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/admission/RetryPolicyTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/org.ebonypond.test/src/test/java/org/ebonypond/document/DocumentParserTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/document/DocumentParserTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.regex.Pattern;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.junit.jupiter.api.Test;
@@ -80,7 +81,7 @@
         "version = 1|version = 0|DOCUMENT_BAD_VALUE|line 1: key \"version"
       })
   void refusesMistakeWithItsLine(String good, String bad, ErrorCode code, String message) {
-    String text = VALID.replaceFirst(java.util.regex.Pattern.quote(good), bad);
+    String text = VALID.replaceFirst(Pattern.quote(good), bad);
     EbonypondException e = assertThrows(EbonypondException.class, () -> DocumentParser.parse(text));
     assertEquals(code, e.code());
     assertTrue(e.getMessage().startsWith(message), e.getMessage());
--- a/org.ebonypond.test/src/test/java/org/ebonypond/ledger/AtMostOnceCallTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/ledger/AtMostOnceCallTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.junit.SimulatedEntry;
 import org.ebonypond.junit.SimulatedEntry.Step;
 import org.junit.jupiter.api.Test;
@@ -39,8 +40,8 @@
       assertEquals(whole("k", step == Step.REPLY), answer);
       assertEquals(whole("k", true), later);
     } else {
-      assertEquals(CallOutcome.OUTCOME_UNKNOWN, problem(answer).outcome());
-      assertEquals(CallOutcome.OUTCOME_UNKNOWN, problem(later).outcome());
+      assertEquals(Outcome.OUTCOME_UNKNOWN, problem(answer).outcome());
+      assertEquals(Outcome.OUTCOME_UNKNOWN, problem(later).outcome());
     }
     assertEquals(step == Step.DISPATCH ? 0 : 1, fixture.service.executions("k"));
   }
@@ -74,7 +75,7 @@
   void answerAfterTheDeadlineIsRecorded() {
     fixture.service.set(() -> 5_000, 0, 0);
     CallAction answer = fixture.ask(first, "k", 1_000);
-    assertEquals(CallOutcome.OUTCOME_UNKNOWN, problem(answer).outcome());
+    assertEquals(Outcome.OUTCOME_UNKNOWN, problem(answer).outcome());
     fixture.timers.advance(5_000);
     assertEquals(whole("k", true), fixture.ask(other, "k", 1_000));
   }
@@ -87,7 +88,7 @@
     fixture.timers.advance(100);
     fixture.entry("a", 2).register();
     fixture.timers.advance(100);
-    assertEquals(CallOutcome.OUTCOME_UNKNOWN, problem(fixture.ask(other, "k", 100)).outcome());
+    assertEquals(Outcome.OUTCOME_UNKNOWN, problem(fixture.ask(other, "k", 100)).outcome());
     fixture.timers.advance(1_000);
     assertEquals(whole("k", true), fixture.ask(other, "k", 100));
   }
@@ -97,7 +98,7 @@
   void releasedCallRunsElsewhere() {
     fixture.service.set(() -> 1, 1, 0);
     CallAction answer = fixture.ask(first, "k", 1_001);
-    assertEquals(CallOutcome.NOT_RUN, problem(answer).outcome());
+    assertEquals(Outcome.NOT_RUN, problem(answer).outcome());
     fixture.service.set(() -> 1, 0, 0);
     assertEquals(whole("k", false), fixture.ask(other, "k", 1_000));
   }
@@ -107,7 +108,7 @@
   void intentThatCommitsLateDoesNotRun() {
     fixture.ledgerFaults.set(0, 0, 1, 60_000);
     CallAction answer = fixture.ask(first, "k", 1_000);
-    assertEquals(CallOutcome.OUTCOME_UNKNOWN, problem(answer).outcome());
+    assertEquals(Outcome.OUTCOME_UNKNOWN, problem(answer).outcome());
     fixture.timers.advance(200_000);
     assertEquals(0, fixture.service.executions("k"));
     fixture.ledgerFaults.clear();
@@ -120,7 +121,7 @@
     fixture.ledger.setReachable(false);
     List<CallAction> answers = fixture.submit(first, "k", 30_000);
     fixture.timers.advance(AtMostOnceCall.LEDGER_PATIENCE_MILLIS + 500);
-    assertEquals(CallOutcome.NOT_RUN, problem(answers.get(0)).outcome());
+    assertEquals(Outcome.NOT_RUN, problem(answers.get(0)).outcome());
     assertEquals(ErrorCode.NO_QUORUM, problem(answers.get(0)).code());
   }
 
@@ -146,7 +147,7 @@
     assertEquals(List.of(), running.onShutdown(10));
     AtMostOnceCall waiting = new AtMostOnceCall(r);
     CallAction refusal = waiting.onShutdown(10).get(0);
-    assertEquals(CallOutcome.NOT_RUN, problem(refusal).outcome());
+    assertEquals(Outcome.NOT_RUN, problem(refusal).outcome());
     assertEquals(ErrorCode.SHUTTING_DOWN, problem(refusal).code());
   }
 
@@ -156,7 +157,7 @@
     CallRequest r = new CallRequest("w", null, "d", new AttemptId("a", 1, 1), 0, 1_000, 0);
     AtMostOnceCall call = new AtMostOnceCall(r);
     assertEquals(List.of(new CallAction.Dispatch()), call.start(0));
-    assertEquals(CallOutcome.NOT_RUN, problem(call.onNotWritten(true, 10).get(0)).outcome());
+    assertEquals(Outcome.NOT_RUN, problem(call.onNotWritten(true, 10).get(0)).outcome());
     assertEquals(List.of(), call.onNotWritten(true, 20));
   }
 
--- a/org.ebonypond.test/src/test/java/org/ebonypond/ledger/AtMostOnceRandomTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/ledger/AtMostOnceRandomTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.LongStream;
 import org.ebonypond.Seeds;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.junit.SimulatedEntry;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -95,7 +96,7 @@
         if (answer instanceof CallAction.AnswerWhole) {
           assertEquals(CallFixture.whole("k" + k, before == 1), answer);
         } else {
-          assertEquals(CallOutcome.OUTCOME_UNKNOWN, CallFixture.problem(answer).outcome());
+          assertEquals(Outcome.OUTCOME_UNKNOWN, CallFixture.problem(answer).outcome());
         }
       }
     }
@@ -125,7 +126,7 @@
         }
         // Without a reply of the ledger, not-run speaks of this request only, not of its key.
         if (answer instanceof CallAction.AnswerProblem p
-            && p.outcome() == CallOutcome.NOT_RUN
+            && p.outcome() == Outcome.NOT_RUN
             && p.code() != ErrorCode.NO_QUORUM) {
           assertEquals(0, fixture.service.executions(key));
         }
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/FairQueue.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/FairQueue.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.ebonypond.document.WorkspaceSpec;
 import org.ebonypond.errors.EbonypondException;
@@ -312,7 +313,7 @@
       passed = first.request().id();
     }
 
-    void forEach(java.util.function.Consumer<Waiting> c) {
+    void forEach(Consumer<Waiting> c) {
       levels.forEach(l -> l.values().forEach(c));
     }
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/RetryBudget.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/RetryBudget.java
@@ -1,5 +1,6 @@
 package org.ebonypond.admission;
 
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -107,8 +108,8 @@
     private int slot(long now) {
       long bucket = Math.floorDiv(now, BUCKET_MILLIS);
       if (head == Long.MIN_VALUE || bucket - head >= BUCKETS) {
-        java.util.Arrays.fill(firsts, 0);
-        java.util.Arrays.fill(retries, 0);
+        Arrays.fill(firsts, 0);
+        Arrays.fill(retries, 0);
         head = bucket;
       }
       for (; head < bucket; ) {
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/RetryDecision.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/RetryDecision.java
@@ -1,6 +1,7 @@
 package org.ebonypond.admission;
 
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 
 /** What happens after a failed attempt. */
 public sealed interface RetryDecision {
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/RetryPolicy.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/admission/RetryPolicy.java
@@ -1,6 +1,7 @@
 package org.ebonypond.admission;
 
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 
 /** Decides whether a failed attempt is repeated at another target. Thread-safe. */
 public final class RetryPolicy {
--- a/org.ebonypond/src/main/java/org/ebonypond/admission/Outcome.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/errors/Outcome.java
@@ -1,4 +1,4 @@
-package org.ebonypond.admission;
+package org.ebonypond.errors;
 
 /** What a final error answer states about the request. */
 public enum Outcome {
--- a/org.ebonypond/src/main/java/org/ebonypond/ledger/AtMostOnceCall.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/ledger/AtMostOnceCall.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 import org.ebonypond.ledger.CallAction.AnswerNotKept;
 import org.ebonypond.ledger.CallAction.AnswerProblem;
 import org.ebonypond.ledger.CallAction.AnswerWhole;
@@ -106,7 +107,7 @@
       case DONE -> replay(result);
       case UNKNOWN -> onUnknown(result, nowMillis);
       case MISMATCH ->
-          finish(new AnswerProblem(CallOutcome.FAILED, ErrorCode.KEY_REUSED, RETRY_SOON_SECONDS));
+          finish(new AnswerProblem(Outcome.FAILED, ErrorCode.KEY_REUSED, RETRY_SOON_SECONDS));
       case KEY_EXPIRED -> finish(unknown(ErrorCode.KEY_EXPIRED));
       case FULL -> refuse(notRun(ErrorCode.LEDGER_FULL, RETRY_FULL_SECONDS), nowMillis);
       case FENCED -> refuse(notRun(ErrorCode.SHUTTING_DOWN, RETRY_SOON_SECONDS), nowMillis);
@@ -393,11 +394,11 @@
   }
 
   private static AnswerProblem notRun(ErrorCode code, int retryAfterSeconds) {
-    return new AnswerProblem(CallOutcome.NOT_RUN, code, retryAfterSeconds);
+    return new AnswerProblem(Outcome.NOT_RUN, code, retryAfterSeconds);
   }
 
   private static AnswerProblem unknown(ErrorCode code) {
-    return new AnswerProblem(CallOutcome.OUTCOME_UNKNOWN, code, RETRY_SOON_SECONDS);
+    return new AnswerProblem(Outcome.OUTCOME_UNKNOWN, code, RETRY_SOON_SECONDS);
   }
 
   private void check(boolean condition, String text) {
--- a/org.ebonypond/src/main/java/org/ebonypond/ledger/CallAction.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/ledger/CallAction.java
@@ -1,6 +1,7 @@
 package org.ebonypond.ledger;
 
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.errors.Outcome;
 
 /** What an entry must do for an {@link AtMostOnceCall}, in the order of the list. */
 public sealed interface CallAction {
@@ -44,6 +45,6 @@
    * @param code the code
    * @param retryAfterSeconds the value of {@code Retry-After}, in seconds
    */
-  record AnswerProblem(CallOutcome outcome, ErrorCode code, int retryAfterSeconds)
+  record AnswerProblem(Outcome outcome, ErrorCode code, int retryAfterSeconds)
       implements CallAction {}
 }
