--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -37,10 +37,10 @@
   private static final long POLL_TIMEOUT_MILLIS = 1_000;
 
   /**
-   * Every 60 s; the list of processes serves operators, grows with the fleet, and is asked for anew
-   * when an operator wants it.
+   * Every 120 s; the list of processes serves operators, grows with the fleet, and is asked for
+   * anew when an operator wants it.
    */
-  private static final int LIST_ENTRIES_EVERY = 120;
+  private static final int LIST_ENTRIES_EVERY = 240;
 
   private static final long LIST_TIMEOUT_MILLIS = 700;
 
