Cancel a completion whose caller closed the connection

Cause: an answer that is not streamed, and a stream before its first chunk, went on at the engine for a caller that was gone; found by reading. Change: the closed connection ends the call and cancels the request.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CompletionHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CompletionHandler.java
@@ -4,7 +4,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.server.backend.EngineClient;
@@ -76,6 +79,7 @@
     Promise.<StreamStart>async(
             down -> {
               sink.start = down;
+              onCallerGone(ctx, call, sink);
               call.start();
             })
         .then(
@@ -92,7 +96,12 @@
 
   private void whole(Context ctx, CompletionRequest r) {
     Promise.<WholeAnswer>async(
-            down -> new CompletionCall(parts, engines, r, new WholeSink(r, down)).start())
+            down -> {
+              WholeSink sink = new WholeSink(r, down);
+              CompletionCall call = new CompletionCall(parts, engines, r, sink);
+              onCallerGone(ctx, call, sink);
+              call.start();
+            })
         .then(
             a -> {
               if (a.problem != null) {
@@ -103,6 +112,19 @@
             });
   }
 
+  /** Ends a call whose caller closed the connection; the engine would go on for nobody. */
+  private static void onCallerGone(Context ctx, CompletionCall call, CompletionSink sink) {
+    ChannelFuture closed = ctx.getDirectChannelAccess().getChannel().closeFuture();
+    ChannelFutureListener gone =
+        f -> {
+          call.callerGone();
+          sink.problem(Problem.failed(ErrorCode.UPSTREAM_FAILED, "the caller is gone"));
+        };
+    closed.addListener(gone);
+    // The connection may serve further requests.
+    ctx.onClose(outcome -> closed.removeListener(gone));
+  }
+
   private CompletionRequest read(Headers headers, String body) {
     final CallerHeaders h = CallerHeaders.read(headers, parts);
     JsonNode parsed = parse(body);
@@ -213,6 +235,7 @@
     private final CompletionRequest request;
     private final Downstream<? super WholeAnswer> down;
     private final StringBuilder content = new StringBuilder();
+    private final AtomicBoolean ended = new AtomicBoolean();
     private String finishReason = "stop";
     private int tokens;
 
@@ -238,12 +261,18 @@
       choice.putObject("message").put("role", "assistant").put("content", content.toString());
       choice.put("finish_reason", finishReason);
       n.putObject("usage").put("completion_tokens", tokens);
-      down.success(new WholeAnswer(n.toString(), null));
+      end(new WholeAnswer(n.toString(), null));
     }
 
     @Override
     public void problem(Problem p) {
-      down.success(new WholeAnswer(null, p));
+      end(new WholeAnswer(null, p));
+    }
+
+    private void end(WholeAnswer a) {
+      if (ended.compareAndSet(false, true)) {
+        down.success(a);
+      }
     }
   }
 }
