Build one routing table for each view and share refusal messages

Cause: read again, the share client and the router each built the table of every view; two calls chose the arguments of a refusal's message with the same lines; the operators' handler formatted a message only to learn its status. Change: the daemon builds the table once; RequestGate and Problem hold the shared pieces. ShareClientTest passes the table instead of the view, with the same assertions.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ShareClientTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ShareClientTest.java
@@ -71,7 +71,7 @@
             FakePeers.REPLICAS,
             () -> "r1",
             () -> {});
-    c.onView(view());
+    c.onTable(RoutingTable.of(view()));
     c.start();
     clients.add(c);
     return c;
@@ -162,7 +162,7 @@
     final Target before = target;
     server.restart();
     target = target();
-    c.onView(view());
+    c.onTable(RoutingTable.of(view()));
     assertFalse(c.tryAcquire(before, 0));
     assertFalse(c.tryAcquire(target, 0), "no share of the new boot was granted");
     leader.addTarget(server.target(), server.ramp(), true);
@@ -213,7 +213,7 @@
         () -> {
           leader.addTarget(server.target(), server.ramp(), true);
           target = target();
-          clients.forEach(c -> c.onView(view()));
+          clients.forEach(c -> c.onTable(RoutingTable.of(view())));
         });
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -35,6 +35,7 @@
 import org.ebonypond.routing.RouterSettings;
 import org.ebonypond.routing.RouterState;
 import org.ebonypond.routing.RoutingPolicy;
+import org.ebonypond.routing.RoutingTable;
 import org.ebonypond.server.backend.CacheEventPoller;
 import org.ebonypond.server.backend.RatpackEngineAdmin;
 import org.ebonypond.server.backend.RatpackEngineClient;
@@ -283,8 +284,9 @@
     if (view.document() != null) {
       budget.setPercent(view.document().limits().retryBudgetPercent());
     }
-    shares.onView(view);
-    router.onView(view);
+    RoutingTable table = RoutingTable.of(view);
+    shares.onTable(table);
+    router.onTable(table);
     gate.onView(view);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -155,15 +155,8 @@
     long left = request.deadlineMillis() - parts.timers().nowMillis();
     problem(
         dispatches == 0
-            ? Problem.notRun(
-                r.code(), r.retryAfterSeconds(), refusalArguments(r, Math.max(0, left)))
-            : Problem.failed(r.code(), refusalArguments(r, Math.max(0, left))));
-  }
-
-  private Object[] refusalArguments(Decision.Refused<Reservation> r, long left) {
-    return r.code() == ErrorCode.DEADLINE_TOO_CLOSE
-        ? new Object[] {String.valueOf(r.expectedMillis()), String.valueOf(left)}
-        : new Object[] {request.workspace()};
+            ? Problem.notRun(r.code(), r.retryAfterSeconds(), RequestGate.messageArguments(r, left))
+            : Problem.failed(r.code(), RequestGate.messageArguments(r, left)));
   }
 
   private void admitted(Reservation r) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/RequestGate.java
@@ -182,6 +182,18 @@
     return Target.poolKey(r.kind(), r.pool());
   }
 
+  /**
+   * Returns the arguments of the user message of a refusal.
+   *
+   * @param r the refusal
+   * @param leftMillis the time to the deadline in milliseconds; negative after it
+   */
+  static Object[] messageArguments(Decision.Refused<?> r, long leftMillis) {
+    return r.code() == ErrorCode.DEADLINE_TOO_CLOSE
+        ? new Object[] {String.valueOf(r.expectedMillis()), String.valueOf(Math.max(0, leftMillis))}
+        : new Object[] {r.request().workspace()};
+  }
+
   private void capacity(String pool) {
     // Not on this thread: the caller holds the lock of its own call, and the decisions take
     // the locks of other calls.
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
@@ -109,12 +109,9 @@
       return;
     }
     Decision.Refused<Reservation> r = (Decision.Refused<Reservation>) d;
-    long left = Math.max(0, request.deadlineMillis() - parts.timers().nowMillis());
-    Object[] arguments =
-        r.code() == ErrorCode.DEADLINE_TOO_CLOSE
-            ? new Object[] {String.valueOf(r.expectedMillis()), String.valueOf(left)}
-            : new Object[] {request.workspace()};
-    result.refused(Problem.notRun(r.code(), r.retryAfterSeconds(), arguments));
+    long left = request.deadlineMillis() - parts.timers().nowMillis();
+    result.refused(
+        Problem.notRun(r.code(), r.retryAfterSeconds(), RequestGate.messageArguments(r, left)));
   }
 
   private void dispatch(AdmissionRequest a, Reservation r, long untilMillis, Result result) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
-import org.ebonypond.control.ControlView;
 import org.ebonypond.lease.HolderId;
 import org.ebonypond.lease.ShareGrant;
 import org.ebonypond.lease.ShareHolder;
@@ -83,8 +82,7 @@
   }
 
   /** Takes the targets of a new view. */
-  public synchronized void onView(ControlView view) {
-    RoutingTable table = RoutingTable.of(view);
+  public synchronized void onTable(RoutingTable table) {
     Set<String> present = new HashSet<>();
     byInstance.clear();
     table.models().forEach(m -> addTargets(table.model(m), present));
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AdminHandlers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AdminHandlers.java
@@ -125,8 +125,7 @@
     boolean duplicate = r instanceof ControlResult.Duplicate;
     ControlResult first = r instanceof ControlResult.Duplicate d ? d.first() : r;
     if (first instanceof ControlResult.Rejected x) {
-      Problem p = Problem.invalid(x.code(), "", "", "", "", "");
-      Responses.problem(ctx, new Problem(p.status(), x.code(), p.outcome(), x.message(), -1), "");
+      Responses.problem(ctx, Problem.rejected(x.code(), x.message()), "");
       return;
     }
     ControlResult.Accepted a = (ControlResult.Accepted) first;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/Problem.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/Problem.java
@@ -61,8 +61,12 @@
 
   /** Returns a refusal of a request that was not run and cannot succeed as it is. */
   public static Problem invalid(ErrorCode code, Object... arguments) {
-    return new Problem(
-        status(code), code, Outcome.NOT_RUN, Messages.format(code, arguments), NO_RETRY);
+    return rejected(code, Messages.format(code, arguments));
+  }
+
+  /** Returns a refusal whose message is already formatted and that a retry cannot change. */
+  public static Problem rejected(ErrorCode code, String message) {
+    return new Problem(status(code), code, Outcome.NOT_RUN, message, NO_RETRY);
   }
 
   /** Returns the answer to a request that may have run. */
--- a/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/routing/Router.java
@@ -71,8 +71,13 @@
 
   /** Takes over a new control view; later choices use it. */
   public void onView(ControlView view) {
-    Snapshot s = Snapshot.of(RoutingTable.of(view), settings);
-    parts.suspicion().onView(view);
+    onTable(RoutingTable.of(view));
+  }
+
+  /** Takes over the table of a new control view; later choices use it. */
+  public void onTable(RoutingTable table) {
+    Snapshot s = Snapshot.of(table, settings);
+    parts.suspicion().onView(table.view());
     snapshot = s;
     Set<String> keys = new HashSet<>();
     Set<String> hinted = new HashSet<>();
