--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.server.settings.ReplicaAddress;
@@ -24,7 +25,7 @@
 
   private final Peers network;
   private final TimerService timers;
-  private final List<ReplicaAddress> replicas;
+  private final Supplier<List<ReplicaAddress>> replicas;
   private final Map<String, Integer> leaderOf = new ConcurrentHashMap<>();
 
   /**
@@ -35,9 +36,19 @@
    * @param replicas every control replica
    */
   public ProposalClient(Peers network, TimerService timers, List<ReplicaAddress> replicas) {
+    this(network, timers, () -> replicas);
+  }
+
+  /**
+   * Creates a client of replicas that may change.
+   *
+   * @param replicas returns the control replicas that are known now, one at least
+   */
+  public ProposalClient(
+      Peers network, TimerService timers, Supplier<List<ReplicaAddress>> replicas) {
     this.network = network;
     this.timers = timers;
-    this.replicas = List.copyOf(replicas);
+    this.replicas = replicas;
   }
 
   /**
@@ -93,8 +104,9 @@
         done.completeExceptionally(new ProposalFailure(!mayBeAccepted));
         return;
       }
-      int target = leaderOf.getOrDefault(channel, 0) % replicas.size();
-      InetSocketAddress to = replicas.get(target).address();
+      List<ReplicaAddress> known = replicas.get();
+      int target = leaderOf.getOrDefault(channel, 0) % known.size();
+      InetSocketAddress to = known.get(target).address();
       network
           .ask(to, FrameType.PROPOSE, channel, command, Math.min(left, ATTEMPT_TIMEOUT_MILLIS))
           .thenApply(b -> MessagePackCodec.decode(b, ProposalReply.class))
@@ -115,12 +127,13 @@
     }
 
     private int next(int target, @Nullable String leader) {
-      for (int i = 0; i < replicas.size(); i++) {
-        if (replicas.get(i).name().equals(leader) && i != target) {
+      List<ReplicaAddress> known = replicas.get();
+      for (int i = 0; i < known.size(); i++) {
+        if (known.get(i).name().equals(leader) && i != target) {
           return i;
         }
       }
-      return (target + 1) % replicas.size();
+      return (target + 1) % known.size();
     }
   }
 }
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
@@ -0,0 +1,154 @@
+package org.ebonypond.server.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.ebonypond.fleet.FleetPoll;
+import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.fleet.HeadLoad;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.Peers;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Polls every known control replica for what has changed. Each replica is asked by itself, so that a
+ * change that one of them has acknowledged reaches this process even if that one cannot reach the
+ * others. Used on one executor.
+ */
+public final class FleetFollower {
+  private static final Logger LOG = LoggerFactory.getLogger(FleetFollower.class);
+
+  /** The longest wait for an answer; a connection that is silent for so long is replaced. */
+  private static final long TIMEOUT_MILLIS = 900;
+
+  private final String node;
+  private final String address;
+  private final Peers peers;
+  private final TimerService timers;
+  private final ReplicaDirectory directory;
+  private final Executor executor;
+  private final long periodMillis;
+  private final LongSupplier version;
+  private final LongSupplier zonesIndex;
+  private final Supplier<List<HeadLoad>> loads;
+  private final BiConsumer<String, FleetPollResult> results;
+  private final Map<String, Position> positions = new HashMap<>();
+  private final Set<String> asked = new HashSet<>();
+  private final Set<String> lost = new HashSet<>();
+  private long lastAnswer = Long.MIN_VALUE;
+
+  /**
+   * Creates a follower.
+   *
+   * @param node the name of this process
+   * @param address the address of this process if it is a control replica, or an empty string
+   * @param peers carries the polls
+   * @param timers gives the time and the period
+   * @param directory the control replicas
+   * @param executor runs the callbacks
+   * @param periodMillis the time between two polls of one replica, in milliseconds
+   * @param version the version of the configuration that this process holds
+   * @param zonesIndex the log index of the zones that this process holds
+   * @param loads the work of this process
+   * @param results takes the name of the replica and its answer
+   */
+  public FleetFollower(
+      String node,
+      String address,
+      Peers peers,
+      TimerService timers,
+      ReplicaDirectory directory,
+      Executor executor,
+      long periodMillis,
+      LongSupplier version,
+      LongSupplier zonesIndex,
+      Supplier<List<HeadLoad>> loads,
+      BiConsumer<String, FleetPollResult> results) {
+    this.node = node;
+    this.address = address;
+    this.peers = peers;
+    this.timers = timers;
+    this.directory = directory;
+    this.executor = executor;
+    this.periodMillis = periodMillis;
+    this.version = version;
+    this.zonesIndex = zonesIndex;
+    this.loads = loads;
+    this.results = results;
+  }
+
+  /** Starts to poll. */
+  public void start() {
+    executor.execute(this::pollAll);
+    timers.every(periodMillis, () -> executor.execute(this::pollAll));
+  }
+
+  /** Returns the time since the last answer of any replica, in milliseconds. */
+  public long silentMillis() {
+    return lastAnswer == Long.MIN_VALUE ? Long.MAX_VALUE : timers.nowMillis() - lastAnswer;
+  }
+
+  private void pollAll() {
+    long now = timers.nowMillis();
+    List<HeadLoad> current = loads.get();
+    for (String name : directory.names(now)) {
+      if (!name.equals(address) && asked.add(name)) {
+        poll(name, current);
+      }
+    }
+  }
+
+  private void poll(String name, List<HeadLoad> current) {
+    Position p = positions.getOrDefault(name, new Position(0, 0));
+    FleetPoll q =
+        new FleetPoll(
+            node,
+            address,
+            version.getAsLong(),
+            zonesIndex.getAsLong(),
+            p.boot,
+            p.cursor,
+            current);
+    InetSocketAddress to = ReplicaDirectory.address(name);
+    peers
+        .ask(to, FrameType.FLEET_POLL, "", MessagePackCodec.encode(q), TIMEOUT_MILLIS)
+        .whenComplete(
+            (bytes, failure) -> executor.execute(() -> answered(name, bytes, failure)));
+  }
+
+  private void answered(String name, byte @Nullable [] bytes, @Nullable Throwable failure) {
+    asked.remove(name);
+    if (bytes == null) {
+      if (lost.add(name)) {
+        LOG.atWarn()
+            .addKeyValue("replica", name)
+            .addKeyValue("reason", String.valueOf(failure))
+            .log("control replica does not answer");
+      }
+      return;
+    }
+    long now = timers.nowMillis();
+    FleetPollResult r = MessagePackCodec.decode(bytes, FleetPollResult.class);
+    if (lost.remove(name)) {
+      LOG.atInfo().addKeyValue("replica", name).log("control replica answers again");
+    }
+    lastAnswer = now;
+    directory.heard(name, now);
+    r.replicas().forEach(n -> directory.learn(n, now));
+    positions.put(name, new Position(r.boot(), r.cursor()));
+    results.accept(name, r);
+  }
+
+  private record Position(long boot, long cursor) {}
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -0,0 +1,425 @@
+package org.ebonypond.server.fleet;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.ebonypond.consensus.LogStorage;
+import org.ebonypond.consensus.RaftConfig;
+import org.ebonypond.consensus.RaftNode;
+import org.ebonypond.consensus.RaftRole;
+import org.ebonypond.consensus.RoleChange;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.fleet.EntryLoads;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.fleet.FleetOrder;
+import org.ebonypond.fleet.FleetPlanner;
+import org.ebonypond.fleet.FleetPoll;
+import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.fleet.InstanceTable;
+import org.ebonypond.fleet.InstanceUpdate;
+import org.ebonypond.fleet.LoadCeiling;
+import org.ebonypond.server.control.ProposalClient;
+import org.ebonypond.server.control.ProposalReply;
+import org.ebonypond.server.replica.ReplicaDriver;
+import org.ebonypond.server.replica.ReplicaListener;
+import org.ebonypond.server.replica.ReplicaStatus;
+import org.ebonypond.server.storage.FileLogStorage;
+import org.ebonypond.server.transport.Frame;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.serving.ServiceProfile;
+import org.ebonypond.serving.ServingCommand;
+import org.ebonypond.serving.ServingConfig;
+import org.ebonypond.serving.ServingState;
+import org.ebonypond.time.TimerService;
+import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A control replica of the serving fleet. It keeps the replicated configuration, takes heartbeats,
+ * answers the polls of entries, and gives orders to instances while it leads.
+ */
+public final class FleetReplica implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(FleetReplica.class);
+  private static final String CHANNEL = "serving";
+
+  /** Time between two heartbeats of the log's leader; a core machine has a fifth of a processor. */
+  private static final long LOG_HEARTBEAT_MILLIS = 150;
+
+  private static final long ELECTION_MIN_MILLIS = 800;
+  private static final long ELECTION_MAX_MILLIS = 1_600;
+
+  /** A configuration has some 100 KB at most, and the disk some 100 MB. */
+  private static final int COMPACT_AFTER = 100;
+
+  private static final int KEEP_ENTRIES = 20;
+  private static final int MAX_BATCH_BYTES = 1 << 20;
+
+  /** Operators wait for one second before they turn to another replica. */
+  private static final long PROPOSAL_TIMEOUT_MILLIS = 3_000;
+
+  private static final long PLAN_MILLIS = 100;
+  private static final long POLL_MILLIS = 250;
+
+  /** Two heartbeats and the time that one may be late. */
+  private static final long LATE_HEARTBEAT_MILLIS = 400;
+
+  private static final long REACHABLE_MILLIS = 3_000;
+
+  private final FleetReplicaSettings settings;
+  private final PeerNetwork network;
+  private final TimerService timers;
+  private final Executor executor;
+  private final ConfigSource source;
+  private final OrderSender orders;
+  private final ReplicaDirectory directory;
+  private final ServingState state = new ServingState();
+  private final InstanceTable table = new InstanceTable();
+  private final EntryLoads loads = new EntryLoads();
+  private final ReplicaDriver driver;
+  private final ProposalClient proposals;
+  private final FleetFollower follower;
+  private final Map<String, FleetPlanner> planners = new HashMap<>();
+  private final long boot = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+  private @Nullable ServingConfig config;
+
+  /**
+   * Opens the log; the replica runs after {@link #start}.
+   *
+   * @param settings the settings
+   * @param network carries the messages between processes
+   * @param timers gives the time
+   * @param executor runs everything but the log; a single thread
+   * @param source decodes the configuration
+   * @param orders sends orders to instances
+   * @param events receives the events of the log
+   * @param fatal is called when the log has failed, so that the process must end
+   * @throws EbonypondException {@code log-corrupt}, {@code identity-mismatch} or {@code
+   *     storage-failed}
+   */
+  public FleetReplica(
+      FleetReplicaSettings settings,
+      PeerNetwork network,
+      TimerService timers,
+      Executor executor,
+      ConfigSource source,
+      OrderSender orders,
+      EventSink events,
+      Consumer<Throwable> fatal) {
+    this.settings = settings;
+    this.network = network;
+    this.timers = timers;
+    this.executor = executor;
+    this.source = source;
+    this.orders = orders;
+    this.directory = new ReplicaDirectory(settings.seeds());
+    this.proposals =
+        new ProposalClient(network, timers, () -> directory.addresses(timers.nowMillis()));
+    this.follower =
+        new FleetFollower(
+            settings.name(),
+            settings.name(),
+            network,
+            timers,
+            directory,
+            executor,
+            POLL_MILLIS,
+            () -> state.current().version(),
+            () -> state.current().zonesIndex(),
+            List::of,
+            this::merge);
+    SecureRandom random = new SecureRandom();
+    LogStorage storage =
+        FileLogStorage.open(settings.dataFolder(), settings.name(), random, events);
+    RaftNode node =
+        new RaftNode(raftConfig(), storage, state, random, events, timers.nowMillis());
+    this.driver =
+        new ReplicaDriver(
+            CHANNEL,
+            node,
+            this::sendLog,
+            timers,
+            new ReplicaListener() {
+              @Override
+              public void roleChanged(RoleChange c) {
+                LOG.atInfo()
+                    .addKeyValue("role", c.role())
+                    .addKeyValue("term", c.term())
+                    .addKeyValue("leader", String.valueOf(c.leader()))
+                    .log("role in the log changed");
+              }
+
+              @Override
+              public void failed(Throwable cause) {
+                fatal.accept(cause);
+              }
+            });
+  }
+
+  private RaftConfig raftConfig() {
+    return new RaftConfig(
+        settings.name(),
+        settings.seeds(),
+        LOG_HEARTBEAT_MILLIS,
+        ELECTION_MIN_MILLIS,
+        ELECTION_MAX_MILLIS,
+        COMPACT_AFTER,
+        KEEP_ENTRIES,
+        MAX_BATCH_BYTES,
+        MAX_BATCH_BYTES,
+        settings.voters(),
+        REACHABLE_MILLIS);
+  }
+
+  /** Starts the log, the polls and the planner. */
+  public void start() {
+    network.handle(FrameType.RAFT, this::raft);
+    network.handle(FrameType.PROPOSE, this::propose);
+    network.handle(FrameType.FLEET_POLL, this::poll);
+    driver.start();
+    follower.start();
+    timers.every(PLAN_MILLIS, () -> executor.execute(this::plan));
+  }
+
+  /**
+   * Installs a configuration that has been checked.
+   *
+   * @return completes when it is committed, or when a higher version was committed before
+   */
+  public CompletableFuture<Void> install(long version, byte[] content) {
+    return propose(new ServingCommand.Install(version, content)).thenAccept(r -> {});
+  }
+
+  /** Takes a zone out of service or brings it back. */
+  public CompletableFuture<Void> setZone(String zone, boolean out) {
+    return propose(new ServingCommand.SetZone(zone, out)).thenAccept(r -> {});
+  }
+
+  /**
+   * Returns the state that reflects everything that was committed before the call; it fails when no
+   * majority confirms that.
+   */
+  public CompletableFuture<ServingState.Committed> read() {
+    return propose(new ServingCommand.Barrier())
+        .thenCompose(r -> applied(r.index(), timers.nowMillis() + PROPOSAL_TIMEOUT_MILLIS));
+  }
+
+  /** Takes a heartbeat. */
+  public void heartbeat(FleetInstance instance) {
+    if (table.merge(instance, 0, timers.nowMillis())) {
+      LOG.atInfo()
+          .addKeyValue("instance", instance.id())
+          .addKeyValue("phase", instance.phase())
+          .addKeyValue("zone", instance.zone())
+          .addKeyValue("domain", instance.domain())
+          .addKeyValue("group", instance.group())
+          .addKeyValue("staged", instance.staged())
+          .addKeyValue("cold_ms", instance.coldMillis())
+          .log("instance changed");
+    }
+  }
+
+  /** Takes the news that an instance has deregistered. */
+  public void deregister(String id) {
+    table.remove(id, System.currentTimeMillis(), timers.nowMillis());
+    LOG.atInfo().addKeyValue("instance", id).log("instance deregistered");
+  }
+
+  /** Replaces the replicas that the settings name. */
+  public void seeds(List<String> names) {
+    directory.seeds(names);
+  }
+
+  /** Returns the state of the log. */
+  public ReplicaStatus status() {
+    return driver.status();
+  }
+
+  /** Returns the committed state that this replica has applied. */
+  public ServingState.Committed applied() {
+    return state.current();
+  }
+
+  /** Returns the instances that this replica knows. */
+  public List<InstanceUpdate> instances() {
+    return table.all(timers.nowMillis());
+  }
+
+  @Override
+  public void close() {
+    driver.close();
+  }
+
+  private CompletableFuture<ProposalReply> propose(ServingCommand c) {
+    return proposals.propose(CHANNEL, MessagePackCodec.encode(c), PROPOSAL_TIMEOUT_MILLIS);
+  }
+
+  private CompletableFuture<ServingState.Committed> applied(long index, long until) {
+    CompletableFuture<ServingState.Committed> done = new CompletableFuture<>();
+    awaitApplied(index, until, done);
+    return done;
+  }
+
+  private void awaitApplied(
+      long index, long until, CompletableFuture<ServingState.Committed> done) {
+    if (driver.status().appliedIndex() >= index) {
+      done.complete(state.current());
+    } else if (timers.nowMillis() > until) {
+      done.completeExceptionally(new EbonypondException(ErrorCode.NO_QUORUM));
+    } else {
+      timers.after(LOG_HEARTBEAT_MILLIS / 5, () -> awaitApplied(index, until, done));
+    }
+  }
+
+  private void sendLog(String channel, String to, byte[] payload) {
+    network.send(ReplicaDirectory.address(to), FrameType.RAFT, channel, payload);
+  }
+
+  private CompletableFuture<byte[]> raft(Frame f) {
+    driver.receive(f.from(), f.payload());
+    return CompletableFuture.completedFuture(new byte[0]);
+  }
+
+  private CompletableFuture<byte[]> propose(Frame f) {
+    // A committed entry that cannot be decoded would stop every replica, so it is refused before.
+    MessagePackCodec.decode(f.payload(), ServingCommand.class);
+    return driver
+        .propose(f.payload())
+        .thenApply(
+            r ->
+                MessagePackCodec.encode(
+                    new ProposalReply(r.index(), r.result(), r.failure(), r.leaderHint())));
+  }
+
+  private CompletableFuture<byte[]> poll(Frame f) {
+    FleetPoll p = MessagePackCodec.decode(f.payload(), FleetPoll.class);
+    long now = timers.nowMillis();
+    boolean replica = !p.address().isEmpty();
+    if (replica) {
+      directory.heard(p.address(), now);
+      driver.discover(p.address());
+    } else {
+      loads.report(p.node(), p.loads(), now);
+    }
+    ServingState.Committed s = state.current();
+    boolean news = s.version() > p.version() || s.zonesIndex() > p.zonesIndex();
+    long cursor = table.cursor();
+    long from = p.boot() == boot ? p.cursor() : 0;
+    FleetPollResult r =
+        new FleetPollResult(
+            boot,
+            cursor,
+            news && !replica ? s : null,
+            from == cursor ? List.of() : table.since(from, !replica, now),
+            replica ? List.of() : loads.others(p.node(), now),
+            loads.entries(now),
+            knownReplicas(now),
+            driver.status().leader());
+    return CompletableFuture.completedFuture(MessagePackCodec.encode(r));
+  }
+
+  private List<String> knownReplicas(long now) {
+    List<String> out = new ArrayList<>(directory.recent(now, REACHABLE_MILLIS));
+    if (!out.contains(settings.name())) {
+      out.add(settings.name());
+    }
+    return out;
+  }
+
+  private void merge(String replica, FleetPollResult r) {
+    long now = timers.nowMillis();
+    r.instances().forEach(u -> table.merge(u.instance(), u.ageMillis(), now));
+    directory.names(now).forEach(driver::discover);
+  }
+
+  private void plan() {
+    long now = timers.nowMillis();
+    table.prune(now);
+    ReplicaStatus s = driver.status();
+    ServingConfig c = current();
+    if (c == null || s.role() != RaftRole.LEADER || !s.mayLead(now)) {
+      return;
+    }
+    List<InstanceUpdate> all = table.all(now);
+    for (ServiceProfile p : c.services().values()) {
+      if (p.engine() != null) {
+        FleetPlanner planner = planners.computeIfAbsent(p.name(), n -> newPlanner());
+        if (planner.term() != s.term()) {
+          planner.lead(s.term(), neverGrouped(all), p.engine().loadsPerSecond(), now);
+          LOG.atInfo()
+              .addKeyValue("term", s.term())
+              .addKeyValue("instances", all.size())
+              .log("plans groups");
+        }
+        planner.plan(all, loads.all(now), p.name(), p.engine(), now)
+            .forEach(o -> send(planner, o));
+      }
+    }
+  }
+
+  private FleetPlanner newPlanner() {
+    return new FleetPlanner(
+        2 * settings.heartbeatMillis() + LATE_HEARTBEAT_MILLIS,
+        settings.stallMillis(),
+        new LoadCeiling(settings.loadWindowMillis()));
+  }
+
+  private @Nullable ServingConfig current() {
+    ServingState.Committed s = state.current();
+    ServingConfig c = config;
+    if (s.version() > 0 && (c == null || c.version() != s.version())) {
+      c = source.decode(s.content());
+      config = c;
+    }
+    return c;
+  }
+
+  private static boolean neverGrouped(List<InstanceUpdate> all) {
+    return all.stream()
+        .map(InstanceUpdate::instance)
+        .allMatch(i -> i.group() == null && i.models().isEmpty());
+  }
+
+  private void send(FleetPlanner planner, FleetOrder o) {
+    long sentAt = timers.nowMillis();
+    orders
+        .send(o)
+        .whenComplete(
+            (outcome, failure) ->
+                executor.execute(
+                    () -> {
+                      long now = timers.nowMillis();
+                      LOG.atInfo()
+                          .addKeyValue("order", o.kind())
+                          .addKeyValue("instance", o.instance())
+                          .addKeyValue("group", o.group())
+                          .addKeyValue("epoch", o.epoch())
+                          .addKeyValue("model", o.model())
+                          .addKeyValue("outcome", outcome)
+                          .addKeyValue("took_ms", now - sentAt)
+                          .log("order answered");
+                      planner.answered(o, outcome, now);
+                    }));
+  }
+
+  /** Returns figures for the metrics address. */
+  public Map<String, Long> figures() {
+    ReplicaStatus s = driver.status();
+    Map<String, Long> out = new HashMap<>();
+    out.put("ebonypond_log_applied_index", s.appliedIndex());
+    out.put("ebonypond_log_leader", s.role() == RaftRole.LEADER ? 1L : 0L);
+    out.put("ebonypond_config_version", state.current().version());
+    out.put("ebonypond_entries", (long) loads.entries(timers.nowMillis()));
+    return out;
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/OrderSender.java
@@ -0,0 +1,11 @@
+package org.ebonypond.server.fleet;
+
+import java.util.concurrent.CompletableFuture;
+import org.ebonypond.fleet.FleetOrder;
+import org.ebonypond.fleet.OrderOutcome;
+
+/** Sends orders to instances. */
+public interface OrderSender {
+  /** Sends an order; the result is {@link OrderOutcome#UNKNOWN} if there is no answer in time. */
+  CompletableFuture<OrderOutcome> send(FleetOrder order);
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -0,0 +1,657 @@
+package org.ebonypond.server.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.forward.EngineCost;
+import org.ebonypond.forward.EventSplitter;
+import org.ebonypond.forward.InstanceStats;
+import org.ebonypond.forward.TargetSelector;
+import org.ebonypond.server.fleet.ReplicaDirectory;
+import org.ebonypond.server.http1.BackendExchange;
+import org.ebonypond.server.http1.BackendListener;
+import org.ebonypond.server.http1.HttpCall;
+import org.ebonypond.serving.CallKind;
+import org.ebonypond.serving.ModelProfile;
+import org.ebonypond.serving.RouteRule;
+import org.ebonypond.serving.ServiceProfile;
+import org.ebonypond.serving.ServingConfig;
+import org.ebonypond.serving.WorkspaceProfile;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One attempt of a caller on its way through this entry. It ends with exactly one answer: a backend
+ * server's own, or a refusal that says truthfully whether the request may have run.
+ */
+final class ForwardCall {
+  private static final Logger LOG = LoggerFactory.getLogger("ebonypond.requests");
+
+  /** Backend servers that refuse a request one after the other before the caller is refused. */
+  private static final int MAX_REFUSALS = 3;
+
+  /** A group whose requests have made no progress for this long has lost a member. */
+  private static final long STALL_MILLIS = 1_000;
+
+  /** An idempotent call that takes this multiple of its target goes to another instance. */
+  private static final double SLOW_FACTOR = 2;
+
+  private static final long MIN_SLOW_MILLIS = 300;
+
+  /** A request with less time left is not sent again. */
+  private static final long MIN_REMAINING_MILLIS = 100;
+
+  /** A call that must not run twice avoids connections that may be closing at their other end. */
+  private static final long FRESH_MILLIS = 1_000;
+
+  private static final int MAX_WHOLE_ANSWER_BYTES = 32 << 20;
+
+  /** The pause before a caller returns to an entry that knows no configuration yet. */
+  private static final long START_PAUSE_MILLIS = 1_000;
+
+  private static final long RETRY_PAUSE_MILLIS = 400;
+
+  private final Forwarder owner;
+  private final HttpCall call;
+  private final CallHead head;
+  private final TimerService timers;
+  private final long receivedAt;
+  private final Set<String> tried = new HashSet<>();
+
+  private @Nullable RouteRule route;
+  private @Nullable ServiceProfile service;
+  private @Nullable WorkspaceProfile workspace;
+  private @Nullable EngineCost cost;
+  private @Nullable ModelProfile model;
+  private TimerService.@Nullable Subscription deadline;
+  private long deadlineAt;
+  private @Nullable Attempt current;
+  private @Nullable EventSplitter splitter;
+  private int ran;
+  private int refusals;
+  private int sends;
+  private boolean mayHaveRun;
+  private boolean started;
+  private boolean done;
+  private long firstAt;
+
+  ForwardCall(Forwarder owner, HttpCall call, CallHead head) {
+    this.owner = owner;
+    this.call = call;
+    this.head = head;
+    this.timers = owner.timers();
+    this.receivedAt = timers.nowMillis();
+  }
+
+  void start() {
+    ServingConfig config = owner.view().config();
+    if (config == null) {
+      finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-configuration", START_PAUSE_MILLIS);
+      return;
+    }
+    RouteRule r = config.route(head.host(), head.path());
+    if (r == null) {
+      finish(HttpResponseStatus.NOT_FOUND, "no-route", 0);
+      return;
+    }
+    route = r;
+    if (config.keyed() && !r.anonymous()) {
+      workspace = head.key() == null ? null : config.workspace(head.key());
+      if (workspace == null) {
+        finish(HttpResponseStatus.UNAUTHORIZED, "unknown-key", 0);
+        return;
+      }
+    }
+    service = config.service(r.choose(owner.random().nextLong(Long.MAX_VALUE)));
+    if (service == null) {
+      finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-service", START_PAUSE_MILLIS);
+      return;
+    }
+    if (service.engine() != null && head.model() != null) {
+      cost = new EngineCost(service.engine());
+      model = service.engine().model(head.model());
+    }
+    long wait = head.deadlineMillis() > 0 ? head.deadlineMillis() : Long.MAX_VALUE;
+    wait = Math.min(wait, r.timeoutMillis());
+    deadlineAt = receivedAt + wait;
+    owner.opened(this);
+    call.onClosed(this::callerLeft);
+    deadline = timers.after(wait, this::expired);
+    owner.allowance().request(service.name(), receivedAt);
+    dispatch("first");
+  }
+
+  /** Chooses an instance and sends the request, or refuses it. */
+  private void dispatch(String cause) {
+    TargetSelector.Decision d = choose();
+    if (d.target() == null) {
+      giveUp(d.reason(), d.pauseMillis());
+    } else {
+      send(d.target(), d.urgency(), cause);
+    }
+  }
+
+  private TargetSelector.Decision choose() {
+    ServiceProfile s = service();
+    long now = timers.nowMillis();
+    long target = route().targetMillis() - (now - receivedAt);
+    TargetSelector.Need need =
+        new TargetSelector.Need(
+            model,
+            head.promptTokens(),
+            head.outputTokens(),
+            deadlineAt - now,
+            started ? deadlineAt - now : target,
+            tried);
+    EngineCost c = model == null ? null : cost;
+    return owner
+        .selector()
+        .choose(need, owner.candidates(s, s.engine() == null ? null : head.model()), c, now);
+  }
+
+  private void send(FleetInstance target, int urgency, String cause) {
+    long now = timers.nowMillis();
+    RouteRule r = route();
+    sends++;
+    tried.add(target.id());
+    owner.guard().sent(target.id(), now);
+    owner.metrics().sent(kind(), cause);
+    EventSplitter s = splitter;
+    Dispatch d =
+        new Dispatch(
+            target.id(),
+            Math.max(1, deadlineAt - now),
+            workspace == null ? null : workspace.name(),
+            s == null ? head.resumeAfter() : s.lastId(),
+            model == null ? -1 : urgency);
+    Attempt a = new Attempt(target, owner.stats(target.id()), now);
+    current = a;
+    if (LOG.isDebugEnabled() || sends > 1) {
+      LOG.atInfo()
+          .addKeyValue("request", head.id())
+          .addKeyValue("cause", cause)
+          .addKeyValue("instance", target.id())
+          .addKeyValue("resume_after", d.resumeAfter())
+          .addKeyValue("left_ms", d.remainingMillis())
+          .log("request sent again");
+    }
+    InetSocketAddress to = ReplicaDirectory.address(target.address());
+    long maxIdle = r.idempotent() ? Long.MAX_VALUE : FRESH_MILLIS;
+    a.exchange =
+        owner
+            .pool()
+            .send(
+                target.id(),
+                to,
+                owner.dialect().encode(call, d),
+                call.body().retainedDuplicate(),
+                maxIdle,
+                a);
+  }
+
+  /** Moves a request away from an instance that makes no progress, if another one can take it. */
+  void watch(long now) {
+    Attempt a = current;
+    RouteRule r = route;
+    if (a == null || r == null || done || !r.idempotent()) {
+      return;
+    }
+    boolean stalled;
+    if (r.kind() == CallKind.STREAM) {
+      stalled = now - a.sentAt > STALL_MILLIS && a.stats.idleMillis(now) > STALL_MILLIS;
+    } else {
+      double slow = Math.max(MIN_SLOW_MILLIS, SLOW_FACTOR * r.targetMillis());
+      stalled = now - a.sentAt > slow && a.reply == null;
+    }
+    if (!stalled || !hasRepeatLeft(a)) {
+      return;
+    }
+    TargetSelector.Decision d = choose();
+    if (d.target() == null || !takeRepeat()) {
+      return;
+    }
+    log("stalled", a.target.id(), "moved");
+    a.stop();
+    a.stats.failed(now);
+    mayHaveRun = true;
+    ran++;
+    send(d.target(), d.urgency(), "stalled");
+  }
+
+  private boolean hasRepeatLeft(Attempt a) {
+    return ran + 1 < route().maxInstances() && remaining() > MIN_REMAINING_MILLIS;
+  }
+
+  private boolean takeRepeat() {
+    return owner
+        .allowance()
+        .take(service().name(), owner.view().entries(), timers.nowMillis());
+  }
+
+  private long remaining() {
+    return deadlineAt - timers.nowMillis();
+  }
+
+  /** Goes on after an attempt that certainly did not run. */
+  private void notRun(String reason, boolean arrived) {
+    refusals++;
+    boolean again =
+        refusals <= MAX_REFUSALS
+            && remaining() > MIN_REMAINING_MILLIS
+            && (!arrived || takeRepeat());
+    if (again) {
+      dispatch(reason);
+    } else {
+      giveUp(reason, RETRY_PAUSE_MILLIS);
+    }
+  }
+
+  /** Goes on after an attempt that may have run, or has run in part. */
+  private void brokenOff(String reason) {
+    mayHaveRun = true;
+    ran++;
+    EventSplitter s = splitter;
+    if (s != null) {
+      s.dropPartialEvent();
+    }
+    boolean again =
+        route().idempotent()
+            && ran < route().maxInstances()
+            && remaining() > MIN_REMAINING_MILLIS
+            && takeRepeat();
+    if (again) {
+      dispatch(reason);
+    } else {
+      giveUp(reason, RETRY_PAUSE_MILLIS);
+    }
+  }
+
+  private void giveUp(String reason, long pauseMillis) {
+    if (started) {
+      LOG.atWarn()
+          .addKeyValue("request", head.id())
+          .addKeyValue("route", route().name())
+          .addKeyValue("reason", reason)
+          .addKeyValue("sends", sends)
+          .addKeyValue("took_ms", timers.nowMillis() - receivedAt)
+          .log("answer broken off");
+      owner.metrics().ended(kind(), "broken-off", reason, timers.nowMillis() - receivedAt);
+      leave();
+      call.abort();
+    } else if (mayHaveRun) {
+      finish(HttpResponseStatus.BAD_GATEWAY, reason, 0);
+    } else {
+      long most = Math.max(0, remaining() / 3);
+      finish(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, Math.min(pauseMillis, most));
+    }
+  }
+
+  private void expired() {
+    if (done) {
+      return;
+    }
+    Attempt a = current;
+    if (a != null) {
+      a.stop();
+      mayHaveRun = true;
+    }
+    if (started) {
+      giveUp("deadline", 0);
+    } else if (mayHaveRun) {
+      finish(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", 0);
+    } else {
+      finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "deadline", 0);
+    }
+  }
+
+  private void callerLeft() {
+    if (done) {
+      return;
+    }
+    Attempt a = current;
+    if (a != null) {
+      a.stop();
+    }
+    log("caller-left", a == null ? "" : a.target.id(), "cancelled");
+    owner.metrics().ended(kind(), "cancelled", "caller-left", timers.nowMillis() - receivedAt);
+    leave();
+  }
+
+  /** Ends the call because the process stops. */
+  void shutDown() {
+    Attempt a = current;
+    if (a != null) {
+      a.stop();
+      mayHaveRun = true;
+    }
+    giveUp("shutdown", 0);
+  }
+
+  private void finish(HttpResponseStatus status, String reason, long pauseMillis) {
+    long took = timers.nowMillis() - receivedAt;
+    LOG.atInfo()
+        .addKeyValue("request", head.id())
+        .addKeyValue("route", route == null ? "" : route.name())
+        .addKeyValue("workspace", workspace == null ? "" : workspace.name())
+        .addKeyValue("status", status.code())
+        .addKeyValue("reason", reason)
+        .addKeyValue("sends", sends)
+        .addKeyValue("tried", tried)
+        .addKeyValue("config", owner.view().version())
+        .addKeyValue("took_ms", took)
+        .addKeyValue("retry_after_ms", pauseMillis)
+        .log("request refused");
+    owner.metrics().ended(kind(), "refused", reason, took);
+    leave();
+    call.answer(owner.dialect().own(status, head.id(), pauseMillis), Unpooled.EMPTY_BUFFER);
+  }
+
+  private void leave() {
+    done = true;
+    current = null;
+    TimerService.Subscription d = deadline;
+    if (d != null) {
+      d.cancel();
+    }
+    owner.closed(this);
+  }
+
+  private void completed(Attempt a, int status) {
+    long now = timers.nowMillis();
+    a.stats.succeeded(now);
+    LOG.atInfo()
+        .addKeyValue("request", head.id())
+        .addKeyValue("route", route().name())
+        .addKeyValue("instance", a.target.id())
+        .addKeyValue("status", status)
+        .addKeyValue("sends", sends)
+        .addKeyValue("first_ms", firstAt == 0 ? now - receivedAt : firstAt - receivedAt)
+        .addKeyValue("took_ms", now - receivedAt)
+        .log("request answered");
+    owner.metrics().ended(kind(), "answered", "status-" + status / 100 + "xx", now - receivedAt);
+    leave();
+  }
+
+  private void log(String reason, String instance, String outcome) {
+    LOG.atInfo()
+        .addKeyValue("request", head.id())
+        .addKeyValue("reason", reason)
+        .addKeyValue("instance", instance)
+        .addKeyValue("sends", sends)
+        .addKeyValue("took_ms", timers.nowMillis() - receivedAt)
+        .log("request " + outcome);
+  }
+
+  private String kind() {
+    RouteRule r = route;
+    return r == null ? "unknown" : r.kind().name().toLowerCase(Locale.ROOT);
+  }
+
+  private RouteRule route() {
+    RouteRule r = route;
+    if (r == null) {
+      throw new IllegalStateException("the request has no route");
+    }
+    return r;
+  }
+
+  private ServiceProfile service() {
+    ServiceProfile s = service;
+    if (s == null) {
+      throw new IllegalStateException("the request has no service");
+    }
+    return s;
+  }
+
+  /** One send to one instance. */
+  private final class Attempt implements BackendListener {
+    final FleetInstance target;
+    final InstanceStats stats;
+    final long sentAt;
+    private final ByteBuf body = call.body().alloc().buffer();
+    private final ByteArrayOutputStream events = new ByteArrayOutputStream();
+    private int unread = head.promptTokens();
+    private boolean over;
+    private long lastEventAt;
+    private @Nullable BackendReply reply;
+    private @Nullable HttpHeaders headers;
+    @Nullable BackendExchange exchange;
+
+    Attempt(FleetInstance target, InstanceStats stats, long now) {
+      this.target = target;
+      this.stats = stats;
+      this.sentAt = now;
+      stats.started(unread, now);
+    }
+
+    /** Gives the attempt up; the backend server learns of it by the end of its connection. */
+    void stop() {
+      close();
+      BackendExchange x = exchange;
+      if (x != null) {
+        x.cancel();
+      }
+    }
+
+    private boolean close() {
+      if (over) {
+        return false;
+      }
+      over = true;
+      stats.ended(unread);
+      unread = 0;
+      body.release();
+      if (current == this) {
+        current = null;
+      }
+      return true;
+    }
+
+    @Override
+    public boolean head(HttpResponse h) {
+      if (over) {
+        return false;
+      }
+      BackendReply r = owner.dialect().reply(h);
+      boolean mine = r.requestId() == null ? !r.isSuccess() : r.requestId().equals(head.id());
+      if (!mine) {
+        LOG.atWarn()
+            .addKeyValue("request", head.id())
+            .addKeyValue("instance", target.id())
+            .addKeyValue("answers", r.requestId())
+            .log("answer to another request dropped");
+        return false;
+      }
+      reply = r;
+      headers = owner.dialect().passedOn(h);
+      stats.progressed(timers.nowMillis());
+      return true;
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+      BackendReply r = reply;
+      if (over || r == null) {
+        return;
+      }
+      long now = timers.nowMillis();
+      stats.progressed(now);
+      if (streams(r)) {
+        pass(bytes, now);
+      } else if (body.readableBytes() + bytes.readableBytes() <= MAX_WHOLE_ANSWER_BYTES) {
+        body.writeBytes(bytes);
+      } else {
+        stop();
+        brokenOff("answer-too-large");
+      }
+    }
+
+    private boolean streams(BackendReply r) {
+      return route().kind() == CallKind.STREAM && r.isSuccess() && r.signed();
+    }
+
+    private void pass(ByteBuf bytes, long now) {
+      EventSplitter s = splitter;
+      if (s == null) {
+        s = new EventSplitter(head.resumeAfter());
+        splitter = s;
+      }
+      events.reset();
+      int n = s.feed(ByteBufUtil.getBytes(bytes), events);
+      if (n == 0) {
+        return;
+      }
+      startAnswer(now);
+      if (lastEventAt > 0) {
+        observePace(now - lastEventAt, n);
+      }
+      lastEventAt = now;
+      call.piece(Unpooled.wrappedBuffer(events.toByteArray()));
+    }
+
+    private void startAnswer(long now) {
+      if (unread > 0) {
+        stats.prefilled(unread);
+        unread = 0;
+      }
+      if (!started) {
+        started = true;
+        firstAt = now;
+        owner.metrics().first(kind(), now - receivedAt);
+        call.start(answerHead());
+      }
+    }
+
+    private void observePace(long gapMillis, int n) {
+      ModelProfile m = model;
+      EngineCost c = cost;
+      if (m != null && c != null) {
+        double predicted = c.passMillis(m, stats.active(), head.promptTokens());
+        stats.pace((double) gapMillis / n, predicted, timers.nowMillis());
+      }
+    }
+
+    private HttpResponse answerHead() {
+      BackendReply r = reply;
+      HttpHeaders h = headers;
+      if (r == null || h == null) {
+        throw new IllegalStateException("no answer has arrived");
+      }
+      return new DefaultHttpResponse(
+          HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(r.status()), h);
+    }
+
+    @Override
+    public void end() {
+      BackendReply r = reply;
+      if (over || r == null) {
+        return;
+      }
+      if (streams(r)) {
+        endStream(r);
+      } else {
+        endWhole(r);
+      }
+    }
+
+    private void endStream(BackendReply r) {
+      EventSplitter s = splitter;
+      if (s != null && s.hasPartialEvent()) {
+        close();
+        stats.failed(timers.nowMillis());
+        owner.metrics().sendFailed(kind(), "unfinished-event");
+        brokenOff("unfinished-event");
+        return;
+      }
+      startAnswer(timers.nowMillis());
+      close();
+      completed(this, r.status());
+      call.end();
+    }
+
+    private void endWhole(BackendReply r) {
+      long now = timers.nowMillis();
+      ByteBuf whole = body.retain();
+      close();
+      if (r.notRun()) {
+        whole.release();
+        refused(r, now);
+        return;
+      }
+      boolean unsound = r.isSuccess() && !r.signed();
+      boolean failed = r.status() >= 500 && route().idempotent();
+      if (unsound || started || (failed && canAskAnother())) {
+        whole.release();
+        stats.answeredFailure(now);
+        owner.metrics().sendFailed(kind(), "status-" + r.status());
+        brokenOff(unsound ? "unsigned" : "failed-" + r.status());
+        return;
+      }
+      owner.metrics().first(kind(), now - receivedAt);
+      HttpResponse h = answerHead();
+      if (r.status() >= 500) {
+        stats.answeredFailure(now);
+      }
+      completed(this, r.status());
+      call.answer(h, whole);
+    }
+
+    private boolean canAskAnother() {
+      return ran + 1 < route().maxInstances()
+          && remaining() > MIN_REMAINING_MILLIS
+          && choose().target() != null;
+    }
+
+    private void refused(BackendReply r, long now) {
+      boolean full = r.status() == 503 && r.culprit() == null;
+      if (full) {
+        stats.full(now);
+      } else {
+        stats.failed(now);
+      }
+      owner.metrics().sendFailed(kind(), full ? "full" : "refused-" + r.status());
+      LOG.atInfo()
+          .addKeyValue("request", head.id())
+          .addKeyValue("instance", target.id())
+          .addKeyValue("status", r.status())
+          .addKeyValue("culprit", r.culprit())
+          .log("backend server refused a request");
+      notRun(full ? "full" : "refused", true);
+    }
+
+    @Override
+    public void failed(boolean sent, String reason) {
+      if (!close()) {
+        return;
+      }
+      long now = timers.nowMillis();
+      stats.failed(now);
+      owner.metrics().sendFailed(kind(), sent ? "cut" : "connect");
+      LOG.atInfo()
+          .addKeyValue("request", head.id())
+          .addKeyValue("instance", target.id())
+          .addKeyValue("address", target.address())
+          .addKeyValue("sent", sent)
+          .addKeyValue("cause", reason)
+          .log("send failed");
+      if (sent) {
+        brokenOff("cut");
+      } else {
+        notRun("connect", false);
+      }
+    }
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/PrometheusText.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/PrometheusText.java
@@ -20,40 +20,55 @@
 
   private PrometheusText() {}
 
-  /** Returns the text of all metrics; times are in seconds. */
+  /**
+   * Returns the text of all metrics; times of timers are in seconds. The name of a metric may end
+   * with labels, as in {@code sends{kind="safe"}}.
+   */
   public static String write(MetricRegistry registry) {
     StringBuilder out = new StringBuilder();
     for (Map.Entry<String, Metric> e : new TreeMap<>(registry.getMetrics()).entrySet()) {
-      String name = "ebonypond_" + e.getKey().replaceAll("[^A-Za-z0-9_]", "_");
-      writeMetric(out, name, e.getValue());
+      String key = e.getKey();
+      int brace = key.indexOf('{');
+      String base = brace < 0 ? key : key.substring(0, brace);
+      String labels = brace < 0 ? "" : key.substring(brace + 1, key.length() - 1);
+      String name = "ebonypond_" + base.replaceAll("[^A-Za-z0-9_]", "_");
+      writeMetric(out, name, labels, e.getValue());
     }
     return out.toString();
   }
 
-  private static void writeMetric(StringBuilder out, String name, Metric m) {
+  private static void writeMetric(StringBuilder out, String name, String labels, Metric m) {
     if (m instanceof Gauge<?> g && g.getValue() instanceof Number v) {
       out.append("# TYPE ").append(name).append(" gauge\n");
-      line(out, name, v.doubleValue());
+      line(out, name, labels, v.doubleValue());
       return;
     }
     if (m instanceof Sampling s) {
       double scale = m instanceof Timer ? NANOS_PER_SECOND : 1;
       Snapshot q = s.getSnapshot();
       out.append("# TYPE ").append(name).append(" summary\n");
-      line(out, name + "{quantile=\"0.5\"}", q.getMedian() / scale);
-      line(out, name + "{quantile=\"0.95\"}", q.get95thPercentile() / scale);
-      line(out, name + "{quantile=\"0.99\"}", q.get99thPercentile() / scale);
+      line(out, name, with(labels, "quantile=\"0.5\""), q.getMedian() / scale);
+      line(out, name, with(labels, "quantile=\"0.95\""), q.get95thPercentile() / scale);
+      line(out, name, with(labels, "quantile=\"0.99\""), q.get99thPercentile() / scale);
     }
     if (m instanceof Counting c) {
       String suffix = m instanceof Sampling ? "_count" : "_total";
       if (!(m instanceof Sampling)) {
         out.append("# TYPE ").append(name).append(suffix).append(" counter\n");
       }
-      line(out, name + suffix, c.getCount());
+      line(out, name + suffix, labels, c.getCount());
     }
   }
 
-  private static void line(StringBuilder out, String name, double value) {
-    out.append(name).append(' ').append(value).append('\n');
+  private static String with(String labels, String label) {
+    return labels.isEmpty() ? label : labels + "," + label;
+  }
+
+  private static void line(StringBuilder out, String name, String labels, double value) {
+    out.append(name);
+    if (!labels.isEmpty()) {
+      out.append('{').append(labels).append('}');
+    }
+    out.append(' ').append(value).append('\n');
   }
 }
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -0,0 +1,265 @@
+package org.ebonypond.server.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Locale;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/** One connection to a backend server, with one request on it at most. */
+final class BackendConnection extends ChannelInboundHandlerAdapter {
+  private static final String TIMEOUT = "timeout=";
+
+  private final BackendPool pool;
+  private final String key;
+  private final TimerService timers;
+  private @Nullable ChannelHandlerContext context;
+  private @Nullable Exchange current;
+  private boolean idle;
+  private boolean broken;
+  private long idleSince;
+  private long idleMillis;
+
+  BackendConnection(BackendPool pool, String key, TimerService timers) {
+    this.pool = pool;
+    this.key = key;
+    this.timers = timers;
+  }
+
+  BackendExchange send(HttpRequest head, ByteBuf body, BackendListener listener) {
+    Exchange x = new Exchange(head, body, listener);
+    current = x;
+    idle = false;
+    ChannelHandlerContext ctx = context;
+    if (ctx != null) {
+      x.write(ctx);
+    }
+    return x;
+  }
+
+  boolean isUsable(long now, long maxIdleMillis) {
+    ChannelHandlerContext ctx = context;
+    return idle
+        && !broken
+        && ctx != null
+        && ctx.channel().isActive()
+        && now - idleSince < Math.min(idleMillis, maxIdleMillis);
+  }
+
+  void close() {
+    broken = true;
+    ChannelHandlerContext ctx = context;
+    if (ctx != null) {
+      ctx.close();
+    }
+  }
+
+  void connectFailed(String reason) {
+    Exchange x = current;
+    current = null;
+    if (x != null) {
+      x.fail(false, "connect: " + reason);
+    }
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    context = ctx;
+    Exchange x = current;
+    if (x == null || x.cancelled) {
+      ctx.close();
+    } else {
+      x.write(ctx);
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    try {
+      Exchange x = current;
+      if (x == null || broken) {
+        // Bytes that belong to no request.
+        pool.remove(key, this);
+        close();
+        return;
+      }
+      x.read(message);
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    broken = true;
+    pool.remove(key, this);
+    Exchange x = current;
+    current = null;
+    if (x != null) {
+      x.fail(x.written, "connection closed");
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    broken = true;
+    pool.remove(key, this);
+    Exchange x = current;
+    current = null;
+    if (x != null) {
+      x.fail(x.written, String.valueOf(cause.getMessage()));
+    }
+    ctx.close();
+  }
+
+  private final class Exchange implements BackendExchange {
+    private final HttpRequest head;
+    private final ByteBuf body;
+    private final BackendListener listener;
+    private boolean cancelled;
+    private boolean written;
+    private boolean ended;
+    private boolean accepted;
+    private boolean keepAlive;
+    private boolean extra;
+    private boolean interim;
+    private @Nullable ChannelFuture flushed;
+
+    Exchange(HttpRequest head, ByteBuf body, BackendListener listener) {
+      this.head = head;
+      this.body = body;
+      this.listener = listener;
+    }
+
+    void write(ChannelHandlerContext ctx) {
+      written = true;
+      flushed =
+          ctx.writeAndFlush(
+              new DefaultFullHttpRequest(
+                  HttpVersion.HTTP_1_1,
+                  head.method(),
+                  head.uri(),
+                  body,
+                  head.headers(),
+                  io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE));
+    }
+
+    void read(Object message) {
+      if (message instanceof HttpResponse r) {
+        if (r.decoderResult().isFailure()) {
+          malformed();
+          return;
+        }
+        interim = r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (!interim) {
+          readHead(r);
+        }
+      }
+      if (message instanceof HttpContent c && !ended) {
+        if (c.decoderResult().isFailure()) {
+          malformed();
+          return;
+        }
+        readContent(c);
+      }
+    }
+
+    private void readHead(HttpResponse r) {
+      accepted = listener.head(r);
+      if (!accepted) {
+        extra = true;
+      }
+      boolean framed =
+          HttpUtil.isContentLengthSet(r) || HttpUtil.isTransferEncodingChunked(r);
+      keepAlive = HttpUtil.isKeepAlive(r) && framed;
+      idleMillis = BackendPool.idleMillis(announced(r));
+    }
+
+    private void readContent(HttpContent c) {
+      if (interim) {
+        return;
+      }
+      if (accepted && !ended && c.content().isReadable()) {
+        listener.content(c.content());
+      }
+      if (c instanceof LastHttpContent && accepted && !ended && !broken) {
+        finish();
+      }
+    }
+
+    private void finish() {
+      ended = true;
+      ChannelFuture f = flushed;
+      boolean sentWhole = f != null && f.isSuccess();
+      // A body that is still on its way, or an answer of another request, leaves the connection in
+      // an unknown state.
+      boolean reusable = keepAlive && sentWhole && !extra;
+      current = null;
+      if (reusable) {
+        idle = true;
+        idleSince = timers.nowMillis();
+        pool.release(key, BackendConnection.this);
+      } else {
+        close();
+      }
+      listener.end();
+    }
+
+    private void malformed() {
+      broken = true;
+      current = null;
+      fail(true, "malformed answer");
+      close();
+    }
+
+    void fail(boolean sent, String reason) {
+      if (!written && body.refCnt() > 0) {
+        body.release();
+      }
+      if (!cancelled && !ended) {
+        ended = true;
+        listener.failed(sent, reason);
+      }
+    }
+
+    @Override
+    public void cancel() {
+      if (ended || cancelled) {
+        return;
+      }
+      cancelled = true;
+      broken = true;
+      if (context != null) {
+        close();
+      }
+    }
+
+    private static long announced(HttpResponse r) {
+      String v = r.headers().get("Keep-Alive");
+      if (v == null) {
+        return 0;
+      }
+      String lower = v.toLowerCase(Locale.ROOT);
+      int i = lower.indexOf(TIMEOUT);
+      int end = i + TIMEOUT.length();
+      int from = end;
+      while (i >= 0 && end < lower.length() && Character.isDigit(lower.charAt(end))) {
+        end++;
+      }
+      return i < 0 || end == from || end - from > 6
+          ? 0
+          : Long.parseLong(lower.substring(from, end)) * 1_000;
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendExchange.java
@@ -0,0 +1,7 @@
+package org.ebonypond.server.http1;
+
+/** A request on its way at a backend server. */
+public interface BackendExchange {
+  /** Gives the request up by closing its connection; the listener hears nothing more. */
+  void cancel();
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -0,0 +1,195 @@
+package org.ebonypond.server.http1;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequest;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Connections to backend servers, kept open between requests. One request is on a connection at a
+ * time. A connection is used again only after a whole answer that left nothing unread. Used on one
+ * event loop only.
+ */
+public final class BackendPool {
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int MAX_CHUNK_BYTES = 65_536;
+
+  /** Connections that announce no idle time are closed after this pause, in milliseconds. */
+  private static final long DEFAULT_IDLE_MILLIS = 4_000;
+
+  /** A backend server may close its end this much before the time it announced. */
+  private static final long IDLE_MARGIN_MILLIS = 1_000;
+
+  private static final long SWEEP_MILLIS = 1_000;
+
+  private final EventLoopGroup loop;
+  private final TimerService timers;
+  private final int connectTimeoutMillis;
+  private final Map<String, Deque<BackendConnection>> idle = new HashMap<>();
+  private final Map<String, Integer> open = new HashMap<>();
+  private long connects;
+
+  /**
+   * Creates a pool without connections.
+   *
+   * @param loop the event loop of all connections
+   * @param timers closes idle connections
+   * @param connectTimeoutMillis the longest time to open a connection, in milliseconds
+   */
+  public BackendPool(EventLoopGroup loop, TimerService timers, int connectTimeoutMillis) {
+    this.loop = loop;
+    this.timers = timers;
+    this.connectTimeoutMillis = connectTimeoutMillis;
+    timers.every(SWEEP_MILLIS, () -> loop.execute(this::sweep));
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param key the instance; connections are not shared between instances at one address
+   * @param address IP:PORT
+   * @param head the request line and headers
+   * @param body the body, which is released
+   * @param maxIdleMillis a connection that was idle for longer is not used for this request
+   * @param listener takes the answer
+   */
+  public BackendExchange send(
+      String key,
+      InetSocketAddress address,
+      HttpRequest head,
+      ByteBuf body,
+      long maxIdleMillis,
+      BackendListener listener) {
+    BackendConnection kept = takeIdle(key, maxIdleMillis);
+    if (kept != null) {
+      return kept.send(head, body, listener);
+    }
+    BackendConnection c = new BackendConnection(this, key, timers);
+    BackendExchange x = c.send(head, body, listener);
+    connects++;
+    open.merge(key, 1, Integer::sum);
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline()
+                        .addLast(
+                            new HttpClientCodec(
+                                MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(c);
+                  }
+                })
+            .connect(address);
+    connecting.channel().closeFuture().addListener(f -> closed(key));
+    connecting.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            c.connectFailed(String.valueOf(f.cause().getMessage()));
+          }
+        });
+    return x;
+  }
+
+  /** Returns the number of connections to an instance. */
+  public int connections(String key) {
+    return open.getOrDefault(key, 0);
+  }
+
+  /** Returns whether a connection to an instance waits for a request. */
+  public boolean hasIdle(String key) {
+    Deque<BackendConnection> q = idle.get(key);
+    return q != null && !q.isEmpty();
+  }
+
+  /** Returns the number of connections opened so far. */
+  public long connects() {
+    return connects;
+  }
+
+  /** Closes the idle connections to an instance. */
+  public void forget(String key) {
+    Deque<BackendConnection> q = idle.remove(key);
+    if (q != null) {
+      q.forEach(BackendConnection::close);
+    }
+  }
+
+  void release(String key, BackendConnection c) {
+    idle.computeIfAbsent(key, k -> new ArrayDeque<>()).addFirst(c);
+  }
+
+  void remove(String key, BackendConnection c) {
+    Deque<BackendConnection> q = idle.get(key);
+    if (q != null) {
+      q.remove(c);
+    }
+  }
+
+  static long idleMillis(long announcedMillis) {
+    return announcedMillis <= 0
+        ? DEFAULT_IDLE_MILLIS
+        : Math.max(IDLE_MARGIN_MILLIS / 4, announcedMillis - IDLE_MARGIN_MILLIS);
+  }
+
+  private @Nullable BackendConnection takeIdle(String key, long maxIdleMillis) {
+    Deque<BackendConnection> q = idle.get(key);
+    if (q == null) {
+      return null;
+    }
+    long now = timers.nowMillis();
+    while (true) {
+      BackendConnection c = q.pollFirst();
+      if (c == null) {
+        return null;
+      }
+      if (c.isUsable(now, maxIdleMillis)) {
+        return c;
+      }
+      if (!c.isUsable(now, Long.MAX_VALUE)) {
+        c.close();
+        continue;
+      }
+      q.addFirst(c);
+      return null;
+    }
+  }
+
+  private void closed(String key) {
+    open.computeIfPresent(key, (k, n) -> n <= 1 ? null : n - 1);
+  }
+
+  private void sweep() {
+    long now = timers.nowMillis();
+    for (Deque<BackendConnection> q : idle.values()) {
+      q.removeIf(
+          c -> {
+            boolean expired = !c.isUsable(now, Long.MAX_VALUE);
+            if (expired) {
+              c.close();
+            }
+            return expired;
+          });
+    }
+    idle.values().removeIf(Deque::isEmpty);
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -0,0 +1,381 @@
+package org.ebonypond.server.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.SocketChannelConfig;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.ebonypond.serving.ClientLimits;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One connection of a caller. Requests are collected whole and answered one after the other, in the
+ * order in which they came.
+ */
+final class HttpConnection extends ChannelInboundHandlerAdapter {
+  private static final Logger LOG = LoggerFactory.getLogger(HttpConnection.class);
+
+  /** Requests that a caller may send ahead of the answer before reading stops. */
+  private static final int MAX_PIPELINED = 8;
+
+  /** A caller that leaves this many bytes of its answer unread is disconnected. */
+  private static final int MAX_UNREAD_BYTES = 4 << 20;
+
+  private final SocketChannel channel;
+  private final HttpService service;
+  private final Supplier<ClientLimits> limits;
+  private final TimerService timers;
+  private final BooleanSupplier draining;
+  private final Deque<Exchange> waiting = new ArrayDeque<>();
+  private @Nullable Exchange current;
+  private @Nullable HttpRequest head;
+  private @Nullable ByteBuf body;
+  private boolean refused;
+  private long lastActive;
+
+  HttpConnection(
+      SocketChannel channel,
+      HttpService service,
+      Supplier<ClientLimits> limits,
+      TimerService timers,
+      BooleanSupplier draining) {
+    this.channel = channel;
+    this.service = service;
+    this.limits = limits;
+    this.timers = timers;
+    this.draining = draining;
+    this.lastActive = timers.nowMillis();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    lastActive = timers.nowMillis();
+    try {
+      if (refused) {
+        return;
+      }
+      if (message instanceof HttpRequest r) {
+        begin(r);
+      }
+      if (message instanceof HttpContent c && !refused) {
+        collect(c);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void begin(HttpRequest r) {
+    Throwable failure = r.decoderResult().cause();
+    if (failure != null) {
+      refuse(
+          failure instanceof TooLongFrameException
+              ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+              : HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    boolean twoLengths =
+        r.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1
+            || (r.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                && r.headers().contains(HttpHeaderNames.TRANSFER_ENCODING));
+    if (twoLengths || r.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
+      // A second length could hide another request inside the body.
+      refuse(HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    if (HttpUtil.getContentLength(r, 0L) > limits.get().maxBodyBytes()) {
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      return;
+    }
+    if (HttpUtil.is100ContinueExpected(r)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+    head = r;
+    body = channel.alloc().buffer();
+  }
+
+  private void collect(HttpContent c) {
+    HttpRequest r = head;
+    ByteBuf b = body;
+    if (r == null || b == null) {
+      return;
+    }
+    if (c.decoderResult().isFailure()) {
+      refuse(HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    if (b.readableBytes() + c.content().readableBytes() > limits.get().maxBodyBytes()) {
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      return;
+    }
+    b.writeBytes(c.content());
+    if (c instanceof LastHttpContent) {
+      head = null;
+      body = null;
+      waiting.addLast(new Exchange(r, b));
+      if (waiting.size() >= MAX_PIPELINED) {
+        channel.config().setAutoRead(false);
+      }
+      next();
+    }
+  }
+
+  private void next() {
+    if (current != null) {
+      return;
+    }
+    Exchange e = waiting.pollFirst();
+    if (e == null) {
+      return;
+    }
+    if (!channel.config().isAutoRead()) {
+      channel.config().setAutoRead(true);
+    }
+    current = e;
+    try {
+      service.handle(e);
+    } catch (RuntimeException x) {
+      LOG.error("request from {} could not be handled", e.peer(), x);
+      e.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "text/plain", "internal error");
+    }
+  }
+
+  /** Answers a request that cannot be read, after those before it, and closes the connection. */
+  private void refuse(HttpResponseStatus status) {
+    refused = true;
+    releasePartial();
+    if (current != null || !waiting.isEmpty()) {
+      // The answers to earlier requests go first; the connection closes after them.
+      return;
+    }
+    FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+    r.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void releasePartial() {
+    ByteBuf b = body;
+    body = null;
+    head = null;
+    if (b != null) {
+      b.release();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    releasePartial();
+    for (Exchange e : waiting) {
+      e.release();
+    }
+    waiting.clear();
+    Exchange e = current;
+    if (e != null) {
+      current = null;
+      e.closed();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    LOG.debug("connection from {} closed", channel.remoteAddress(), cause);
+    ctx.close();
+  }
+
+  void closeIfIdle() {
+    if (current == null && waiting.isEmpty() && head == null) {
+      channel.close();
+    }
+  }
+
+  void closeIfExpired(ClientLimits l, long now) {
+    if (current != null || !waiting.isEmpty()) {
+      return;
+    }
+    long silent = now - lastActive;
+    if (head != null ? silent > l.headerTimeoutMillis() : silent > l.idleTimeoutMillis()) {
+      channel.close();
+    }
+  }
+
+  private final class Exchange implements HttpCall {
+    private final HttpRequest request;
+    private final ByteBuf content;
+    private final boolean keepAlive;
+    private @Nullable Runnable onClosed;
+    private boolean started;
+    private boolean done;
+
+    Exchange(HttpRequest request, ByteBuf content) {
+      this.request = request;
+      this.content = content;
+      this.keepAlive = HttpUtil.isKeepAlive(request);
+    }
+
+    @Override
+    public HttpMethod method() {
+      return request.method();
+    }
+
+    @Override
+    public String uri() {
+      return request.uri();
+    }
+
+    @Override
+    public HttpHeaders headers() {
+      return request.headers();
+    }
+
+    @Override
+    public ByteBuf body() {
+      return content;
+    }
+
+    @Override
+    public String peer() {
+      return String.valueOf(channel.remoteAddress());
+    }
+
+    @Override
+    public void onClosed(Runnable task) {
+      onClosed = task;
+    }
+
+    @Override
+    public void answer(HttpResponse head, ByteBuf bytes) {
+      if (done || started) {
+        bytes.release();
+        return;
+      }
+      DefaultFullHttpResponse r =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), bytes);
+      r.headers().set(head.headers());
+      r.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+      r.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
+      complete(r);
+    }
+
+    @Override
+    public void answer(HttpResponseStatus status, String contentType, String text) {
+      DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+      r.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+      answer(r, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+      r.release();
+    }
+
+    @Override
+    public void start(HttpResponse head) {
+      if (done) {
+        return;
+      }
+      started = true;
+      head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+      HttpUtil.setTransferEncodingChunked(head, true);
+      setConnection(head);
+      channel.writeAndFlush(head);
+    }
+
+    @Override
+    public void piece(ByteBuf bytes) {
+      if (done) {
+        bytes.release();
+        return;
+      }
+      channel.writeAndFlush(new DefaultHttpContent(bytes));
+      if (channel.unsafe().outboundBuffer() != null
+          && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_UNREAD_BYTES) {
+        LOG.info("caller {} does not read its answer", peer());
+        channel.close();
+      }
+    }
+
+    @Override
+    public void end() {
+      if (!done) {
+        complete(LastHttpContent.EMPTY_LAST_CONTENT);
+      }
+    }
+
+    @Override
+    public void abort() {
+      if (!done) {
+        done = true;
+        SocketChannelConfig c = channel.config();
+        c.setSoLinger(0);
+        channel.close();
+      }
+    }
+
+    private void complete(Object last) {
+      done = true;
+      boolean close = closes();
+      if (last instanceof HttpResponse r) {
+        setConnection(r);
+      }
+      var written = channel.writeAndFlush(last);
+      current = null;
+      lastActive = timers.nowMillis();
+      release();
+      if (close) {
+        written.addListener(ChannelFutureListener.CLOSE);
+      } else {
+        next();
+      }
+    }
+
+    private boolean closes() {
+      return !keepAlive || refused || draining.getAsBoolean();
+    }
+
+    private void setConnection(HttpResponse r) {
+      r.headers().remove(HttpHeaderNames.CONNECTION);
+      if (closes()) {
+        r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+    }
+
+    private void closed() {
+      done = true;
+      Runnable r = onClosed;
+      if (r != null) {
+        r.run();
+      }
+      release();
+    }
+
+    private void release() {
+      if (content.refCnt() > 0) {
+        content.release();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -0,0 +1,129 @@
+package org.ebonypond.server.http1;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.serving.ClientLimits;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/** Accepts HTTP/1.1 connections on one address. All of them share one event loop. */
+public final class HttpListener implements AutoCloseable {
+  private static final int BACKLOG = 1_024;
+  private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+  private static final long SWEEP_MILLIS = 500;
+
+  private final EventLoopGroup loop;
+  private final TimerService timers;
+  private final HttpService service;
+  private final Supplier<ClientLimits> limits;
+  private final Set<HttpConnection> connections = new LinkedHashSet<>();
+  private @Nullable Channel channel;
+  private boolean draining;
+
+  /**
+   * Creates a listener.
+   *
+   * @param loop the one event loop of all connections
+   * @param timers closes connections that are idle or slow
+   * @param service answers the calls
+   * @param limits the bounds on callers that are in force now
+   */
+  public HttpListener(
+      EventLoopGroup loop,
+      TimerService timers,
+      HttpService service,
+      Supplier<ClientLimits> limits) {
+    this.loop = loop;
+    this.timers = timers;
+    this.service = service;
+    this.limits = limits;
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @throws EbonypondException {@code settings-invalid} if the address cannot be bound
+   */
+  public void listen(InetSocketAddress address) {
+    ChannelFuture f =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel c) {
+                    accept(c);
+                  }
+                })
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!f.isSuccess()) {
+      throw new EbonypondException(
+          f.cause(),
+          ErrorCode.SETTINGS_INVALID,
+          "listen",
+          "cannot listen on " + address,
+          "use a free local address and port");
+    }
+    channel = f.channel();
+    timers.every(SWEEP_MILLIS, () -> loop.execute(this::sweep));
+  }
+
+  /** Asks every caller to go elsewhere: answers close their connections from now on. */
+  public void drain() {
+    loop.execute(() -> draining = true);
+  }
+
+  /** Closes the connections on which no request is under way. */
+  public void closeIdle() {
+    loop.execute(() -> List.copyOf(connections).forEach(HttpConnection::closeIfIdle));
+  }
+
+  @Override
+  public void close() {
+    Channel c = channel;
+    if (c != null) {
+      c.close();
+    }
+  }
+
+  private void accept(SocketChannel c) {
+    ClientLimits l = limits.get();
+    HttpDecoderConfig config =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(Math.max(MAX_REQUEST_LINE_BYTES, l.maxHeaderBytes()))
+            .setMaxHeaderSize(l.maxHeaderBytes());
+    HttpConnection h = new HttpConnection(c, service, limits, timers, () -> draining);
+    c.pipeline().addLast(new HttpServerCodec(config)).addLast(h);
+    connections.add(h);
+    c.closeFuture().addListener(f -> connections.remove(h));
+  }
+
+  private void sweep() {
+    ClientLimits l = limits.get();
+    long now = timers.nowMillis();
+    for (HttpConnection c : new ArrayList<>(connections)) {
+      c.closeIfExpired(l, now);
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLog.java
@@ -0,0 +1,40 @@
+package org.ebonypond.server.logging;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import org.slf4j.LoggerFactory;
+
+/** Sets up logging as JSON lines on standard output. */
+public final class JsonLog {
+  /** About six lines for each request of an entry that is three times as busy as usual. */
+  private static final int LINES_PER_SECOND = 400;
+
+  private static final int QUEUED_LINES = 2_000;
+
+  private JsonLog() {}
+
+  /** Replaces whatever logging was set up before. */
+  public static void install() {
+    LoggerContext c = (LoggerContext) LoggerFactory.getILoggerFactory();
+    c.reset();
+    JsonEncoder e = new JsonEncoder();
+    e.setContext(c);
+    e.setWithContext(false);
+    e.setWithMDC(false);
+    e.setWithSequenceNumber(false);
+    e.setWithNanoseconds(false);
+    e.setWithThreadName(false);
+    e.setWithArguments(false);
+    e.setWithMarkers(false);
+    e.start();
+    BoundedAppender a = new BoundedAppender(e, System.out, LINES_PER_SECOND, QUEUED_LINES);
+    a.setContext(c);
+    a.start();
+    Logger root = c.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.INFO);
+    root.addAppender(a);
+    c.getLogger("io.netty").setLevel(Level.WARN);
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
@@ -93,6 +93,11 @@
     inbox.add(() -> node.receive(timers.nowMillis(), fromReplica, m));
   }
 
+  /** Takes the news of a replica that may join, see {@link RaftNode#discover}. */
+  public void discover(String name) {
+    inbox.add(() -> node.discover(name));
+  }
+
   /**
    * Proposes a command.
    *
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/timer/ScheduledTimerService.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/timer/ScheduledTimerService.java
@@ -42,7 +42,7 @@
     return () -> f.cancel(false);
   }
 
-  private static Runnable guarded(Runnable task) {
+  static Runnable guarded(Runnable task) {
     // An exception would silently end a periodic task of the executor.
     return () -> {
       try {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameType.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameType.java
@@ -17,5 +17,7 @@
   /** The answer to a frame that has a correlation number. */
   ANSWER,
   /** The answer of a process that could not handle the frame. */
-  FAILURE
+  FAILURE,
+  /** Asks a control replica for changes of the serving fleet. */
+  FLEET_POLL
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -43,6 +44,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   // Frames to a peer that reads slowly are dropped above this mark instead of filling the heap.
   private static final int WRITE_BUFFER_BYTES = 32 << 20;
+  private static final AttributeKey<Long> LAST_READ = AttributeKey.valueOf("ebonypond.lastRead");
 
   private final String node;
   private final HybridClock clock;
@@ -52,8 +54,7 @@
   private final Map<Long, Question> questions = new ConcurrentHashMap<>();
   private final AtomicLong nextCorrelation = new AtomicLong(1);
   private final AtomicLong sentBytes = new AtomicLong();
-  private final EventLoopGroup loops =
-      new NioEventLoopGroup(2, new DefaultThreadFactory("peer-io", true));
+  private final EventLoopGroup loops;
 
   /**
    * Creates the network without any connection.
@@ -63,9 +64,19 @@
    * @param timers times out questions
    */
   public PeerNetwork(String node, HybridClock clock, TimerService timers) {
+    this(node, clock, timers, new NioEventLoopGroup(2, new DefaultThreadFactory("peer-io", true)));
+  }
+
+  /**
+   * Creates the network without any connection, on event loops that {@link #close} shuts down.
+   *
+   * @param loops carries the connections and calls the handlers
+   */
+  public PeerNetwork(String node, HybridClock clock, TimerService timers, EventLoopGroup loops) {
     this.node = node;
     this.clock = clock;
     this.timers = timers;
+    this.loops = loops;
   }
 
   /** Sets the handler of a kind of frame; call before {@link #listen}. */
@@ -109,8 +120,14 @@
       InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
     long id = nextCorrelation.getAndIncrement();
     CompletableFuture<byte[]> answer = new CompletableFuture<>();
+    long askedAt = timers.nowMillis();
     TimerService.Subscription timeout =
-        timers.after(timeoutMillis, () -> fail(id, "timeout of " + timeoutMillis + " ms"));
+        timers.after(
+            timeoutMillis,
+            () -> {
+              fail(id, "timeout of " + timeoutMillis + " ms");
+              closeIfSilent(to, askedAt);
+            });
     questions.put(id, new Question(answer, timeout));
     ChannelFuture f = write(to, frame(type, channel, id, payload));
     f.addListener(
@@ -156,6 +173,22 @@
     return p;
   }
 
+  /**
+   * Closes a connection that brought nothing since a question was sent on it. The next frame opens a
+   * new one: a connection can go silent for good, without a reset, while new ones work.
+   */
+  private void closeIfSilent(InetSocketAddress to, long askedAt) {
+    ChannelFuture f = outgoing.get(to);
+    if (f == null) {
+      return;
+    }
+    Long lastRead = f.channel().attr(LAST_READ).get();
+    if (f.isDone() && (lastRead == null || lastRead < askedAt)) {
+      LOG.info("closes the silent connection to {}", to);
+      f.channel().close();
+    }
+  }
+
   private ChannelFuture writeTo(Channel c, Frame frame) {
     if (!c.isWritable()) {
       return c.newFailedFuture(new EbonypondException(ErrorCode.NO_QUORUM));
@@ -249,6 +282,7 @@
   private final class Receiver extends SimpleChannelInboundHandler<Frame> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Frame f) {
+      ctx.channel().attr(LAST_READ).set(timers.nowMillis());
       try {
         received(ctx.channel(), f);
       } catch (RuntimeException e) {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.ebonypond.consensus.internal.Applier;
 import org.ebonypond.consensus.internal.Ballot;
@@ -47,6 +49,7 @@
   private final Outbox outbox;
   private final ElectionTimer timer;
   private final KnownLeader leader = new KnownLeader();
+  private final Set<String> peers = new TreeSet<>();
 
   private RaftRole role = RaftRole.FOLLOWER;
   private @Nullable Replication replication;
@@ -70,6 +73,7 @@
       long now) {
     this.config = config;
     this.events = events;
+    config.replicas().forEach(this::addPeer);
     this.log = new RaftLog(storage);
     this.identity = storage.identity();
     this.ballot = new Ballot(log, storage.hardState());
@@ -97,12 +101,26 @@
    * @param fromName the name of the sending replica
    */
   public void receive(long now, String fromName, RaftMessage message) {
-    if (!config.replicas().contains(fromName) || fromName.equals(config.self())) {
+    if (!peers.contains(fromName) && log.membership().identityOf(fromName).isEmpty()) {
       return;
     }
     guarded(now, () -> onMessage(now, fromName, message));
   }
 
+  /**
+   * Takes the news of a replica that may join. A leader replicates to it and admits it as a voter
+   * when one is wanted.
+   */
+  public void discover(String name) {
+    if (addPeer(name) && replication != null) {
+      replication.addPeer(name);
+    }
+  }
+
+  private boolean addPeer(String name) {
+    return !name.equals(config.self()) && peers.add(name);
+  }
+
   /**
    * Takes a proposal; its result is part of a later output.
    *
@@ -330,7 +348,8 @@
   private void becomeLeader(long now) {
     leader.note(ballot.term(), config.self(), identity);
     log.append(ballot.term(), EntryType.NOOP, NOTHING);
-    replication = new Replication(config, log, ballot.term(), this::send, now);
+    log.membership().members().keySet().forEach(this::addPeer);
+    replication = new Replication(config, peers, log, ballot.term(), this::send, now);
     become(RaftRole.LEADER);
     emit(EventCode.LEADER_ELECTED, Map.of("term", String.valueOf(ballot.term())));
     replication.heartbeat(now, applier.commit());
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import org.ebonypond.consensus.EntryType;
@@ -12,6 +13,7 @@
 import org.ebonypond.consensus.RaftMessage;
 import org.ebonypond.consensus.Snapshot;
 import org.ebonypond.wire.MessagePackCodec;
+import org.jspecify.annotations.Nullable;
 
 /** The state of a leader for one term: what it has sent to each replica and what came back. */
 public final class Replication {
@@ -31,10 +33,16 @@
    * Starts a leader's term, whose first entry is the last of the log; the first heartbeat is due at
    * once.
    *
+   * @param names the other replicas that are known
    * @param out takes the messages, with the name of the receiver
    */
   public Replication(
-      RaftConfig config, RaftLog log, long term, BiConsumer<String, RaftMessage> out, long now) {
+      RaftConfig config,
+      Set<String> names,
+      RaftLog log,
+      long term,
+      BiConsumer<String, RaftMessage> out,
+      long now) {
     this.config = config;
     this.log = log;
     this.term = term;
@@ -42,12 +50,13 @@
     this.nextHeartbeat = now;
     this.since = now;
     this.firstIndex = log.lastIndex();
-    Membership m = log.membership();
-    for (String name : config.replicas()) {
-      if (!name.equals(config.self())) {
-        peers.put(name, new Progress(m.identityOf(name), log.lastIndex() + 1));
-      }
-    }
+    names.forEach(this::addPeer);
+  }
+
+  /** Starts to replicate to another replica. */
+  public void addPeer(String name) {
+    String identity = log.membership().identityOf(name);
+    peers.putIfAbsent(name, new Progress(identity, log.lastIndex() + 1));
   }
 
   /** Sends a heartbeat to every replica if it is due. */
@@ -213,33 +222,63 @@
   }
 
   /**
-   * Replaces the identity of a caught-up learner, in two changes: removing the old identity, then
-   * adding the new one. Replacing it in one change would allow two quorums that do not overlap, for
-   * example {a, b1} of {a, b1, c} and {b2, c} of {a, b2, c}.
+   * Changes the voters by one at most, so that any two quorums in a row overlap. A learner that has
+   * caught up replaces the old identity of its own name in two changes: removing the old identity,
+   * then adding the new one. In one change, two quorums could exist that do not overlap, for example
+   * {a, b1} of {a, b1, c} and {b2, c} of {a, b2, c}. A learner under a new name is added while a
+   * voter is missing or silent; a silent voter is removed once there are more voters than wanted.
    *
    * @param now the time in milliseconds
    * @param commit the commit index
    */
   public void reconfigure(long now, long commit) {
-    Membership m = log.membership();
     if (log.membershipIndex() > commit || log.term(commit) != term) {
       return;
     }
+    Membership next = nextMembership(now, log.membership());
+    if (next != null) {
+      log.append(term, EntryType.MEMBERSHIP, MessagePackCodec.encode(next));
+    }
+  }
+
+  private @Nullable Membership nextMembership(long now, Membership m) {
+    int voters = m.members().size();
+    String silent = silentVoter(now, m);
     for (Map.Entry<String, Progress> e : peers.entrySet()) {
       String name = e.getKey();
       Progress p = e.getValue();
-      boolean caughtUp =
-          !p.identity.isEmpty()
-              && p.match > 0
-              && p.match + ADMISSION_LAG >= log.lastIndex()
-              && p.ackedSentAt != Long.MIN_VALUE
-              && now - p.ackedSentAt < config.electionMinMillis();
-      if (!caughtUp || m.contains(name, p.identity)) {
+      if (!isCaughtUp(now, p) || m.contains(name, p.identity)) {
         continue;
       }
-      Membership next = m.identityOf(name).isEmpty() ? m.with(name, p.identity) : m.without(name);
-      log.append(term, EntryType.MEMBERSHIP, MessagePackCodec.encode(next));
-      return;
+      if (!m.identityOf(name).isEmpty()) {
+        return m.without(name);
+      }
+      if (voters < config.targetVoters() || (silent != null && voters == config.targetVoters())) {
+        return m.with(name, p.identity);
+      }
+    }
+    return silent != null && voters > config.targetVoters() ? m.without(silent) : null;
+  }
+
+  private boolean isCaughtUp(long now, Progress p) {
+    return !p.identity.isEmpty()
+        && p.match > 0
+        && p.match + ADMISSION_LAG >= log.lastIndex()
+        && p.ackedSentAt != Long.MIN_VALUE
+        && now - p.ackedSentAt < config.electionMinMillis();
+  }
+
+  /** Returns a voter that has not answered for long, or null. */
+  private @Nullable String silentVoter(long now, Membership m) {
+    if (now - since < config.replaceAfterMillis()) {
+      return null;
+    }
+    for (Map.Entry<String, String> e : m.members().entrySet()) {
+      long contact = value(e.getKey(), e.getValue(), now, false);
+      if (contact == Long.MIN_VALUE || now - contact >= config.replaceAfterMillis()) {
+        return e.getKey();
+      }
     }
+    return null;
   }
 }
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -0,0 +1,136 @@
+package org.ebonypond.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.ebonypond.serving.EngineProfile;
+import org.ebonypond.serving.ModelProfile;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the next group to form. A model whose groups fall short of its share goes first, unless
+ * another one can be ready much sooner; domains that the group fills best go before others.
+ */
+final class GroupFormation {
+  /** A group that is ready a second later is worth this part of a model's whole need less. */
+  private static final double SECOND_COST = 0.04;
+
+  /** An instance that stays over in a domain costs this part of a model's whole need. */
+  private static final double LEFTOVER_COST = 0.01;
+
+  /** Each group of the same model in the same zone makes the zone's loss worse. */
+  private static final double SAME_ZONE_COST = 0.015;
+
+  /** The time to join a group of the same model as before, in milliseconds. */
+  private static final long REJOIN_MILLIS = 200;
+
+  private final EngineProfile engine;
+  private final Map<String, Integer> counts;
+  private final Map<String, Double> targets = new HashMap<>();
+  private final Map<String, Integer> byZone = new HashMap<>();
+
+  GroupFormation(
+      EngineProfile engine,
+      Map<String, Integer> counts,
+      Collection<FleetInstance> instances,
+      Predicate<FleetInstance> lost) {
+    this.engine = engine;
+    this.counts = counts;
+    long usable =
+        instances.stream()
+            .filter(i -> i.phase() == InstancePhase.READY && !lost.test(i))
+            .count();
+    double shares = engine.models().stream().mapToDouble(ModelProfile::share).sum();
+    for (ModelProfile m : engine.models()) {
+      double share = shares > 0 ? m.share() / shares : 1.0 / engine.models().size();
+      targets.put(m.name(), Math.max(1, usable * share / m.groupSize()));
+    }
+  }
+
+  /**
+   * Returns the best group that can be formed, or null.
+   *
+   * @param domains the free instances by fabric domain
+   * @param loads the loads from the weight store that may start now
+   */
+  @Nullable Choice best(Map<String, List<FleetInstance>> domains, int loads) {
+    Choice best = null;
+    for (Map.Entry<String, List<FleetInstance>> e : domains.entrySet()) {
+      for (ModelProfile m : engine.models()) {
+        if (e.getValue().size() >= m.groupSize()) {
+          Choice c = choose(e.getKey(), e.getValue(), m);
+          if (c.loads() <= loads && (best == null || c.value() > best.value())) {
+            best = c;
+          }
+        }
+      }
+    }
+    if (best != null) {
+      byZone.merge(zoneKey(best.model(), best.members()), 1, Integer::sum);
+    }
+    return best;
+  }
+
+  private Choice choose(String domain, List<FleetInstance> free, ModelProfile m) {
+    List<FleetInstance> members = new ArrayList<>(free);
+    members.sort(
+        Comparator.comparingLong((FleetInstance i) -> readyMillis(i, m))
+            .thenComparing(FleetInstance::id));
+    members = List.copyOf(members.subList(0, m.groupSize()));
+    long ready = members.stream().mapToLong(i -> readyMillis(i, m)).max().orElse(0);
+    int loads = (int) members.stream().filter(i -> needsLoad(i, m)).count();
+    double need = 1 - counts.getOrDefault(m.name(), 0) / targets.get(m.name());
+    int leftover = (free.size() - m.groupSize()) % smallestGroup();
+    double value =
+        need
+            - SECOND_COST * ready / 1_000
+            - LEFTOVER_COST * leftover
+            - SAME_ZONE_COST * byZone.getOrDefault(zoneKey(m, members), 0);
+    return new Choice(domain, m, members, ready, loads, value);
+  }
+
+  private int smallestGroup() {
+    return engine.models().stream().mapToInt(ModelProfile::groupSize).min().orElse(1);
+  }
+
+  private static String zoneKey(ModelProfile m, List<FleetInstance> members) {
+    return m.name() + "/" + members.get(0).zone();
+  }
+
+  private static boolean inMemory(FleetInstance i, ModelProfile m) {
+    return i.models().contains(m.name());
+  }
+
+  private static boolean needsLoad(FleetInstance i, ModelProfile m) {
+    return !inMemory(i, m) && !i.staged().contains(m.name());
+  }
+
+  private static long readyMillis(FleetInstance i, ModelProfile m) {
+    if (inMemory(i, m)) {
+      return REJOIN_MILLIS;
+    }
+    return i.staged().contains(m.name()) ? m.warmMillis() : m.loadMillis();
+  }
+
+  /**
+   * A group that can be formed.
+   *
+   * @param domain the fabric domain
+   * @param model the model
+   * @param members the members, head first
+   * @param readyMillis the expected time until it is ready, in milliseconds
+   * @param loads the loads from the weight store that it needs
+   * @param value how useful it is; higher is better
+   */
+  record Choice(
+      String domain,
+      ModelProfile model,
+      List<FleetInstance> members,
+      long readyMillis,
+      int loads,
+      double value) {}
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -0,0 +1,163 @@
+package org.ebonypond.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The latest record of each instance, merged from heartbeats and from other processes' tables.
+ * Thread-safe. A record replaces another one only if it is of a later life, or of the same life with
+ * a higher number, so that delayed and repeated heartbeats change nothing.
+ */
+public final class InstanceTable {
+  /** Records of instances that are silent for this long are dropped; longer than any cut. */
+  private static final long FORGET_MILLIS = 60_000;
+
+  private final Map<String, Entry> entries = new HashMap<>();
+  private final Map<String, String> idsByAddress = new HashMap<>();
+  private long clock;
+
+  /**
+   * Takes a record.
+   *
+   * @param instance the record
+   * @param ageMillis the time since the heartbeat, in milliseconds
+   * @param now the time in milliseconds
+   * @return whether anything but the time of the last heartbeat changed
+   */
+  public synchronized boolean merge(FleetInstance instance, long ageMillis, long now) {
+    long seen = now - ageMillis;
+    Entry old = entries.get(instance.id());
+    if (old != null && !instance.isLaterThan(old.instance)) {
+      return false;
+    }
+    FleetInstance record = instance;
+    Entry holder = holderOf(instance.address());
+    if (holder != null && !holder.instance.id().equals(instance.id())) {
+      // Two instances cannot listen on one address: the one that started earlier has ended.
+      if (holder.instance.born() > instance.born()) {
+        record = instance.gone();
+      } else if (holder.instance.phase() != InstancePhase.GONE) {
+        put(holder, holder.instance.gone(), holder.lastSeen, true);
+      }
+    }
+    if (record.phase() != InstancePhase.GONE) {
+      idsByAddress.put(record.address(), record.id());
+    }
+    boolean changed = old == null || record.differsFrom(old.instance);
+    if (old == null) {
+      old = new Entry(record);
+      entries.put(record.id(), old);
+    }
+    put(old, record, Math.max(seen, old.lastSeen), changed);
+    return changed;
+  }
+
+  /**
+   * Takes the news that an instance has deregistered.
+   *
+   * @param id the identifier
+   * @param wallMillis the time of day in milliseconds since 1970, for an instance that is not known
+   * @param now the time in milliseconds
+   */
+  public synchronized void remove(String id, long wallMillis, long now) {
+    Entry e = entries.get(id);
+    if (e == null) {
+      FleetInstance unknown =
+          new FleetInstance(
+              id,
+              wallMillis,
+              0,
+              "",
+              "",
+              "",
+              InstancePhase.GONE,
+              0,
+              0,
+              "",
+              List.of(),
+              List.of(),
+              null);
+      e = new Entry(unknown);
+      entries.put(id, e);
+    }
+    if (e.instance.phase() != InstancePhase.GONE) {
+      put(e, e.instance.gone(), now, true);
+    } else if (e.touched == 0) {
+      put(e, e.instance, now, true);
+    }
+  }
+
+  /** Returns the number to pass to {@link #since} for what happens after now. */
+  public synchronized long cursor() {
+    return clock;
+  }
+
+  /**
+   * Returns the records that were touched after a cursor.
+   *
+   * @param cursor an earlier value of {@link #cursor()}, or 0 for all
+   * @param changedOnly whether to leave out records of which only the last heartbeat is newer
+   * @param now the time in milliseconds
+   */
+  public synchronized List<InstanceUpdate> since(long cursor, boolean changedOnly, long now) {
+    List<InstanceUpdate> out = new ArrayList<>();
+    for (Entry e : entries.values()) {
+      if ((changedOnly ? e.changed : e.touched) > cursor) {
+        out.add(new InstanceUpdate(e.instance, Math.max(0, now - e.lastSeen)));
+      }
+    }
+    return out;
+  }
+
+  /** Returns the record of an instance, or null. */
+  public synchronized @Nullable FleetInstance get(String id) {
+    Entry e = entries.get(id);
+    return e == null ? null : e.instance;
+  }
+
+  /** Returns all records with the times since their last heartbeats. */
+  public synchronized List<InstanceUpdate> all(long now) {
+    return since(-1, false, now);
+  }
+
+  /** Drops the records of instances that have been silent for long. */
+  public synchronized void prune(long now) {
+    for (Iterator<Entry> i = entries.values().iterator(); i.hasNext(); ) {
+      Entry e = i.next();
+      if (now - e.lastSeen > FORGET_MILLIS) {
+        i.remove();
+        idsByAddress.remove(e.instance.address(), e.instance.id());
+      }
+    }
+  }
+
+  private @Nullable Entry holderOf(String address) {
+    String id = idsByAddress.get(address);
+    return id == null ? null : entries.get(id);
+  }
+
+  private void put(Entry e, FleetInstance record, long seen, boolean changed) {
+    clock++;
+    e.instance = record;
+    e.lastSeen = seen;
+    e.touched = clock;
+    if (changed) {
+      e.changed = clock;
+    }
+  }
+
+  private static final class Entry {
+    FleetInstance instance;
+    long lastSeen = Long.MIN_VALUE;
+    long touched;
+    long changed;
+
+    Entry(FleetInstance instance) {
+      this.instance = instance;
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/OrderBook.java
@@ -0,0 +1,80 @@
+package org.ebonypond.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** The orders that were sent, with their outcomes, so that each is repeated only after a pause. */
+final class OrderBook {
+  /** A pause of this length lets the heartbeat that shows the effect of an order arrive. */
+  private static final long REPEAT_MILLIS = 1_500;
+
+  private final Map<String, Sent> sent = new HashMap<>();
+
+  /** Returns whether an order may be sent now; notes it if so. */
+  boolean send(FleetOrder o, long now) {
+    Sent s = sent.get(key(o));
+    if (s != null && (s.outcome == null ? now - s.at < REPEAT_MILLIS : now < s.repeatAt)) {
+      return false;
+    }
+    Sent next = new Sent(now);
+    next.tries = s == null ? 1 : s.tries + 1;
+    sent.put(key(o), next);
+    return true;
+  }
+
+  /** Takes the outcome of an order. */
+  void answered(FleetOrder o, OrderOutcome outcome, long now) {
+    Sent s = sent.get(key(o));
+    if (s != null) {
+      s.outcome = outcome;
+      s.repeatAt = now + (outcome == OrderOutcome.CONFLICT ? REPEAT_MILLIS / 5 : REPEAT_MILLIS);
+    }
+  }
+
+  /** Returns the latest outcome of an order, or null if there is none. */
+  @Nullable OrderOutcome outcome(FleetOrder o) {
+    Sent s = sent.get(key(o));
+    return s == null ? null : s.outcome;
+  }
+
+  /** Returns how often an order was sent. */
+  int tries(FleetOrder o) {
+    Sent s = sent.get(key(o));
+    return s == null ? 0 : s.tries;
+  }
+
+  /** Returns whether an order of a kind was ever sent for a group. */
+  boolean wasSent(FleetOrder.Kind kind, String instance, String group, long epoch) {
+    return sent.containsKey(key(kind, instance, group, epoch));
+  }
+
+  /** Drops what was sent long ago. */
+  void prune(long now, long keepMillis) {
+    sent.values().removeIf(s -> now - s.at > keepMillis);
+  }
+
+  void clear() {
+    sent.clear();
+  }
+
+  private static String key(FleetOrder o) {
+    String subject = o.kind() == FleetOrder.Kind.STAGE ? o.model() : o.group();
+    return key(o.kind(), o.instance(), subject, o.epoch());
+  }
+
+  private static String key(FleetOrder.Kind kind, String instance, String group, long epoch) {
+    return kind + "/" + instance + "/" + group + "/" + epoch;
+  }
+
+  private static final class Sent {
+    final long at;
+    int tries;
+    @Nullable OrderOutcome outcome;
+    long repeatAt;
+
+    Sent(long at) {
+      this.at = at;
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/ArrivalGuard.java
@@ -0,0 +1,66 @@
+package org.ebonypond.forward;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Bounds the requests that this entry sends to one instance in any second. An instance can turn cold
+ * without warning and then bears only a few requests a second from all entries together; so each
+ * entry always keeps to its share of that number.
+ */
+public final class ArrivalGuard {
+  private static final long WINDOW_MILLIS = 1_000;
+
+  /** A request may arrive later than it was sent; this part of the bound stays unused. */
+  private static final double USED_PART = 0.9;
+
+  private final double overshoot;
+  private final double slack;
+  private final Map<String, Deque<Long>> sends = new HashMap<>();
+
+  /**
+   * Creates a guard.
+   *
+   * @param overshoot the factor on the published rate that must not be passed
+   * @param slack the requests in a second that may be added to it
+   */
+  public ArrivalGuard(double overshoot, double slack) {
+    this.overshoot = overshoot;
+    this.slack = slack;
+  }
+
+  /**
+   * Returns whether a request may be sent to an instance now.
+   *
+   * @param coldPerSecond the rate that a cold instance bears; 0 if there is no bound
+   * @param cold whether the instance is known to be cold
+   * @param entries the number of entries
+   */
+  public boolean allows(
+      String instance, double coldPerSecond, boolean cold, int entries, long now) {
+    if (coldPerSecond <= 0) {
+      return true;
+    }
+    Deque<Long> times = sends.get(instance);
+    if (times == null) {
+      return true;
+    }
+    while (!times.isEmpty() && now - times.peekFirst() >= WINDOW_MILLIS) {
+      times.removeFirst();
+    }
+    double bound = cold ? coldPerSecond : (coldPerSecond * overshoot + slack) * USED_PART;
+    return times.size() + 1 <= Math.max(1, Math.floor(bound / Math.max(1, entries)));
+  }
+
+  /** Counts a request that is sent to an instance. */
+  public void sent(String instance, long now) {
+    sends.computeIfAbsent(instance, i -> new ArrayDeque<>()).addLast(now);
+  }
+
+  /** Drops instances without recent requests. */
+  public void prune(long now) {
+    sends.values().removeIf(t -> t.isEmpty() || now - t.peekLast() >= WINDOW_MILLIS);
+  }
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
@@ -0,0 +1,32 @@
+package org.ebonypond.serving;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** A command of the log that keeps the configuration and the zones out of service. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = ServingCommand.Install.class, name = "install"),
+  @JsonSubTypes.Type(value = ServingCommand.SetZone.class, name = "zone"),
+  @JsonSubTypes.Type(value = ServingCommand.Barrier.class, name = "barrier"),
+})
+public sealed interface ServingCommand {
+  /**
+   * Installs a configuration if its version is higher than the one held.
+   *
+   * @param version the version
+   * @param content the configuration as the operator sent it
+   */
+  record Install(long version, byte[] content) implements ServingCommand {}
+
+  /**
+   * Takes an availability zone out of service or brings it back.
+   *
+   * @param zone the name of the zone
+   * @param out whether the zone gets no new requests
+   */
+  record SetZone(String zone, boolean out) implements ServingCommand {}
+
+  /** Changes nothing; a read that follows it reflects everything that was committed before. */
+  record Barrier() implements ServingCommand {}
+}
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingConfig.java
@@ -0,0 +1,78 @@
+package org.ebonypond.serving;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** One version of the configuration, indexed for lookups. Immutable. */
+public final class ServingConfig {
+  private final long version;
+  private final Map<String, List<RouteRule>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceProfile> services;
+  private final Map<String, WorkspaceProfile> workspacesByKey = new HashMap<>();
+  private final boolean keyed;
+  private final ClientLimits limits;
+
+  /** Indexes a configuration that has been checked. */
+  public ServingConfig(
+      long version,
+      List<RouteRule> routes,
+      Map<String, ServiceProfile> services,
+      List<WorkspaceProfile> workspaces,
+      ClientLimits limits) {
+    this.version = version;
+    this.services = Map.copyOf(services);
+    this.keyed = !workspaces.isEmpty();
+    this.limits = limits;
+    for (RouteRule r : routes) {
+      routesByHost.computeIfAbsent(r.host(), h -> new java.util.ArrayList<>()).add(r);
+    }
+    for (List<RouteRule> l : routesByHost.values()) {
+      l.sort((a, b) -> b.pathPrefix().length() - a.pathPrefix().length());
+    }
+    for (WorkspaceProfile w : workspaces) {
+      w.keys().forEach(k -> workspacesByKey.put(k, w));
+    }
+  }
+
+  /** Returns the version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the route with the longest prefix that matches, or null. */
+  public @Nullable RouteRule route(String host, String path) {
+    for (RouteRule r : routesByHost.getOrDefault(host, List.of())) {
+      if (path.startsWith(r.pathPrefix())) {
+        return r;
+      }
+    }
+    return null;
+  }
+
+  /** Returns a service, or null. */
+  public @Nullable ServiceProfile service(String name) {
+    return services.get(name);
+  }
+
+  /** Returns all services by name. */
+  public Map<String, ServiceProfile> services() {
+    return services;
+  }
+
+  /** Returns whether requests need a key unless their route is anonymous. */
+  public boolean keyed() {
+    return keyed;
+  }
+
+  /** Returns the workspace that holds a key, or null. */
+  public @Nullable WorkspaceProfile workspace(String key) {
+    return workspacesByKey.get(key);
+  }
+
+  /** Returns the bounds on callers. */
+  public ClientLimits limits() {
+    return limits;
+  }
+}
