--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
@@ -22,8 +22,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Polls every known control replica for what has changed. Each replica is asked by itself, so that a
- * change that one of them has acknowledged reaches this process even if that one cannot reach the
+ * Polls every known control replica for what has changed. Each replica is asked by itself, so that
+ * a change that one of them has acknowledged reaches this process even if that one cannot reach the
  * others. Used on one executor.
  */
 public final class FleetFollower {
@@ -113,18 +113,11 @@
     Position p = positions.getOrDefault(name, new Position(0, 0));
     FleetPoll q =
         new FleetPoll(
-            node,
-            address,
-            version.getAsLong(),
-            zonesIndex.getAsLong(),
-            p.boot,
-            p.cursor,
-            current);
+            node, address, version.getAsLong(), zonesIndex.getAsLong(), p.boot, p.cursor, current);
     InetSocketAddress to = ReplicaDirectory.address(name);
     peers
         .ask(to, FrameType.FLEET_POLL, "", MessagePackCodec.encode(q), TIMEOUT_MILLIS)
-        .whenComplete(
-            (bytes, failure) -> executor.execute(() -> answered(name, bytes, failure)));
+        .whenComplete((bytes, failure) -> executor.execute(() -> answered(name, bytes, failure)));
   }
 
   private void answered(String name, byte @Nullable [] bytes, @Nullable Throwable failure) {
@@ -138,13 +131,13 @@
       }
       return;
     }
-    long now = timers.nowMillis();
-    FleetPollResult r = MessagePackCodec.decode(bytes, FleetPollResult.class);
     if (lost.remove(name)) {
       LOG.atInfo().addKeyValue("replica", name).log("control replica answers again");
     }
+    long now = timers.nowMillis();
     lastAnswer = now;
     directory.heard(name, now);
+    FleetPollResult r = MessagePackCodec.decode(bytes, FleetPollResult.class);
     r.replicas().forEach(n -> directory.learn(n, now));
     positions.put(name, new Position(r.boot(), r.cursor()));
     results.accept(name, r);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -141,8 +141,7 @@
     SecureRandom random = new SecureRandom();
     LogStorage storage =
         FileLogStorage.open(settings.dataFolder(), settings.name(), random, events);
-    RaftNode node =
-        new RaftNode(raftConfig(), storage, state, random, events, timers.nowMillis());
+    RaftNode node = new RaftNode(raftConfig(), storage, state, random, events, timers.nowMillis());
     this.driver =
         new ReplicaDriver(
             CHANNEL,
@@ -184,8 +183,8 @@
   /** Starts the log, the polls and the planner. */
   public void start() {
     network.handle(FrameType.RAFT, this::raft);
-    network.handle(FrameType.PROPOSE, this::propose);
-    network.handle(FrameType.FLEET_POLL, this::poll);
+    network.handle(FrameType.PROPOSE, this::proposed);
+    network.handle(FrameType.FLEET_POLL, this::polled);
     driver.start();
     follower.start();
     timers.every(PLAN_MILLIS, () -> executor.execute(this::plan));
@@ -197,12 +196,12 @@
    * @return completes when it is committed, or when a higher version was committed before
    */
   public CompletableFuture<Void> install(long version, byte[] content) {
-    return propose(new ServingCommand.Install(version, content)).thenAccept(r -> {});
+    return commit(new ServingCommand.Install(version, content)).thenAccept(r -> {});
   }
 
   /** Takes a zone out of service or brings it back. */
   public CompletableFuture<Void> setZone(String zone, boolean out) {
-    return propose(new ServingCommand.SetZone(zone, out)).thenAccept(r -> {});
+    return commit(new ServingCommand.SetZone(zone, out)).thenAccept(r -> {});
   }
 
   /**
@@ -210,8 +209,8 @@
    * majority confirms that.
    */
   public CompletableFuture<ServingState.Committed> read() {
-    return propose(new ServingCommand.Barrier())
-        .thenCompose(r -> applied(r.index(), timers.nowMillis() + PROPOSAL_TIMEOUT_MILLIS));
+    return commit(new ServingCommand.Barrier())
+        .thenCompose(r -> whenApplied(r.index(), timers.nowMillis() + PROPOSAL_TIMEOUT_MILLIS));
   }
 
   /** Takes a heartbeat. */
@@ -260,11 +259,11 @@
     driver.close();
   }
 
-  private CompletableFuture<ProposalReply> propose(ServingCommand c) {
+  private CompletableFuture<ProposalReply> commit(ServingCommand c) {
     return proposals.propose(CHANNEL, MessagePackCodec.encode(c), PROPOSAL_TIMEOUT_MILLIS);
   }
 
-  private CompletableFuture<ServingState.Committed> applied(long index, long until) {
+  private CompletableFuture<ServingState.Committed> whenApplied(long index, long until) {
     CompletableFuture<ServingState.Committed> done = new CompletableFuture<>();
     awaitApplied(index, until, done);
     return done;
@@ -290,7 +289,7 @@
     return CompletableFuture.completedFuture(new byte[0]);
   }
 
-  private CompletableFuture<byte[]> propose(Frame f) {
+  private CompletableFuture<byte[]> proposed(Frame f) {
     // A committed entry that cannot be decoded would stop every replica, so it is refused before.
     MessagePackCodec.decode(f.payload(), ServingCommand.class);
     return driver
@@ -301,7 +300,7 @@
                     new ProposalReply(r.index(), r.result(), r.failure(), r.leaderHint())));
   }
 
-  private CompletableFuture<byte[]> poll(Frame f) {
+  private CompletableFuture<byte[]> polled(Frame f) {
     FleetPoll p = MessagePackCodec.decode(f.payload(), FleetPoll.class);
     long now = timers.nowMillis();
     boolean replica = !p.address().isEmpty();
@@ -361,8 +360,7 @@
               .addKeyValue("instances", all.size())
               .log("plans groups");
         }
-        planner.plan(all, loads.all(now), p.name(), p.engine(), now)
-            .forEach(o -> send(planner, o));
+        planner.plan(all, loads.all(now), p.name(), p.engine(), now).forEach(o -> send(planner, o));
       }
     }
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -164,7 +164,6 @@
 
   private void send(FleetInstance target, int urgency, String cause) {
     long now = timers.nowMillis();
-    RouteRule r = route();
     sends++;
     tried.add(target.id());
     owner.guard().sent(target.id(), now);
@@ -189,7 +188,7 @@
           .log("request sent again");
     }
     InetSocketAddress to = ReplicaDirectory.address(target.address());
-    long maxIdle = r.idempotent() ? Long.MAX_VALUE : FRESH_MILLIS;
+    long maxIdle = route().idempotent() ? Long.MAX_VALUE : FRESH_MILLIS;
     a.exchange =
         owner
             .pool()
@@ -236,9 +235,7 @@
   }
 
   private boolean takeRepeat() {
-    return owner
-        .allowance()
-        .take(service().name(), owner.view().entries(), timers.nowMillis());
+    return owner.allowance().take(service().name(), owner.view().entries(), timers.nowMillis());
   }
 
   private long remaining() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardMetrics.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardMetrics.java
@@ -45,9 +45,7 @@
   private Histogram histogram(String name, String... labels) {
     return registry.histogram(
         named(name, labels),
-        () ->
-            new Histogram(
-                new SlidingTimeWindowArrayReservoir(WINDOW_SECONDS, TimeUnit.SECONDS)));
+        () -> new Histogram(new SlidingTimeWindowArrayReservoir(WINDOW_SECONDS, TimeUnit.SECONDS)));
   }
 
   private static String named(String name, String... labels) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -180,8 +180,7 @@
       if (!accepted) {
         extra = true;
       }
-      boolean framed =
-          HttpUtil.isContentLengthSet(r) || HttpUtil.isTransferEncodingChunked(r);
+      boolean framed = HttpUtil.isContentLengthSet(r) || HttpUtil.isTransferEncodingChunked(r);
       keepAlive = HttpUtil.isKeepAlive(r) && framed;
       idleMillis = BackendPool.idleMillis(announced(r));
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -79,7 +79,7 @@
       return kept.send(head, body, listener);
     }
     BackendConnection c = new BackendConnection(this, key, timers);
-    BackendExchange x = c.send(head, body, listener);
+    final BackendExchange x = c.send(head, body, listener);
     connects++;
     open.merge(key, 1, Integer::sum);
     ChannelFuture connecting =
@@ -94,8 +94,7 @@
                   protected void initChannel(SocketChannel ch) {
                     ch.pipeline()
                         .addLast(
-                            new HttpClientCodec(
-                                MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                            new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(c);
                   }
                 })
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -337,11 +337,11 @@
 
     private void complete(Object last) {
       done = true;
-      boolean close = closes();
+      final boolean close = closes();
       if (last instanceof HttpResponse r) {
         setConnection(r);
       }
-      var written = channel.writeAndFlush(last);
+      final var written = channel.writeAndFlush(last);
       current = null;
       lastActive = timers.nowMillis();
       release();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/timer/EventLoopTimerService.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/timer/EventLoopTimerService.java
@@ -21,7 +21,8 @@
 
   @Override
   public Subscription after(long delayMillis, Runnable task) {
-    ScheduledFuture<?> f = loop.schedule(ScheduledTimerService.guarded(task), delayMillis, TimeUnit.MILLISECONDS);
+    ScheduledFuture<?> f =
+        loop.schedule(ScheduledTimerService.guarded(task), delayMillis, TimeUnit.MILLISECONDS);
     return () -> f.cancel(false);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -174,8 +174,8 @@
   }
 
   /**
-   * Closes a connection that brought nothing since a question was sent on it. The next frame opens a
-   * new one: a connection can go silent for good, without a reset, while new ones work.
+   * Closes a connection that brought nothing since a question was sent on it. The next frame opens
+   * a new one: a connection can go silent for good, without a reset, while new ones work.
    */
   private void closeIfSilent(InetSocketAddress to, long askedAt) {
     ChannelFuture f = outgoing.get(to);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -224,9 +224,10 @@
   /**
    * Changes the voters by one at most, so that any two quorums in a row overlap. A learner that has
    * caught up replaces the old identity of its own name in two changes: removing the old identity,
-   * then adding the new one. In one change, two quorums could exist that do not overlap, for example
-   * {a, b1} of {a, b1, c} and {b2, c} of {a, b2, c}. A learner under a new name is added while a
-   * voter is missing or silent; a silent voter is removed once there are more voters than wanted.
+   * then adding the new one. In one change, two quorums could exist that do not overlap, for
+   * example {a, b1} of {a, b1, c} and {b2, c} of {a, b2, c}. A learner under a new name is added
+   * while a voter is missing or silent; a silent voter is removed once there are more voters than
+   * wanted.
    *
    * @param now the time in milliseconds
    * @param commit the commit index
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -17,8 +17,8 @@
  * thread-safe; holds no thread, socket or clock.
  *
  * <p>A member may join another group only when the head of its group can no longer serve: the head
- * has reported so, has confirmed that it left the group, or has been without this member for as long
- * as a head takes to notice that.
+ * has reported so, has confirmed that it left the group, or has been without this member for as
+ * long as a head takes to notice that.
  */
 public final class FleetPlanner {
   /** Heartbeats of a later leader may be this late when it takes over, in milliseconds. */
@@ -185,8 +185,7 @@
       }
       groups
           .computeIfAbsent(
-              GroupView.key(g.name(), g.epoch()),
-              k -> new GroupView(g.name(), g.epoch(), parts))
+              GroupView.key(g.name(), g.epoch()), k -> new GroupView(g.name(), g.epoch(), parts))
           .members
           .put(g.rank(), i);
       epochs = Math.max(epochs, g.epoch());
@@ -277,8 +276,7 @@
 
     private boolean wasPlannedHere(GroupView g) {
       FleetInstance head = g.head();
-      return head != null
-          && book.wasSent(FleetOrder.Kind.JOIN, head.id(), g.name, g.epoch);
+      return head != null && book.wasSent(FleetOrder.Kind.JOIN, head.id(), g.name, g.epoch);
     }
 
     private String idOf(@Nullable FleetInstance i) {
@@ -320,8 +318,7 @@
       Map<String, List<FleetInstance>> domains = freeByDomain();
       GroupFormation f = new GroupFormation(engine, counts, instances.values(), this::isLost);
       while (true) {
-        GroupFormation.Choice c =
-            f.best(domains, ceiling.available(engine.loadsPerSecond(), now));
+        GroupFormation.Choice c = f.best(domains, ceiling.available(engine.loadsPerSecond(), now));
         if (c == null) {
           return;
         }
@@ -332,8 +329,7 @@
         GroupName name = new GroupName(c.model().name(), c.model().groupSize(), epochs);
         List<String> ids = c.members().stream().map(FleetInstance::id).toList();
         long readyBy = now + PATIENCE_MILLIS + (long) (c.readyMillis() * LOAD_PATIENCE);
-        PlannedGroup p =
-            new PlannedGroup(name.text(), epochs, c.model().name(), ids, now, readyBy);
+        PlannedGroup p = new PlannedGroup(name.text(), epochs, c.model().name(), ids, now, readyBy);
         planned.put(GroupView.key(p.name(), p.epoch()), p);
         taken.addAll(ids);
         c.members().forEach(m -> send(join(p, m)));
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -41,9 +41,7 @@
     this.engine = engine;
     this.counts = counts;
     long usable =
-        instances.stream()
-            .filter(i -> i.phase() == InstancePhase.READY && !lost.test(i))
-            .count();
+        instances.stream().filter(i -> i.phase() == InstancePhase.READY && !lost.test(i)).count();
     double shares = engine.models().stream().mapToDouble(ModelProfile::share).sum();
     for (ModelProfile m : engine.models()) {
       double share = shares > 0 ? m.share() / shares : 1.0 / engine.models().size();
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -9,8 +9,8 @@
 
 /**
  * The latest record of each instance, merged from heartbeats and from other processes' tables.
- * Thread-safe. A record replaces another one only if it is of a later life, or of the same life with
- * a higher number, so that delayed and repeated heartbeats change nothing.
+ * Thread-safe. A record replaces another one only if it is of a later life, or of the same life
+ * with a higher number, so that delayed and repeated heartbeats change nothing.
  */
 public final class InstanceTable {
   /** Records of instances that are silent for this long are dropped; longer than any cut. */
@@ -29,7 +29,6 @@
    * @return whether anything but the time of the last heartbeat changed
    */
   public synchronized boolean merge(FleetInstance instance, long ageMillis, long now) {
-    long seen = now - ageMillis;
     Entry old = entries.get(instance.id());
     if (old != null && !instance.isLaterThan(old.instance)) {
       return false;
@@ -52,7 +51,7 @@
       old = new Entry(record);
       entries.put(record.id(), old);
     }
-    put(old, record, Math.max(seen, old.lastSeen), changed);
+    put(old, record, Math.max(now - ageMillis, old.lastSeen), changed);
     return changed;
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/ArrivalGuard.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/ArrivalGuard.java
@@ -6,9 +6,9 @@
 import java.util.Map;
 
 /**
- * Bounds the requests that this entry sends to one instance in any second. An instance can turn cold
- * without warning and then bears only a few requests a second from all entries together; so each
- * entry always keeps to its share of that number.
+ * Bounds the requests that this entry sends to one instance in any second. An instance can turn
+ * cold without warning and then bears only a few requests a second from all entries together; so
+ * each entry always keeps to its share of that number.
  */
 public final class ArrivalGuard {
   private static final long WINDOW_MILLIS = 1_000;
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -9,7 +9,9 @@
  * caller has had are dropped.
  */
 public final class EventSplitter {
-  /** Events that are larger end the stream with an error; answers have events of some hundred bytes. */
+  /**
+   * Events that are larger end the stream with an error; answers have events of some hundred bytes.
+   */
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/RetryAllowance.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/RetryAllowance.java
@@ -7,8 +7,8 @@
 
 /**
  * This entry's part of the budget for sending requests a second time. The budget of a service over
- * all entries is a part of its requests plus a fixed number in each window. An entry spends the part
- * of its own requests and an equal share of the fixed number, so that the sum stays within the
+ * all entries is a part of its requests plus a fixed number in each window. An entry spends the
+ * part of its own requests and an equal share of the fixed number, so that the sum stays within the
  * budget while entries cannot reach each other.
  */
 public final class RetryAllowance {
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -87,8 +87,7 @@
     return !need.tried().contains(c.instance().id()) && !c.stats().isFull(now);
   }
 
-  private static double score(
-      Need need, Candidate c, @Nullable EngineCost cost, long now) {
+  private static double score(Need need, Candidate c, @Nullable EngineCost cost, long now) {
     double failures = 1 + FAILURE_COST * c.stats().failureRate(now);
     if (cost == null) {
       return failures * (c.active() + 1) / Math.max(1, c.instance().slots());
