Keep two models warm on every host and repair groups from what the entries see

Change: before traffic every host stages the model that it does not serve; the last group's model is remembered; entries report distrust with the group's epoch; groups are formed of warm instances only, after all have announced themselves; groups are converted towards the shares; unfinished events are dropped on every move; logging is set up in code and elections do not wait for a lease that nobody uses.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
@@ -41,6 +41,7 @@
   private final long periodMillis;
   private final LongSupplier version;
   private final LongSupplier zonesIndex;
+  private final LongSupplier requests;
   private final Supplier<List<HeadLoad>> loads;
   private final BiConsumer<String, FleetPollResult> results;
   private final Map<String, Position> positions = new HashMap<>();
@@ -60,6 +61,7 @@
    * @param periodMillis the time between two polls of one replica, in milliseconds
    * @param version the version of the configuration that this process holds
    * @param zonesIndex the log index of the zones that this process holds
+   * @param requests the requests that this process has received
    * @param loads the work of this process
    * @param results takes the name of the replica and its answer
    */
@@ -73,6 +75,7 @@
       long periodMillis,
       LongSupplier version,
       LongSupplier zonesIndex,
+      LongSupplier requests,
       Supplier<List<HeadLoad>> loads,
       BiConsumer<String, FleetPollResult> results) {
     this.node = node;
@@ -84,6 +87,7 @@
     this.periodMillis = periodMillis;
     this.version = version;
     this.zonesIndex = zonesIndex;
+    this.requests = requests;
     this.loads = loads;
     this.results = results;
   }
@@ -113,7 +117,14 @@
     Position p = positions.getOrDefault(name, new Position(0, 0));
     FleetPoll q =
         new FleetPoll(
-            node, address, version.getAsLong(), zonesIndex.getAsLong(), p.boot, p.cursor, current);
+            node,
+            address,
+            version.getAsLong(),
+            zonesIndex.getAsLong(),
+            p.boot,
+            p.cursor,
+            requests.getAsLong(),
+            current);
     InetSocketAddress to = ReplicaDirectory.address(name);
     peers
         .ask(to, FrameType.FLEET_POLL, "", MessagePackCodec.encode(q), TIMEOUT_MILLIS)
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -54,10 +54,10 @@
   private static final String CHANNEL = "serving";
 
   /** Time between two heartbeats of the log's leader; a core machine has a fifth of a processor. */
-  private static final long LOG_HEARTBEAT_MILLIS = 150;
+  private static final long LOG_HEARTBEAT_MILLIS = 120;
 
-  private static final long ELECTION_MIN_MILLIS = 800;
-  private static final long ELECTION_MAX_MILLIS = 1_600;
+  private static final long ELECTION_MIN_MILLIS = 600;
+  private static final long ELECTION_MAX_MILLIS = 1_200;
 
   /** A configuration has some 100 KB at most, and the disk some 100 MB. */
   private static final int COMPACT_AFTER = 100;
@@ -91,6 +91,7 @@
   private final FleetFollower follower;
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final long boot = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+  private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
 
   /**
@@ -136,6 +137,7 @@
             POLL_MILLIS,
             () -> state.current().version(),
             () -> state.current().zonesIndex(),
+            () -> 0,
             List::of,
             this::merge);
     SecureRandom random = new SecureRandom();
@@ -177,7 +179,8 @@
         MAX_BATCH_BYTES,
         MAX_BATCH_BYTES,
         settings.voters(),
-        REACHABLE_MILLIS);
+        REACHABLE_MILLIS,
+        false);
   }
 
   /** Starts the log, the polls and the planner. */
@@ -308,7 +311,7 @@
       directory.heard(p.address(), now);
       driver.discover(p.address());
     } else {
-      loads.report(p.node(), p.loads(), now);
+      loads.report(p.node(), p.requests(), p.loads(), now);
     }
     ServingState.Committed s = state.current();
     boolean news = s.version() > p.version() || s.zonesIndex() > p.zonesIndex();
@@ -360,14 +363,28 @@
               .addKeyValue("instances", all.size())
               .log("plans groups");
         }
-        planner.plan(all, loads.all(now), p.name(), p.engine(), now).forEach(o -> send(planner, o));
+        planner
+            .plan(all, loads.all(now), p.name(), p.engine(), beforeTraffic(), now)
+            .forEach(o -> send(planner, o));
+        logSummary(p.name(), planner.summary());
       }
     }
   }
 
+  private void logSummary(String service, String summary) {
+    if (!summary.equals(summaries.put(service, summary))) {
+      LOG.atInfo().addKeyValue("service", service).addKeyValue("state", summary).log("groups");
+    }
+  }
+
+  private boolean beforeTraffic() {
+    return settings.firstStart() && !loads.hasTraffic();
+  }
+
   private FleetPlanner newPlanner() {
     return new FleetPlanner(
         2 * settings.heartbeatMillis() + LATE_HEARTBEAT_MILLIS,
+        settings.heartbeatMillis() + LATE_HEARTBEAT_MILLIS,
         settings.stallMillis(),
         new LoadCeiling(settings.loadWindowMillis()));
   }
@@ -385,7 +402,7 @@
   private static boolean neverGrouped(List<InstanceUpdate> all) {
     return all.stream()
         .map(InstanceUpdate::instance)
-        .allMatch(i -> i.group() == null && i.models().isEmpty());
+        .allMatch(i -> i.group() == null && i.lastModel().isEmpty());
   }
 
   private void send(FleetPlanner planner, FleetOrder o) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -43,8 +43,17 @@
   /** Backend servers that refuse a request one after the other before the caller is refused. */
   private static final int MAX_REFUSALS = 3;
 
-  /** A group whose requests have made no progress for this long has lost a member. */
-  private static final long STALL_MILLIS = 1_000;
+  /** A group whose requests make no progress for this long may have lost a member. */
+  private static final long MIN_STALL_MILLIS = 160;
+
+  /** A stall is that many passes without an event. */
+  private static final double STALL_PASSES = 4;
+
+  /** A request whose first event takes this multiple of its prediction has stalled. */
+  private static final double FIRST_EVENT_FACTOR = 1.5;
+
+  /** Without a prediction, a stream that is silent for this long has stalled. */
+  private static final long UNPREDICTED_STALL_MILLIS = 1_000;
 
   /** An idempotent call that takes this multiple of its target goes to another instance. */
   private static final double SLOW_FACTOR = 2;
@@ -140,7 +149,7 @@
     if (d.target() == null) {
       giveUp(d.reason(), d.pauseMillis());
     } else {
-      send(d.target(), d.urgency(), cause);
+      send(d, cause);
     }
   }
 
@@ -162,21 +171,29 @@
         .choose(need, owner.candidates(s, s.engine() == null ? null : head.model()), c, now);
   }
 
-  private void send(FleetInstance target, int urgency, String cause) {
+  private void send(TargetSelector.Decision decision, String cause) {
+    FleetInstance target = decision.target();
+    if (target == null) {
+      throw new IllegalArgumentException("no instance was chosen");
+    }
     long now = timers.nowMillis();
     sends++;
     tried.add(target.id());
     owner.guard().sent(target.id(), now);
     owner.metrics().sent(kind(), cause);
     EventSplitter s = splitter;
+    if (s != null) {
+      // The next instance begins with a whole event.
+      s.dropPartialEvent();
+    }
     Dispatch d =
         new Dispatch(
             target.id(),
             Math.max(1, deadlineAt - now),
             workspace == null ? null : workspace.name(),
             s == null ? head.resumeAfter() : s.lastId(),
-            model == null ? -1 : urgency);
-    Attempt a = new Attempt(target, owner.stats(target.id()), now);
+            model == null ? -1 : decision.urgency());
+    Attempt a = new Attempt(target, owner.stats(target.id()), decision.firstMillis(), now);
     current = a;
     if (LOG.isDebugEnabled() || sends > 1) {
       LOG.atInfo()
@@ -210,7 +227,8 @@
     }
     boolean stalled;
     if (r.kind() == CallKind.STREAM) {
-      stalled = now - a.sentAt > STALL_MILLIS && a.stats.idleMillis(now) > STALL_MILLIS;
+      long limit = stallMillis(a, now);
+      stalled = now - a.sentAt > limit && a.stats.idleMillis(now) > limit;
     } else {
       double slow = Math.max(MIN_SLOW_MILLIS, SLOW_FACTOR * r.targetMillis());
       stalled = now - a.sentAt > slow && a.reply == null;
@@ -227,7 +245,18 @@
     a.stats.failed(now);
     mayHaveRun = true;
     ran++;
-    send(d.target(), d.urgency(), "stalled");
+    send(d, "stalled");
+  }
+
+  private long stallMillis(Attempt a, long now) {
+    ModelProfile m = model;
+    EngineCost c = cost;
+    if (m == null || c == null) {
+      return UNPREDICTED_STALL_MILLIS;
+    }
+    double pass = c.passMillis(m, c.slots(), head.promptTokens()) * a.stats.slowness(now);
+    double limit = Math.max(MIN_STALL_MILLIS, STALL_PASSES * pass);
+    return (long) (a.lastEventAt > 0 ? limit : limit + FIRST_EVENT_FACTOR * a.predictedMillis);
   }
 
   private boolean hasRepeatLeft(Attempt a) {
@@ -260,10 +289,6 @@
   private void brokenOff(String reason) {
     mayHaveRun = true;
     ran++;
-    EventSplitter s = splitter;
-    if (s != null) {
-      s.dropPartialEvent();
-    }
     boolean again =
         route().idempotent()
             && ran < route().maxInstances()
@@ -418,6 +443,7 @@
     final FleetInstance target;
     final InstanceStats stats;
     final long sentAt;
+    final double predictedMillis;
     private final ByteBuf body = call.body().alloc().buffer();
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private int unread = head.promptTokens();
@@ -427,8 +453,9 @@
     private @Nullable HttpHeaders headers;
     @Nullable BackendExchange exchange;
 
-    Attempt(FleetInstance target, InstanceStats stats, long now) {
+    Attempt(FleetInstance target, InstanceStats stats, double predictedMillis, long now) {
       this.target = target;
+      this.predictedMillis = predictedMillis;
       this.stats = stats;
       this.sentAt = now;
       stats.started(unread, now);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -31,7 +31,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Forwarder.class);
 
   /** How often calls at instances that make no progress are looked at, in milliseconds. */
-  private static final long WATCH_MILLIS = 200;
+  private static final long WATCH_MILLIS = 40;
 
   /** Connections of one instance that this entry may open, whatever the number of entries. */
   private static final int MIN_CONNECTIONS = 4;
@@ -47,6 +47,7 @@
   private final ForwardMetrics metrics;
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
+  private long received;
 
   /**
    * Creates a forwarder.
@@ -85,6 +86,7 @@
 
   @Override
   public void handle(HttpCall call) {
+    received++;
     CallHead head;
     try {
       head = dialect.decode(call);
@@ -106,13 +108,20 @@
     List<HeadLoad> out = new ArrayList<>();
     stats.forEach(
         (id, s) -> {
-          if (s.active() > 0) {
-            out.add(new HeadLoad(id, s.active(), s.prefillTokens(), s.idleMillis(now)));
+          long distrust = s.distrustMillis(now);
+          if (s.active() > 0 || distrust > 0) {
+            long idle = s.active() > 0 ? s.idleMillis(now) : HeadLoad.NEVER;
+            out.add(new HeadLoad(id, s.epoch(), s.active(), s.prefillTokens(), idle, distrust));
           }
         });
     return out;
   }
 
+  /** Returns the number of calls since the start. */
+  public long received() {
+    return received;
+  }
+
   /** Returns the number of calls that are under way. */
   public int active() {
     return calls.size();
@@ -142,7 +151,9 @@
       boolean connected = pool.hasIdle(i.id()) || pool.connections(i.id()) < connections;
       boolean cold = i.coldMillis() > 0;
       if (connected && guard.allows(i.id(), service.coldPerSecond(), cold, entries, now)) {
-        out.add(new TargetSelector.Candidate(i, stats(i.id()), view.others(i.id())));
+        InstanceStats s = stats(i.id());
+        s.leads(i.group() == null ? 0 : i.group().epoch());
+        out.add(new TargetSelector.Candidate(i, s, view.others(i.id())));
       }
     }
     return out;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLog.java
@@ -4,7 +4,6 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
-import org.slf4j.LoggerFactory;
 
 /** Sets up logging as JSON lines on standard output. */
 public final class JsonLog {
@@ -15,10 +14,8 @@
 
   private JsonLog() {}
 
-  /** Replaces whatever logging was set up before. */
-  public static void install() {
-    LoggerContext c = (LoggerContext) LoggerFactory.getILoggerFactory();
-    c.reset();
+  /** Sets up a context without appenders. */
+  public static void configure(LoggerContext c) {
     JsonEncoder e = new JsonEncoder();
     e.setContext(c);
     e.setWithContext(false);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftConfig.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftConfig.java
@@ -20,6 +20,8 @@
  * @param targetVoters the number of voters up to which caught-up learners are admitted
  * @param replaceAfterMillis the silence, in milliseconds, after which a voter is removed when there
  *     are more voters than wanted
+ * @param leaderLease whether the lease of a leader is relied upon; a restarted replica then refuses
+ *     votes for one election timeout
  */
 public record RaftConfig(
     String self,
@@ -32,7 +34,8 @@
     int maxBatchBytes,
     int chunkBytes,
     int targetVoters,
-    long replaceAfterMillis) {
+    long replaceAfterMillis,
+    boolean leaderLease) {
   private static final int MEGABYTE = 1 << 20;
 
   /** Longer than the pause of a process that is restarted, so that a restart replaces nobody. */
@@ -77,7 +80,8 @@
         maxBatchBytes,
         chunkBytes,
         replicas.size(),
-        REPLACE_AFTER_MILLIS);
+        REPLACE_AFTER_MILLIS,
+        true);
   }
 
   /** Returns the settings of the design page. */
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -85,8 +85,13 @@
     // After a restart the replica does not know when it last heard from a leader. It refuses votes
     // for one election timeout, because that leader may still rely on its lease. Without any term
     // there was no leader.
-    long lastContact = ballot.term() == 0 ? now - config.electionMaxMillis() : now;
+    boolean mayBeLed = ballot.term() > 0 && config.leaderLease();
+    long lastContact = mayBeLed ? now : now - config.electionMaxMillis();
     this.timer = new ElectionTimer(config, random, lastContact, now);
+    if (ballot.term() > 0 && !config.leaderLease()) {
+      // A leader that is still there is not disturbed by the pre-vote.
+      timer.resetSoon(now);
+    }
     become(idleRole());
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/ElectionTimer.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/ElectionTimer.java
@@ -28,6 +28,11 @@
     deadline = now + random.nextLong(config.electionMinMillis(), config.electionMaxMillis());
   }
 
+  /** Draws a shorter timeout for the first election after a start. */
+  public void resetSoon(long now) {
+    deadline = now + random.nextLong(config.heartbeatMillis(), config.electionMinMillis());
+  }
+
   /** Returns whether the election timeout is over. */
   public boolean isDue(long now) {
     return now >= deadline;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
@@ -15,12 +15,23 @@
   private static final long FORGET_MILLIS = 20_000;
 
   private final Map<String, Report> reports = new TreeMap<>();
-
-  /** Takes the loads of an entry. */
-  public synchronized void report(String entry, List<HeadLoad> loads, long now) {
+  private boolean traffic;
+
+  /**
+   * Takes the loads of an entry.
+   *
+   * @param requests the requests that it has received
+   */
+  public synchronized void report(String entry, long requests, List<HeadLoad> loads, long now) {
+    traffic |= requests > 0;
     reports.put(entry, new Report(List.copyOf(loads), now));
   }
 
+  /** Returns whether any entry has received a request. */
+  public synchronized boolean hasTraffic() {
+    return traffic;
+  }
+
   /** Returns the sum of the loads of all entries but one, by instance. */
   public synchronized List<HeadLoad> others(String entry, long now) {
     return new ArrayList<>(sum(entry, now).values());
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
@@ -19,6 +19,8 @@
  * @param models the names of the models in memory
  * @param staged the names of the models on its host
  * @param group the group that it belongs to, or null
+ * @param lastModel the model of its latest group since its start, which it can serve again at once;
+ *     empty if it was in none. An instance doesn't say this of itself after it has left a group.
  */
 public record FleetInstance(
     String id,
@@ -33,7 +35,8 @@
     String domain,
     List<String> models,
     List<String> staged,
-    @Nullable GroupMembership group) {
+    @Nullable GroupMembership group,
+    String lastModel) {
   /** Copies the lists. */
   public FleetInstance {
     models = List.copyOf(models);
@@ -55,7 +58,32 @@
         domain,
         List.of(),
         List.of(),
-        null);
+        null,
+        "");
+  }
+
+  /** Returns this record with the model of the instance's latest group. */
+  public FleetInstance withLastModel(String model) {
+    return new FleetInstance(
+        id,
+        born,
+        sequence,
+        service,
+        address,
+        zone,
+        phase,
+        slots,
+        coldMillis,
+        domain,
+        models,
+        staged,
+        group,
+        model);
+  }
+
+  /** Returns whether the instance can serve a model without a load from the weight store. */
+  public boolean isWarmFor(String model) {
+    return lastModel.equals(model) || models.contains(model) || staged.contains(model);
   }
 
   /** Returns whether this record is later than another one of the same identifier. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -1,6 +1,7 @@
 package org.ebonypond.fleet;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.ebonypond.serving.EngineProfile;
+import org.ebonypond.serving.ModelProfile;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,15 +29,30 @@
   /** Added to the time after which a head notices a lost member, for late messages. */
   private static final long STALL_MARGIN_MILLIS = 500;
 
-  /** A head that produced events within this time has all of its members. */
-  private static final long PROGRESS_MILLIS = 1_500;
-
   /** The heartbeats of the members that show one change arrive within this time. */
   private static final long INCOMPLETE_MILLIS = 1_200;
 
   /** An instance that left orders unanswered is passed over for this long, in milliseconds. */
   private static final long AVOID_MILLIS = 8_000;
 
+  /** Loads of models for later use that run at once; more would slow down repairs. */
+  private static final int MAX_STAGING = 6;
+
+  /** The same, for instances that can serve one model already. */
+  private static final int MAX_SECOND_STAGING = 3;
+
+  /** A load for later use that takes longer than this is not waited for, in milliseconds. */
+  private static final long STAGING_MILLIS = 30_000;
+
+  /** A head without progress for this long has probably lost a member. */
+  private static final long STALLED_MILLIS = 300;
+
+  /** A head without progress for this long is given up, whatever its members say. */
+  private static final long HOPELESS_MILLIS = 2_500;
+
+  /** A group that has not finished its requests after this time drops them, in milliseconds. */
+  private static final long MAX_CLOSING_MILLIS = 5_000;
+
   /** Orders that got no answer are repeated this often before the group is given up. */
   private static final int MAX_JOIN_TRIES = 3;
 
@@ -47,6 +64,7 @@
   private static final int EPOCH_BITS = 24;
 
   private final long silentMillis;
+  private final long quickSilentMillis;
   private final long stallMillis;
   private final LoadCeiling ceiling;
   private final OrderBook book = new OrderBook();
@@ -54,20 +72,28 @@
   private final Map<String, Long> quarantine = new HashMap<>();
   private final Map<String, Long> avoid = new HashMap<>();
   private final Map<String, String> left = new HashMap<>();
+  private final Map<String, Long> stagingSince = new HashMap<>();
+  private final Map<String, Long> retiring = new HashMap<>();
   private final Map<String, Long> incompleteSince = new HashMap<>();
+  private String summary = "";
   private long term = -1;
   private long leadsSince;
+  private int seenInstances;
+  private long seenSince;
   private long epochs;
 
   /**
    * Creates a planner.
    *
    * @param silentMillis the silence after which an instance counts as lost, in milliseconds
+   * @param quickSilentMillis the same for a member of a group that makes no progress
    * @param stallMillis the time after which a head notices that a member is missing
    * @param ceiling bounds the loads from the weight store
    */
-  public FleetPlanner(long silentMillis, long stallMillis, LoadCeiling ceiling) {
+  public FleetPlanner(
+      long silentMillis, long quickSilentMillis, long stallMillis, LoadCeiling ceiling) {
     this.silentMillis = silentMillis;
+    this.quickSilentMillis = quickSilentMillis;
     this.stallMillis = stallMillis;
     this.ceiling = ceiling;
   }
@@ -87,12 +113,19 @@
     quarantine.clear();
     left.clear();
     incompleteSince.clear();
+    stagingSince.clear();
+    retiring.clear();
     avoid.clear();
     if (!first) {
       ceiling.assumeFull(ceiling.capacity(loadsPerSecond), now);
     }
   }
 
+  /** Returns the state of the groups at the end of the last round, for the log. */
+  public String summary() {
+    return summary;
+  }
+
   /** Returns the term of the leadership, or -1. */
   public long term() {
     return term;
@@ -105,6 +138,7 @@
    * @param loads the work under way at each head
    * @param service the name of the service
    * @param engine its engines
+   * @param beforeTraffic whether no request has come yet; loads are quick and not counted then
    * @param now the time in milliseconds
    */
   public List<FleetOrder> plan(
@@ -112,25 +146,43 @@
       Map<String, HeadLoad> loads,
       String service,
       EngineProfile engine,
+      boolean beforeTraffic,
       long now) {
     if (now - leadsSince < SETTLE_MILLIS) {
       return List.of();
     }
     book.prune(now, KEEP_ORDERS_MILLIS);
-    Tick t = new Tick(engine, loads, now);
+    Tick t = new Tick(engine, loads, beforeTraffic, now);
     for (InstanceUpdate u : all) {
       if (u.instance().service().equals(service)) {
         t.add(u);
       }
     }
     incompleteSince.keySet().retainAll(t.groups.keySet());
+    retiring.keySet().retainAll(t.groups.keySet());
     t.reviewGroups();
     t.reviewPlans();
-    t.form();
-    t.stageSpares();
+    if (!beforeTraffic || hasSettled(t.instances.size(), now)) {
+      t.form();
+      t.convert();
+      t.stage();
+    }
+    summary = t.summarize();
     return t.orders;
   }
 
+  /**
+   * Returns whether all instances have probably announced themselves at the first start. Groups
+   * that are formed of the first few would be of the smallest model.
+   */
+  private boolean hasSettled(int instances, long now) {
+    if (instances != seenInstances) {
+      seenInstances = instances;
+      seenSince = now;
+    }
+    return now - seenSince >= quickSilentMillis;
+  }
+
   /** Takes the outcome of an order. */
   public void answered(FleetOrder o, OrderOutcome outcome, long now) {
     book.answered(o, outcome, now);
@@ -152,10 +204,19 @@
     }
   }
 
+  /**
+   * Groups of one model that make room for a group of another.
+   *
+   * @param groups the groups to dissolve
+   * @param cost the instances that stop serving, and those that stay over
+   */
+  private record Conversion(List<GroupView> groups, int cost) {}
+
   /** The state of one planning round. */
   private final class Tick {
     final EngineProfile engine;
     final Map<String, HeadLoad> loads;
+    final boolean beforeTraffic;
     final long now;
     final List<FleetOrder> orders = new ArrayList<>();
     final Map<String, FleetInstance> instances = new TreeMap<>();
@@ -163,10 +224,12 @@
     final Map<String, GroupView> groups = new TreeMap<>();
     final Set<String> taken = new HashSet<>();
     final Map<String, Integer> counts = new HashMap<>();
+    final Map<String, Integer> active = new HashMap<>();
 
-    Tick(EngineProfile engine, Map<String, HeadLoad> loads, long now) {
+    Tick(EngineProfile engine, Map<String, HeadLoad> loads, boolean beforeTraffic, long now) {
       this.engine = engine;
       this.loads = loads;
+      this.beforeTraffic = beforeTraffic;
       this.now = now;
     }
 
@@ -197,21 +260,29 @@
         PlannedGroup p = planned.get(g.key());
         FleetInstance head = g.head();
         MemberState state = g.headState();
-        boolean progresses = head != null && progresses(head.id());
+        HeadLoad load = loadOf(g);
+        boolean progresses = load != null && load.progresses();
         boolean lost = state == MemberState.BROKEN;
         boolean draining = false;
+        long stalled = load == null || state != MemberState.OPEN ? 0 : load.stalledMillis();
+        lost |= stalled > HOPELESS_MILLIS;
+        long silence = stalled > STALLED_MILLIS ? quickSilentMillis : silentMillis;
         for (FleetInstance m : g.members.values()) {
-          lost |= isLost(m) && !progresses;
+          boolean silent = ages.getOrDefault(m.id(), 0L) > silence;
+          lost |= m.phase() == InstancePhase.GONE || (silent && !progresses);
           draining |= m.phase() == InstancePhase.DRAINING;
         }
         if (lost || isLongIncomplete(g, p)) {
           planned.remove(g.key());
           takeApart(g);
-        } else if (draining) {
+        } else if (draining || retiring.containsKey(g.key())) {
           retire(g);
         } else {
           g.members.values().forEach(m -> taken.add(m.id()));
           counts.merge(g.parts.model(), 1, Integer::sum);
+          if (head != null) {
+            active.merge(g.parts.model(), activeAt(head.id()), Integer::sum);
+          }
           if (head != null && g.isReady()) {
             planned.remove(g.key());
             order(FleetOrder.Kind.OPEN, head, g.name, g.epoch, g.parts.model(), List.of());
@@ -266,6 +337,9 @@
       }
       if (state == MemberState.OPEN) {
         order(FleetOrder.Kind.CLOSE, head, g.name, g.epoch, "", List.of());
+      } else if (state == MemberState.CLOSING
+          && now - retiring.getOrDefault(g.key(), now) > MAX_CLOSING_MILLIS) {
+        order(FleetOrder.Kind.CUT, head, g.name, g.epoch, "", List.of());
       }
       if (state == MemberState.OPEN || state == MemberState.CLOSING) {
         g.members.values().forEach(m -> taken.add(m.id()));
@@ -313,16 +387,95 @@
       }
     }
 
+    private GroupFormation formation() {
+      int usable = 0;
+      for (FleetInstance i : instances.values()) {
+        usable += i.phase() == InstancePhase.READY && !isLost(i) ? 1 : 0;
+      }
+      return new GroupFormation(engine, counts, active, usable);
+    }
+
+    /**
+     * Dissolves groups of a model that is better served than another one, where their members and
+     * the free instances of the domain can form a group of the other.
+     */
+    void convert() {
+      if (!retiring.isEmpty() || beforeTraffic) {
+        return;
+      }
+      GroupFormation f = formation();
+      Map<String, List<FleetInstance>> domains = freeByDomain();
+      Conversion best = null;
+      for (ModelProfile to : engine.models()) {
+        for (ModelProfile from : engine.models()) {
+          if (!from.name().equals(to.name())) {
+            Conversion c = conversion(f, domains, from, to);
+            best = c != null && (best == null || c.cost() < best.cost()) ? c : best;
+          }
+        }
+      }
+      if (best != null) {
+        best.groups().forEach(g -> retiring.put(g.key(), now));
+      }
+    }
+
+    private @Nullable Conversion conversion(
+        GroupFormation f,
+        Map<String, List<FleetInstance>> domains,
+        ModelProfile from,
+        ModelProfile to) {
+      Map<String, List<GroupView>> open = new TreeMap<>();
+      for (GroupView g : groups.values()) {
+        FleetInstance head = g.head();
+        boolean sound = head != null && head.servesGroup() && taken.contains(head.id());
+        if (sound && g.parts.model().equals(from.name())) {
+          open.computeIfAbsent(domainOf(head), d -> new ArrayList<>()).add(g);
+        }
+      }
+      Conversion best = null;
+      for (Map.Entry<String, List<GroupView>> e : open.entrySet()) {
+        int free =
+            (int)
+                domains.getOrDefault(e.getKey(), List.of()).stream()
+                    .filter(i -> isWarm(i, to))
+                    .count();
+        List<GroupView> chosen = new ArrayList<>();
+        for (GroupView g : e.getValue()) {
+          boolean warm = g.members.values().stream().allMatch(m -> isWarm(m, to));
+          if (free < to.groupSize() && warm) {
+            chosen.add(g);
+            free += g.members.size();
+          }
+        }
+        boolean useful =
+            !chosen.isEmpty()
+                && free >= to.groupSize()
+                && f.isWorthConverting(from, to, chosen.size());
+        int cost = chosen.size() * from.groupSize() + (free - to.groupSize());
+        if (useful && (best == null || cost < best.cost())) {
+          best = new Conversion(chosen, cost);
+        }
+      }
+      return best;
+    }
+
+    private boolean isWarm(FleetInstance i, ModelProfile m) {
+      return i.isWarmFor(m.name());
+    }
+
+    private String domainOf(FleetInstance i) {
+      return i.domain().isEmpty() ? "zone " + i.zone() : i.domain();
+    }
+
     /** Forms groups from free instances, the most useful one first. */
     void form() {
       Map<String, List<FleetInstance>> domains = freeByDomain();
-      GroupFormation f = new GroupFormation(engine, counts, instances.values(), this::isLost);
+      GroupFormation f = formation();
       while (true) {
-        GroupFormation.Choice c = f.best(domains, ceiling.available(engine.loadsPerSecond(), now));
+        GroupFormation.Choice c = f.best(domains, beforeTraffic);
         if (c == null) {
           return;
         }
-        ceiling.take(c.loads(), now);
         counts.merge(c.model().name(), 1, Integer::sum);
         domains.get(c.domain()).removeAll(c.members());
         epochs++;
@@ -336,36 +489,82 @@
       }
     }
 
-    /** Loads a model onto the hosts of instances that no group needs now, for later repairs. */
-    void stageSpares() {
-      for (List<FleetInstance> spares : freeByDomain().values()) {
-        for (FleetInstance i : spares) {
-          String model = spareModel();
-          if (model.isEmpty() || i.staged().contains(model)) {
-            continue;
-          }
-          if (ceiling.available(engine.loadsPerSecond(), now) > 0) {
-            FleetOrder o =
-                new FleetOrder(
-                    FleetOrder.Kind.STAGE, i.id(), i.address(), "", 0, model, List.of(), term);
-            OrderOutcome done = book.outcome(o);
-            if (done == OrderOutcome.ACCEPTED || done == OrderOutcome.HOLDS) {
-              continue;
-            }
-            if (send(o)) {
-              ceiling.take(1, now);
-            }
-          }
+    /**
+     * Loads onto each host a model that its instance does not have in memory. An instance can then
+     * change to a group of either model within a second or two, whatever group is lost next.
+     */
+    void stage() {
+      int running = 0;
+      for (FleetInstance i : instances.values()) {
+        running += isStaging(i) ? 1 : 0;
+      }
+      for (FleetInstance i : stagingOrder()) {
+        String model = modelToStage(i);
+        boolean wanted =
+            !model.isEmpty()
+                && i.phase() == InstancePhase.READY
+                && !isLost(i)
+                && !isJoining(i)
+                && !i.staged().contains(model);
+        boolean useless = i.lastModel().isEmpty() && i.staged().isEmpty();
+        int most = useless ? MAX_STAGING : MAX_SECOND_STAGING;
+        if (!wanted || (!beforeTraffic && running >= most) || !hasLoadsToSpare()) {
+          continue;
+        }
+        FleetOrder o = stageOrder(i, model);
+        OrderOutcome done = book.outcome(o);
+        if (done != OrderOutcome.ACCEPTED && done != OrderOutcome.HOLDS && send(o)) {
+          running++;
+          stagingSince.put(i.id(), now);
+          takeLoads(1);
         }
       }
     }
 
-    /** Returns the model whose groups are lost most often: the one that spans most instances. */
-    private String spareModel() {
+    private boolean isStaging(FleetInstance i) {
+      Long since = stagingSince.get(i.id());
+      if (since == null) {
+        return false;
+      }
+      boolean over = i.staged().contains(modelToStage(i)) || now - since > STAGING_MILLIS;
+      if (over) {
+        stagingSince.remove(i.id());
+      }
+      return !over;
+    }
+
+    private boolean isJoining(FleetInstance i) {
+      GroupMembership g = i.group();
+      if (g != null) {
+        return g.state() == MemberState.JOINING;
+      }
+      return taken.contains(i.id());
+    }
+
+    private FleetOrder stageOrder(FleetInstance i, String model) {
+      return new FleetOrder(
+          FleetOrder.Kind.STAGE, i.id(), i.address(), "", 0, model, List.of(), term);
+    }
+
+    /** Repairs go before staging, so half of the window is kept for them. */
+    private boolean hasLoadsToSpare() {
+      double rate = engine.loadsPerSecond();
+      return beforeTraffic || ceiling.available(rate, now) > ceiling.capacity(rate) / 2;
+    }
+
+    private void takeLoads(int n) {
+      if (!beforeTraffic) {
+        ceiling.take(n, now);
+      }
+    }
+
+    /** Returns the largest model that an instance does not have in memory, or an empty string. */
+    private String modelToStage(FleetInstance i) {
       String model = "";
       int size = 0;
-      for (var m : engine.models()) {
-        if (m.groupSize() > size) {
+      for (ModelProfile m : engine.models()) {
+        boolean inMemory = i.models().contains(m.name()) || i.lastModel().equals(m.name());
+        if (m.groupSize() > size && !inMemory) {
           size = m.groupSize();
           model = m.name();
         }
@@ -373,14 +572,59 @@
       return model;
     }
 
+    /** Instances that no group can use yet are staged before those that serve. */
+    private List<FleetInstance> stagingOrder() {
+      List<FleetInstance> out = new ArrayList<>(instances.values());
+      out.sort(
+          Comparator.comparingInt(
+              (FleetInstance i) -> i.lastModel().isEmpty() && i.staged().isEmpty() ? 0 : 1));
+      return out;
+    }
+
     private Map<String, List<FleetInstance>> freeByDomain() {
       Map<String, List<FleetInstance>> out = new TreeMap<>();
       for (FleetInstance i : instances.values()) {
         if (isFree(i)) {
-          String domain = i.domain().isEmpty() ? "zone " + i.zone() : i.domain();
-          out.computeIfAbsent(domain, d -> new ArrayList<>()).add(i);
+          out.computeIfAbsent(domainOf(i), d -> new ArrayList<>()).add(i);
+        }
+      }
+      return out;
+    }
+
+    /** Returns groups by model (planned and open) and the instances that are in none. */
+    String summarize() {
+      Map<String, Integer> open = new TreeMap<>();
+      for (GroupView g : groups.values()) {
+        FleetInstance head = g.head();
+        if (head != null && head.servesGroup() && !retiring.containsKey(g.key())) {
+          open.merge(g.parts.model(), 1, Integer::sum);
         }
       }
+      int lost = 0;
+      for (FleetInstance i : instances.values()) {
+        lost += i.phase() != InstancePhase.GONE && isLost(i) ? 1 : 0;
+      }
+      Map<String, String> free = new TreeMap<>();
+      freeByDomain().forEach((d, l) -> free.put(d, l.size() + " " + warmth(l)));
+      return "groups="
+          + new TreeMap<>(counts)
+          + " open="
+          + open
+          + " retiring="
+          + retiring.size()
+          + " free="
+          + free
+          + " silent="
+          + lost
+          + " staging="
+          + stagingSince.size();
+    }
+
+    private Map<String, Long> warmth(List<FleetInstance> l) {
+      Map<String, Long> out = new TreeMap<>();
+      for (ModelProfile m : engine.models()) {
+        out.put(m.name(), l.stream().filter(i -> i.isWarmFor(m.name())).count());
+      }
       return out;
     }
 
@@ -394,7 +638,7 @@
       }
       // An instance with a model was in a group. Its head may wait for it if an earlier leader
       // ordered it to leave.
-      boolean used = !i.models().isEmpty() && i.group() == null;
+      boolean used = !i.lastModel().isEmpty() && i.group() == null;
       return !used
           || left.containsKey(i.id())
           || now - leadsSince >= stallMillis + STALL_MARGIN_MILLIS;
@@ -404,9 +648,16 @@
       return i.phase() == InstancePhase.GONE || ages.getOrDefault(i.id(), 0L) > silentMillis;
     }
 
-    private boolean progresses(String head) {
+    private int activeAt(String head) {
       HeadLoad l = loads.get(head);
-      return l != null && l.active() > 0 && l.idleMillis() < PROGRESS_MILLIS;
+      return l == null ? 0 : l.active();
+    }
+
+    /** Returns what the entries see at the head of a group, or null. */
+    private @Nullable HeadLoad loadOf(GroupView g) {
+      FleetInstance head = g.head();
+      HeadLoad l = head == null ? null : loads.get(head.id());
+      return l == null || l.epoch() != g.epoch ? null : l;
     }
 
     private FleetOrder join(PlannedGroup p, FleetInstance m) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
@@ -11,6 +11,7 @@
  * @param zonesIndex the log index of the zones out of service that the asker holds
  * @param boot the start of the control replica that the cursor belongs to
  * @param cursor the position in the replica's table of instances; 0 for everything
+ * @param requests the requests that the asker has received since its start
  * @param loads the work of the asker, by instance
  */
 public record FleetPoll(
@@ -20,4 +21,5 @@
     long zonesIndex,
     long boot,
     long cursor,
+    long requests,
     List<HeadLoad> loads) {}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -1,12 +1,10 @@
 package org.ebonypond.fleet;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 import org.ebonypond.serving.EngineProfile;
 import org.ebonypond.serving.ModelProfile;
 import org.jspecify.annotations.Nullable;
@@ -28,20 +26,33 @@
   /** The time to join a group of the same model as before, in milliseconds. */
   private static final long REJOIN_MILLIS = 200;
 
+  /** A group is not formed for a model that is this much better served than a larger one. */
+  private static final double RESERVE_MARGIN = 0.3;
+
+  /** Groups are dissolved for another model if that lowers the greatest need by this much. */
+  private static final double CONVERSION_MARGIN = 0.04;
+
+  /** Groups that are busier than this part of their slots count as a need for more. */
+  private static final double BUSY_PART = 0.7;
+
   private final EngineProfile engine;
   private final Map<String, Integer> counts;
+  private final Map<String, Integer> active;
   private final Map<String, Double> targets = new HashMap<>();
   private final Map<String, Integer> byZone = new HashMap<>();
 
+  /**
+   * Creates a choice for one planning round.
+   *
+   * @param counts the groups of each model, which the caller keeps up to date
+   * @param active the requests in flight at all groups of each model
+   * @param usable the number of instances that can be in a group
+   */
   GroupFormation(
-      EngineProfile engine,
-      Map<String, Integer> counts,
-      Collection<FleetInstance> instances,
-      Predicate<FleetInstance> lost) {
+      EngineProfile engine, Map<String, Integer> counts, Map<String, Integer> active, int usable) {
     this.engine = engine;
     this.counts = counts;
-    long usable =
-        instances.stream().filter(i -> i.phase() == InstancePhase.READY && !lost.test(i)).count();
+    this.active = active;
     double shares = engine.models().stream().mapToDouble(ModelProfile::share).sum();
     for (ModelProfile m : engine.models()) {
       double share = shares > 0 ? m.share() / shares : 1.0 / engine.models().size();
@@ -53,15 +64,16 @@
    * Returns the best group that can be formed, or null.
    *
    * @param domains the free instances by fabric domain
-   * @param loads the loads from the weight store that may start now
+   * @param cold whether members may load from the weight store; otherwise they are staged first, so
+   *     that they do not keep the others of the group waiting
    */
-  @Nullable Choice best(Map<String, List<FleetInstance>> domains, int loads) {
+  @Nullable Choice best(Map<String, List<FleetInstance>> domains, boolean cold) {
     Choice best = null;
     for (Map.Entry<String, List<FleetInstance>> e : domains.entrySet()) {
       for (ModelProfile m : engine.models()) {
-        if (e.getValue().size() >= m.groupSize()) {
+        if (e.getValue().size() >= m.groupSize() && !isReserved(m)) {
           Choice c = choose(e.getKey(), e.getValue(), m);
-          if (c.loads() <= loads && (best == null || c.value() > best.value())) {
+          if ((cold || c.loads() == 0) && (best == null || c.value() > best.value())) {
             best = c;
           }
         }
@@ -73,6 +85,41 @@
     return best;
   }
 
+  /** Returns whether free instances are kept for a larger model that is much worse served. */
+  private boolean isReserved(ModelProfile m) {
+    double after = need(m, 1);
+    for (ModelProfile o : engine.models()) {
+      if (o.groupSize() > m.groupSize() && need(o, 0) - RESERVE_MARGIN > after) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Returns whether a model is so much worse served than another one that a group of the other is
+   * dissolved for it.
+   *
+   * @param lost the groups of the other model that would be dissolved
+   */
+  boolean isWorthConverting(ModelProfile from, ModelProfile to, int lost) {
+    double after = Math.max(need(to, 1), need(from, -lost));
+    return need(to, 0) > after + CONVERSION_MARGIN;
+  }
+
+  /**
+   * Returns the part of a model's whole need that is not met.
+   *
+   * @param more groups that are added to those there are
+   */
+  private double need(ModelProfile m, int more) {
+    int groups = counts.getOrDefault(m.name(), 0);
+    double missing = 1 - (groups + more) / targets.get(m.name());
+    double slots = (double) engine.slots() * Math.max(1, groups + more);
+    double busy = active.getOrDefault(m.name(), 0) / slots;
+    return missing + Math.max(0, busy - BUSY_PART);
+  }
+
   private Choice choose(String domain, List<FleetInstance> free, ModelProfile m) {
     List<FleetInstance> members = new ArrayList<>(free);
     members.sort(
@@ -81,10 +128,9 @@
     members = List.copyOf(members.subList(0, m.groupSize()));
     long ready = members.stream().mapToLong(i -> readyMillis(i, m)).max().orElse(0);
     int loads = (int) members.stream().filter(i -> needsLoad(i, m)).count();
-    double need = 1 - counts.getOrDefault(m.name(), 0) / targets.get(m.name());
     int leftover = (free.size() - m.groupSize()) % smallestGroup();
     double value =
-        need
+        need(m, 0)
             - SECOND_COST * ready / 1_000
             - LEFTOVER_COST * leftover
             - SAME_ZONE_COST * byZone.getOrDefault(zoneKey(m, members), 0);
@@ -100,11 +146,11 @@
   }
 
   private static boolean inMemory(FleetInstance i, ModelProfile m) {
-    return i.models().contains(m.name());
+    return i.models().contains(m.name()) || i.lastModel().equals(m.name());
   }
 
   private static boolean needsLoad(FleetInstance i, ModelProfile m) {
-    return !inMemory(i, m) && !i.staged().contains(m.name());
+    return !i.isWarmFor(m.name());
   }
 
   private static long readyMillis(FleetInstance i, ModelProfile m) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -33,7 +33,7 @@
     if (old != null && !instance.isLaterThan(old.instance)) {
       return false;
     }
-    FleetInstance record = instance;
+    FleetInstance record = withLastModel(instance, old);
     Entry holder = holderOf(instance.address());
     if (holder != null && !holder.instance.id().equals(instance.id())) {
       // Two instances cannot listen on one address: the one that started earlier has ended.
@@ -79,7 +79,8 @@
               "",
               List.of(),
               List.of(),
-              null);
+              null,
+              "");
       e = new Entry(unknown);
       entries.put(id, e);
     }
@@ -134,6 +135,17 @@
     }
   }
 
+  /** Keeps what an instance does not say of itself: the model of the group that it has left. */
+  private static FleetInstance withLastModel(FleetInstance i, @Nullable Entry old) {
+    GroupMembership g = i.group();
+    if (g != null) {
+      GroupName name = GroupName.parse(g.name());
+      return name == null ? i : i.withLastModel(name.model());
+    }
+    boolean known = i.lastModel().isEmpty() && old != null && old.instance.born() == i.born();
+    return known ? i.withLastModel(old.instance.lastModel()) : i;
+  }
+
   private @Nullable Entry holderOf(String address) {
     String id = idsByAddress.get(address);
     return id == null ? null : entries.get(id);
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
@@ -15,17 +15,36 @@
   /** Without new observations, an old one loses half of its weight in this time. */
   private static final double HALF_LIFE_MILLIS = 2_500;
 
+  private long epoch;
   private int active;
   private int prefillTokens;
   private long lastProgress = Long.MIN_VALUE;
   private long suspectUntil = Long.MIN_VALUE;
   private long fullUntil = Long.MIN_VALUE;
+  private long distrustedSince = Long.MIN_VALUE;
   private int failures;
   private double slowness = 1;
   private long slownessAt;
   private double failureRate;
   private long failureAt;
 
+  /** Forgets what an earlier group did that the instance led. */
+  public void leads(long groupEpoch) {
+    if (groupEpoch != epoch) {
+      epoch = groupEpoch;
+      suspectUntil = Long.MIN_VALUE;
+      distrustedSince = Long.MIN_VALUE;
+      failures = 0;
+      slowness = 1;
+      failureRate = 0;
+    }
+  }
+
+  /** Returns the epoch of the group that the instance leads; 0 if it leads none. */
+  public long epoch() {
+    return epoch;
+  }
+
   /** Counts a request that is sent. */
   public void started(int tokens, long now) {
     if (active == 0) {
@@ -49,6 +68,7 @@
   /** Notes that bytes arrived. */
   public void progressed(long now) {
     lastProgress = now;
+    distrustedSince = Long.MIN_VALUE;
   }
 
   /** Notes a request that ended well. */
@@ -64,6 +84,9 @@
     long pause = FIRST_SUSPICION_MILLIS << Math.min(failures, 3);
     failures++;
     suspectUntil = now + Math.min(pause, LONGEST_SUSPICION_MILLIS);
+    if (distrustedSince == Long.MIN_VALUE) {
+      distrustedSince = now;
+    }
     answeredFailure(now);
   }
 
@@ -103,6 +126,11 @@
     return now < suspectUntil;
   }
 
+  /** Returns the time since requests began to fail without any progress; 0 if they do not. */
+  public long distrustMillis(long now) {
+    return distrustedSince == Long.MIN_VALUE ? 0 : Math.max(1, now - distrustedSince);
+  }
+
   /** Returns whether the instance has just refused a request because it is full. */
   public boolean isFull(long now) {
     return now < fullUntil;
@@ -118,7 +146,7 @@
     return Math.max(0, prefillTokens);
   }
 
-  /** Returns the time since the last bytes of any request in flight, in milliseconds. */
+  /** Returns the time since the last bytes of any request in flight; 0 if there is none. */
   public long idleMillis(long now) {
     return active == 0 ? 0 : now - lastProgress;
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -28,6 +28,12 @@
 
   private static final double FAILURE_COST = 4;
 
+  /** A group without an event for this long is passed over; a pass takes 100 ms at most. */
+  private static final long OWN_IDLE_MILLIS = 250;
+
+  /** What other entries report is this much older than what this one sees. */
+  private static final long OTHERS_IDLE_MILLIS = 600;
+
   /** Requests with events on time go before those that are late already. */
   private static final int URGENCY_ON_TIME = 3;
 
@@ -62,10 +68,11 @@
       Need need, List<Candidate> candidates, @Nullable EngineCost cost, long now) {
     Candidate best = null;
     double bestScore = Double.MAX_VALUE;
+    boolean engine = cost != null;
     boolean anyTrusted =
-        candidates.stream().anyMatch(c -> isOpen(c, need, now) && !c.stats().isSuspect(now));
+        candidates.stream().anyMatch(c -> isOpen(c, need, now) && isTrusted(c, engine, now));
     for (Candidate c : candidates) {
-      if (!isOpen(c, need, now) || (anyTrusted && c.stats().isSuspect(now))) {
+      if (!isOpen(c, need, now) || (anyTrusted && !isTrusted(c, engine, now))) {
         continue;
       }
       double score = score(need, c, cost, now) * (1 + NOISE * random.nextDouble());
@@ -87,6 +94,18 @@
     return !need.tried().contains(c.instance().id()) && !c.stats().isFull(now);
   }
 
+  /** Returns whether requests at an instance, of this entry or of others, make no progress. */
+  private static boolean isStalled(Candidate c, long now) {
+    HeadLoad o = c.others();
+    boolean own = c.stats().active() > 0 && c.stats().idleMillis(now) > OWN_IDLE_MILLIS;
+    boolean others = o != null && o.stalledMillis() > OTHERS_IDLE_MILLIS;
+    return own || others;
+  }
+
+  private static boolean isTrusted(Candidate c, boolean engine, long now) {
+    return !c.stats().isSuspect(now) && !(engine && isStalled(c, now));
+  }
+
   private static double score(Need need, Candidate c, @Nullable EngineCost cost, long now) {
     double failures = 1 + FAILURE_COST * c.stats().failureRate(now);
     if (cost == null) {
