--- /dev/null
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -0,0 +1,495 @@
+package org.ebonypond.junit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.fleet.FleetOrder;
+import org.ebonypond.fleet.FleetPlanner;
+import org.ebonypond.fleet.GroupMembership;
+import org.ebonypond.fleet.HeadLoad;
+import org.ebonypond.fleet.InstancePhase;
+import org.ebonypond.fleet.InstanceTable;
+import org.ebonypond.fleet.MemberState;
+import org.ebonypond.fleet.OrderOutcome;
+import org.ebonypond.serving.EngineProfile;
+import org.ebonypond.serving.ModelProfile;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Engines that form groups on orders, on a manual clock. They check what must never happen: a group
+ * that serves without all of its members, and an instance that joins another group while the head
+ * of its own may still serve.
+ */
+public final class FakeFleet {
+  /** The time between two heartbeats, in milliseconds. */
+  public static final long HEARTBEAT_MILLIS = 1_200;
+
+  /** The time after which a head notices that a member is missing, in milliseconds. */
+  public static final long STALL_MILLIS = 5_000;
+
+  private static final String SERVICE = "engines";
+  private static final long REJOIN_MILLIS = 200;
+
+  private final EngineProfile engine;
+  private final Random random;
+  private final InstanceTable table = new InstanceTable();
+  private final Map<String, Engine> engines = new TreeMap<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
+  private final List<String> violations = new ArrayList<>();
+  private final List<Long> loads = new ArrayList<>();
+  private final Set<String> wasReady = new HashSet<>();
+  private double lostAnswers;
+  private long now;
+  private long orders;
+
+  /**
+   * Creates engines that know nothing and are in no group.
+   *
+   * @param domains the number of fabric domains
+   * @param perDomain the engines of each
+   */
+  public FakeFleet(EngineProfile engine, int domains, int perDomain, long seed) {
+    this.engine = engine;
+    this.random = new Random(seed);
+    for (int d = 0; d < domains; d++) {
+      for (int i = 0; i < perDomain; i++) {
+        add("d" + d, "d" + d + "-i" + i);
+      }
+    }
+  }
+
+  /** Returns the profile of two models, of four and two instances. */
+  public static EngineProfile twoModels() {
+    return new EngineProfile(
+        18,
+        969_230,
+        6.07,
+        0.348,
+        0.007,
+        46_000,
+        5,
+        4,
+        300,
+        List.of(
+            new ModelProfile("large", 4, 0.67, 1, 16_000, 1_600),
+            new ModelProfile("small", 2, 0.33, 0.6, 12_000, 1_100)));
+  }
+
+  /** Adds an engine that has just started. */
+  public void add(String domain, String id) {
+    engines.put(id, new Engine(id, domain, now));
+  }
+
+  /** Returns the time. */
+  public long now() {
+    return now;
+  }
+
+  /** Returns the table that the heartbeats arrive at. */
+  public InstanceTable table() {
+    return table;
+  }
+
+  /** Returns what must never happen and happened. */
+  public List<String> violations() {
+    return violations;
+  }
+
+  /** Returns the identifiers of all engines. */
+  public Collection<String> ids() {
+    return engines.keySet();
+  }
+
+  /** Returns the number of orders that were given. */
+  public long orders() {
+    return orders;
+  }
+
+  /** Sets the share of orders that get no answer and are carried out 2 to 12 s later. */
+  public void lostAnswers(double share) {
+    lostAnswers = share;
+  }
+
+  /** Ends a process without a word. */
+  public void crash(String id) {
+    engine(id).alive = false;
+  }
+
+  /** Starts an engine again: cold, without memory of any group, with what its host has staged. */
+  public void restart(String id) {
+    Engine old = engine(id);
+    Engine e = new Engine(id, old.domain, now);
+    e.staged = old.staged;
+    engines.put(id, e);
+  }
+
+  /** Cuts an engine off from control, or ends the cut; requests reach it meanwhile. */
+  public void cut(String id, boolean cut) {
+    engine(id).cut = cut;
+  }
+
+  /** Announces that an engine will stop. */
+  public void drain(String id) {
+    Engine e = engine(id);
+    e.phase = InstancePhase.DRAINING;
+    e.nextBeat = now;
+  }
+
+  /** Returns the groups that serve requests with all of their members, of one model. */
+  public int serving(String model) {
+    int n = 0;
+    for (Engine e : engines.values()) {
+      Group g = e.group;
+      boolean head = g != null && e.alive && g.rank == 0 && g.state == MemberState.OPEN;
+      if (head && g.model.equals(model) && isWhole(g)) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  /** Returns the head of a group that serves a model, or null. */
+  public @Nullable String head(String model) {
+    for (Engine e : engines.values()) {
+      Group g = e.group;
+      if (g != null && e.alive && g.state == MemberState.OPEN && g.model.equals(model)) {
+        return e.id;
+      }
+    }
+    return null;
+  }
+
+  /** Returns the members of the group that an engine is in, head first. */
+  public List<String> membersOf(String id) {
+    Group g = engine(id).group;
+    return g == null ? List.of() : g.members;
+  }
+
+  /** Returns the most loads from the weight store that began within a window of time. */
+  public int mostLoads(long windowMillis) {
+    int most = 0;
+    for (int i = 0; i < loads.size(); i++) {
+      int n = 0;
+      for (int j = i; j < loads.size() && loads.get(j) - loads.get(i) < windowMillis; j++) {
+        n++;
+      }
+      most = Math.max(most, n);
+    }
+    return most;
+  }
+
+  /** Returns what entries see at the heads: events, or none for as long as a head stands still. */
+  public Map<String, HeadLoad> loads() {
+    Map<String, HeadLoad> out = new HashMap<>();
+    for (Engine e : engines.values()) {
+      Group g = e.group;
+      if (g != null && g.rank == 0 && g.state == MemberState.OPEN) {
+        boolean stands = !e.alive || g.stalledSince >= 0;
+        long since = e.alive ? g.stalledSince : now - HEARTBEAT_MILLIS;
+        long idle = stands ? Math.max(0, now - since) : 20;
+        out.put(e.id, new HeadLoad(e.id, g.epoch, 3, 0, idle, idle > 300 ? idle : 0));
+      }
+    }
+    return out;
+  }
+
+  /** Advances the time by steps of 50 ms and lets a planner decide each 100 ms. */
+  public void run(FleetPlanner planner, long millis, boolean beforeTraffic) {
+    long end = now + millis;
+    while (now < end) {
+      now += 50;
+      while (!events.isEmpty() && events.peek().at <= now) {
+        events.poll().task.run();
+      }
+      engines.values().forEach(this::advance);
+      engines.values().forEach(this::beat);
+      if (now % 100 == 0) {
+        planner
+            .plan(table.all(now), loads(), SERVICE, engine, beforeTraffic, now)
+            .forEach(o -> give(planner, o));
+      }
+    }
+  }
+
+  private void give(FleetPlanner planner, FleetOrder o) {
+    orders++;
+    long arrival = now + 5;
+    Engine e = engines.get(o.instance());
+    if (e == null || !e.alive || e.cut) {
+      at(now + 1_200, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+    } else if (random.nextDouble() < lostAnswers) {
+      at(arrival + 2_000 + random.nextInt(10_000), () -> carryOut(o));
+      at(now + 1_200, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+    } else {
+      at(
+          arrival,
+          () -> {
+            OrderOutcome outcome = carryOut(o);
+            at(now + 5, () -> planner.answered(o, outcome, now));
+          });
+    }
+  }
+
+  private OrderOutcome carryOut(FleetOrder o) {
+    Engine e = engines.get(o.instance());
+    if (e == null || !e.alive) {
+      return OrderOutcome.UNKNOWN;
+    }
+    if (o.fence() < e.fence) {
+      return OrderOutcome.FENCED;
+    }
+    e.fence = o.fence();
+    return switch (o.kind()) {
+      case JOIN -> join(e, o);
+      case OPEN -> open(e, o);
+      case CLOSE, CUT -> close(e, o);
+      case LEAVE -> leave(e, o);
+      case STAGE -> stage(e, o);
+    };
+  }
+
+  private OrderOutcome join(Engine e, FleetOrder o) {
+    Group g = e.group;
+    if (g != null && g.epoch == o.epoch() && g.name.equals(o.group())) {
+      return OrderOutcome.HOLDS;
+    }
+    if (o.epoch() < e.highestEpoch) {
+      return OrderOutcome.FENCED;
+    }
+    if (g != null) {
+      checkLeft(e, g);
+    }
+    long duration = engineTime(e, o.model());
+    e.highestEpoch = o.epoch();
+    e.group = new Group(o, o.members().indexOf(e.id));
+    e.group.readyAt = now + duration;
+    e.lastModel = o.model();
+    e.nextBeat = now;
+    return OrderOutcome.ACCEPTED;
+  }
+
+  private long engineTime(Engine e, String name) {
+    ModelProfile m = engine.model(name);
+    if (m == null) {
+      throw new IllegalArgumentException("no model " + name);
+    }
+    if (e.lastModel.equals(name)) {
+      return REJOIN_MILLIS;
+    }
+    if (e.staged.equals(name)) {
+      return m.warmMillis();
+    }
+    loads.add(now);
+    e.staged = name;
+    return m.loadMillis();
+  }
+
+  private void checkLeft(Engine e, Group g) {
+    Engine head = engines.get(g.members.get(0));
+    Group h = head == null || !head.alive ? null : head.group;
+    boolean same = h != null && h.name.equals(g.name) && h.epoch == g.epoch;
+    if (same && (h.state == MemberState.OPEN || h.state == MemberState.CLOSING)) {
+      violations.add(now + ": " + e.id + " joins another group while " + g.name + " may serve");
+    }
+  }
+
+  private OrderOutcome open(Engine e, FleetOrder o) {
+    Group g = e.group;
+    if (g == null || !g.isOf(o) || g.rank != 0 || g.state == MemberState.JOINING) {
+      return OrderOutcome.CONFLICT;
+    }
+    if (g.state == MemberState.OPEN) {
+      return OrderOutcome.HOLDS;
+    }
+    for (String id : g.members) {
+      // A member that was ready and is lost since excuses the order: nobody can know of it yet.
+      if (!wasReady.contains(id + "/" + g.name + "/" + g.epoch)) {
+        violations.add(now + ": " + g.name + " opens, and " + id + " was never ready");
+      }
+    }
+    g.openAt = now + engine.openMillis();
+    return OrderOutcome.ACCEPTED;
+  }
+
+  private OrderOutcome close(Engine e, FleetOrder o) {
+    Group g = e.group;
+    if (g == null || !g.isOf(o)) {
+      return OrderOutcome.CONFLICT;
+    }
+    if (g.state != MemberState.OPEN) {
+      return OrderOutcome.HOLDS;
+    }
+    g.state = MemberState.CLOSING;
+    g.closedAt = now + (o.kind() == FleetOrder.Kind.CUT ? 0 : 800);
+    e.nextBeat = now;
+    return OrderOutcome.ACCEPTED;
+  }
+
+  private OrderOutcome leave(Engine e, FleetOrder o) {
+    Group g = e.group;
+    if (g != null && g.isOf(o)) {
+      e.group = null;
+      e.nextBeat = now;
+    }
+    return OrderOutcome.HOLDS;
+  }
+
+  private OrderOutcome stage(Engine e, FleetOrder o) {
+    if (e.staged.equals(o.model())) {
+      return OrderOutcome.HOLDS;
+    }
+    ModelProfile m = engine.model(o.model());
+    loads.add(now);
+    at(
+        now + (m == null ? 0 : m.loadMillis()),
+        () -> {
+          e.staged = o.model();
+          e.nextBeat = now;
+        });
+    return OrderOutcome.ACCEPTED;
+  }
+
+  private boolean isWhole(Group g) {
+    for (String id : g.members) {
+      Engine m = engines.get(id);
+      Group other = m == null || !m.alive ? null : m.group;
+      boolean in = other != null && other.name.equals(g.name) && other.epoch == g.epoch;
+      if (!in || other.state == MemberState.JOINING) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void advance(Engine e) {
+    Group g = e.group;
+    if (!e.alive || g == null) {
+      return;
+    }
+    MemberState before = g.state;
+    if (g.state == MemberState.JOINING && now >= g.readyAt) {
+      g.state = MemberState.READY;
+      wasReady.add(e.id + "/" + g.name + "/" + g.epoch);
+    }
+    if (g.state == MemberState.READY && g.openAt >= 0 && now >= g.openAt) {
+      g.state = MemberState.OPEN;
+      g.openAt = -1;
+    }
+    if (g.state == MemberState.CLOSING && now >= g.closedAt) {
+      g.state = MemberState.READY;
+    }
+    if (g.rank == 0 && (g.state == MemberState.OPEN || g.state == MemberState.CLOSING)) {
+      if (isWhole(g)) {
+        g.stalledSince = -1;
+      } else if (g.stalledSince < 0) {
+        g.stalledSince = now;
+      } else if (now - g.stalledSince >= STALL_MILLIS) {
+        g.state = MemberState.BROKEN;
+      }
+    }
+    if (g.state != before) {
+      e.nextBeat = now;
+    }
+  }
+
+  private void beat(Engine e) {
+    if (!e.alive || now < e.nextBeat) {
+      return;
+    }
+    e.nextBeat = now + HEARTBEAT_MILLIS;
+    if (!e.cut) {
+      table.merge(e.record(), 0, now);
+    }
+  }
+
+  private void at(long time, Runnable task) {
+    events.add(new Event(time, task));
+  }
+
+  private Engine engine(String id) {
+    Engine e = engines.get(id);
+    if (e == null) {
+      throw new IllegalArgumentException("no engine " + id);
+    }
+    return e;
+  }
+
+  private record Event(long at, Runnable task) {}
+
+  private static final class Group {
+    final String name;
+    final long epoch;
+    final String model;
+    final List<String> members;
+    final int rank;
+    MemberState state = MemberState.JOINING;
+    long readyAt;
+    long openAt = -1;
+    long closedAt;
+    long stalledSince = -1;
+
+    Group(FleetOrder o, int rank) {
+      name = o.group();
+      epoch = o.epoch();
+      model = o.model();
+      members = o.members();
+      this.rank = rank;
+    }
+
+    boolean isOf(FleetOrder o) {
+      return name.equals(o.group()) && epoch == o.epoch();
+    }
+  }
+
+  private static final class Engine {
+    final String id;
+    final String domain;
+    final long born;
+    boolean alive = true;
+    boolean cut;
+    InstancePhase phase = InstancePhase.READY;
+    String lastModel = "";
+    String staged = "";
+    @Nullable Group group;
+    long fence;
+    long highestEpoch;
+    long nextBeat;
+    long sequence;
+
+    Engine(String id, String domain, long born) {
+      this.id = id;
+      this.domain = domain;
+      this.born = born;
+      nextBeat = born;
+    }
+
+    FleetInstance record() {
+      sequence++;
+      Group g = group;
+      return new FleetInstance(
+          id,
+          born,
+          sequence,
+          SERVICE,
+          "10.0.0.1:" + Math.abs(id.hashCode() % 60_000 + 1),
+          "zone-" + domain,
+          phase,
+          18,
+          0,
+          domain,
+          g == null ? List.of() : List.of(g.model),
+          staged.isEmpty() ? List.of() : List.of(staged),
+          g == null ? null : new GroupMembership(g.name, g.epoch, g.rank, g.state),
+          "");
+    }
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -0,0 +1,177 @@
+package org.ebonypond.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.ebonypond.Seeds;
+import org.ebonypond.junit.FakeFleet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class FleetPlannerTest {
+  private static final long WINDOW_MILLIS = 5_000;
+
+  private final FakeFleet fleet = new FakeFleet(FakeFleet.twoModels(), 6, 8, 1);
+  private final FleetPlanner planner = newPlanner();
+
+  private static FleetPlanner newPlanner() {
+    return new FleetPlanner(
+        2 * FakeFleet.HEARTBEAT_MILLIS + 400,
+        FakeFleet.HEARTBEAT_MILLIS + 400,
+        FakeFleet.STALL_MILLIS,
+        new LoadCeiling(WINDOW_MILLIS));
+  }
+
+  static LongStream seeds() {
+    return Seeds.all();
+  }
+
+  private void start() {
+    planner.lead(1, true, 4, 0);
+    fleet.run(planner, 50_000, true);
+  }
+
+  /** Guards against a first start that makes only small groups of the first instances. */
+  @Test
+  void firstGroupsFollowTheShares() {
+    start();
+    assertEquals(8, fleet.serving("large"));
+    assertEquals(8, fleet.serving("small"));
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /** Guards against hosts that have to load weights after a loss. */
+  @Test
+  void everyHostStagesTheOtherModelBeforeTraffic() {
+    start();
+    for (InstanceUpdate u : fleet.table().all(fleet.now())) {
+      FleetInstance i = u.instance();
+      assertTrue(i.isWarmFor("large") && i.isWarmFor("small"), i.toString());
+    }
+  }
+
+  /** Guards against survivors that wait for a cold instance, and against a late repair. */
+  @Test
+  void lostMemberIsReplacedByWarmInstancesWithinSeconds() {
+    start();
+    String head = fleet.head("large");
+    assertNotNull(head);
+    fleet.crash(fleet.membersOf(head).get(3));
+    fleet.run(planner, 2_500, false);
+    int groups = 2 * fleet.serving("large") + fleet.serving("small");
+    fleet.run(planner, 4_000, false);
+    assertTrue(2 * fleet.serving("large") + fleet.serving("small") >= groups);
+    assertTrue(fleet.serving("large") >= 7, "large " + fleet.serving("large"));
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /** Guards against members that join another group while a head that is cut off may serve. */
+  @Test
+  void membersOfLostHeadWaitUntilItMustHaveNoticed() {
+    start();
+    String head = fleet.head("large");
+    assertNotNull(head);
+    final List<String> members = fleet.membersOf(head);
+    fleet.crash(head);
+    fleet.run(planner, 30_000, false);
+    assertEquals(List.of(), fleet.violations());
+    List<String> regrouped = new ArrayList<>(members.subList(1, 4));
+    regrouped.removeIf(m -> fleet.membersOf(m).isEmpty());
+    assertTrue(regrouped.size() >= 2, "regrouped " + regrouped);
+  }
+
+  /** Guards against breaking up groups whose members only control cannot reach. */
+  @Test
+  void groupThatServesIsKeptWhileItsMembersAreCutOffFromControl() {
+    start();
+    String head = fleet.head("large");
+    assertNotNull(head);
+    List<String> members = fleet.membersOf(head);
+    members.forEach(m -> fleet.cut(m, true));
+    fleet.run(planner, 10_000, false);
+    members.forEach(m -> fleet.cut(m, false));
+    fleet.run(planner, 3_000, false);
+    assertEquals(members, fleet.membersOf(head));
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /** Guards against new requests at a group whose member leaves. */
+  @Test
+  void groupWithDrainingMemberIsClosed() {
+    start();
+    String head = fleet.head("small");
+    assertNotNull(head);
+    String member = fleet.membersOf(head).get(1);
+    fleet.drain(member);
+    fleet.run(planner, 4_000, false);
+    assertTrue(!fleet.membersOf(head).contains(member));
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /** Guards against more loads from the weight store than its ceiling allows. */
+  @Test
+  void loadsStayUnderTheCeilingOnceThereIsTraffic() {
+    planner.lead(1, true, 4, 0);
+    fleet.run(planner, 60_000, false);
+    assertTrue(fleet.mostLoads(WINDOW_MILLIS) <= 20, "loads " + fleet.mostLoads(WINDOW_MILLIS));
+  }
+
+  /** Guards against a new leader that opens or breaks groups that it does not know yet. */
+  @Test
+  void newLeaderTakesOverRunningGroups() {
+    start();
+    FleetPlanner next = newPlanner();
+    next.lead(2, false, 4, fleet.now());
+    long before = fleet.orders();
+    fleet.run(next, 10_000, false);
+    assertEquals(8, fleet.serving("large"));
+    assertEquals(8, fleet.serving("small"));
+    assertEquals(before, fleet.orders());
+  }
+
+  /**
+   * Crashes, cuts, restarts, drains, late orders and new leaders at random: no group ever serves
+   * without a member, nobody joins a second group too early, and groups come back.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void randomTroubleBreaksNoPromise(long seed) {
+    final Random random = new Random(seed);
+    FakeFleet f = new FakeFleet(FakeFleet.twoModels(), 6, 8, seed);
+    FleetPlanner p = newPlanner();
+    p.lead(1, true, 4, 0);
+    f.run(p, 45_000, true);
+    f.lostAnswers(0.1);
+    List<String> ids = new ArrayList<>(f.ids());
+    long term = 1;
+    for (int i = 0; i < 30; i++) {
+      String id = ids.get(random.nextInt(ids.size()));
+      switch (random.nextInt(6)) {
+        case 0 -> f.crash(id);
+        case 1 -> f.cut(id, true);
+        case 2 -> f.cut(id, false);
+        case 3 -> f.restart(id);
+        case 4 -> f.drain(id);
+        default -> {
+          term++;
+          p = newPlanner();
+          p.lead(term, false, 4, f.now());
+        }
+      }
+      f.run(p, 500 + random.nextInt(3_000), false);
+    }
+    assertEquals(List.of(), f.violations());
+    f.lostAnswers(0);
+    ids.forEach(id -> f.cut(id, false));
+    f.run(p, 90_000, false);
+    assertEquals(List.of(), f.violations());
+    int instances = 4 * f.serving("large") + 2 * f.serving("small");
+    assertTrue(instances >= 20, "only " + instances + " instances serve");
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
@@ -0,0 +1,97 @@
+package org.ebonypond.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+class InstanceTableTest {
+  private final InstanceTable table = new InstanceTable();
+
+  private static FleetInstance beat(
+      String id, long born, long sequence, String address, @Nullable GroupMembership group) {
+    return new FleetInstance(
+        id,
+        born,
+        sequence,
+        "s",
+        address,
+        "z",
+        InstancePhase.READY,
+        1,
+        0,
+        "d",
+        List.of(),
+        List.of(),
+        group,
+        "");
+  }
+
+  private InstancePhase phase(String id) {
+    FleetInstance i = table.get(id);
+    return i == null ? InstancePhase.GONE : i.phase();
+  }
+
+  /** Guards against a delayed heartbeat that undoes a later one. */
+  @Test
+  void lateHeartbeatChangesNothing() {
+    table.merge(beat("i", 1, 5, "a:1", null), 0, 100);
+    assertFalse(table.merge(beat("i", 1, 4, "a:2", null), 0, 110));
+    assertEquals("a:1", table.all(110).get(0).instance().address());
+  }
+
+  /** Guards against a deregistered instance that a late heartbeat brings back. */
+  @Test
+  void deregisteredInstanceStaysGoneUntilItStartsAgain() {
+    table.merge(beat("i", 1, 5, "a:1", null), 0, 100);
+    table.remove("i", 1_000, 110);
+    table.merge(beat("i", 1, 6, "a:1", null), 0, 120);
+    assertEquals(InstancePhase.GONE, phase("i"));
+    table.merge(beat("i", 2, 1, "a:1", null), 0, 130);
+    assertEquals(InstancePhase.READY, phase("i"));
+  }
+
+  /** Guards against requests for an instance at an address that another one has taken over. */
+  @Test
+  void laterStartAtAnAddressEndsTheEarlierInstance() {
+    table.merge(beat("old", 1, 5, "a:1", null), 0, 100);
+    table.merge(beat("new", 2, 1, "a:1", null), 0, 110);
+    assertEquals(InstancePhase.GONE, phase("old"));
+    assertEquals(InstancePhase.READY, phase("new"));
+  }
+
+  /** Guards against a heartbeat from behind a cut that arrives after its sender has crashed. */
+  @Test
+  void earlierStartAtAnAddressDoesNotReplaceTheLaterOne() {
+    table.merge(beat("new", 2, 1, "a:1", null), 0, 100);
+    table.merge(beat("old", 1, 5, "a:1", null), 0, 110);
+    assertEquals(InstancePhase.GONE, phase("old"));
+    assertEquals(InstancePhase.READY, phase("new"));
+  }
+
+  /** Guards against a warm instance that counts as cold after it has left its group. */
+  @Test
+  void modelOfTheLatestGroupIsRememberedForOneLife() {
+    GroupMembership g = new GroupMembership("m.4.7", 7, 0, MemberState.OPEN);
+    table.merge(beat("i", 1, 1, "a:1", g), 0, 100);
+    table.merge(beat("i", 1, 2, "a:1", null), 0, 110);
+    assertTrue(table.all(110).get(0).instance().isWarmFor("m"));
+    table.merge(beat("i", 2, 1, "a:1", null), 0, 120);
+    assertFalse(table.all(120).get(0).instance().isWarmFor("m"));
+  }
+
+  /** Guards against entries that miss a change, or get every heartbeat. */
+  @Test
+  void readersGetWhatChangedAfterTheirPosition() {
+    table.merge(beat("i", 1, 1, "a:1", null), 0, 100);
+    long cursor = table.cursor();
+    table.merge(beat("i", 1, 2, "a:1", null), 0, 110);
+    assertEquals(0, table.since(cursor, true, 110).size());
+    assertEquals(1, table.since(cursor, false, 110).size());
+    table.merge(beat("i", 1, 3, "a:2", null), 0, 120);
+    assertEquals(1, table.since(cursor, true, 120).size());
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/BudgetTest.java
@@ -0,0 +1,92 @@
+package org.ebonypond.forward;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.ebonypond.Seeds;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** The budgets that entries keep without talking to each other. */
+class BudgetTest {
+  private static final int ENTRIES = 7;
+  private static final long WINDOW_MILLIS = 10_000;
+
+  static LongStream seeds() {
+    return Seeds.all();
+  }
+
+  /** Guards against repeats of all entries together that exceed the budget in any window. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void repeatsOfAllEntriesStayWithinTheBudget(long seed) {
+    Random random = new Random(seed);
+    List<RetryAllowance> entries = new ArrayList<>();
+    for (int i = 0; i < ENTRIES; i++) {
+      entries.add(new RetryAllowance(0.2, 132, WINDOW_MILLIS));
+    }
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    for (long now = 0; now < 60_000; now += 10) {
+      RetryAllowance e = entries.get(random.nextInt(ENTRIES));
+      e.request("s", now);
+      requests.add(now);
+      for (int i = 0; i < 3; i++) {
+        if (e.take("s", ENTRIES, now)) {
+          repeats.add(now);
+        }
+      }
+    }
+    for (long end = WINDOW_MILLIS; end <= 60_000; end += 500) {
+      long from = end - WINDOW_MILLIS;
+      final long until = end;
+      long asked = requests.stream().filter(t -> t > from && t <= until).count();
+      long again = repeats.stream().filter(t -> t > from && t <= until).count();
+      assertTrue(again <= 0.2 * asked + 132, again + " repeats of " + asked);
+    }
+  }
+
+  /** Guards against more requests in a second at an instance that has turned cold unnoticed. */
+  @Test
+  void arrivalsOfAllEntriesStayUnderTheColdBound() {
+    List<Long> sends = new ArrayList<>();
+    List<ArrivalGuard> guards = new ArrayList<>();
+    for (int i = 0; i < ENTRIES; i++) {
+      guards.add(new ArrivalGuard(1.5, 5));
+    }
+    for (long now = 0; now < 5_000; now++) {
+      for (ArrivalGuard g : guards) {
+        if (g.allows("i", 28, false, ENTRIES, now)) {
+          g.sent("i", now);
+          sends.add(now);
+        }
+      }
+    }
+    for (long from = 0; from < 4_000; from += 50) {
+      final long start = from;
+      long n = sends.stream().filter(t -> t >= start && t < start + 1_000).count();
+      assertTrue(n <= 28 * 1.5 + 5, n + " in the second from " + from);
+    }
+  }
+
+  /** Guards against the full rate at an instance that is known to be cold. */
+  @Test
+  void knownColdInstanceGetsItsPublishedRate() {
+    ArrivalGuard g = new ArrivalGuard(1.5, 5);
+    int n = 0;
+    for (long now = 0; now < 1_000; now++) {
+      if (g.allows("i", 28, true, ENTRIES, now)) {
+        g.sent("i", now);
+        n++;
+      }
+    }
+    assertTrue(n <= 4, n + " requests of one entry");
+    assertTrue(new ArrivalGuard(1.5, 5).allows("i", 0, true, ENTRIES, 0));
+    assertFalse(g.allows("i", 28, true, ENTRIES, 999));
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -0,0 +1,75 @@
+package org.ebonypond.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.ebonypond.Seeds;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class EventSplitterTest {
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+  static LongStream seeds() {
+    return Seeds.all();
+  }
+
+  private static byte[] bytes(String s) {
+    return s.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private String passed() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  /** Guards against an unfinished event that reaches the caller. */
+  @Test
+  void unfinishedEventIsHeldBackAndDropped() {
+    EventSplitter s = new EventSplitter("");
+    s.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), out);
+    assertEquals("id: 1\ndata: a\n\n", passed());
+    assertTrue(s.hasPartialEvent());
+    s.dropPartialEvent();
+    s.feed(bytes("id: 2\ndata: b\n\n"), out);
+    assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", passed());
+    assertFalse(s.hasPartialEvent());
+  }
+
+  /** Guards against events that come twice after a stream was resumed. */
+  @Test
+  void eventsThatTheCallerHasAreDropped() {
+    EventSplitter s = new EventSplitter("12");
+    assertEquals(1, s.feed(bytes("id: 12\ndata: x\n\nid: 13\ndata: y\n\n"), out));
+    assertEquals("id: 13\ndata: y\n\n", passed());
+    assertEquals("13", s.lastId());
+  }
+
+  /** Guards against a result that depends on how the network cuts the bytes. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void anyCutsGiveTheSameEvents(long seed) {
+    StringBuilder text = new StringBuilder();
+    Random random = new Random(seed);
+    for (int i = 1; i <= 50; i++) {
+      String end = random.nextBoolean() ? "\r\n" : "\n";
+      text.append("id: ").append(i).append(end);
+      text.append("data: ").append("x".repeat(random.nextInt(900))).append(end).append(end);
+    }
+    byte[] all = bytes(text.toString());
+    EventSplitter s = new EventSplitter("");
+    int events = 0;
+    for (int at = 0; at < all.length; ) {
+      int n = Math.min(all.length - at, 1 + random.nextInt(200));
+      events += s.feed(java.util.Arrays.copyOfRange(all, at, at + n), out);
+      at += n;
+    }
+    assertEquals(50, events);
+    assertEquals(text.toString(), passed());
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -0,0 +1,124 @@
+package org.ebonypond.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.Set;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.fleet.GroupMembership;
+import org.ebonypond.fleet.HeadLoad;
+import org.ebonypond.fleet.InstancePhase;
+import org.ebonypond.fleet.MemberState;
+import org.ebonypond.junit.FakeFleet;
+import org.ebonypond.serving.EngineProfile;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+class TargetSelectorTest {
+  private static final EngineProfile ENGINE = FakeFleet.twoModels();
+  private static final EngineCost COST = new EngineCost(ENGINE);
+
+  private final TargetSelector selector = new TargetSelector(new Random(1));
+
+  private static FleetInstance head(String id) {
+    return new FleetInstance(
+        id,
+        1,
+        1,
+        "s",
+        "10.0.0.1:1",
+        "z",
+        InstancePhase.READY,
+        18,
+        0,
+        "d",
+        List.of("large"),
+        List.of(),
+        new GroupMembership("large.4.1", 1, 0, MemberState.OPEN),
+        "large");
+  }
+
+  private static TargetSelector.Candidate candidate(
+      String id, int active, @Nullable HeadLoad others) {
+    InstanceStats s = new InstanceStats();
+    for (int i = 0; i < active; i++) {
+      s.started(0, 0);
+    }
+    s.progressed(0);
+    return new TargetSelector.Candidate(head(id), s, others);
+  }
+
+  private static TargetSelector.Need need(long remaining, Set<String> tried) {
+    return new TargetSelector.Need(ENGINE.model("large"), 1_400, 135, remaining, 500, tried);
+  }
+
+  private String chosen(TargetSelector.Decision d) {
+    return Objects.requireNonNull(d.target()).id();
+  }
+
+  /** Guards against requests that wait at a busy group while another one is idle. */
+  @Test
+  void goesToTheGroupWithLessWork() {
+    HeadLoad busy = new HeadLoad("a", 1, 14, 8_000, 20, 0);
+    List<TargetSelector.Candidate> c = List.of(candidate("a", 0, busy), candidate("b", 4, null));
+    assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 0)));
+  }
+
+  /** Guards against requests for a group that stands still at every entry. */
+  @Test
+  void passesOverAGroupThatOthersHaveTurnedAwayFrom() {
+    HeadLoad stalled = new HeadLoad("a", 1, 0, 0, HeadLoad.NEVER, 900);
+    List<TargetSelector.Candidate> c =
+        List.of(candidate("a", 0, stalled), candidate("b", 10, null));
+    assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 0)));
+  }
+
+  /** Guards against waiting in vain: what cannot end in time is refused at once. */
+  @Test
+  void rejectsWhatCannotEndBeforeItsDeadline() {
+    List<TargetSelector.Candidate> c = List.of(candidate("a", 18, null));
+    TargetSelector.Decision d = selector.choose(need(300, Set.of()), c, COST, 0);
+    assertNull(d.target());
+    assertEquals("deadline", d.reason());
+  }
+
+  /** Guards against a burst that makes every request late instead of some. */
+  @Test
+  void burstIsBoundedByWhatAGroupCanServeOnTime() {
+    List<TargetSelector.Candidate> c = new ArrayList<>();
+    c.add(candidate("a", 0, null));
+    int admitted = 0;
+    for (int i = 0; i < 200; i++) {
+      TargetSelector.Decision d = selector.choose(need(8_000, Set.of()), c, COST, 0);
+      if (d.target() != null) {
+        admitted++;
+        c.get(0).stats().started(1_400, 0);
+      }
+    }
+    assertTrue(admitted >= 12 && admitted <= 26, admitted + " admitted");
+  }
+
+  /** Guards against a late request that takes the place of one that can be on time. */
+  @Test
+  void lateRequestsAreLessUrgent() {
+    List<TargetSelector.Candidate> idle = List.of(candidate("a", 1, null));
+    List<TargetSelector.Candidate> busy = List.of(candidate("b", 23, null));
+    TargetSelector.Decision first = selector.choose(need(8_000, Set.of()), idle, COST, 0);
+    TargetSelector.Decision late = selector.choose(need(8_000, Set.of()), busy, COST, 0);
+    assertNotNull(late.target());
+    assertTrue(first.urgency() < late.urgency());
+  }
+
+  /** Guards against a request that returns to the instance that failed it. */
+  @Test
+  void neverChoosesAnInstanceTwice() {
+    List<TargetSelector.Candidate> c = List.of(candidate("a", 0, null));
+    assertNull(selector.choose(need(8_000, Set.of("a")), c, COST, 0).target());
+  }
+}
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
@@ -0,0 +1,60 @@
+package org.ebonypond.serving;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.ebonypond.wire.MessagePackCodec;
+import org.junit.jupiter.api.Test;
+
+class ServingStateTest {
+  private final ServingState state = new ServingState();
+  private long index;
+
+  private void apply(ServingCommand c) {
+    state.apply(++index, MessagePackCodec.encode(c));
+  }
+
+  private static byte[] content(String s) {
+    return s.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Guards against a resent or overtaken configuration that replaces a newer one. */
+  @Test
+  void highestVersionWins() {
+    apply(new ServingCommand.Install(7, content("seven")));
+    apply(new ServingCommand.Install(3, content("three")));
+    apply(new ServingCommand.Install(7, content("other seven")));
+    assertEquals(7, state.current().version());
+    assertArrayEquals(content("seven"), state.current().content());
+    apply(new ServingCommand.Install(12, content("twelve")));
+    assertEquals(12, state.current().version());
+  }
+
+  /** Guards against zones whose change entries cannot notice, or notice without a change. */
+  @Test
+  void zonesHaveTheIndexOfTheirLastChange() {
+    apply(new ServingCommand.SetZone("b", true));
+    apply(new ServingCommand.SetZone("a", true));
+    apply(new ServingCommand.SetZone("a", true));
+    assertEquals(List.of("a", "b"), state.current().zonesOut());
+    assertEquals(2, state.current().zonesIndex());
+    apply(new ServingCommand.SetZone("b", false));
+    assertEquals(List.of("a"), state.current().zonesOut());
+  }
+
+  /** Guards against state that a snapshot loses. */
+  @Test
+  void snapshotRestoresEverything() {
+    apply(new ServingCommand.Install(7, content("seven")));
+    apply(new ServingCommand.SetZone("b", true));
+    apply(new ServingCommand.Barrier());
+    ServingState copy = new ServingState();
+    copy.restore(state.snapshot());
+    assertEquals(7, copy.current().version());
+    assertArrayEquals(content("seven"), copy.current().content());
+    assertEquals(state.current().zonesOut(), copy.current().zonesOut());
+    assertEquals(2, copy.current().zonesIndex());
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -20,6 +20,9 @@
   /** An instance that stays over in a domain costs this part of a model's whole need. */
   private static final double LEFTOVER_COST = 0.01;
 
+  /** A group that takes the room of a larger one costs this part of a model's whole need. */
+  private static final double FRAGMENT_COST = 0.1;
+
   /** Each group of the same model in the same zone makes the zone's loss worse. */
   private static final double SAME_ZONE_COST = 0.015;
 
@@ -133,10 +136,17 @@
         need(m, 0)
             - SECOND_COST * ready / 1_000
             - LEFTOVER_COST * leftover
+            - FRAGMENT_COST * roomTaken(free.size(), m)
             - SAME_ZONE_COST * byZone.getOrDefault(zoneKey(m, members), 0);
     return new Choice(domain, m, members, ready, loads, value);
   }
 
+  /** Returns how many groups of the largest model fewer fit beside a group of another one. */
+  private int roomTaken(int free, ModelProfile m) {
+    int largest = engine.models().stream().mapToInt(ModelProfile::groupSize).max().orElse(1);
+    return m.groupSize() == largest ? 0 : free / largest - (free - m.groupSize()) / largest;
+  }
+
   private int smallestGroup() {
     return engine.models().stream().mapToInt(ModelProfile::groupSize).min().orElse(1);
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -138,16 +138,18 @@
   private static Decision admit(Need need, Candidate c, EngineCost cost, long now) {
     double slowness = c.stats().slowness(now);
     double first = slowness * firstMillis(need, c, cost) + OVERHEAD_MILLIS;
+    int events = need.outputTokens() / cost.tokensPerEvent();
+    double end = first + slowness * events * pass(need, c, cost);
+    if (end > need.remainingMillis()) {
+      return Decision.reject("deadline", FULL_PAUSE_MILLIS);
+    }
     if (first <= need.targetMillis()) {
       return Decision.send(c.instance(), URGENCY_ON_TIME, first);
     }
-    int events = need.outputTokens() / cost.tokensPerEvent();
-    double end = first + slowness * events * pass(need, c, cost);
     boolean place = c.active() < cost.slots() * (1 + LATE_QUEUE_PART);
-    if (place && end <= need.remainingMillis()) {
-      return Decision.send(c.instance(), URGENCY_LATE, first);
-    }
-    return Decision.reject(place ? "deadline" : "full", FULL_PAUSE_MILLIS);
+    return place
+        ? Decision.send(c.instance(), URGENCY_LATE, first)
+        : Decision.reject("full", FULL_PAUSE_MILLIS);
   }
 
   /**
