Apply after a restart what was known to be committed, and elect sooner

Cause: after a loss of power on all machines, entries waited for an election before they learned the configuration, and a first pre-vote that failed because the others were still starting cost a whole election timeout.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/ModelledDisk.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/ModelledDisk.java
@@ -45,6 +45,11 @@
     pause();
   }
 
+  @Override
+  public void note(String file, byte[] content) {
+    disk.note(file, content);
+  }
+
   @Override
   public void truncate(String file, long length) throws IOException {
     disk.truncate(file, length);
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryDisk.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryDisk.java
@@ -54,6 +54,13 @@
     version++;
   }
 
+  @Override
+  public void note(String file, byte[] content) {
+    Content c = new Content();
+    c.append(content);
+    files.put(file, c);
+  }
+
   @Override
   public void truncate(String file, long length) throws IOException {
     Content c = existing(file);
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/replica/BlockingDisk.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/replica/BlockingDisk.java
@@ -70,6 +70,11 @@
     disk.replace(file, content);
   }
 
+  @Override
+  public void note(String file, byte[] content) {
+    disk.note(file, content);
+  }
+
   @Override
   public void truncate(String file, long length) throws IOException {
     disk.truncate(file, length);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
@@ -18,9 +18,12 @@
 import java.util.stream.Stream;
 import org.ebonypond.consensus.Disk;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A folder of the file system, locked against other processes. Calls are serialized. */
 public final class FileDisk implements Disk {
+  private static final Logger LOG = LoggerFactory.getLogger(FileDisk.class);
   private static final String LOCK = ".lock";
   private static final String TEMPORARY = ".tmp";
 
@@ -94,6 +97,15 @@
     syncFolder(folder);
   }
 
+  @Override
+  public void note(String file, byte[] content) {
+    try (FileChannel c = FileChannel.open(folder.resolve(file), CREATE, WRITE)) {
+      writeAll(c, content);
+    } catch (IOException e) {
+      LOG.info("note {} cannot be written", file, e);
+    }
+  }
+
   @Override
   public void truncate(String file, long length) throws IOException {
     closeChannel();
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -326,4 +326,20 @@
     assertEquals(1, last.entries().size());
     assertTrue(node.entriesAfter(node.appliedIndex(), 10).entries().isEmpty());
   }
+
+  /** Guards against replicas that know nothing after a restart until a leader is elected. */
+  @Test
+  void restartedReplicaAppliesWhatItKnewToBeCommitted() {
+    startAndCommit(5);
+    cluster.advance(1_000);
+    long applied = cluster.replica("b").node().appliedIndex();
+    NAMES.forEach(cluster::kill);
+    cluster.start("b");
+    cluster.advance(5);
+    // The note is not synced, so a loss of power may lose it; the log itself never shrinks.
+    assertTrue(cluster.replica("b").node().appliedIndex() <= applied);
+    cluster.startAll();
+    cluster.awaitConverged();
+    assertTrue(cluster.replica("b").node().appliedIndex() >= applied);
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/Disk.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/Disk.java
@@ -22,6 +22,12 @@
   /** Replaces a file by new content, atomically and durably. */
   void replace(String file, byte[] content) throws IOException;
 
+  /**
+   * Replaces the content of a small file without making it durable: after a crash it may be the new
+   * or the old content, a mixture or missing. A failure is reported elsewhere and not thrown.
+   */
+  void note(String file, byte[] content);
+
   /** Cuts a file to a length in bytes, durably. */
   void truncate(String file, long length) throws IOException;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/DiskLogStorage.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/DiskLogStorage.java
@@ -32,6 +32,9 @@
   private boolean hardChanged;
   private @Nullable Snapshot snapshot;
   private boolean snapshotChanged;
+  private final long committedHint;
+  private long committed;
+  private boolean committedChanged;
   private volatile boolean syncing;
   private volatile @Nullable EbonypondException failure;
 
@@ -65,6 +68,7 @@
       identity = stored.identity();
       hard = stored.hardState();
       snapshot = files.readSnapshot();
+      committedHint = files.readCommitted();
       log = new SegmentedLog(disk, "replica/" + replica, events, segmentBytes, snapshot);
     } catch (IOException e) {
       throw new EbonypondException(e, ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()));
@@ -109,6 +113,17 @@
     snapshotChanged = true;
   }
 
+  @Override
+  public long committedHint() {
+    return committedHint;
+  }
+
+  @Override
+  public void noteCommitted(long index) {
+    committedChanged |= index > committed;
+    committed = Math.max(committed, index);
+  }
+
   @Override
   public long firstIndex() {
     return log.firstIndex();
@@ -146,13 +161,15 @@
         hardChanged ? new StorageFiles.Identity(replica, identity, hard) : null;
     Snapshot newSnapshot = snapshotChanged ? snapshot : null;
     LogChanges changes = log.takeChanges();
-    if (newIdentity == null && newSnapshot == null && changes.isEmpty()) {
+    long newCommitted = committedChanged ? committed : 0;
+    if (newIdentity == null && newSnapshot == null && changes.isEmpty() && newCommitted == 0) {
       return null;
     }
+    committedChanged = false;
     hardChanged = false;
     snapshotChanged = false;
     syncing = true;
-    return () -> write(newIdentity, newSnapshot, changes);
+    return () -> write(newIdentity, newSnapshot, changes, newCommitted);
   }
 
   @Override
@@ -174,7 +191,8 @@
   private void write(
       StorageFiles.@Nullable Identity newIdentity,
       @Nullable Snapshot newSnapshot,
-      LogChanges changes) {
+      LogChanges changes,
+      long newCommitted) {
     try {
       // The term precedes the entries, so that a crash in between leaves no entry of a later term.
       if (newIdentity != null) {
@@ -190,6 +208,9 @@
         files.writeSnapshot(newSnapshot);
       }
       log.deleteSegments(changes);
+      if (newCommitted > 0) {
+        files.noteCommitted(newCommitted);
+      }
     } catch (IOException e) {
       EbonypondException x =
           new EbonypondException(e, ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()));
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/LogStorage.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/LogStorage.java
@@ -55,6 +55,20 @@
   /** Drops all entries from an index on; durable after the next {@link #sync()}. */
   void truncateFrom(long index);
 
+  /**
+   * Returns an index up to which the log was known to be committed before the last start, or 0. It
+   * may be older than what was noted, and never names an entry that was not committed.
+   */
+  default long committedHint() {
+    return 0;
+  }
+
+  /**
+   * Notes that the log is committed and durable here up to an index. The note goes with a later
+   * sync, may be lost in a crash, and a failure to write it has no consequence.
+   */
+  default void noteCommitted(long index) {}
+
   /**
    * Takes all changes since the last call as one sync. The caller runs it once, on any thread, and
    * begins the next one only after its end.
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -300,7 +300,12 @@
     if (!timer.isDue(now)) {
       return;
     }
-    timer.reset(now);
+    if (config.leaderLease() || leader.everKnown()) {
+      timer.reset(now);
+    } else {
+      // The other replicas may be starting, too.
+      timer.resetSoon(now);
+    }
     if (!log.isHardStateDurable()) {
       // No message of a further election could go out, so the term would only rise.
       return;
@@ -532,6 +537,9 @@
       r.reconfigure(now, applier.commit());
       r.sendEntries(now, applier.commit());
     }
+    if (!log.isSyncing()) {
+      log.noteCommitted(applier.commit());
+    }
     applier.compact();
     // The membership may have changed.
     if (role == RaftRole.FOLLOWER || role == RaftRole.LEARNER) {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Applier.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Applier.java
@@ -36,6 +36,7 @@
     if (s != null) {
       restore(s);
     }
+    commit = Math.max(commit, log.committedHint());
   }
 
   /** Returns the last index that is known to be committed. */
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
@@ -21,6 +21,7 @@
   private final LogStorage storage;
   private final NavigableMap<Long, Membership> memberships = new TreeMap<>();
   private long durableIndex;
+  private long notedCommit;
   private long syncsBegun;
   private long syncsEnded;
 
@@ -161,6 +162,24 @@
     noteChange();
   }
 
+  /** Returns an index up to which the log is certainly committed, or 0. */
+  public long committedHint() {
+    return Math.min(storage.committedHint(), storage.lastIndex());
+  }
+
+  /**
+   * Notes the commit index as far as it is durable here. Entries that are not durable yet might be
+   * replaced, after a crash, by older ones that were never committed.
+   */
+  public void noteCommitted(long index) {
+    long safe = Math.min(index, durableIndex);
+    if (safe > notedCommit) {
+      notedCommit = safe;
+      storage.noteCommitted(safe);
+      noteChange();
+    }
+  }
+
   /** Replaces term and vote. */
   public void save(HardState state) {
     storage.saveHardState(state);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/StorageFiles.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/StorageFiles.java
@@ -13,6 +13,7 @@
 public final class StorageFiles {
   private static final String IDENTITY = "replica";
   private static final String SNAPSHOT = "snapshot";
+  private static final String COMMITTED = "committed";
 
   private final Disk disk;
 
@@ -56,6 +57,24 @@
     disk.replace(SNAPSHOT, CheckedFile.encode(snapshot));
   }
 
+  /** Returns the noted commit index, or 0 if there is none that can be read. */
+  public long readCommitted() throws IOException {
+    if (!disk.list().contains(COMMITTED)) {
+      return 0;
+    }
+    try {
+      return CheckedFile.decode(COMMITTED, disk.read(COMMITTED), Long.class);
+    } catch (EbonypondException e) {
+      // The note is not durable, so a crash may have damaged it. The log tells the rest.
+      return 0;
+    }
+  }
+
+  /** Notes the commit index. */
+  public void noteCommitted(long index) {
+    disk.note(COMMITTED, CheckedFile.encode(index));
+  }
+
   /**
    * The content of the identity file.
    *
