Prefer groups of the own zone

Change: instances in other zones count as 0.3 slower; the longest gap of a stream stands in its log line.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -96,6 +96,8 @@
   private boolean started;
   private boolean done;
   private long firstAt;
+  private long lastPieceAt;
+  private long longestGap;
 
   ForwardCall(Forwarder owner, HttpCall call, CallHead head) {
     this.owner = owner;
@@ -401,6 +403,7 @@
         .addKeyValue("status", status)
         .addKeyValue("sends", sends)
         .addKeyValue("first_ms", firstAt == 0 ? now - receivedAt : firstAt - receivedAt)
+        .addKeyValue("longest_gap_ms", longestGap)
         .addKeyValue("took_ms", now - receivedAt)
         .log("request answered");
     owner.metrics().ended(kind(), "answered", "status-" + status / 100 + "xx", now - receivedAt);
@@ -543,6 +546,8 @@
         observePace(now - lastEventAt, n);
       }
       lastEventAt = now;
+      longestGap = lastPieceAt == 0 ? 0 : Math.max(longestGap, now - lastPieceAt);
+      lastPieceAt = now;
       call.piece(Unpooled.wrappedBuffer(events.toByteArray()));
     }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -184,7 +184,7 @@
     }
     Long lastRead = f.channel().attr(LAST_READ).get();
     if (f.isDone() && (lastRead == null || lastRead < askedAt)) {
-      LOG.info("closes the silent connection to {}", to);
+      LOG.atInfo().addKeyValue("peer", to).log("silent connection closed");
       f.channel().close();
     }
   }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -24,16 +24,20 @@
   private static final EngineProfile ENGINE = FakeFleet.twoModels();
   private static final EngineCost COST = new EngineCost(ENGINE);
 
-  private final TargetSelector selector = new TargetSelector(new Random(1));
+  private final TargetSelector selector = new TargetSelector("z", new Random(1));
 
   private static FleetInstance head(String id) {
+    return head(id, "z");
+  }
+
+  private static FleetInstance head(String id, String zone) {
     return new FleetInstance(
         id,
         1,
         1,
         "s",
         "10.0.0.1:1",
-        "z",
+        zone,
         InstancePhase.READY,
         18,
         0,
@@ -115,6 +119,19 @@
     assertTrue(first.urgency() < late.urgency());
   }
 
+  /** Guards against streams over links between zones while the own zone has room. */
+  @Test
+  void staysInItsZoneUnlessItIsBusier() {
+    TargetSelector.Candidate far =
+        new TargetSelector.Candidate(head("far", "y"), new InstanceStats(), null);
+    TargetSelector.Candidate near = candidate("near", 3, null);
+    TargetSelector.Candidate busy = candidate("near", 17, null);
+    assertEquals(
+        "near", chosen(selector.choose(need(8_000, Set.of()), List.of(far, near), COST, 0)));
+    assertEquals(
+        "far", chosen(selector.choose(need(8_000, Set.of()), List.of(far, busy), COST, 0)));
+  }
+
   /** Guards against a request that returns to the instance that failed it. */
   @Test
   void neverChoosesAnInstanceTwice() {
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -28,6 +28,9 @@
 
   private static final double FAILURE_COST = 4;
 
+  /** Instances in other zones count as this part slower: links between zones lose packets first. */
+  private static final double OTHER_ZONE_COST = 0.3;
+
   /** A group without an event for this long is passed over; a pass takes 100 ms at most. */
   private static final long OWN_IDLE_MILLIS = 250;
 
@@ -45,14 +48,17 @@
   /** The pause before a return when everything is full, in milliseconds. */
   private static final long FULL_PAUSE_MILLIS = 700;
 
+  private final String zone;
   private final RandomGenerator random;
 
   /**
    * Creates a selector.
    *
+   * @param zone the availability zone of this entry
    * @param random breaks ties
    */
-  public TargetSelector(RandomGenerator random) {
+  public TargetSelector(String zone, RandomGenerator random) {
+    this.zone = zone;
     this.random = random;
   }
 
@@ -75,7 +81,8 @@
       if (!isOpen(c, need, now) || (anyTrusted && !isTrusted(c, engine, now))) {
         continue;
       }
-      double score = score(need, c, cost, now) * (1 + NOISE * random.nextDouble());
+      double distance = c.instance().zone().equals(zone) ? 0 : OTHER_ZONE_COST;
+      double score = score(need, c, cost, now) * (1 + distance + NOISE * random.nextDouble());
       if (score < bestScore) {
         best = c;
         bestScore = score;
