--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -375,7 +375,7 @@
     if (!e.alive || g == null) {
       return;
     }
-    MemberState before = g.state;
+    final MemberState before = g.state;
     if (g.state == MemberState.JOINING && now >= g.readyAt) {
       g.state = MemberState.READY;
       wasReady.add(e.id + "/" + g.name + "/" + g.epoch);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -73,6 +73,9 @@
 
   private static final long RETRY_PAUSE_MILLIS = 400;
 
+  /** The pause before a caller turns to another entry because this one stops. */
+  private static final long STOPPING_PAUSE_MILLIS = 50;
+
   private final Forwarder owner;
   private final HttpCall call;
   private final CallHead head;
@@ -108,6 +111,10 @@
   }
 
   void start() {
+    if (owner.isRefusing()) {
+      finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_PAUSE_MILLIS);
+      return;
+    }
     ServingConfig config = owner.view().config();
     if (config == null) {
       finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-configuration", START_PAUSE_MILLIS);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -48,6 +48,7 @@
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
   private long received;
+  private boolean refusing;
 
   /**
    * Creates a forwarder.
@@ -127,6 +128,18 @@
     return calls.size();
   }
 
+  /**
+   * Refuses the calls that come from now on. The process stops soon: a long answer could not be
+   * finished.
+   */
+  public void refuseNew() {
+    refusing = true;
+  }
+
+  boolean isRefusing() {
+    return refusing;
+  }
+
   /** Ends every call that is under way; the process is about to stop. */
   public void endAll() {
     List.copyOf(calls).forEach(ForwardCall::shutDown);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -94,6 +94,14 @@
     loop.execute(() -> draining = true);
   }
 
+  /** Takes no further connections; those that are open stay. */
+  public void stopAccepting() {
+    Channel c = channel;
+    if (c != null) {
+      c.close();
+    }
+  }
+
   /** Closes the connections on which no request is under way. */
   public void closeIdle() {
     loop.execute(() -> List.copyOf(connections).forEach(HttpConnection::closeIfIdle));
@@ -101,10 +109,7 @@
 
   @Override
   public void close() {
-    Channel c = channel;
-    if (c != null) {
-      c.close();
-    }
+    stopAccepting();
   }
 
   private void accept(SocketChannel c) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -332,7 +332,7 @@
   void restartedReplicaAppliesWhatItKnewToBeCommitted() {
     startAndCommit(5);
     cluster.advance(1_000);
-    long applied = cluster.replica("b").node().appliedIndex();
+    final long applied = cluster.replica("b").node().appliedIndex();
     NAMES.forEach(cluster::kill);
     cluster.start("b");
     cluster.advance(5);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -128,7 +128,7 @@
     start();
     FleetPlanner next = newPlanner();
     next.lead(2, false, 4, fleet.now());
-    long before = fleet.orders();
+    final long before = fleet.orders();
     fleet.run(next, 10_000, false);
     assertEquals(8, fleet.serving("large"));
     assertEquals(8, fleet.serving("small"));
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -76,7 +76,7 @@
 
   /** Guards against requests for a group that stands still at every entry. */
   @Test
-  void passesOverAGroupThatOthersHaveTurnedAwayFrom() {
+  void passesOverGroupsThatOthersHaveTurnedAwayFrom() {
     HeadLoad stalled = new HeadLoad("a", 1, 0, 0, HeadLoad.NEVER, 900);
     List<TargetSelector.Candidate> c =
         List.of(candidate("a", 0, stalled), candidate("b", 10, null));
@@ -94,7 +94,7 @@
 
   /** Guards against a burst that makes every request late instead of some. */
   @Test
-  void burstIsBoundedByWhatAGroupCanServeOnTime() {
+  void burstIsBoundedByWhatCanBeServedOnTime() {
     List<TargetSelector.Candidate> c = new ArrayList<>();
     c.add(candidate("a", 0, null));
     int admitted = 0;
