Log each send of a request with what decided it

Cause: the first send left no line, so a late answer could not be explained. Change: one line for each send with the prediction, the load seen and the time left.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Set;
 import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.fleet.HeadLoad;
 import org.ebonypond.forward.EngineCost;
 import org.ebonypond.forward.EventSplitter;
 import org.ebonypond.forward.InstanceStats;
@@ -204,15 +205,19 @@
             model == null ? -1 : decision.urgency());
     Attempt a = new Attempt(target, owner.stats(target.id()), decision.firstMillis(), now);
     current = a;
-    if (LOG.isDebugEnabled() || sends > 1) {
-      LOG.atInfo()
-          .addKeyValue("request", head.id())
-          .addKeyValue("cause", cause)
-          .addKeyValue("instance", target.id())
-          .addKeyValue("resume_after", d.resumeAfter())
-          .addKeyValue("left_ms", d.remainingMillis())
-          .log("request sent again");
-    }
+    HeadLoad others = owner.view().others(target.id());
+    LOG.atInfo()
+        .addKeyValue("request", head.id())
+        .addKeyValue("cause", cause)
+        .addKeyValue("instance", target.id())
+        .addKeyValue("zone", target.zone())
+        .addKeyValue("urgency", decision.urgency())
+        .addKeyValue("predicted_first_ms", Math.round(decision.firstMillis()))
+        .addKeyValue("own_active", a.stats.active())
+        .addKeyValue("others_active", others == null ? 0 : others.active())
+        .addKeyValue("resume_after", d.resumeAfter())
+        .addKeyValue("left_ms", d.remainingMillis())
+        .log("request sent");
     InetSocketAddress to = ReplicaDirectory.address(target.address());
     long maxIdle = route().idempotent() ? Long.MAX_VALUE : FRESH_MILLIS;
     a.exchange =
