--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
@@ -23,7 +23,10 @@
 
 /** A group of replicas with fake disks and a fake network on a manual clock of milliseconds. */
 public final class RaftCluster {
+  private static final long REPLACE_AFTER_MILLIS = 3_000;
+
   private final Random random;
+  private final List<String> initialNames;
   private final SafetyChecker checker = new SafetyChecker();
   private final MemoryNetwork network;
   private final Map<String, FakeReplica> replicas = new TreeMap<>();
@@ -46,6 +49,7 @@
     for (int i = 0; i < size; i++) {
       names.add(String.valueOf((char) ('a' + i)));
     }
+    initialNames = List.copyOf(names);
     for (String name : names) {
       RaftConfig config =
           new RaftConfig(name, names, 100, 500, 1000, compactAfter, compactAfter / 4, 4096, 64);
@@ -82,6 +86,31 @@
     return replicas.values();
   }
 
+  /** Starts a replica under a new name with an empty disk; the running ones learn of it. */
+  public void join(String name) {
+    RaftConfig config =
+        new RaftConfig(
+            name,
+            initialNames,
+            100,
+            500,
+            1000,
+            1_000,
+            250,
+            4096,
+            64,
+            initialNames.size(),
+            REPLACE_AFTER_MILLIS,
+            true);
+    replicas.put(name, new FakeReplica(config, new Random(random.nextLong()), checker));
+    start(name);
+    for (FakeReplica r : replicas.values()) {
+      if (r.isUp()) {
+        r.node().discover(name);
+      }
+    }
+  }
+
   /** Starts every replica that is down. */
   public void startAll() {
     replicas.keySet().forEach(this::start);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -342,4 +342,34 @@
     cluster.awaitConverged();
     assertTrue(cluster.replica("b").node().appliedIndex() >= applied);
   }
+
+  /** Guards against a group that loses a replica for good and never regains its spare vote. */
+  @Test
+  void replicaUnderNewNameReplacesTheSilentOne() {
+    startAndCommit(5);
+    cluster.kill("c");
+    cluster.join("d");
+    cluster.await(
+        15_000,
+        () ->
+            cluster
+                .awaitLeader()
+                .node()
+                .membership()
+                .members()
+                .keySet()
+                .equals(java.util.Set.of("a", "b", "d")));
+    cluster.kill("b");
+    cluster.commit("after the second loss");
+  }
+
+  /** Guards against a voter more than wanted while every voter is in contact. */
+  @Test
+  void replicaUnderNewNameWaitsWhileNobodyIsMissing() {
+    startAndCommit(5);
+    cluster.join("d");
+    cluster.advance(10_000);
+    assertEquals(3, cluster.awaitLeader().node().membership().members().size());
+    assertFalse(cluster.replica("d").node().isVoter());
+  }
 }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/DiskLogStorageTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/DiskLogStorageTest.java
@@ -227,4 +227,17 @@
     assertEquals(before + 1, disk.syncs());
     assertEquals(100, open().lastIndex());
   }
+
+  /** Guards against a replica that needs a leader to learn what it knew to be committed. */
+  @Test
+  void commitIndexIsNotedAndDamagedNoteIsIgnored() throws IOException {
+    DiskLogStorage s = open();
+    write(s, 1, 3, 1);
+    s.noteCommitted(2);
+    s.sync();
+    assertEquals(2, open().committedHint());
+    disk.flip("committed", 4);
+    assertEquals(0, open().committedHint());
+    assertEquals(3, open().lastIndex());
+  }
 }
