Bind listening sockets in one place

Cause: the read of the change found the same bootstrap twice, and class names spelled out in the code. Change: TcpListener; imports.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ReplicaDirectory.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ReplicaDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.ebonypond.server.settings.ReplicaAddress;
 
 /**
@@ -49,7 +50,7 @@
         i.remove();
       }
     }
-    Set<String> all = new java.util.TreeSet<>(seeds);
+    Set<String> all = new TreeSet<>(seeds);
     all.addAll(lastHeard.keySet());
     return new ArrayList<>(all);
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -12,6 +12,7 @@
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.HeadLoad;
+import org.ebonypond.fleet.InstancePhase;
 import org.ebonypond.forward.ArrivalGuard;
 import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.RetryAllowance;
@@ -154,7 +155,7 @@
     for (FleetInstance i : view.instances()) {
       boolean fits =
           i.service().equals(service.name())
-              && i.phase() == org.ebonypond.fleet.InstancePhase.READY
+              && i.phase() == InstancePhase.READY
               && !view.isOut(i.zone())
               && (service.engine() == null
                   || (i.servesGroup() && (model == null || i.models().contains(model))));
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -152,7 +153,7 @@
                   head.uri(),
                   body,
                   head.headers(),
-                  io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE));
+                  EmptyHttpHeaders.INSTANCE));
     }
 
     void read(Object message) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -1,13 +1,9 @@
 package org.ebonypond.server.http1;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -16,15 +12,13 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.ebonypond.errors.EbonypondException;
-import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.server.transport.TcpListener;
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
 /** Accepts HTTP/1.1 connections on one address. All of them share one event loop. */
 public final class HttpListener implements AutoCloseable {
-  private static final int BACKLOG = 1_024;
   private static final int MAX_REQUEST_LINE_BYTES = 8_192;
   private static final long SWEEP_MILLIS = 500;
 
@@ -58,34 +52,21 @@
   /**
    * Starts to accept connections.
    *
-   * @throws EbonypondException {@code settings-invalid} if the address cannot be bound
+   * @throws org.ebonypond.errors.EbonypondException {@code settings-invalid} if the address cannot
+   *     be bound
    */
   public void listen(InetSocketAddress address) {
-    ChannelFuture f =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel c) {
-                    accept(c);
-                  }
-                })
-            .bind(address)
-            .awaitUninterruptibly();
-    if (!f.isSuccess()) {
-      throw new EbonypondException(
-          f.cause(),
-          ErrorCode.SETTINGS_INVALID,
-          "listen",
-          "cannot listen on " + address,
-          "use a free local address and port");
-    }
-    channel = f.channel();
+    channel =
+        TcpListener.bind(
+            loop,
+            address,
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel c) {
+                accept(c);
+              }
+            },
+            "listen");
     timers.every(SWEEP_MILLIS, () -> loop.execute(this::sweep));
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.UnsynchronizedAppenderBase;
 import ch.qos.logback.core.encoder.Encoder;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -90,7 +91,7 @@
   }
 
   private void writeBatch(ILoggingEvent first) throws IOException, InterruptedException {
-    java.io.ByteArrayOutputStream b = new java.io.ByteArrayOutputStream();
+    ByteArrayOutputStream b = new ByteArrayOutputStream();
     ILoggingEvent e = first;
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BATCH_MILLIS);
     while (e != null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -1,7 +1,6 @@
 package org.ebonypond.server.transport;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,7 +12,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -91,23 +89,7 @@
    * @throws EbonypondException {@code settings-invalid} if the address cannot be bound
    */
   public void listen(InetSocketAddress address) {
-    ChannelFuture f =
-        new ServerBootstrap()
-            .group(loops)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(initializer())
-            .bind(address)
-            .awaitUninterruptibly();
-    if (!f.isSuccess()) {
-      throw new EbonypondException(
-          f.cause(),
-          ErrorCode.SETTINGS_INVALID,
-          "peer",
-          "cannot listen on " + address,
-          "use a free local address and port");
-    }
+    TcpListener.bind(loops, address, initializer(), "peer");
   }
 
   @Override
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.events.EventCode;
@@ -358,7 +359,7 @@
                 .membership()
                 .members()
                 .keySet()
-                .equals(java.util.Set.of("a", "b", "d")));
+                .equals(Set.of("a", "b", "d")));
     cluster.kill("b");
     cluster.commit("after the second loss");
   }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -6,6 +6,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.ebonypond.Seeds;
@@ -66,7 +67,7 @@
     int events = 0;
     for (int at = 0; at < all.length; ) {
       int n = Math.min(all.length - at, 1 + random.nextInt(200));
-      events += s.feed(java.util.Arrays.copyOfRange(all, at, at + n), out);
+      events += s.feed(Arrays.copyOfRange(all, at, at + n), out);
       at += n;
     }
     assertEquals(50, events);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
@@ -1,6 +1,7 @@
 package org.ebonypond.fleet;
 
 import java.util.List;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -102,7 +103,7 @@
         || !domain.equals(o.domain)
         || !models.equals(o.models)
         || !staged.equals(o.staged)
-        || !java.util.Objects.equals(group, o.group);
+        || !Objects.equals(group, o.group);
   }
 
   /** Returns whether this is the head of a group that serves requests. */
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Cuts the bytes of an event stream into whole events, so that an event that a backend server did
@@ -91,7 +93,7 @@
       if (length + bytes.length > MAX_EVENT_BYTES) {
         throw new IllegalStateException("event of more than " + MAX_EVENT_BYTES + " bytes");
       }
-      buffer = java.util.Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + bytes.length));
+      buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + bytes.length));
     }
     System.arraycopy(bytes, 0, buffer, length, bytes.length);
     length += bytes.length;
@@ -145,7 +147,7 @@
     return true;
   }
 
-  private static @org.jspecify.annotations.Nullable Long parse(String text) {
+  private static @Nullable Long parse(String text) {
     if (text.isEmpty() || text.length() > 18) {
       return null;
     }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingConfig.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingConfig.java
@@ -1,5 +1,6 @@
 package org.ebonypond.serving;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +27,7 @@
     this.keyed = !workspaces.isEmpty();
     this.limits = limits;
     for (RouteRule r : routes) {
-      routesByHost.computeIfAbsent(r.host(), h -> new java.util.ArrayList<>()).add(r);
+      routesByHost.computeIfAbsent(r.host(), h -> new ArrayList<>()).add(r);
     }
     for (List<RouteRule> l : routesByHost.values()) {
       l.sort((a, b) -> b.pathPrefix().length() - a.pathPrefix().length());
