--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.ebonypond.errors.EbonypondException;
@@ -141,9 +140,4 @@
   public int entries() {
     return entries;
   }
-
-  /** Returns the loads of the others, for reports. */
-  public List<HeadLoad> otherLoads() {
-    return List.copyOf(others.values());
-  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -125,14 +125,6 @@
     return connects;
   }
 
-  /** Closes the idle connections to an instance. */
-  public void forget(String key) {
-    Deque<BackendConnection> q = idle.remove(key);
-    if (q != null) {
-      q.forEach(BackendConnection::close);
-    }
-  }
-
   void release(String key, BackendConnection c) {
     idle.computeIfAbsent(key, k -> new ArrayDeque<>()).addFirst(c);
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/RouteRule.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/RouteRule.java
@@ -41,11 +41,6 @@
     return kind == CallKind.SAFE || (kind == CallKind.STREAM && resumable);
   }
 
-  /** Returns whether a request for this host and path matches. */
-  public boolean matches(String requestHost, String path) {
-    return host.equals(requestHost) && path.startsWith(pathPrefix);
-  }
-
   /**
    * Chooses a service by weight.
    *
