Move the lines about a request out of the call

Cause: ForwardCall had 700 lines, a sixth of them log lines. Change: RequestLog writes them, in the same words.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -31,16 +31,12 @@
 import org.ebonypond.serving.WorkspaceProfile;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * One attempt of a caller on its way through this entry. It ends with exactly one answer: a backend
  * server's own, or a refusal that says truthfully whether the request may have run.
  */
 final class ForwardCall {
-  private static final Logger LOG = LoggerFactory.getLogger("ebonypond.requests");
-
   /** Backend servers that refuse a request one after the other before the caller is refused. */
   private static final int MAX_REFUSALS = 3;
 
@@ -82,6 +78,7 @@
   private final CallHead head;
   private final TimerService timers;
   private final long receivedAt;
+  private final RequestLog log;
   private final Set<String> tried = new HashSet<>();
 
   private @Nullable RouteRule route;
@@ -109,6 +106,7 @@
     this.head = head;
     this.timers = owner.timers();
     this.receivedAt = timers.nowMillis();
+    this.log = new RequestLog(head.id(), timers, receivedAt);
   }
 
   void start() {
@@ -206,18 +204,7 @@
     Attempt a = new Attempt(target, owner.stats(target.id()), decision.firstMillis(), now);
     current = a;
     HeadLoad others = owner.view().others(target.id());
-    LOG.atInfo()
-        .addKeyValue("request", head.id())
-        .addKeyValue("cause", cause)
-        .addKeyValue("instance", target.id())
-        .addKeyValue("zone", target.zone())
-        .addKeyValue("urgency", decision.urgency())
-        .addKeyValue("predicted_first_ms", Math.round(decision.firstMillis()))
-        .addKeyValue("own_active", a.stats.active())
-        .addKeyValue("others_active", others == null ? 0 : others.active())
-        .addKeyValue("resume_after", d.resumeAfter())
-        .addKeyValue("left_ms", d.remainingMillis())
-        .log("request sent");
+    log.sent(cause, target, decision, d, a.stats, others);
     InetSocketAddress to = ReplicaDirectory.address(target.address());
     long maxIdle = route().idempotent() ? Long.MAX_VALUE : FRESH_MILLIS;
     a.exchange =
@@ -254,7 +241,7 @@
     if (d.target() == null || !takeRepeat()) {
       return;
     }
-    log("stalled", a.target.id(), "moved");
+    log.moved("stalled", a.target.id(), sends);
     a.stop();
     a.stats.failed(now);
     mayHaveRun = true;
@@ -317,13 +304,7 @@
 
   private void giveUp(String reason, long pauseMillis) {
     if (started) {
-      LOG.atWarn()
-          .addKeyValue("request", head.id())
-          .addKeyValue("route", route().name())
-          .addKeyValue("reason", reason)
-          .addKeyValue("sends", sends)
-          .addKeyValue("took_ms", timers.nowMillis() - receivedAt)
-          .log("answer broken off");
+      log.brokenOff(route().name(), reason, sends);
       owner.metrics().ended(kind(), "broken-off", reason, timers.nowMillis() - receivedAt);
       leave();
       call.abort();
@@ -361,7 +342,7 @@
     if (a != null) {
       a.stop();
     }
-    log("caller-left", a == null ? "" : a.target.id(), "cancelled");
+    log.cancelled("caller-left", a == null ? "" : a.target.id(), sends);
     owner.metrics().ended(kind(), "cancelled", "caller-left", timers.nowMillis() - receivedAt);
     leave();
   }
@@ -378,18 +359,15 @@
 
   private void finish(HttpResponseStatus status, String reason, long pauseMillis) {
     long took = timers.nowMillis() - receivedAt;
-    LOG.atInfo()
-        .addKeyValue("request", head.id())
-        .addKeyValue("route", route == null ? "" : route.name())
-        .addKeyValue("workspace", workspace == null ? "" : workspace.name())
-        .addKeyValue("status", status.code())
-        .addKeyValue("reason", reason)
-        .addKeyValue("sends", sends)
-        .addKeyValue("tried", tried)
-        .addKeyValue("config", owner.view().version())
-        .addKeyValue("took_ms", took)
-        .addKeyValue("retry_after_ms", pauseMillis)
-        .log("request refused");
+    log.refused(
+        route == null ? "" : route.name(),
+        workspace == null ? "" : workspace.name(),
+        status.code(),
+        reason,
+        sends,
+        tried,
+        owner.view().version(),
+        pauseMillis);
     owner.metrics().ended(kind(), "refused", reason, took);
     leave();
     call.answer(owner.dialect().own(status, head.id(), pauseMillis), Unpooled.EMPTY_BUFFER);
@@ -408,30 +386,12 @@
   private void completed(Attempt a, int status) {
     long now = timers.nowMillis();
     a.stats.succeeded(now);
-    LOG.atInfo()
-        .addKeyValue("request", head.id())
-        .addKeyValue("route", route().name())
-        .addKeyValue("instance", a.target.id())
-        .addKeyValue("status", status)
-        .addKeyValue("sends", sends)
-        .addKeyValue("first_ms", firstAt == 0 ? now - receivedAt : firstAt - receivedAt)
-        .addKeyValue("longest_gap_ms", longestGap)
-        .addKeyValue("took_ms", now - receivedAt)
-        .log("request answered");
+    long first = firstAt == 0 ? now : firstAt;
+    log.answered(route().name(), a.target.id(), status, sends, first - receivedAt, longestGap);
     owner.metrics().ended(kind(), "answered", "status-" + status / 100 + "xx", now - receivedAt);
     leave();
   }
 
-  private void log(String reason, String instance, String outcome) {
-    LOG.atInfo()
-        .addKeyValue("request", head.id())
-        .addKeyValue("reason", reason)
-        .addKeyValue("instance", instance)
-        .addKeyValue("sends", sends)
-        .addKeyValue("took_ms", timers.nowMillis() - receivedAt)
-        .log("request " + outcome);
-  }
-
   private String kind() {
     RouteRule r = route;
     return r == null ? "unknown" : r.kind().name().toLowerCase(Locale.ROOT);
@@ -507,11 +467,7 @@
       BackendReply r = owner.dialect().reply(h);
       boolean mine = r.requestId() == null ? !r.isSuccess() : r.requestId().equals(head.id());
       if (!mine) {
-        LOG.atWarn()
-            .addKeyValue("request", head.id())
-            .addKeyValue("instance", target.id())
-            .addKeyValue("answers", r.requestId())
-            .log("answer to another request dropped");
+        log.otherAnswer(target.id(), r.requestId());
         return false;
       }
       reply = r;
@@ -664,12 +620,7 @@
         stats.failed(now);
       }
       owner.metrics().sendFailed(kind(), full ? "full" : "refused-" + r.status());
-      LOG.atInfo()
-          .addKeyValue("request", head.id())
-          .addKeyValue("instance", target.id())
-          .addKeyValue("status", r.status())
-          .addKeyValue("culprit", r.culprit())
-          .log("backend server refused a request");
+      log.backendRefused(target.id(), r);
       notRun(full ? "full" : "refused", true);
     }
 
@@ -681,13 +632,7 @@
       long now = timers.nowMillis();
       stats.failed(now);
       owner.metrics().sendFailed(kind(), sent ? "cut" : "connect");
-      LOG.atInfo()
-          .addKeyValue("request", head.id())
-          .addKeyValue("instance", target.id())
-          .addKeyValue("address", target.address())
-          .addKeyValue("sent", sent)
-          .addKeyValue("cause", reason)
-          .log("send failed");
+      log.sendFailed(target, sent, reason);
       if (sent) {
         brokenOff("cut");
       } else {
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -0,0 +1,152 @@
+package org.ebonypond.server.forward;
+
+import java.util.Set;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.fleet.HeadLoad;
+import org.ebonypond.forward.InstanceStats;
+import org.ebonypond.forward.TargetSelector;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * Writes one line for each decision about one request, with the inputs that decided it. {@code
+ * docs/OPERATIONS.md} lists the lines.
+ */
+final class RequestLog {
+  private static final Logger LOG = LoggerFactory.getLogger("ebonypond.requests");
+
+  private final String id;
+  private final TimerService timers;
+  private final long receivedAt;
+
+  /**
+   * Creates the log of a request.
+   *
+   * @param id the request's identifier
+   * @param receivedAt when it was received, in milliseconds of the timer service
+   */
+  RequestLog(String id, TimerService timers, long receivedAt) {
+    this.id = id;
+    this.timers = timers;
+    this.receivedAt = receivedAt;
+  }
+
+  void sent(
+      String cause,
+      FleetInstance target,
+      TargetSelector.Decision decision,
+      Dispatch dispatch,
+      InstanceStats stats,
+      @Nullable HeadLoad others) {
+    line()
+        .addKeyValue("cause", cause)
+        .addKeyValue("instance", target.id())
+        .addKeyValue("zone", target.zone())
+        .addKeyValue("urgency", decision.urgency())
+        .addKeyValue("predicted_first_ms", Math.round(decision.firstMillis()))
+        .addKeyValue("own_active", stats.active())
+        .addKeyValue("others_active", others == null ? 0 : others.active())
+        .addKeyValue("resume_after", dispatch.resumeAfter())
+        .addKeyValue("left_ms", dispatch.remainingMillis())
+        .log("request sent");
+  }
+
+  void moved(String reason, String instance, int sends) {
+    line()
+        .addKeyValue("reason", reason)
+        .addKeyValue("instance", instance)
+        .addKeyValue("sends", sends)
+        .addKeyValue("took_ms", tookMillis())
+        .log("request moved");
+  }
+
+  void cancelled(String reason, String instance, int sends) {
+    line()
+        .addKeyValue("reason", reason)
+        .addKeyValue("instance", instance)
+        .addKeyValue("sends", sends)
+        .addKeyValue("took_ms", tookMillis())
+        .log("request cancelled");
+  }
+
+  void otherAnswer(String instance, @Nullable String answers) {
+    LOG.atWarn()
+        .addKeyValue("request", id)
+        .addKeyValue("instance", instance)
+        .addKeyValue("answers", answers)
+        .log("answer to another request dropped");
+  }
+
+  void backendRefused(String instance, BackendReply r) {
+    line()
+        .addKeyValue("instance", instance)
+        .addKeyValue("status", r.status())
+        .addKeyValue("culprit", r.culprit())
+        .log("backend server refused a request");
+  }
+
+  void sendFailed(FleetInstance target, boolean sent, String cause) {
+    line()
+        .addKeyValue("instance", target.id())
+        .addKeyValue("address", target.address())
+        .addKeyValue("sent", sent)
+        .addKeyValue("cause", cause)
+        .log("send failed");
+  }
+
+  void brokenOff(String route, String reason, int sends) {
+    LOG.atWarn()
+        .addKeyValue("request", id)
+        .addKeyValue("route", route)
+        .addKeyValue("reason", reason)
+        .addKeyValue("sends", sends)
+        .addKeyValue("took_ms", tookMillis())
+        .log("answer broken off");
+  }
+
+  void refused(
+      String route,
+      String workspace,
+      int status,
+      String reason,
+      int sends,
+      Set<String> tried,
+      long configVersion,
+      long pauseMillis) {
+    line()
+        .addKeyValue("route", route)
+        .addKeyValue("workspace", workspace)
+        .addKeyValue("status", status)
+        .addKeyValue("reason", reason)
+        .addKeyValue("sends", sends)
+        .addKeyValue("tried", tried)
+        .addKeyValue("config", configVersion)
+        .addKeyValue("took_ms", tookMillis())
+        .addKeyValue("retry_after_ms", pauseMillis)
+        .log("request refused");
+  }
+
+  void answered(
+      String route, String instance, int status, int sends, long firstMillis, long longestGap) {
+    line()
+        .addKeyValue("route", route)
+        .addKeyValue("instance", instance)
+        .addKeyValue("status", status)
+        .addKeyValue("sends", sends)
+        .addKeyValue("first_ms", firstMillis)
+        .addKeyValue("longest_gap_ms", longestGap)
+        .addKeyValue("took_ms", tookMillis())
+        .log("request answered");
+  }
+
+  private LoggingEventBuilder line() {
+    return LOG.atInfo().addKeyValue("request", id);
+  }
+
+  private long tookMillis() {
+    return timers.nowMillis() - receivedAt;
+  }
+}
