Stage the worst served model on instances that can serve nothing yet

Read in the code: cold instances that are staged once there is traffic, as after a late or repeated start of the leader, all staged the largest model, so that the small one got no group. Change: such an instance stages the model that has fewest instances for its share. FleetPlannerTest.coldStartUnderTrafficServesEveryModel fails without it. The summary line names its field 'retiring' again.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -122,6 +122,16 @@
     assertTrue(fleet.mostLoads(WINDOW_MILLIS) <= 20, "loads " + fleet.mostLoads(WINDOW_MILLIS));
   }
 
+  /** Guards against a model without any group because all cold hosts stage the largest one. */
+  @Test
+  void coldStartUnderTrafficServesEveryModel() {
+    planner.lead(1, true, 4, 0);
+    fleet.run(planner, 60_000, false);
+    assertTrue(fleet.serving("large") > 0, "large " + fleet.serving("large"));
+    assertTrue(fleet.serving("small") > 0, "small " + fleet.serving("small"));
+    assertEquals(List.of(), fleet.violations());
+  }
+
   /** Guards against a new leader that opens or breaks groups that it does not know yet. */
   @Test
   void newLeaderTakesOverRunningGroups() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -60,6 +60,7 @@
     state.left.clear();
     state.incompleteSince.clear();
     state.stagingSince.clear();
+    state.stagingModel.clear();
     state.retiring.clear();
     state.avoid.clear();
     if (!first) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -42,6 +42,9 @@
   /** When each load for later use began. */
   final Map<String, Long> stagingSince = new HashMap<>();
 
+  /** What is being loaded for later use. */
+  final Map<String, String> stagingModel = new HashMap<>();
+
   /** The groups that are being dissolved for another model, with the time of the decision. */
   final Map<String, Long> retiring = new HashMap<>();
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -350,6 +350,7 @@
       if (done != OrderOutcome.ACCEPTED && done != OrderOutcome.HOLDS && send(o)) {
         running++;
         state.stagingSince.put(i.id(), now);
+        state.stagingModel.put(i.id(), model);
         takeLoads(1);
       }
     }
@@ -360,9 +361,11 @@
     if (since == null) {
       return false;
     }
-    boolean over = i.staged().contains(modelToStage(i)) || now - since > STAGING_MILLIS;
+    String model = state.stagingModel.getOrDefault(i.id(), "");
+    boolean over = i.staged().contains(model) || now - since > STAGING_MILLIS;
     if (over) {
       state.stagingSince.remove(i.id());
+      state.stagingModel.remove(i.id());
     }
     return !over;
   }
@@ -392,8 +395,14 @@
     }
   }
 
-  /** Returns the largest model that an instance does not have in memory, or an empty string. */
+  /**
+   * Returns the model to stage, or an empty string: for an instance that can serve nothing yet, the
+   * one that is worst served; otherwise the largest one that it does not have in memory.
+   */
   private String modelToStage(FleetInstance i) {
+    if (i.lastModel().isEmpty() && i.models().isEmpty()) {
+      return i.staged().isEmpty() ? worstServed() : i.staged().get(0);
+    }
     String model = "";
     int size = 0;
     for (ModelProfile m : engine.models()) {
@@ -406,6 +415,30 @@
     return model;
   }
 
+  /** Returns the model that lacks most instances, counting those that are staged or staging. */
+  private String worstServed() {
+    Map<String, Integer> instancesOf = new HashMap<>();
+    for (FleetInstance i : instances.values()) {
+      String model = !i.lastModel().isEmpty() ? i.lastModel() : firstOf(i.staged());
+      instancesOf.merge(model, 1, Integer::sum);
+    }
+    state.stagingModel.forEach((id, model) -> instancesOf.merge(model, 1, Integer::sum));
+    String worst = "";
+    double least = Double.MAX_VALUE;
+    for (ModelProfile m : engine.models()) {
+      double served = instancesOf.getOrDefault(m.name(), 0) / Math.max(0.01, m.share());
+      if (served < least) {
+        least = served;
+        worst = m.name();
+      }
+    }
+    return worst;
+  }
+
+  private static String firstOf(List<String> models) {
+    return models.isEmpty() ? "" : models.get(0);
+  }
+
   /** Instances that no group can use yet are staged before those that serve. */
   private List<FleetInstance> stagingOrder() {
     List<FleetInstance> out = new ArrayList<>(instances.values());
@@ -444,7 +477,7 @@
         + new TreeMap<>(counts)
         + " open="
         + open
-        + " state.retiring="
+        + " retiring="
         + state.retiring.size()
         + " free="
         + free
