Keep a load for later use in one record, and ask for a model in memory in one place

Cause: the read of the change found two maps that always changed together, and the same test of what an instance has in memory written twice, with two wrappers around it. Change: PlannerState.Staging; FleetInstance.hasInMemory; the wrappers are gone.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
@@ -82,9 +82,14 @@
         model);
   }
 
+  /** Returns whether the instance can serve a model at once. */
+  public boolean hasInMemory(String model) {
+    return lastModel.equals(model) || models.contains(model);
+  }
+
   /** Returns whether the instance can serve a model without a load from the weight store. */
   public boolean isWarmFor(String model) {
-    return lastModel.equals(model) || models.contains(model) || staged.contains(model);
+    return hasInMemory(model) || staged.contains(model);
   }
 
   /** Returns whether this record is later than another one of the same identifier. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -59,8 +59,7 @@
     state.quarantine.clear();
     state.left.clear();
     state.incompleteSince.clear();
-    state.stagingSince.clear();
-    state.stagingModel.clear();
+    state.staging.clear();
     state.retiring.clear();
     state.avoid.clear();
     if (!first) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -130,7 +130,7 @@
             .thenComparing(FleetInstance::id));
     members = List.copyOf(members.subList(0, m.groupSize()));
     long ready = members.stream().mapToLong(i -> readyMillis(i, m)).max().orElse(0);
-    int loads = (int) members.stream().filter(i -> needsLoad(i, m)).count();
+    int loads = (int) members.stream().filter(i -> !i.isWarmFor(m.name())).count();
     int leftover = (free.size() - m.groupSize()) % smallestGroup();
     double value =
         need(m, 0)
@@ -155,16 +155,8 @@
     return m.name() + "/" + members.get(0).zone();
   }
 
-  private static boolean inMemory(FleetInstance i, ModelProfile m) {
-    return i.models().contains(m.name()) || i.lastModel().equals(m.name());
-  }
-
-  private static boolean needsLoad(FleetInstance i, ModelProfile m) {
-    return !i.isWarmFor(m.name());
-  }
-
   private static long readyMillis(FleetInstance i, ModelProfile m) {
-    if (inMemory(i, m)) {
+    if (i.hasInMemory(m.name())) {
       return REJOIN_MILLIS;
     }
     return i.staged().contains(m.name()) ? m.warmMillis() : m.loadMillis();
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -39,11 +39,8 @@
   /** The group and epoch that an instance has confirmed to have left. */
   final Map<String, String> left = new HashMap<>();
 
-  /** When each load for later use began. */
-  final Map<String, Long> stagingSince = new HashMap<>();
-
-  /** What is being loaded for later use. */
-  final Map<String, String> stagingModel = new HashMap<>();
+  /** The loads for later use that have begun, by instance. */
+  final Map<String, Staging> staging = new HashMap<>();
 
   /** The groups that are being dissolved for another model, with the time of the decision. */
   final Map<String, Long> retiring = new HashMap<>();
@@ -66,4 +63,12 @@
     this.stallMillis = stallMillis;
     this.ceiling = ceiling;
   }
+
+  /**
+   * A load of a model onto a host for later use.
+   *
+   * @param model the model
+   * @param since when it was ordered, in milliseconds
+   */
+  record Staging(String model, long since) {}
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -270,11 +270,11 @@
       int free =
           (int)
               domains.getOrDefault(e.getKey(), List.of()).stream()
-                  .filter(i -> isWarm(i, to))
+                  .filter(i -> i.isWarmFor(to.name()))
                   .count();
       List<GroupView> chosen = new ArrayList<>();
       for (GroupView g : e.getValue()) {
-        boolean warm = g.members.values().stream().allMatch(m -> isWarm(m, to));
+        boolean warm = g.members.values().stream().allMatch(m -> m.isWarmFor(to.name()));
         if (free < to.groupSize() && warm) {
           chosen.add(g);
           free += g.members.size();
@@ -292,10 +292,6 @@
     return best;
   }
 
-  private boolean isWarm(FleetInstance i, ModelProfile m) {
-    return i.isWarmFor(m.name());
-  }
-
   private String domainOf(FleetInstance i) {
     return i.domain().isEmpty() ? "zone " + i.zone() : i.domain();
   }
@@ -349,23 +345,20 @@
       OrderOutcome done = state.book.outcome(o);
       if (done != OrderOutcome.ACCEPTED && done != OrderOutcome.HOLDS && send(o)) {
         running++;
-        state.stagingSince.put(i.id(), now);
-        state.stagingModel.put(i.id(), model);
+        state.staging.put(i.id(), new PlannerState.Staging(model, now));
         takeLoads(1);
       }
     }
   }
 
   private boolean isStaging(FleetInstance i) {
-    Long since = state.stagingSince.get(i.id());
-    if (since == null) {
+    PlannerState.Staging s = state.staging.get(i.id());
+    if (s == null) {
       return false;
     }
-    String model = state.stagingModel.getOrDefault(i.id(), "");
-    boolean over = i.staged().contains(model) || now - since > STAGING_MILLIS;
+    boolean over = i.staged().contains(s.model()) || now - s.since() > STAGING_MILLIS;
     if (over) {
-      state.stagingSince.remove(i.id());
-      state.stagingModel.remove(i.id());
+      state.staging.remove(i.id());
     }
     return !over;
   }
@@ -406,8 +399,7 @@
     String model = "";
     int size = 0;
     for (ModelProfile m : engine.models()) {
-      boolean inMemory = i.models().contains(m.name()) || i.lastModel().equals(m.name());
-      if (m.groupSize() > size && !inMemory) {
+      if (m.groupSize() > size && !i.hasInMemory(m.name())) {
         size = m.groupSize();
         model = m.name();
       }
@@ -422,7 +414,7 @@
       String model = !i.lastModel().isEmpty() ? i.lastModel() : firstOf(i.staged());
       instancesOf.merge(model, 1, Integer::sum);
     }
-    state.stagingModel.forEach((id, model) -> instancesOf.merge(model, 1, Integer::sum));
+    state.staging.values().forEach(s -> instancesOf.merge(s.model(), 1, Integer::sum));
     String worst = "";
     double least = Double.MAX_VALUE;
     for (ModelProfile m : engine.models()) {
@@ -484,7 +476,7 @@
         + " silent="
         + lost
         + " staging="
-        + state.stagingSince.size();
+        + state.staging.size();
   }
 
   private Map<String, Long> warmth(List<FleetInstance> l) {
