Hold early calls at a new entry, and keep the noted commit index through a loss of power

Change: the note of the commit index is synced while no entry waits for a sync; an entry keeps calls that come before it knows the configuration or the instances, for 2 s or half of their time, and sends them when it does.

Ruled out: more heartbeats; all 48 instances were known before the configuration.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryDisk.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryDisk.java
@@ -58,7 +58,12 @@
   public void note(String file, byte[] content) {
     Content c = new Content();
     c.append(content);
+    if (!failing) {
+      c.synced = c.length;
+      c.durable = true;
+    }
     files.put(file, c);
+    version++;
   }
 
   @Override
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -70,6 +70,17 @@
 
   private static final long RETRY_PAUSE_MILLIS = 400;
 
+  /** Callers come back only if they are asked to wait for this part of their time at most. */
+  private static final int CALLER_PATIENCE = 3;
+
+  /** Callers without a deadline are taken to wait for this long, in milliseconds. */
+  private static final long UNKNOWN_DEADLINE_MILLIS = 60_000;
+
+  /** A call waits for this part of its time at most for the process to learn the fleet. */
+  private static final int WAIT_PART = 2;
+
+  private static final long NEVER = Long.MIN_VALUE;
+
   /** The pause before a caller turns to another entry because this one stops. */
   private static final long STOPPING_PAUSE_MILLIS = 50;
 
@@ -87,6 +98,8 @@
   private @Nullable EngineCost cost;
   private @Nullable ModelProfile model;
   private TimerService.@Nullable Subscription deadline;
+  private TimerService.@Nullable Subscription waitLimit;
+  private long waitsUntil = NEVER;
   private long deadlineAt;
   private @Nullable Attempt current;
   private @Nullable EventSplitter splitter;
@@ -114,11 +127,25 @@
       finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_PAUSE_MILLIS);
       return;
     }
+    owner.opened(this);
+    call.onClosed(this::callerLeft);
+    long wait = head.deadlineMillis() > 0 ? head.deadlineMillis() : UNKNOWN_DEADLINE_MILLIS;
+    deadlineAt = receivedAt + wait;
     ServingConfig config = owner.view().config();
-    if (config == null) {
-      finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-configuration", START_PAUSE_MILLIS);
-      return;
+    if (config != null) {
+      accept(config);
+    } else if (!waitForView()) {
+      refuseUnconfigured();
     }
+  }
+
+  private void refuseUnconfigured() {
+    long pause = Math.min(START_PAUSE_MILLIS, remaining() / CALLER_PATIENCE);
+    finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-configuration", pause);
+  }
+
+  /** Finds out what the request asks for, and sends it. */
+  private void accept(ServingConfig config) {
     RouteRule r = config.route(head.host(), head.path());
     if (r == null) {
       finish(HttpResponseStatus.NOT_FOUND, "no-route", 0);
@@ -142,11 +169,8 @@
       model = service.engine().model(head.model());
     }
     long wait = head.deadlineMillis() > 0 ? head.deadlineMillis() : Long.MAX_VALUE;
-    wait = Math.min(wait, r.timeoutMillis());
-    deadlineAt = receivedAt + wait;
-    owner.opened(this);
-    call.onClosed(this::callerLeft);
-    deadline = timers.after(wait, this::expired);
+    deadlineAt = receivedAt + Math.min(wait, r.timeoutMillis());
+    deadline = timers.after(remaining(), this::expired);
     owner.allowance().request(service.name(), receivedAt);
     dispatch("first");
   }
@@ -155,12 +179,57 @@
   private void dispatch(String cause) {
     TargetSelector.Decision d = choose();
     if (d.target() == null) {
-      giveUp(d.reason(), d.pauseMillis());
+      boolean early = sends == 0 && owner.startQueue().isLearning(timers.nowMillis());
+      if (!early || !waitForView()) {
+        giveUp(d.reason(), d.pauseMillis());
+      }
     } else {
       send(d, cause);
     }
   }
 
+  /**
+   * Waits until this process knows more of the fleet, for half of the caller's time at most, so
+   * that there is time left for another attempt.
+   *
+   * @return whether the call waits, now or still
+   */
+  private boolean waitForView() {
+    if (waitsUntil == NEVER) {
+      waitsUntil =
+          receivedAt + Math.min(StartQueue.MAX_WAIT_MILLIS, (deadlineAt - receivedAt) / WAIT_PART);
+      if (!owner.startQueue().add(this)) {
+        return false;
+      }
+      waitLimit = timers.after(waitsUntil - timers.nowMillis(), this::waitedLongEnough);
+    }
+    return timers.nowMillis() < waitsUntil;
+  }
+
+  /** Goes on with a call that waits, after the view of the fleet has changed. */
+  void tryAgain() {
+    ServingConfig config = owner.view().config();
+    if (done || config == null) {
+      return;
+    }
+    if (route == null) {
+      accept(config);
+    } else {
+      dispatch("first");
+    }
+  }
+
+  private void waitedLongEnough() {
+    if (done || sends > 0) {
+      return;
+    }
+    if (route == null) {
+      refuseUnconfigured();
+    } else {
+      dispatch("first");
+    }
+  }
+
   private TargetSelector.Decision choose() {
     ServiceProfile s = service();
     long now = timers.nowMillis();
@@ -185,6 +254,7 @@
       throw new IllegalArgumentException("no instance was chosen");
     }
     long now = timers.nowMillis();
+    stopWaiting();
     sends++;
     tried.add(target.id());
     owner.guard().sent(target.id(), now);
@@ -311,7 +381,7 @@
     } else if (mayHaveRun) {
       finish(HttpResponseStatus.BAD_GATEWAY, reason, 0);
     } else {
-      long most = Math.max(0, remaining() / 3);
+      long most = Math.max(0, remaining() / CALLER_PATIENCE);
       finish(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, Math.min(pauseMillis, most));
     }
   }
@@ -373,8 +443,18 @@
     call.answer(owner.dialect().own(status, head.id(), pauseMillis), Unpooled.EMPTY_BUFFER);
   }
 
+  private void stopWaiting() {
+    TimerService.Subscription w = waitLimit;
+    if (w != null) {
+      w.cancel();
+      waitLimit = null;
+      owner.startQueue().remove(this);
+    }
+  }
+
   private void leave() {
     done = true;
+    stopWaiting();
     current = null;
     TimerService.Subscription d = deadline;
     if (d != null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -48,6 +48,7 @@
   private final ForwardMetrics metrics;
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
+  private final StartQueue startQueue;
   private long received;
   private boolean refusing;
 
@@ -63,6 +64,7 @@
    * @param timers gives the time
    * @param random chooses between the services of a route
    * @param metrics counts the outcomes
+   * @param heartbeatMillis the time between two heartbeats of an instance, in milliseconds
    */
   public Forwarder(
       FleetView view,
@@ -73,7 +75,8 @@
       ArrivalGuard guard,
       TimerService timers,
       RandomGenerator random,
-      ForwardMetrics metrics) {
+      ForwardMetrics metrics,
+      long heartbeatMillis) {
     this.view = view;
     this.pool = pool;
     this.dialect = dialect;
@@ -83,6 +86,7 @@
     this.timers = timers;
     this.random = random;
     this.metrics = metrics;
+    this.startQueue = new StartQueue(heartbeatMillis);
     timers.every(WATCH_MILLIS, this::watch);
   }
 
@@ -119,6 +123,11 @@
     return out;
   }
 
+  /** Goes on with calls that wait for the view of the fleet, which has changed. */
+  public void viewChanged() {
+    startQueue.viewChanged(view.config() != null, timers.nowMillis());
+  }
+
   /** Returns the number of calls since the start. */
   public long received() {
     return received;
@@ -185,6 +194,10 @@
     calls.remove(c);
   }
 
+  StartQueue startQueue() {
+    return startQueue;
+  }
+
   FleetView view() {
     return view;
   }
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/StartQueue.java
@@ -0,0 +1,58 @@
+package org.ebonypond.server.forward;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Calls that arrived before this process knew where to send them. A process that has just started
+ * learns the configuration and the instances within seconds; a caller that is refused meanwhile
+ * spends its only retry on that. The calls are tried again, oldest first, whenever the view of the
+ * fleet has changed. Used on one event loop only.
+ */
+final class StartQueue {
+  /** No call waits for longer than this, in milliseconds; longer losses need a refusal. */
+  static final long MAX_WAIT_MILLIS = 2_000;
+
+  /** Calls with their bodies; at 4 KB each a few percent of the memory of a process. */
+  private static final int MAX_CALLS = 1_000;
+
+  /** Instances report at least once in two heartbeats, unless they are lost. */
+  private static final int HEARTBEATS = 2;
+
+  private final long learningMillis;
+  private final Set<ForwardCall> calls = new LinkedHashSet<>();
+  private long knownSince = Long.MAX_VALUE;
+
+  /**
+   * Creates a queue.
+   *
+   * @param heartbeatMillis the time between two heartbeats of an instance, in milliseconds
+   */
+  StartQueue(long heartbeatMillis) {
+    this.learningMillis = HEARTBEATS * heartbeatMillis;
+  }
+
+  /** Adds a call; returns whether there was room for it. */
+  boolean add(ForwardCall c) {
+    return calls.size() < MAX_CALLS && calls.add(c);
+  }
+
+  void remove(ForwardCall c) {
+    calls.remove(c);
+  }
+
+  /** Returns whether instances may be missing from the view because this process is new. */
+  boolean isLearning(long now) {
+    return knownSince == Long.MAX_VALUE || now - knownSince < learningMillis;
+  }
+
+  /** Tries the calls again after a control replica has answered. */
+  void viewChanged(boolean configured, long now) {
+    if (!configured) {
+      return;
+    }
+    knownSince = Math.min(knownSince, now);
+    List.copyOf(calls).forEach(ForwardCall::tryAgain);
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLogProvider.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLogProvider.java
@@ -15,7 +15,10 @@
  */
 public final class JsonLogProvider implements SLF4JServiceProvider {
   /** The system property that names a provider, so that SLF4J does not look for one. */
-  public static final String PROPERTY = "slf4j.provider";
+  private static final String PROVIDER = "slf4j.provider";
+
+  /** The system property that keeps SLF4J from a line about the provider, which is not JSON. */
+  private static final String VERBOSITY = "slf4j.internal.verbosity";
 
   private static final String SLF4J_VERSION = "2.0.99";
 
@@ -23,6 +26,12 @@
   private final IMarkerFactory markers = new BasicMarkerFactory();
   private final LogbackMDCAdapter mdc = new LogbackMDCAdapter();
 
+  /** Selects this provider; call before the first logger of the process is made. */
+  public static void select() {
+    System.setProperty(PROVIDER, JsonLogProvider.class.getName());
+    System.setProperty(VERBOSITY, "WARN");
+  }
+
   @Override
   public void initialize() {
     context.setName("default");
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
@@ -99,8 +99,14 @@
 
   @Override
   public void note(String file, byte[] content) {
-    try (FileChannel c = FileChannel.open(folder.resolve(file), CREATE, WRITE)) {
+    Path path = folder.resolve(file);
+    boolean isNew = !Files.exists(path);
+    try (FileChannel c = FileChannel.open(path, CREATE, WRITE)) {
       writeAll(c, content);
+      c.force(false);
+      if (isNew) {
+        syncFolder(folder);
+      }
     } catch (IOException e) {
       LOG.atInfo().addKeyValue("file", file).setCause(e).log("note cannot be written");
     }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/DiskLogStorageTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/DiskLogStorageTest.java
@@ -236,6 +236,8 @@
     s.noteCommitted(2);
     s.sync();
     assertEquals(2, open().committedHint());
+    disk.crash(null);
+    assertEquals(2, open().committedHint(), "after a loss of power");
     disk.flip("committed", 4);
     assertEquals(0, open().committedHint());
     assertEquals(3, open().lastIndex());
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/Disk.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/Disk.java
@@ -23,8 +23,9 @@
   void replace(String file, byte[] content) throws IOException;
 
   /**
-   * Replaces the content of a small file without making it durable: after a crash it may be the new
-   * or the old content, a mixture or missing. A failure is reported elsewhere and not thrown.
+   * Replaces the content of a small file durably, with a single sync: after a crash during the call
+   * it may be the new or the old content, a mixture or missing. A failure is reported elsewhere and
+   * not thrown.
    */
   void note(String file, byte[] content);
 
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
@@ -169,11 +169,12 @@
 
   /**
    * Notes the commit index as far as it is durable here. Entries that are not durable yet might be
-   * replaced, after a crash, by older ones that were never committed.
+   * replaced, after a crash, by older ones that were never committed. The note costs a sync of its
+   * own, so it is left for later while an entry waits for one.
    */
   public void noteCommitted(long index) {
     long safe = Math.min(index, durableIndex);
-    if (safe > notedCommit) {
+    if (safe > notedCommit && durableIndex >= lastIndex()) {
       notedCommit = safe;
       storage.noteCommitted(safe);
       noteChange();
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/StorageFiles.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/StorageFiles.java
@@ -65,7 +65,7 @@
     try {
       return CheckedFile.decode(COMMITTED, disk.read(COMMITTED), Long.class);
     } catch (EbonypondException e) {
-      // The note is not durable, so a crash may have damaged it. The log tells the rest.
+      // A crash during the write may have damaged the note. The log tells the rest.
       return 0;
     }
   }
