Free the members of a group as soon as its head has left it

Besides, new groups were planned with the very instance that had fallen silent.

Change: the planner keeps which instance said that it heads a group; once that instance has left, by its answer, its heartbeat, or because its process is gone, the members are free at once. Instances whose heartbeat is overdue join no new group.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -157,6 +157,13 @@
     return n;
   }
 
+  /** Returns whether an engine is in a group that serves requests with all of its members. */
+  public boolean serves(String id) {
+    Group g = engine(id).group;
+    Group h = g == null ? null : engine(g.members.get(0)).group;
+    return h != null && h.name.equals(g.name) && h.state == MemberState.OPEN && isWhole(h);
+  }
+
   /** Returns the head of a group that serves a model, or null. */
   public @Nullable String head(String model) {
     for (Engine e : engines.values()) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -71,6 +71,34 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /** Guards against survivors that wait as for a lost head, though the head has said it left. */
+  @Test
+  void survivorsOfLostMemberServeAgainWithinSeconds() {
+    start();
+    String head = fleet.head("large");
+    assertNotNull(head);
+    List<String> members = fleet.membersOf(head);
+    fleet.crash(members.get(3));
+    fleet.run(planner, 4_500, false);
+    long serving = members.stream().limit(3).filter(fleet::serves).count();
+    assertTrue(serving >= 2, serving + " of 3 survivors serve");
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /** Guards against members of a dissolved group that wait as for a lost head. */
+  @Test
+  void membersOfGroupWithDrainingMemberServeAgainWithinSeconds() {
+    start();
+    String head = fleet.head("large");
+    assertNotNull(head);
+    List<String> members = fleet.membersOf(head);
+    fleet.drain(members.get(3));
+    fleet.run(planner, 5_000, false);
+    long serving = members.stream().limit(3).filter(fleet::serves).count();
+    assertTrue(serving >= 2, serving + " of 3 members serve");
+    assertEquals(List.of(), fleet.violations());
+  }
+
   /** Guards against members that join another group while a head that is cut off may serve. */
   @Test
   void membersOfLostHeadWaitUntilItMustHaveNoticed() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -58,6 +58,7 @@
     state.planned.clear();
     state.quarantine.clear();
     state.left.clear();
+    state.heads.clear();
     state.incompleteSince.clear();
     state.staging.clear();
     state.retiring.clear();
@@ -105,6 +106,7 @@
       }
     }
     state.incompleteSince.keySet().retainAll(t.groups.keySet());
+    state.heads.keySet().retainAll(t.groups.keySet());
     state.retiring.keySet().retainAll(t.groups.keySet());
     t.reviewGroups();
     t.reviewPlans();
@@ -133,7 +135,8 @@
   public void answered(FleetOrder o, OrderOutcome outcome, long now) {
     state.book.answered(o, outcome, now);
     boolean done = outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.HOLDS;
-    if (o.kind() == FleetOrder.Kind.LEAVE && (done || outcome == OrderOutcome.CONFLICT)) {
+    boolean gone = outcome == OrderOutcome.CONFLICT || outcome == OrderOutcome.ABSENT;
+    if (o.kind() == FleetOrder.Kind.LEAVE && (done || gone)) {
       state.left.put(o.instance(), GroupView.key(o.group(), o.epoch()));
     }
     if (outcome == OrderOutcome.ABSENT) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -39,6 +39,9 @@
   /** The group and epoch that an instance has confirmed to have left. */
   final Map<String, String> left = new HashMap<>();
 
+  /** The instance that has reported to be the head of a group, by group and epoch. */
+  final Map<String, String> heads = new HashMap<>();
+
   /** The loads for later use that have begun, by instance. */
   final Map<String, Staging> staging = new HashMap<>();
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -76,6 +76,9 @@
       return;
     }
     GroupName parts = GroupName.parse(g.name());
+    if (g.rank() == 0) {
+      state.heads.put(GroupView.key(g.name(), g.epoch()), i.id());
+    }
     if (parts == null || GroupView.key(g.name(), g.epoch()).equals(state.left.get(i.id()))) {
       return;
     }
@@ -95,7 +98,7 @@
       MemberState status = g.headState();
       HeadLoad load = loadOf(g);
       boolean progresses = load != null && load.progresses();
-      boolean lost = status == MemberState.BROKEN;
+      boolean lost = status == MemberState.BROKEN || hasHeadLeft(g);
       boolean draining = false;
       long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
       lost |= stalled > HOPELESS_MILLIS;
@@ -135,6 +138,9 @@
 
   /** Frees the members of a group that has lost one, as soon as its head cannot serve. */
   private void takeApart(GroupView g) {
+    if (hasHeadLeft(g)) {
+      return;
+    }
     FleetInstance head = g.head();
     boolean headLost = head == null || isLost(head);
     MemberState status = g.headState();
@@ -160,6 +166,23 @@
     }
   }
 
+  /**
+   * Returns whether the head of a group has left it, by its own word or by an end of its process.
+   * The group can serve nothing then, and its members are free.
+   */
+  private boolean hasHeadLeft(GroupView g) {
+    String id = state.heads.get(g.key());
+    if (id == null) {
+      return false;
+    }
+    if (g.key().equals(state.left.get(id))) {
+      return true;
+    }
+    FleetInstance h = instances.get(id);
+    // An instance that has deregistered may go on serving for a while.
+    return h != null && h.phase() != InstancePhase.GONE && g.head() == null;
+  }
+
   /** Ends the service of a group with a member that leaves. */
   private void retire(GroupView g) {
     FleetInstance head = g.head();
@@ -488,7 +511,9 @@
   }
 
   private boolean isFree(FleetInstance i) {
-    if (i.phase() != InstancePhase.READY || isLost(i) || taken.contains(i.id())) {
+    // An instance whose heartbeat is overdue would keep the others of a new group waiting.
+    boolean overdue = ages.getOrDefault(i.id(), 0L) > state.quickSilentMillis;
+    if (i.phase() != InstancePhase.READY || overdue || taken.contains(i.id())) {
       return false;
     }
     if (now < state.quarantine.getOrDefault(i.id(), Long.MIN_VALUE)
