Keep in the log whether traffic has begun, not in the settings of one process

Change: ServingCommand.BeginTraffic notes the first request in the log; until then any leader plans as before the traffic.

--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -0,0 +1,188 @@
+package org.ebonypond.server.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.ebonypond.events.EventSink;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.fleet.FleetOrder;
+import org.ebonypond.fleet.FleetPoll;
+import org.ebonypond.fleet.InstancePhase;
+import org.ebonypond.fleet.OrderOutcome;
+import org.ebonypond.junit.FakeFleet;
+import org.ebonypond.server.timer.ScheduledTimerService;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.serving.ClientLimits;
+import org.ebonypond.serving.ServiceProfile;
+import org.ebonypond.serving.ServingConfig;
+import org.ebonypond.time.HybridClock;
+import org.ebonypond.wire.MessagePackCodec;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One replica with its files and sockets, and what it orders. */
+class FleetReplicaTest {
+  private static final long HEARTBEAT_MILLIS = 100;
+  private static final long STALL_MILLIS = 400;
+  private static final String SERVICE = "engines";
+
+  @TempDir Path folder;
+
+  private final int port = freePort();
+  private final List<Started> processes = new ArrayList<>();
+  private long sequence;
+
+  private static int freePort() {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    processes.forEach(Started::close);
+  }
+
+  private Started start() throws InterruptedException {
+    Started s = new Started();
+    processes.add(s);
+    await(() -> isCommitted(s));
+    return s;
+  }
+
+  /** Installs the configuration, which only a leader can do. */
+  private boolean isCommitted(Started s) {
+    return s.replica.install(1, new byte[] {1}).handle((r, failure) -> failure == null).join();
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    for (int i = 0; i < 300 && !condition.getAsBoolean(); i++) {
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+    assertTrue(condition.getAsBoolean());
+  }
+
+  /** Sends heartbeats of cold instances until some orders were given; returns their kinds. */
+  private Set<FleetOrder.Kind> firstOrders(Started s) throws InterruptedException {
+    for (int i = 0; i < 150 && s.orders.isEmpty(); i++) {
+      sequence++;
+      for (int n = 0; n < 8; n++) {
+        s.replica.heartbeat(coldInstance("i-" + n, sequence));
+      }
+      TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MILLIS);
+    }
+    Set<FleetOrder.Kind> kinds = EnumSet.noneOf(FleetOrder.Kind.class);
+    s.orders.forEach(o -> kinds.add(o.kind()));
+    return kinds;
+  }
+
+  private static FleetInstance coldInstance(String id, long sequence) {
+    return new FleetInstance(
+        id,
+        1,
+        sequence,
+        SERVICE,
+        "10.0.0.1:" + (1_000 + id.charAt(2)),
+        "z",
+        InstancePhase.READY,
+        18,
+        0,
+        "domain",
+        List.of(),
+        List.of(),
+        null,
+        "");
+  }
+
+  /** Guards against a fleet without groups because one process ended before the first request. */
+  @Test
+  void replicaThatIsStartedAgainBeforeTheFirstRequestStillFormsGroupsOfColdInstances()
+      throws Exception {
+    start().close();
+    Set<FleetOrder.Kind> kinds = firstOrders(start());
+    assertTrue(kinds.contains(FleetOrder.Kind.JOIN), kinds.toString());
+  }
+
+  /** Guards against too many loads after a loss of all processes in the middle of the traffic. */
+  @Test
+  void replicaThatIsStartedAgainAfterTheFirstRequestStagesFirst() throws Exception {
+    Started s = start();
+    FleetPoll p = new FleetPoll("entry", "", 0, -1, 0, 0, 5, List.of());
+    await(
+        () -> {
+          s.network.ask(s.address, FrameType.FLEET_POLL, "", MessagePackCodec.encode(p), 1_000);
+          return s.replica.applied().traffic();
+        });
+    s.close();
+    assertEquals(Set.of(FleetOrder.Kind.STAGE), firstOrders(start()));
+  }
+
+  private final class Started {
+    final InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    final ConcurrentLinkedQueue<FleetOrder> orders = new ConcurrentLinkedQueue<>();
+    final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    final ScheduledTimerService timers = new ScheduledTimerService(timer);
+    final PeerNetwork network =
+        new PeerNetwork("replica", new HybridClock(System::currentTimeMillis), timers);
+    final ExecutorService executor = Executors.newSingleThreadExecutor();
+    final FleetReplica replica;
+    private boolean closed;
+
+    Started() {
+      String name = "127.0.0.1:" + port;
+      ServiceProfile service = new ServiceProfile(SERVICE, 10, 0, 0, FakeFleet.twoModels());
+      replica =
+          new FleetReplica(
+              new FleetReplicaSettings(
+                  name, List.of(name), folder, 1, HEARTBEAT_MILLIS, STALL_MILLIS, 5_000),
+              network,
+              timers,
+              executor,
+              Runnable::run,
+              content ->
+                  new ServingConfig(
+                      1, List.of(), Map.of(SERVICE, service), List.of(), ClientLimits.DEFAULT),
+              o -> {
+                orders.add(o);
+                return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+              },
+              EventSink.NONE,
+              failure -> {
+                throw new IllegalStateException(failure);
+              });
+      replica.start();
+      network.listen(address);
+    }
+
+    void close() {
+      if (!closed) {
+        closed = true;
+        replica.close();
+        timer.shutdownNow();
+        network.close();
+        executor.shutdownNow();
+      }
+    }
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -87,6 +87,7 @@
   private final long boot = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
+  private boolean notingTraffic;
 
   /**
    * Opens the log; the replica runs after {@link #start}.
@@ -359,8 +360,18 @@
     }
   }
 
+  /**
+   * Returns whether no request has come yet. That is kept in the log: a process that is started
+   * again neither knows of requests before its start nor whether the whole system starts.
+   */
   private boolean beforeTraffic() {
-    return settings.firstStart() && !loads.hasTraffic();
+    boolean began = log.current().traffic();
+    if (!began && loads.hasTraffic() && !notingTraffic) {
+      notingTraffic = true;
+      commit(new ServingCommand.BeginTraffic())
+          .whenComplete((r, failure) -> executor.execute(() -> notingTraffic = false));
+    }
+    return !began && !loads.hasTraffic();
   }
 
   private FleetPlanner newPlanner() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplicaSettings.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplicaSettings.java
@@ -9,7 +9,6 @@
  * @param name the name and address of this replica, IP:PORT
  * @param seeds the names of the replicas that form the first configuration of the log
  * @param dataFolder the folder of the log
- * @param firstStart whether the whole system starts for the first time
  * @param voters the number of voters that the log should have
  * @param heartbeatMillis the time between two heartbeats of a backend server, in milliseconds
  * @param stallMillis the time after which a group notices a lost member, in milliseconds
@@ -19,7 +18,6 @@
     String name,
     List<String> seeds,
     Path dataFolder,
-    boolean firstStart,
     int voters,
     long heartbeatMillis,
     long stallMillis,
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -44,11 +46,22 @@
     assertEquals(List.of("a"), state.current().zonesOut());
   }
 
+  /** Guards against a later change that undoes the beginning of the traffic. */
+  @Test
+  void trafficBeginsOnce() {
+    assertFalse(state.current().traffic());
+    apply(new ServingCommand.BeginTraffic());
+    apply(new ServingCommand.Install(7, content("seven")));
+    apply(new ServingCommand.SetZone("b", true));
+    assertTrue(state.current().traffic());
+  }
+
   /** Guards against state that a snapshot loses. */
   @Test
   void snapshotRestoresEverything() {
     apply(new ServingCommand.Install(7, content("seven")));
     apply(new ServingCommand.SetZone("b", true));
+    apply(new ServingCommand.BeginTraffic());
     apply(new ServingCommand.Barrier());
     ServingState copy = new ServingState();
     copy.restore(state.snapshot());
@@ -56,5 +69,6 @@
     assertArrayEquals(content("seven"), copy.current().content());
     assertEquals(state.current().zonesOut(), copy.current().zonesOut());
     assertEquals(2, copy.current().zonesIndex());
+    assertTrue(copy.current().traffic());
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
@@ -8,6 +8,7 @@
 @JsonSubTypes({
   @JsonSubTypes.Type(value = ServingCommand.Install.class, name = "install"),
   @JsonSubTypes.Type(value = ServingCommand.SetZone.class, name = "zone"),
+  @JsonSubTypes.Type(value = ServingCommand.BeginTraffic.class, name = "traffic"),
   @JsonSubTypes.Type(value = ServingCommand.Barrier.class, name = "barrier"),
 })
 public sealed interface ServingCommand {
@@ -27,6 +28,9 @@
    */
   record SetZone(String zone, boolean out) implements ServingCommand {}
 
+  /** Notes that the fleet has received its first request; from then on loads of weights count. */
+  record BeginTraffic() implements ServingCommand {}
+
   /** Changes nothing; a read that follows it reflects everything that was committed before. */
   record Barrier() implements ServingCommand {}
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
@@ -14,7 +14,7 @@
 public final class ServingState implements StateMachine {
   private static final byte[] NOTHING = {};
 
-  private volatile Committed committed = new Committed(0, NOTHING, 0, List.of());
+  private volatile Committed committed = new Committed(0, NOTHING, 0, List.of(), false);
 
   /** Returns the state after the last applied command. */
   public Committed current() {
@@ -26,13 +26,15 @@
     ServingCommand c = MessagePackCodec.decode(command, ServingCommand.class);
     Committed old = committed;
     if (c instanceof ServingCommand.Install i && i.version() > old.version()) {
-      committed = new Committed(i.version(), i.content(), old.zonesIndex(), old.zonesOut());
+      committed = old.with(i.version(), i.content());
     } else if (c instanceof ServingCommand.SetZone z) {
       Set<String> out = new TreeSet<>(old.zonesOut());
       boolean changed = z.out() ? out.add(z.zone()) : out.remove(z.zone());
       if (changed) {
-        committed = new Committed(old.version(), old.content(), index, List.copyOf(out));
+        committed = old.with(index, List.copyOf(out));
       }
+    } else if (c instanceof ServingCommand.BeginTraffic) {
+      committed = old.withTraffic();
     }
     return NOTHING;
   }
@@ -54,6 +56,20 @@
    * @param content the configuration as the operator sent it; empty if there is none
    * @param zonesIndex the log index of the last change of the zones; 0 if there is none
    * @param zonesOut the zones out of service, sorted
+   * @param traffic whether the fleet has received its first request
    */
-  public record Committed(long version, byte[] content, long zonesIndex, List<String> zonesOut) {}
+  public record Committed(
+      long version, byte[] content, long zonesIndex, List<String> zonesOut, boolean traffic) {
+    private Committed with(long newVersion, byte[] newContent) {
+      return new Committed(newVersion, newContent, zonesIndex, zonesOut, traffic);
+    }
+
+    private Committed with(long newZonesIndex, List<String> newZonesOut) {
+      return new Committed(version, content, newZonesIndex, newZonesOut, traffic);
+    }
+
+    private Committed withTraffic() {
+      return new Committed(version, content, zonesIndex, zonesOut, true);
+    }
+  }
 }
