Let a cold zone serve what its hosts have staged

Besides, loads of instances that had ended counted as running for 30 s and kept others from loading.

Change: instances are kept for a larger model only where one member is missing for a group of it. A load ends with the life of its instance.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -99,6 +99,25 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /** Guards against loads of instances that are gone, which keep others from loading. */
+  @Test
+  void lostInstancesDoNotCountAsLoading() {
+    planner.lead(1, true, 4, 0);
+    fleet.run(planner, 3_000, false);
+    List<String> lost = fleet.ids().stream().filter(id -> id.startsWith("d0")).toList();
+    lost.forEach(fleet::crash);
+    fleet.run(planner, 22_000, false);
+    long loaded =
+        fleet.ids().stream().filter(id -> isWarmFor(id, "small") || isWarmFor(id, "large")).count();
+    assertTrue(loaded > 0, "no host has loaded anything");
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  private boolean isWarmFor(String id, String model) {
+    FleetInstance i = fleet.table().get(id);
+    return i != null && i.isWarmFor(model);
+  }
+
   /** Guards against members that join another group while a head that is cut off may serve. */
   @Test
   void membersOfLostHeadWaitUntilItMustHaveNoticed() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -74,7 +74,7 @@
     Choice best = null;
     for (Map.Entry<String, List<FleetInstance>> e : domains.entrySet()) {
       for (ModelProfile m : engine.models()) {
-        if (e.getValue().size() >= m.groupSize() && !isReserved(m)) {
+        if (e.getValue().size() >= m.groupSize() && !isReserved(m, e.getValue())) {
           Choice c = choose(e.getKey(), e.getValue(), m);
           if ((cold || c.loads() == 0) && (best == null || c.value() > best.value())) {
             best = c;
@@ -88,11 +88,17 @@
     return best;
   }
 
-  /** Returns whether free instances are kept for a larger model that is much worse served. */
-  private boolean isReserved(ModelProfile m) {
+  /**
+   * Returns whether free instances are kept for a larger model that is much worse served. That is
+   * useful only if a group of it is close: instances that have to load it first serve meanwhile.
+   */
+  private boolean isReserved(ModelProfile m, List<FleetInstance> free) {
     double after = need(m, 1);
     for (ModelProfile o : engine.models()) {
-      if (o.groupSize() > m.groupSize() && need(o, 0) - RESERVE_MARGIN > after) {
+      long warm = free.stream().filter(i -> i.isWarmFor(o.name())).count();
+      if (o.groupSize() > m.groupSize()
+          && warm >= o.groupSize() - 1
+          && need(o, 0) - RESERVE_MARGIN > after) {
         return true;
       }
     }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -368,7 +368,7 @@
       OrderOutcome done = state.book.outcome(o);
       if (done != OrderOutcome.ACCEPTED && done != OrderOutcome.HOLDS && send(o)) {
         running++;
-        state.staging.put(i.id(), new PlannerState.Staging(model, now));
+        state.staging.put(i.id(), new PlannerState.Staging(model, i.born(), now));
         takeLoads(1);
       }
     }
@@ -379,7 +379,11 @@
     if (s == null) {
       return false;
     }
-    boolean over = i.staged().contains(s.model()) || now - s.since() > STAGING_MILLIS;
+    boolean over =
+        i.staged().contains(s.model())
+            || now - s.since() > STAGING_MILLIS
+            || i.born() != s.born()
+            || isLost(i);
     if (over) {
       state.staging.remove(i.id());
     }
