--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
@@ -2,20 +2,31 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.junit.ByteMutator;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.time.HybridClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class PeerNetworkTest {
   private static final byte[] PING = {1, 2, 3};
@@ -92,4 +103,58 @@
       assertThrows(CompletionException.class, answer::join);
     }
   }
+
+  /** Sends a frame as a stranger: its length, then the content. */
+  private static void sendAsStranger(InetSocketAddress to, byte[] content) throws IOException {
+    try (Socket s = new Socket(to.getAddress(), to.getPort())) {
+      DataOutputStream out = new DataOutputStream(s.getOutputStream());
+      out.writeInt(content.length);
+      out.write(content);
+      out.flush();
+      s.shutdownOutput();
+      s.setSoTimeout(5_000);
+      s.getInputStream().readAllBytes();
+    } catch (SocketException e) {
+      // The peer may reset the connection of a stranger.
+      assertNotNull(e.getMessage());
+    }
+  }
+
+  private static byte[] proposal(int claimedPayload) throws IOException {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      p.packArrayHeader(7);
+      p.packInt(FrameType.PROPOSE.ordinal());
+      p.packString("stranger");
+      p.packString("control");
+      p.packLong(1);
+      p.packLong(1);
+      p.packInt(1);
+      p.packBinaryHeader(claimedPayload);
+      p.writePayload(PING);
+      return p.toByteArray();
+    }
+  }
+
+  /** Guards against a frame that claims more than it has, and so takes all memory. */
+  @Test
+  void claimedLengthsAreNotAllocated() throws IOException {
+    EmbeddedChannel c = new EmbeddedChannel(new FrameCodec());
+    byte[] frame = proposal(Integer.MAX_VALUE - 8);
+    DecoderException e =
+        assertThrows(DecoderException.class, () -> c.writeInbound(Unpooled.wrappedBuffer(frame)));
+    assertInstanceOf(EbonypondException.class, e.getCause());
+  }
+
+  /** Guards against damaged frames of strangers that stop the peer or pass as sound ones. */
+  @Test
+  void damagedFramesHarmNobodyElse() throws IOException {
+    InetSocketAddress at = freeAddress();
+    long frames = Long.getLong("ebonypond.seeds", 300);
+    try (PeerNetwork peer = echo(at)) {
+      for (long seed = 1; seed <= frames; seed++) {
+        sendAsStranger(at, new ByteMutator(seed).damage(proposal(PING.length)));
+      }
+      assertArrayEquals(PING, ask(at).join());
+    }
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameCodec.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameCodec.java
@@ -50,7 +50,12 @@
       long correlation = u.unpackLong();
       long wall = u.unpackLong();
       int counter = u.unpackInt();
-      byte[] payload = u.readPayload(u.unpackBinaryHeader());
+      int length = u.unpackBinaryHeader();
+      if (length > in.readableBytes() - u.getTotalReadBytes()) {
+        // A stranger may claim any length; it must not be allocated.
+        throw new EbonypondException(ErrorCode.FRAME_INVALID, "payload of " + length + " bytes");
+      }
+      byte[] payload = u.readPayload(length);
       out.add(new Frame(TYPES[type], from, channel, correlation, wall, counter, payload));
     }
   }
