Let late calls wait at the entry instead of refusing them, and leave the last places to others

Calls that found no place were refused, which spends their client's only retry.

Change: a call whose first event is late already takes a place only below 0.7 of a group's slots during its first 1.5 s; without a place it waits in CallQueue, as many as the entry's share of the slots, for 2 s or half of its time. More are refused at once, and so is what cannot end before its deadline.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
@@ -5,12 +5,13 @@
 import java.util.Set;
 
 /**
- * Calls that arrived before this process knew where to send them. A process that has just started
- * learns the configuration and the instances within seconds; a caller that is refused meanwhile
- * spends its only retry on that. The calls are tried again, oldest first, whenever the view of the
- * fleet has changed. Used on one event loop only.
+ * Calls that cannot be sent yet. Some arrived before this process knew where to send them: a
+ * process that has just started learns the configuration and the instances within seconds. Others
+ * are late already and leave the free places to those that can be on time. A caller that is refused
+ * instead spends its only retry on that. The calls are tried again, oldest first, whenever the view
+ * of the fleet has changed and a few times a second. Used on one event loop only.
  */
-final class StartQueue {
+final class CallQueue {
   /** No call waits for longer than this, in milliseconds; longer losses need a refusal. */
   static final long MAX_WAIT_MILLIS = 2_000;
 
@@ -29,13 +30,18 @@
    *
    * @param heartbeatMillis the time between two heartbeats of an instance, in milliseconds
    */
-  StartQueue(long heartbeatMillis) {
+  CallQueue(long heartbeatMillis) {
     this.learningMillis = HEARTBEATS * heartbeatMillis;
   }
 
-  /** Adds a call; returns whether there was room for it. */
-  boolean add(ForwardCall c) {
-    return calls.size() < MAX_CALLS && calls.add(c);
+  /**
+   * Adds a call.
+   *
+   * @param room the calls that may wait if the view is complete; more could not be sent in time
+   * @return whether there was room for it
+   */
+  boolean add(ForwardCall c, int room, long now) {
+    return calls.size() < (isLearning(now) ? MAX_CALLS : Math.min(room, MAX_CALLS)) && calls.add(c);
   }
 
   void remove(ForwardCall c) {
@@ -47,12 +53,16 @@
     return knownSince == Long.MAX_VALUE || now - knownSince < learningMillis;
   }
 
-  /** Tries the calls again after a control replica has answered. */
+  /** Notes that a control replica has answered, and tries the calls again. */
   void viewChanged(boolean configured, long now) {
-    if (!configured) {
-      return;
+    if (configured) {
+      knownSince = Math.min(knownSince, now);
+      tryAgain();
     }
-    knownSince = Math.min(knownSince, now);
+  }
+
+  /** Tries the calls again. */
+  void tryAgain() {
     List.copyOf(calls).forEach(ForwardCall::tryAgain);
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -76,10 +76,11 @@
   /** Callers without a deadline are taken to wait for this long, in milliseconds. */
   private static final long UNKNOWN_DEADLINE_MILLIS = 60_000;
 
-  /** A call waits for this part of its time at most for the process to learn the fleet. */
+  /** A call waits for this part of its time at most. */
   private static final int WAIT_PART = 2;
 
-  private static final long NEVER = Long.MIN_VALUE;
+  /** A stream that was broken off waits for this long for a place to go on, in milliseconds. */
+  private static final long RESUME_WAIT_MILLIS = 1_000;
 
   /** The pause before a caller turns to another entry because this one stops. */
   private static final long STOPPING_PAUSE_MILLIS = 50;
@@ -99,7 +100,7 @@
   private @Nullable ModelProfile model;
   private TimerService.@Nullable Subscription deadline;
   private TimerService.@Nullable Subscription waitLimit;
-  private long waitsUntil = NEVER;
+  private String sendCause = "first";
   private long deadlineAt;
   private @Nullable Attempt current;
   private @Nullable EventSplitter splitter;
@@ -134,7 +135,7 @@
     ServingConfig config = owner.view().config();
     if (config != null) {
       accept(config);
-    } else if (!waitForView()) {
+    } else if (!waitInQueue(0)) {
       refuseUnconfigured();
     }
   }
@@ -175,38 +176,44 @@
     dispatch("first");
   }
 
-  /** Chooses an instance and sends the request, or refuses it. */
+  /** Chooses an instance and sends the request, lets it wait, or refuses it. */
   private void dispatch(String cause) {
+    sendCause = cause;
     TargetSelector.Decision d = choose();
-    if (d.target() == null) {
-      boolean early = sends == 0 && owner.startQueue().isLearning(timers.nowMillis());
-      if (!early || !waitForView()) {
-        giveUp(d.reason(), d.pauseMillis());
-      }
-    } else {
+    if (d.target() != null) {
       send(d, cause);
+    } else if (!mayWait(d) || !waitInQueue(d.room())) {
+      giveUp(d.reason(), d.pauseMillis());
     }
   }
 
+  private boolean mayWait(TargetSelector.Decision d) {
+    return d.room() > 0 || (sends == 0 && owner.queue().isLearning(timers.nowMillis()));
+  }
+
   /**
-   * Waits until this process knows more of the fleet, for half of the caller's time at most, so
-   * that there is time left for another attempt.
+   * Waits until this process knows more of the fleet, or until there is a place for a request that
+   * is late. That takes half of the caller's time at most, so that there is time for an answer.
    *
+   * @param room the calls that may wait
    * @return whether the call waits, now or still
    */
-  private boolean waitForView() {
-    if (waitsUntil == NEVER) {
-      waitsUntil =
-          receivedAt + Math.min(StartQueue.MAX_WAIT_MILLIS, (deadlineAt - receivedAt) / WAIT_PART);
-      if (!owner.startQueue().add(this)) {
-        return false;
-      }
-      waitLimit = timers.after(waitsUntil - timers.nowMillis(), this::waitedLongEnough);
+  private boolean waitInQueue(int room) {
+    long now = timers.nowMillis();
+    if (waitLimit != null) {
+      return true;
+    }
+    long part = Math.min(CallQueue.MAX_WAIT_MILLIS, (deadlineAt - receivedAt) / WAIT_PART);
+    long until = started ? now + RESUME_WAIT_MILLIS : receivedAt + part;
+    if (until <= now || !owner.queue().add(this, room, now)) {
+      return false;
     }
-    return timers.nowMillis() < waitsUntil;
+    log.waits(sendCause, until - now);
+    waitLimit = timers.after(until - now, this::waitedLongEnough);
+    return true;
   }
 
-  /** Goes on with a call that waits, after the view of the fleet has changed. */
+  /** Goes on with a call that waits. */
   void tryAgain() {
     ServingConfig config = owner.view().config();
     if (done || config == null) {
@@ -215,18 +222,24 @@
     if (route == null) {
       accept(config);
     } else {
-      dispatch("first");
+      dispatch(sendCause);
     }
   }
 
   private void waitedLongEnough() {
-    if (done || sends > 0) {
+    stopWaiting();
+    if (done) {
       return;
     }
     if (route == null) {
       refuseUnconfigured();
+      return;
+    }
+    TargetSelector.Decision d = choose();
+    if (d.target() != null) {
+      send(d, sendCause);
     } else {
-      dispatch("first");
+      giveUp(d.reason(), d.pauseMillis());
     }
   }
 
@@ -241,11 +254,17 @@
             head.outputTokens(),
             deadlineAt - now,
             started ? deadlineAt - now : target,
+            now - receivedAt,
             tried);
     EngineCost c = model == null ? null : cost;
     return owner
         .selector()
-        .choose(need, owner.candidates(s, s.engine() == null ? null : head.model()), c, now);
+        .choose(
+            need,
+            owner.candidates(s, s.engine() == null ? null : head.model()),
+            c,
+            owner.view().entries(),
+            now);
   }
 
   private void send(TargetSelector.Decision decision, String cause) {
@@ -448,7 +467,7 @@
     if (w != null) {
       w.cancel();
       waitLimit = null;
-      owner.startQueue().remove(this);
+      owner.queue().remove(this);
     }
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -48,7 +48,7 @@
   private final ForwardMetrics metrics;
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
-  private final StartQueue startQueue;
+  private final CallQueue queue;
   private long received;
   private boolean refusing;
 
@@ -86,7 +86,7 @@
     this.timers = timers;
     this.random = random;
     this.metrics = metrics;
-    this.startQueue = new StartQueue(heartbeatMillis);
+    this.queue = new CallQueue(heartbeatMillis);
     timers.every(WATCH_MILLIS, this::watch);
   }
 
@@ -125,7 +125,7 @@
 
   /** Goes on with calls that wait for the view of the fleet, which has changed. */
   public void viewChanged() {
-    startQueue.viewChanged(view.config() != null, timers.nowMillis());
+    queue.viewChanged(view.config() != null, timers.nowMillis());
   }
 
   /** Returns the number of calls since the start. */
@@ -194,8 +194,8 @@
     calls.remove(c);
   }
 
-  StartQueue startQueue() {
-    return startQueue;
+  CallQueue queue() {
+    return queue;
   }
 
   FleetView view() {
@@ -240,6 +240,7 @@
     for (ForwardCall c : List.copyOf(calls)) {
       c.watch(now);
     }
+    queue.tryAgain();
     stats.entrySet().removeIf(e -> e.getValue().active() == 0 && view.instance(e.getKey()) == null);
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -63,6 +63,14 @@
         .log("request moved");
   }
 
+  void waits(String cause, long atMostMillis) {
+    line()
+        .addKeyValue("cause", cause)
+        .addKeyValue("took_ms", tookMillis())
+        .addKeyValue("at_most_ms", atMostMillis)
+        .log("request waits");
+  }
+
   void cancelled(String reason, String instance, int sends) {
     line()
         .addKeyValue("reason", reason)
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -59,7 +59,13 @@
   }
 
   private static TargetSelector.Need need(long remaining, Set<String> tried) {
-    return new TargetSelector.Need(ENGINE.model("large"), 1_400, 135, remaining, 500, tried);
+    return new TargetSelector.Need(ENGINE.model("large"), 1_400, 135, remaining, 500, 0, tried);
+  }
+
+  /** Returns what a request needs that arrived some time ago. */
+  private static TargetSelector.Need needAfter(long waited) {
+    return new TargetSelector.Need(
+        ENGINE.model("large"), 1_400, 135, 8_000 - waited, 500 - waited, waited, Set.of());
   }
 
   private String chosen(TargetSelector.Decision d) {
@@ -71,7 +77,7 @@
   void goesToTheGroupWithLessWork() {
     HeadLoad busy = new HeadLoad("a", 1, 14, 8_000, 20, 0);
     List<TargetSelector.Candidate> c = List.of(candidate("a", 0, busy), candidate("b", 4, null));
-    assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 0)));
+    assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 0)));
   }
 
   /** Guards against requests for a group that stands still at every entry. */
@@ -80,14 +86,14 @@
     HeadLoad stalled = new HeadLoad("a", 1, 0, 0, HeadLoad.NEVER, 900);
     List<TargetSelector.Candidate> c =
         List.of(candidate("a", 0, stalled), candidate("b", 10, null));
-    assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 0)));
+    assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 0)));
   }
 
   /** Guards against waiting in vain: what cannot end in time is refused at once. */
   @Test
   void rejectsWhatCannotEndBeforeItsDeadline() {
     List<TargetSelector.Candidate> c = List.of(candidate("a", 18, null));
-    TargetSelector.Decision d = selector.choose(need(300, Set.of()), c, COST, 0);
+    TargetSelector.Decision d = selector.choose(need(300, Set.of()), c, COST, 1, 0);
     assertNull(d.target());
     assertEquals("deadline", d.reason());
   }
@@ -99,7 +105,7 @@
     c.add(candidate("a", 0, null));
     int admitted = 0;
     for (int i = 0; i < 200; i++) {
-      TargetSelector.Decision d = selector.choose(need(8_000, Set.of()), c, COST, 0);
+      TargetSelector.Decision d = selector.choose(need(8_000, Set.of()), c, COST, 1, 0);
       if (d.target() != null) {
         admitted++;
         c.get(0).stats().started(1_400, 0);
@@ -113,12 +119,35 @@
   void lateRequestsAreLessUrgent() {
     List<TargetSelector.Candidate> idle = List.of(candidate("a", 1, null));
     List<TargetSelector.Candidate> busy = List.of(candidate("b", 23, null));
-    TargetSelector.Decision first = selector.choose(need(8_000, Set.of()), idle, COST, 0);
-    TargetSelector.Decision late = selector.choose(need(8_000, Set.of()), busy, COST, 0);
+    TargetSelector.Decision first = selector.choose(need(8_000, Set.of()), idle, COST, 1, 0);
+    TargetSelector.Decision late = selector.choose(needAfter(1_600), busy, COST, 1, 0);
     assertNotNull(late.target());
     assertTrue(first.urgency() < late.urgency());
   }
 
+  /** Guards against callers that return after a loss and make everybody else late, too. */
+  @Test
+  void lateRequestsLeaveTheLastPlacesToOthersAtFirst() {
+    List<TargetSelector.Candidate> busy = List.of(candidate("b", 14, null));
+    TargetSelector.Decision late = selector.choose(needAfter(700), busy, COST, 1, 0);
+    assertNull(late.target());
+    assertTrue(late.room() > 0);
+    assertNotNull(selector.choose(need(8_000, Set.of()), busy, COST, 1, 0).target());
+    List<TargetSelector.Candidate> calm = List.of(candidate("b", 8, null));
+    assertNotNull(selector.choose(needAfter(700), calm, COST, 1, 0).target());
+  }
+
+  /** Guards against requests that wait in vain: more than the entry's share is refused at once. */
+  @Test
+  void roomToWaitIsTheShareOfTheEntry() {
+    List<TargetSelector.Candidate> busy =
+        List.of(candidate("a", 23, null), candidate("b", 23, null));
+    assertEquals(12, selector.choose(needAfter(0), busy, COST, 3, 0).room());
+    TargetSelector.Need hopeless =
+        new TargetSelector.Need(ENGINE.model("large"), 1_400, 135, 300, 100, 0, Set.of());
+    assertEquals(0, selector.choose(hopeless, busy, COST, 3, 0).room());
+  }
+
   /** Guards against streams over links between zones while the own zone has room. */
   @Test
   void staysInItsZoneUnlessItIsBusier() {
@@ -127,15 +156,15 @@
     TargetSelector.Candidate near = candidate("near", 3, null);
     TargetSelector.Candidate busy = candidate("near", 17, null);
     assertEquals(
-        "near", chosen(selector.choose(need(8_000, Set.of()), List.of(far, near), COST, 0)));
+        "near", chosen(selector.choose(need(8_000, Set.of()), List.of(far, near), COST, 1, 0)));
     assertEquals(
-        "far", chosen(selector.choose(need(8_000, Set.of()), List.of(far, busy), COST, 0)));
+        "far", chosen(selector.choose(need(8_000, Set.of()), List.of(far, busy), COST, 1, 0)));
   }
 
   /** Guards against a request that returns to the instance that failed it. */
   @Test
   void neverChoosesAnInstanceTwice() {
     List<TargetSelector.Candidate> c = List.of(candidate("a", 0, null));
-    assertNull(selector.choose(need(8_000, Set.of("a")), c, COST, 0).target());
+    assertNull(selector.choose(need(8_000, Set.of("a")), c, COST, 1, 0).target());
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -10,8 +10,9 @@
 
 /**
  * Chooses the instance for a request, or rejects it. A request to a model goes where its predicted
- * end is earliest. It is admitted if its first event can be on time; a few more are admitted behind
- * those, as long as they can end before their deadline.
+ * end is earliest. It is admitted if its first event can be on time. Requests that are late already
+ * leave the last places of a group to others for a while, and are admitted as long as they can end
+ * before their deadline.
  */
 public final class TargetSelector {
   /** The time on the network and in this process that predictions leave out, in milliseconds. */
@@ -20,6 +21,12 @@
   /** Requests that cannot be on time may wait at a group up to this part of its slots. */
   private static final double LATE_QUEUE_PART = 0.34;
 
+  /** Until they have waited, they take no more than this part of its slots. */
+  private static final double POLITE_PART = 0.7;
+
+  /** The time after which a request that is late takes any place, in milliseconds. */
+  private static final long POLITE_MILLIS = 1_500;
+
   /** Requests that a plain instance may have waiting, as a multiple of those it processes. */
   private static final int PLAIN_QUEUE_FACTOR = 4;
 
@@ -68,10 +75,11 @@
    * @param need the request
    * @param candidates the instances that serve it and may take a request now
    * @param cost predicts the times of a model's groups; null for a plain service
+   * @param entries the processes that share the instances
    * @param now the time in milliseconds
    */
   public Decision choose(
-      Need need, List<Candidate> candidates, @Nullable EngineCost cost, long now) {
+      Need need, List<Candidate> candidates, @Nullable EngineCost cost, int entries, long now) {
     Candidate best = null;
     double bestScore = Double.MAX_VALUE;
     boolean engine = cost != null;
@@ -94,7 +102,9 @@
           ? Decision.reject("full", FULL_PAUSE_MILLIS)
           : Decision.reject("no-instance", NO_INSTANCE_PAUSE_MILLIS);
     }
-    return cost == null ? admitPlain(best) : admit(need, best, cost, now);
+    return cost == null
+        ? admitPlain(best)
+        : admit(need, best, cost, candidates.size() * cost.slots() / entries, now);
   }
 
   private static boolean isOpen(Candidate c, Need need, long now) {
@@ -142,7 +152,12 @@
         : Decision.reject("full", FULL_PAUSE_MILLIS);
   }
 
-  private static Decision admit(Need need, Candidate c, EngineCost cost, long now) {
+  /**
+   * Admits a request to a group, or not.
+   *
+   * @param room the requests that may wait for a place: those that get one within one answer's time
+   */
+  private static Decision admit(Need need, Candidate c, EngineCost cost, int room, long now) {
     double slowness = c.stats().slowness(now);
     double first = slowness * firstMillis(need, c, cost) + OVERHEAD_MILLIS;
     int events = need.outputTokens() / cost.tokensPerEvent();
@@ -153,10 +168,10 @@
     if (first <= need.targetMillis()) {
       return Decision.send(c.instance(), URGENCY_ON_TIME, first);
     }
-    boolean place = c.active() < cost.slots() * (1 + LATE_QUEUE_PART);
-    return place
+    double part = need.waitedMillis() < POLITE_MILLIS ? POLITE_PART : 1 + LATE_QUEUE_PART;
+    return c.active() < cost.slots() * part
         ? Decision.send(c.instance(), URGENCY_LATE, first)
-        : Decision.reject("full", FULL_PAUSE_MILLIS);
+        : Decision.waitOrReject("full", room, FULL_PAUSE_MILLIS);
   }
 
   /**
@@ -167,6 +182,7 @@
    * @param outputTokens the expected tokens of the answer
    * @param remainingMillis the time until the deadline, in milliseconds
    * @param targetMillis the time that is left for a first event on time, in milliseconds
+   * @param waitedMillis the time since it arrived, in milliseconds
    * @param tried the identifiers of instances that must not get it again
    */
   public record Need(
@@ -175,6 +191,7 @@
       int outputTokens,
       long remainingMillis,
       long targetMillis,
+      long waitedMillis,
       Set<String> tried) {
     ModelProfile requireModel() {
       if (model == null) {
@@ -208,6 +225,7 @@
    * @param urgency the rank of the request at the instance; 0 is first
    * @param firstMillis the predicted time to the first event, in milliseconds
    * @param reason why the request is rejected; empty if it is not
+   * @param room if it is rejected for the moment only, the requests that may wait for a place
    * @param pauseMillis the time after which the caller may return, in milliseconds
    */
   public record Decision(
@@ -215,13 +233,18 @@
       int urgency,
       double firstMillis,
       String reason,
+      int room,
       long pauseMillis) {
     static Decision send(FleetInstance target, int urgency, double firstMillis) {
-      return new Decision(target, urgency, firstMillis, "", 0);
+      return new Decision(target, urgency, firstMillis, "", 0, 0);
     }
 
     static Decision reject(String reason, long pauseMillis) {
-      return new Decision(null, 0, 0, reason, pauseMillis);
+      return new Decision(null, 0, 0, reason, 0, pauseMillis);
+    }
+
+    static Decision waitOrReject(String reason, int room, long pauseMillis) {
+      return new Decision(null, 0, 0, reason, Math.max(1, room), pauseMillis);
     }
   }
 }
