Split the instances by load as well as by share, and use those that wait for weights

Loads whose order had no answer counted as running for 30 s, so that no other host could load it; five free instances beside three that were kept for the large model idled.

Small groups take the instances that a larger model cannot use. A model's claim to groups shrinks with what it does not use; its last group stays.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -113,6 +113,17 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /** Guards against loads without an answer, which keep others from loading. */
+  @Test
+  void loadsWithoutAnswerDoNotCountAsLoading() {
+    planner.lead(1, true, 4, 0);
+    fleet.lostAnswers(1);
+    fleet.run(planner, 30_000, false);
+    long loaded =
+        fleet.ids().stream().filter(id -> isWarmFor(id, "small") || isWarmFor(id, "large")).count();
+    assertTrue(loaded >= 10, "only " + loaded + " hosts have loaded something");
+  }
+
   private boolean isWarmFor(String id, String model) {
     FleetInstance i = fleet.table().get(id);
     return i != null && i.isWarmFor(model);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/GroupFormationTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/GroupFormationTest.java
@@ -1,14 +1,17 @@
 package org.ebonypond.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.ebonypond.junit.FakeFleet;
+import org.ebonypond.serving.EngineProfile;
 import org.junit.jupiter.api.Test;
 
 class GroupFormationTest {
@@ -33,8 +36,17 @@
   }
 
   private static GroupFormation formation(int large, int small) {
+    return formation(large, small, Map.of());
+  }
+
+  private static GroupFormation formation(int large, int small, Map<String, Integer> active) {
     Map<String, Integer> counts = new HashMap<>(Map.of("large", large, "small", small));
-    return new GroupFormation(FakeFleet.twoModels(), counts, Map.of(), USABLE);
+    return new GroupFormation(FakeFleet.twoModels(), counts, active, USABLE);
+  }
+
+  private static boolean converts(GroupFormation f, String from, String to) {
+    EngineProfile e = FakeFleet.twoModels();
+    return f.isWorthConverting(e.model(from), e.model(to), 1);
   }
 
   /** Guards against a cold zone that idles until the weights of a worse served model are loaded. */
@@ -49,10 +61,42 @@
     assertEquals("small", c.model().name());
   }
 
+  /** Guards against instances that idle beside others which are kept for a larger model. */
+  @Test
+  void instancesThatTheLargerModelCannotUseServe() {
+    List<FleetInstance> free = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      free.add(i < 3 ? free(i, "large", "small") : free(i, "small"));
+    }
+    GroupFormation.Choice c = formation(3, 7).best(Map.of("domain", free), false);
+    assertNotNull(c);
+    assertEquals(List.of("i-3", "i-4"), c.members().stream().map(FleetInstance::id).toList());
+  }
+
   /** Guards against a small group that takes the room of a larger one which is about to fit. */
   @Test
   void instancesAreKeptForLargerGroupThatLacksOneMember() {
     List<FleetInstance> free = List.of(free(0, "large"), free(1, "large"), free(2, "large"));
     assertNull(formation(3, 7).best(Map.of("domain", free), true));
   }
+
+  /** Guards against a burst at one model that is refused while groups of the other one idle. */
+  @Test
+  void groupsFollowBurstAndReturnAfterIt() {
+    Map<String, Integer> calm = Map.of("large", 8 * 8, "small", 8 * 9);
+    Map<String, Integer> burst = Map.of("large", 8 * 5, "small", 8 * 16);
+    assertFalse(converts(formation(8, 8, calm), "large", "small"));
+    assertTrue(converts(formation(8, 8, burst), "large", "small"));
+    assertFalse(converts(formation(8, 8, burst), "small", "large"));
+    Map<String, Integer> worse = Map.of("large", 6 * 6, "small", 12 * 17);
+    assertTrue(converts(formation(6, 12, worse), "large", "small"));
+    assertTrue(converts(formation(6, 12, calm), "small", "large"));
+  }
+
+  /** Guards against a model that loses all its groups while nobody asks for it. */
+  @Test
+  void idleModelKeepsGroups() {
+    Map<String, Integer> burst = Map.of("large", 0, "small", 22 * 18);
+    assertFalse(converts(formation(1, 22, burst), "large", "small"));
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -139,6 +139,10 @@
     if (o.kind() == FleetOrder.Kind.LEAVE && (done || gone)) {
       state.left.put(o.instance(), GroupView.key(o.group(), o.epoch()));
     }
+    if (o.kind() == FleetOrder.Kind.STAGE && !done) {
+      // An order without an answer may be carried out much later, or never.
+      state.staging.remove(o.instance());
+    }
     if (outcome == OrderOutcome.ABSENT) {
       state.avoid.put(o.instance(), now + AVOID_MILLIS);
     }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -38,9 +38,13 @@
   /** Groups that are busier than this part of their slots count as a need for more. */
   private static final double BUSY_PART = 0.7;
 
+  /** A model with little load keeps this part of its claim to groups, for the next requests. */
+  private static final double LEAST_USE = 0.25;
+
   private final EngineProfile engine;
   private final Map<String, Integer> counts;
   private final Map<String, Integer> active;
+  private final boolean hasLoad;
   private final Map<String, Double> targets = new HashMap<>();
   private final Map<String, Integer> byZone = new HashMap<>();
 
@@ -56,6 +60,7 @@
     this.engine = engine;
     this.counts = counts;
     this.active = active;
+    this.hasLoad = active.values().stream().anyMatch(n -> n > 0);
     double shares = engine.models().stream().mapToDouble(ModelProfile::share).sum();
     for (ModelProfile m : engine.models()) {
       double share = shares > 0 ? m.share() / shares : 1.0 / engine.models().size();
@@ -74,8 +79,9 @@
     Choice best = null;
     for (Map.Entry<String, List<FleetInstance>> e : domains.entrySet()) {
       for (ModelProfile m : engine.models()) {
-        if (e.getValue().size() >= m.groupSize() && !isReserved(m, e.getValue())) {
-          Choice c = choose(e.getKey(), e.getValue(), m);
+        List<FleetInstance> free = available(m, e.getValue());
+        if (free.size() >= m.groupSize()) {
+          Choice c = choose(e.getKey(), free, m);
           if ((cold || c.loads() == 0) && (best == null || c.value() > best.value())) {
             best = c;
           }
@@ -89,20 +95,21 @@
   }
 
   /**
-   * Returns whether free instances are kept for a larger model that is much worse served. That is
-   * useful only if a group of it is close: instances that have to load it first serve meanwhile.
+   * Returns the free instances without those that are kept for a larger model that is much worse
+   * served. That is useful only if a group of it is close: instances that have to load it first
+   * serve meanwhile.
    */
-  private boolean isReserved(ModelProfile m, List<FleetInstance> free) {
+  private List<FleetInstance> available(ModelProfile m, List<FleetInstance> free) {
     double after = need(m, 1);
     for (ModelProfile o : engine.models()) {
       long warm = free.stream().filter(i -> i.isWarmFor(o.name())).count();
       if (o.groupSize() > m.groupSize()
           && warm >= o.groupSize() - 1
           && need(o, 0) - RESERVE_MARGIN > after) {
-        return true;
+        return free.stream().filter(i -> !i.isWarmFor(o.name())).toList();
       }
     }
-    return false;
+    return free;
   }
 
   /**
@@ -112,10 +119,20 @@
    * @param lost the groups of the other model that would be dissolved
    */
   boolean isWorthConverting(ModelProfile from, ModelProfile to, int lost) {
+    if (counts.getOrDefault(from.name(), 0) <= lost) {
+      // The last group stays, for the next request of a model that nobody uses now.
+      return false;
+    }
     double after = Math.max(need(to, 1), need(from, -lost));
     return need(to, 0) > after + CONVERSION_MARGIN;
   }
 
+  /** Returns whether a model is so badly served that loads for it go before others. */
+  boolean isBadlyServed(String model) {
+    ModelProfile m = engine.model(model);
+    return m != null && need(m, 0) > RESERVE_MARGIN;
+  }
+
   /**
    * Returns the part of a model's whole need that is not met.
    *
@@ -126,13 +143,21 @@
     double missing = 1 - (groups + more) / targets.get(m.name());
     double slots = (double) engine.slots() * Math.max(1, groups + more);
     double busy = active.getOrDefault(m.name(), 0) / slots;
-    return missing + Math.max(0, busy - BUSY_PART);
+    if (!hasLoad) {
+      return missing;
+    }
+    // Shares are an expectation. What a model hardly uses counts for much less, and what it uses in
+    // full is no surplus, so that groups follow a burst.
+    double part = Math.min(1, busy / BUSY_PART);
+    double used = Math.max(LEAST_USE, part * part);
+    return missing * (missing > 0 ? used : 1 - used) + Math.max(0, busy - BUSY_PART);
   }
 
   private Choice choose(String domain, List<FleetInstance> free, ModelProfile m) {
     List<FleetInstance> members = new ArrayList<>(free);
     members.sort(
         Comparator.comparingLong((FleetInstance i) -> readyMillis(i, m))
+            .thenComparing(i -> isWarmForLarger(i, m))
             .thenComparing(FleetInstance::id));
     members = List.copyOf(members.subList(0, m.groupSize()));
     long ready = members.stream().mapToLong(i -> readyMillis(i, m)).max().orElse(0);
@@ -147,6 +172,12 @@
     return new Choice(domain, m, members, ready, loads, value);
   }
 
+  /** Returns whether an instance would be missed by a larger model. */
+  private boolean isWarmForLarger(FleetInstance i, ModelProfile m) {
+    return engine.models().stream()
+        .anyMatch(o -> o.groupSize() > m.groupSize() && i.isWarmFor(o.name()));
+  }
+
   /** Returns how many groups of the largest model fewer fit beside a group of another one. */
   private int roomTaken(int free, ModelProfile m) {
     int largest = engine.models().stream().mapToInt(ModelProfile::groupSize).max().orElse(1);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -351,6 +351,7 @@
     for (FleetInstance i : instances.values()) {
       running += isStaging(i) ? 1 : 0;
     }
+    GroupFormation f = formation();
     for (FleetInstance i : stagingOrder()) {
       String model = modelToStage(i);
       boolean wanted =
@@ -360,7 +361,7 @@
               && !isJoining(i)
               && !i.staged().contains(model);
       boolean useless = i.lastModel().isEmpty() && i.staged().isEmpty();
-      int most = useless ? MAX_STAGING : MAX_SECOND_STAGING;
+      int most = useless || f.isBadlyServed(model) ? MAX_STAGING : MAX_SECOND_STAGING;
       if (!wanted || (!beforeTraffic && running >= most) || !hasLoadsToSpare()) {
         continue;
       }
@@ -458,15 +459,29 @@
     return models.isEmpty() ? "" : models.get(0);
   }
 
-  /** Instances that no group can use yet are staged before those that serve. */
+  /**
+   * Free instances are staged before those that serve; among them, those that have not left such an
+   * order unanswered, those that a group is closest to need, and those that can serve nothing yet.
+   */
   private List<FleetInstance> stagingOrder() {
+    Map<String, List<FleetInstance>> free = freeByDomain();
     List<FleetInstance> out = new ArrayList<>(instances.values());
     out.sort(
-        Comparator.comparingInt(
-            (FleetInstance i) -> i.lastModel().isEmpty() && i.staged().isEmpty() ? 0 : 1));
+        Comparator.comparingInt((FleetInstance i) -> isFree(i) ? 0 : 1)
+            .thenComparingInt(i -> state.book.tries(stageOrder(i, modelToStage(i))))
+            .thenComparingLong(i -> -warmNear(i, free))
+            .thenComparingInt(i -> i.lastModel().isEmpty() && i.staged().isEmpty() ? 0 : 1));
     return out;
   }
 
+  /** Returns the free instances of a domain that have the model which another one would load. */
+  private long warmNear(FleetInstance i, Map<String, List<FleetInstance>> free) {
+    String model = modelToStage(i);
+    return free.getOrDefault(domainOf(i), List.of()).stream()
+        .filter(o -> !model.isEmpty() && o.isWarmFor(model))
+        .count();
+  }
+
   private Map<String, List<FleetInstance>> freeByDomain() {
     Map<String, List<FleetInstance>> out = new TreeMap<>();
     for (FleetInstance i : instances.values()) {
