Never let late calls take the last places of a group

Change: calls that are late take a place only below 0.6 of the slots, however long they have waited; they still wait at the entry. Refused calls are logged with the predicted end and the time left.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -101,6 +101,7 @@
   private TimerService.@Nullable Subscription deadline;
   private TimerService.@Nullable Subscription waitLimit;
   private String sendCause = "first";
+  private TargetSelector.@Nullable Decision rejection;
   private long deadlineAt;
   private @Nullable Attempt current;
   private @Nullable EventSplitter splitter;
@@ -124,14 +125,14 @@
   }
 
   void start() {
+    long wait = head.deadlineMillis() > 0 ? head.deadlineMillis() : UNKNOWN_DEADLINE_MILLIS;
+    deadlineAt = receivedAt + wait;
     if (owner.isRefusing()) {
       finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_PAUSE_MILLIS);
       return;
     }
     owner.opened(this);
     call.onClosed(this::callerLeft);
-    long wait = head.deadlineMillis() > 0 ? head.deadlineMillis() : UNKNOWN_DEADLINE_MILLIS;
-    deadlineAt = receivedAt + wait;
     ServingConfig config = owner.view().config();
     if (config != null) {
       accept(config);
@@ -182,7 +183,10 @@
     TargetSelector.Decision d = choose();
     if (d.target() != null) {
       send(d, cause);
-    } else if (!mayWait(d) || !waitInQueue(d.room())) {
+      return;
+    }
+    rejection = d;
+    if (!mayWait(d) || !waitInQueue(d.room())) {
       giveUp(d.reason(), d.pauseMillis());
     }
   }
@@ -239,6 +243,7 @@
     if (d.target() != null) {
       send(d, sendCause);
     } else {
+      rejection = d;
       giveUp(d.reason(), d.pauseMillis());
     }
   }
@@ -254,7 +259,6 @@
             head.outputTokens(),
             deadlineAt - now,
             started ? deadlineAt - now : target,
-            now - receivedAt,
             tried);
     EngineCost c = model == null ? null : cost;
     return owner
@@ -448,6 +452,7 @@
 
   private void finish(HttpResponseStatus status, String reason, long pauseMillis) {
     long took = timers.nowMillis() - receivedAt;
+    TargetSelector.Decision d = rejection;
     log.refused(
         route == null ? "" : route.name(),
         workspace == null ? "" : workspace.name(),
@@ -456,6 +461,8 @@
         sends,
         tried,
         owner.view().version(),
+        d == null ? 0 : (long) d.endMillis(),
+        remaining(),
         pauseMillis);
     owner.metrics().ended(kind(), "refused", reason, took);
     leave();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -123,6 +123,8 @@
       int sends,
       Set<String> tried,
       long configVersion,
+      long predictedEndMillis,
+      long leftMillis,
       long pauseMillis) {
     line()
         .addKeyValue("route", route)
@@ -132,6 +134,8 @@
         .addKeyValue("sends", sends)
         .addKeyValue("tried", tried)
         .addKeyValue("config", configVersion)
+        .addKeyValue("predicted_end_ms", predictedEndMillis)
+        .addKeyValue("left_ms", leftMillis)
         .addKeyValue("took_ms", tookMillis())
         .addKeyValue("retry_after_ms", pauseMillis)
         .log("request refused");
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -11,21 +11,18 @@
 /**
  * Chooses the instance for a request, or rejects it. A request to a model goes where its predicted
  * end is earliest. It is admitted if its first event can be on time. Requests that are late already
- * leave the last places of a group to others for a while, and are admitted as long as they can end
- * before their deadline.
+ * leave the last places of a group to others, and are admitted as long as they can end before their
+ * deadline.
  */
 public final class TargetSelector {
   /** The time on the network and in this process that predictions leave out, in milliseconds. */
   private static final double OVERHEAD_MILLIS = 60;
 
-  /** Requests that cannot be on time may wait at a group up to this part of its slots. */
-  private static final double LATE_QUEUE_PART = 0.34;
-
-  /** Until they have waited, they take no more than this part of its slots. */
-  private static final double POLITE_PART = 0.7;
-
-  /** The time after which a request that is late takes any place, in milliseconds. */
-  private static final long POLITE_MILLIS = 1_500;
+  /**
+   * Requests that cannot be on time take no more than this part of a group's slots. More make new
+   * requests late, too, for as long as the load stays high ({@code scripts/experiment}).
+   */
+  private static final double LATE_PART = 0.6;
 
   /** Requests that a plain instance may have waiting, as a multiple of those it processes. */
   private static final int PLAIN_QUEUE_FACTOR = 4;
@@ -163,15 +160,14 @@
     int events = need.outputTokens() / cost.tokensPerEvent();
     double end = first + slowness * events * pass(need, c, cost);
     if (end > need.remainingMillis()) {
-      return Decision.reject("deadline", FULL_PAUSE_MILLIS);
+      return Decision.reject("deadline", FULL_PAUSE_MILLIS).withEnd(end);
     }
     if (first <= need.targetMillis()) {
       return Decision.send(c.instance(), URGENCY_ON_TIME, first);
     }
-    double part = need.waitedMillis() < POLITE_MILLIS ? POLITE_PART : 1 + LATE_QUEUE_PART;
-    return c.active() < cost.slots() * part
+    return c.active() < cost.slots() * LATE_PART
         ? Decision.send(c.instance(), URGENCY_LATE, first)
-        : Decision.waitOrReject("full", room, FULL_PAUSE_MILLIS);
+        : Decision.waitOrReject("full", room, FULL_PAUSE_MILLIS).withEnd(end);
   }
 
   /**
@@ -182,7 +178,6 @@
    * @param outputTokens the expected tokens of the answer
    * @param remainingMillis the time until the deadline, in milliseconds
    * @param targetMillis the time that is left for a first event on time, in milliseconds
-   * @param waitedMillis the time since it arrived, in milliseconds
    * @param tried the identifiers of instances that must not get it again
    */
   public record Need(
@@ -191,7 +186,6 @@
       int outputTokens,
       long remainingMillis,
       long targetMillis,
-      long waitedMillis,
       Set<String> tried) {
     ModelProfile requireModel() {
       if (model == null) {
@@ -224,6 +218,8 @@
    * @param target the instance, or null if the request is rejected
    * @param urgency the rank of the request at the instance; 0 is first
    * @param firstMillis the predicted time to the first event, in milliseconds
+   * @param endMillis the predicted time to the end of the answer of a rejected request, in
+   *     milliseconds; 0 if no instance was considered
    * @param reason why the request is rejected; empty if it is not
    * @param room if it is rejected for the moment only, the requests that may wait for a place
    * @param pauseMillis the time after which the caller may return, in milliseconds
@@ -232,19 +228,24 @@
       @Nullable FleetInstance target,
       int urgency,
       double firstMillis,
+      double endMillis,
       String reason,
       int room,
       long pauseMillis) {
     static Decision send(FleetInstance target, int urgency, double firstMillis) {
-      return new Decision(target, urgency, firstMillis, "", 0, 0);
+      return new Decision(target, urgency, firstMillis, 0, "", 0, 0);
     }
 
     static Decision reject(String reason, long pauseMillis) {
-      return new Decision(null, 0, 0, reason, 0, pauseMillis);
+      return new Decision(null, 0, 0, 0, reason, 0, pauseMillis);
+    }
+
+    private Decision withEnd(double end) {
+      return new Decision(target, urgency, firstMillis, end, reason, room, pauseMillis);
     }
 
     static Decision waitOrReject(String reason, int room, long pauseMillis) {
-      return new Decision(null, 0, 0, reason, Math.max(1, room), pauseMillis);
+      return new Decision(null, 0, 0, 0, reason, Math.max(1, room), pauseMillis);
     }
   }
 }
