Note the number of entries in the log, so that none takes itself for the only one

Cause: found by reading. The budgets for repeats and for cold instances are split by the number of entries that a replica has heard of in 20 s. After a loss of all processes that number is 1 for the first entry that polls, and each entry could spend the budget of all.

Change: the leader notes the number in the log once it has been stable for 3 s; a replica that has run for less than 3 s gives out the noted number if it is higher.

Figures: FleetReplicaTest.replicaThatIsStartedAgainKnowsHowManyEntriesShareTheBudgets (1 instead of 4 without the change).

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -24,6 +24,7 @@
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.FleetOrder;
 import org.ebonypond.fleet.FleetPoll;
+import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstancePhase;
 import org.ebonypond.fleet.OrderOutcome;
 import org.ebonypond.junit.FakeFleet;
@@ -138,6 +139,33 @@
     assertEquals(Set.of(FleetOrder.Kind.STAGE), firstOrders(start()));
   }
 
+  /**
+   * Guards against entries that each take themselves for the only one after a loss of all
+   * processes.
+   */
+  @Test
+  void replicaThatIsStartedAgainKnowsHowManyEntriesShareTheBudgets() throws Exception {
+    Started s = start();
+    await(
+        () -> {
+          for (int i = 0; i < 4; i++) {
+            poll(s, "entry-" + i);
+          }
+          return s.replica.applied().entries() == 4;
+        });
+    s.close();
+    assertEquals(4, poll(start(), "entry-0").entries());
+  }
+
+  private static FleetPollResult poll(Started s, String entry) {
+    FleetPoll p = new FleetPoll(entry, "", 0, -1, 0, 0, 0, List.of());
+    byte[] answer =
+        s.network
+            .ask(s.address, FrameType.FLEET_POLL, "", MessagePackCodec.encode(p), 1_000)
+            .join();
+    return MessagePackCodec.decode(answer, FleetPollResult.class);
+  }
+
   private final class Started {
     final InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     final ConcurrentLinkedQueue<FleetOrder> orders = new ConcurrentLinkedQueue<>();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -71,6 +71,9 @@
 
   private static final long REACHABLE_MILLIS = 3_000;
 
+  /** All entries that reach this replica have polled it within this time, several times over. */
+  private static final long LEARN_ENTRIES_MILLIS = 3_000;
+
   private final FleetReplicaSettings settings;
   private final PeerNetwork network;
   private final TimerService timers;
@@ -88,6 +91,10 @@
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
   private boolean notingTraffic;
+  private boolean notingEntries;
+  private int heardEntries;
+  private long heardSince;
+  private long startedAt;
 
   /**
    * Opens the log; the replica runs after {@link #start}.
@@ -167,6 +174,7 @@
 
   /** Starts the log, the polls and the planner. */
   public void start() {
+    startedAt = timers.nowMillis();
     network.handle(FrameType.RAFT, this::raft);
     network.handle(FrameType.PROPOSE, this::proposed);
     network.handle(FrameType.FLEET_POLL, this::polled);
@@ -307,12 +315,39 @@
             news && !replica ? s : null,
             from == cursor ? List.of() : table.since(from, !replica, now),
             replica ? List.of() : loads.others(p.node(), now),
-            loads.entries(now),
+            entries(now),
             knownReplicas(now),
             log.status().leader());
     return CompletableFuture.completedFuture(MessagePackCodec.encode(r));
   }
 
+  /**
+   * Returns the number of entries that share budgets. A replica that has just started has not heard
+   * of all of them; an entry that took itself for the only one would spend the budget of all.
+   */
+  private int entries(long now) {
+    int heard = loads.entries(now);
+    return now - startedAt < LEARN_ENTRIES_MILLIS
+        ? Math.max(heard, log.current().entries())
+        : heard;
+  }
+
+  /** Notes the number of entries in the log once it has not grown for a while. */
+  private void noteEntries(long now) {
+    int heard = loads.entries(now);
+    if (heard != heardEntries) {
+      heardEntries = heard;
+      heardSince = now;
+    }
+    if (heard > log.current().entries()
+        && now - heardSince >= LEARN_ENTRIES_MILLIS
+        && !notingEntries) {
+      notingEntries = true;
+      commit(new ServingCommand.NoteEntries(heard))
+          .whenComplete((r, failure) -> executor.execute(() -> notingEntries = false));
+    }
+  }
+
   private List<String> knownReplicas(long now) {
     List<String> out = new ArrayList<>(directory.recent(now, REACHABLE_MILLIS));
     if (!out.contains(settings.name())) {
@@ -335,6 +370,7 @@
     if (c == null || s.role() != RaftRole.LEADER || !s.mayLead(now)) {
       return;
     }
+    noteEntries(now);
     List<InstanceUpdate> all = table.all(now);
     for (ServiceProfile p : c.services().values()) {
       if (p.engine() != null) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
@@ -62,6 +62,8 @@
     apply(new ServingCommand.Install(7, content("seven")));
     apply(new ServingCommand.SetZone("b", true));
     apply(new ServingCommand.BeginTraffic());
+    apply(new ServingCommand.NoteEntries(7));
+    apply(new ServingCommand.NoteEntries(3));
     apply(new ServingCommand.Barrier());
     ServingState copy = new ServingState();
     copy.restore(state.snapshot());
@@ -70,5 +72,6 @@
     assertEquals(state.current().zonesOut(), copy.current().zonesOut());
     assertEquals(2, copy.current().zonesIndex());
     assertTrue(copy.current().traffic());
+    assertEquals(7, copy.current().entries());
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
@@ -9,6 +9,7 @@
   @JsonSubTypes.Type(value = ServingCommand.Install.class, name = "install"),
   @JsonSubTypes.Type(value = ServingCommand.SetZone.class, name = "zone"),
   @JsonSubTypes.Type(value = ServingCommand.BeginTraffic.class, name = "traffic"),
+  @JsonSubTypes.Type(value = ServingCommand.NoteEntries.class, name = "entries"),
   @JsonSubTypes.Type(value = ServingCommand.Barrier.class, name = "barrier"),
 })
 public sealed interface ServingCommand {
@@ -31,6 +32,14 @@
   /** Notes that the fleet has received its first request; from then on loads of weights count. */
   record BeginTraffic() implements ServingCommand {}
 
+  /**
+   * Notes the number of entries that share the budgets, so that a replica that has just started
+   * does not tell the first entry that it is alone. A lower number than before changes nothing.
+   *
+   * @param entries the number of entries
+   */
+  record NoteEntries(int entries) implements ServingCommand {}
+
   /** Changes nothing; a read that follows it reflects everything that was committed before. */
   record Barrier() implements ServingCommand {}
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
@@ -14,7 +14,7 @@
 public final class ServingState implements StateMachine {
   private static final byte[] NOTHING = {};
 
-  private volatile Committed committed = new Committed(0, NOTHING, 0, List.of(), false);
+  private volatile Committed committed = new Committed(0, NOTHING, 0, List.of(), false, 0);
 
   /** Returns the state after the last applied command. */
   public Committed current() {
@@ -35,6 +35,8 @@
       }
     } else if (c instanceof ServingCommand.BeginTraffic) {
       committed = old.withTraffic();
+    } else if (c instanceof ServingCommand.NoteEntries n) {
+      committed = old.withEntries(Math.max(old.entries(), n.entries()));
     }
     return NOTHING;
   }
@@ -57,19 +59,29 @@
    * @param zonesIndex the log index of the last change of the zones; 0 if there is none
    * @param zonesOut the zones out of service, sorted
    * @param traffic whether the fleet has received its first request
+   * @param entries the most entries that have shared the budgets; 0 if none was noted
    */
   public record Committed(
-      long version, byte[] content, long zonesIndex, List<String> zonesOut, boolean traffic) {
+      long version,
+      byte[] content,
+      long zonesIndex,
+      List<String> zonesOut,
+      boolean traffic,
+      int entries) {
     private Committed with(long newVersion, byte[] newContent) {
-      return new Committed(newVersion, newContent, zonesIndex, zonesOut, traffic);
+      return new Committed(newVersion, newContent, zonesIndex, zonesOut, traffic, entries);
     }
 
     private Committed with(long newZonesIndex, List<String> newZonesOut) {
-      return new Committed(version, content, newZonesIndex, newZonesOut, traffic);
+      return new Committed(version, content, newZonesIndex, newZonesOut, traffic, entries);
     }
 
     private Committed withTraffic() {
-      return new Committed(version, content, zonesIndex, zonesOut, true);
+      return new Committed(version, content, zonesIndex, zonesOut, true, entries);
+    }
+
+    private Committed withEntries(int newEntries) {
+      return new Committed(version, content, zonesIndex, zonesOut, traffic, newEntries);
     }
   }
 }
