--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -276,10 +276,10 @@
     if (target == null) {
       throw new IllegalArgumentException("no instance was chosen");
     }
-    long now = timers.nowMillis();
     stopWaiting();
     sends++;
     tried.add(target.id());
+    long now = timers.nowMillis();
     owner.guard().sent(target.id(), now);
     owner.metrics().sent(kind(), cause);
     EventSplitter s = splitter;
