Bound the bodies that wait at an entry, and test the experiment's model

Cause: up to 1,000 calls may wait at an entry that does not know the fleet yet, and each body may have 4 MB, ten times the memory of the process. The experiment tool had no tests.

--- /dev/null
+++ b/org.ebonypond.bench/src/test/java/org/ebonypond/bench/experiment/GroupModelTest.java
@@ -0,0 +1,88 @@
+package org.ebonypond.bench.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ebonypond.forward.EngineCost;
+import org.ebonypond.junit.FakeFleet;
+import org.ebonypond.junit.ManualTimerService;
+import org.ebonypond.serving.EngineProfile;
+import org.ebonypond.serving.ModelProfile;
+import org.junit.jupiter.api.Test;
+
+class GroupModelTest {
+  private static final int PROMPT = 920;
+
+  private final ManualTimerService timers = new ManualTimerService();
+  private final EngineProfile engine = FakeFleet.twoModels();
+  private final ModelProfile model = engine.models().get(0);
+  private final GroupModel group = new GroupModel(engine, model, timers);
+  private final List<Long> events = new ArrayList<>();
+  private final List<Long> ends = new ArrayList<>();
+  private final List<Long> losses = new ArrayList<>();
+
+  private GroupModel.Job job(int urgency, long order, int count) {
+    return new GroupModel.Job(
+        urgency,
+        order,
+        PROMPT,
+        count,
+        new GroupModel.Listener() {
+          @Override
+          public void event() {
+            events.add(timers.nowMillis());
+          }
+
+          @Override
+          public void ended() {
+            ends.add(order);
+          }
+
+          @Override
+          public void brokenOff() {
+            losses.add(order);
+          }
+        });
+  }
+
+  /** Guards against a model whose passes differ from the published cost. */
+  @Test
+  void passesTakeThePublishedTime() {
+    group.submit(job(3, 1, 10));
+    timers.advance(2_000);
+    assertEquals(10, events.size());
+    EngineCost cost = new EngineCost(engine);
+    double first = cost.prefillMillis(model, PROMPT) + cost.passMillis(model, 1, PROMPT);
+    assertTrue(Math.abs(events.get(0) - first) <= 2, events.get(0) + " instead of " + first);
+    double pass = (events.get(9) - events.get(0)) / 9.0;
+    assertTrue(Math.abs(pass - cost.passMillis(model, 1, PROMPT)) < 0.5, "passes of " + pass);
+  }
+
+  /** Guards against late requests that are served before urgent ones. */
+  @Test
+  void urgentRequestsLeaveTheQueueFirst() {
+    for (int i = 0; i < engine.slots(); i++) {
+      group.submit(job(0, i, 5));
+    }
+    group.submit(job(7, 100, 1));
+    group.submit(job(3, 101, 1));
+    timers.advance(20_000);
+    assertTrue(
+        ends.indexOf(101L) >= 0 && ends.indexOf(101L) <= ends.indexOf(100L), ends.toString());
+  }
+
+  /** Guards against progress of a group that has lost a member. */
+  @Test
+  void standingGroupMakesNoEventsAndBreaksItsRequestsOff() {
+    group.submit(job(3, 1, 100));
+    timers.advance(200);
+    group.stand();
+    final int before = events.size();
+    timers.advance(5_000);
+    assertEquals(before, events.size());
+    group.repair();
+    assertEquals(List.of(1L), losses);
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
@@ -15,14 +15,18 @@
   /** No call waits for longer than this, in milliseconds; longer losses need a refusal. */
   static final long MAX_WAIT_MILLIS = 2_000;
 
-  /** Calls with their bodies; at 4 KB each a few percent of the memory of a process. */
+  /** At a few KB for each call, a few percent of the memory of a process. */
   private static final int MAX_CALLS = 1_000;
 
+  /** The bytes of all bodies that wait, a quarter of the heap of an entry; bodies may have 4 MB. */
+  private static final long MAX_BODY_BYTES = 24 << 20;
+
   /** Instances report at least once in two heartbeats, unless they are lost. */
   private static final int HEARTBEATS = 2;
 
   private final long learningMillis;
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
+  private long bodyBytes;
   private long knownSince = Long.MAX_VALUE;
 
   /**
@@ -41,11 +45,18 @@
    * @return whether there was room for it
    */
   boolean add(ForwardCall c, int room, long now) {
-    return calls.size() < (isLearning(now) ? MAX_CALLS : Math.min(room, MAX_CALLS)) && calls.add(c);
+    int most = isLearning(now) ? MAX_CALLS : Math.min(room, MAX_CALLS);
+    if (calls.size() >= most || bodyBytes + c.bodyBytes() > MAX_BODY_BYTES || !calls.add(c)) {
+      return false;
+    }
+    bodyBytes += c.bodyBytes();
+    return true;
   }
 
   void remove(ForwardCall c) {
-    calls.remove(c);
+    if (calls.remove(c)) {
+      bodyBytes -= c.bodyBytes();
+    }
   }
 
   /** Returns whether instances may be missing from the view because this process is new. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -90,6 +90,7 @@
   private final CallHead head;
   private final TimerService timers;
   private final long receivedAt;
+  private final int bodyBytes;
   private final RequestLog log;
   private final Set<String> tried = new HashSet<>();
 
@@ -121,6 +122,7 @@
     this.head = head;
     this.timers = owner.timers();
     this.receivedAt = timers.nowMillis();
+    this.bodyBytes = call.body().readableBytes();
     this.log = new RequestLog(head.id(), timers, receivedAt);
   }
 
@@ -217,6 +219,10 @@
     return true;
   }
 
+  int bodyBytes() {
+    return bodyBytes;
+  }
+
   /** Goes on with a call that waits. */
   void tryAgain() {
     ServingConfig config = owner.view().config();
