--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -113,7 +113,7 @@
     if (!beforeTraffic || hasSettled(t.instances.size(), now)) {
       t.form();
       t.convert();
-      t.stage();
+      new HostLoads(t).order();
     }
     summary = t.summarize();
     return t.orders;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -1,7 +1,6 @@
 package org.ebonypond.fleet;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,15 +16,6 @@
   /** The heartbeats of the members that show one change arrive within this time. */
   private static final long INCOMPLETE_MILLIS = 1_200;
 
-  /** Loads of models for later use that run at once; more would slow down repairs. */
-  private static final int MAX_STAGING = 6;
-
-  /** The same, for instances that can serve one model already. */
-  private static final int MAX_SECOND_STAGING = 3;
-
-  /** A load for later use that takes longer than this is not waited for, in milliseconds. */
-  private static final long STAGING_MILLIS = 30_000;
-
   /** A head without progress for this long has probably lost a member. */
   private static final long STALLED_MILLIS = 300;
 
@@ -243,7 +233,7 @@
     }
   }
 
-  private GroupFormation formation() {
+  GroupFormation formation() {
     int usable = 0;
     for (FleetInstance i : instances.values()) {
       usable += i.phase() == InstancePhase.READY && !isLost(i) ? 1 : 0;
@@ -315,7 +305,7 @@
     return best;
   }
 
-  private String domainOf(FleetInstance i) {
+  String domainOf(FleetInstance i) {
     return i.domain().isEmpty() ? "zone " + i.zone() : i.domain();
   }
 
@@ -342,56 +332,7 @@
     }
   }
 
-  /**
-   * Loads onto each host a model that its instance does not have in memory. An instance can then
-   * change to a group of either model within a second or two, whatever group is lost next.
-   */
-  void stage() {
-    int running = 0;
-    for (FleetInstance i : instances.values()) {
-      running += isStaging(i) ? 1 : 0;
-    }
-    GroupFormation f = formation();
-    for (FleetInstance i : stagingOrder()) {
-      String model = modelToStage(i);
-      boolean wanted =
-          !model.isEmpty()
-              && i.phase() == InstancePhase.READY
-              && !isLost(i)
-              && !isJoining(i)
-              && !i.staged().contains(model);
-      boolean useless = i.lastModel().isEmpty() && i.staged().isEmpty();
-      int most = useless || f.isBadlyServed(model) ? MAX_STAGING : MAX_SECOND_STAGING;
-      if (!wanted || (!beforeTraffic && running >= most) || !hasLoadsToSpare()) {
-        continue;
-      }
-      FleetOrder o = stageOrder(i, model);
-      OrderOutcome done = state.book.outcome(o);
-      if (done != OrderOutcome.ACCEPTED && done != OrderOutcome.HOLDS && send(o)) {
-        running++;
-        state.staging.put(i.id(), new PlannerState.Staging(model, i.born(), now));
-        takeLoads(1);
-      }
-    }
-  }
-
-  private boolean isStaging(FleetInstance i) {
-    PlannerState.Staging s = state.staging.get(i.id());
-    if (s == null) {
-      return false;
-    }
-    boolean over =
-        i.staged().contains(s.model())
-            || now - s.since() > STAGING_MILLIS
-            || i.born() != s.born()
-            || isLost(i);
-    if (over) {
-      state.staging.remove(i.id());
-    }
-    return !over;
-  }
-
-  private boolean isJoining(FleetInstance i) {
+  boolean isJoining(FleetInstance i) {
     GroupMembership g = i.group();
     if (g != null) {
       return g.state() == MemberState.JOINING;
@@ -399,90 +340,7 @@
     return taken.contains(i.id());
   }
 
-  private FleetOrder stageOrder(FleetInstance i, String model) {
-    return new FleetOrder(
-        FleetOrder.Kind.STAGE, i.id(), i.address(), "", 0, model, List.of(), state.term);
-  }
-
-  /** Repairs go before staging, so half of the window is kept for them. */
-  private boolean hasLoadsToSpare() {
-    double rate = engine.loadsPerSecond();
-    return beforeTraffic || state.ceiling.available(rate, now) > state.ceiling.capacity(rate) / 2;
-  }
-
-  private void takeLoads(int n) {
-    if (!beforeTraffic) {
-      state.ceiling.take(n, now);
-    }
-  }
-
-  /**
-   * Returns the model to stage, or an empty string: for an instance that can serve nothing yet, the
-   * one that is worst served; otherwise the largest one that it does not have in memory.
-   */
-  private String modelToStage(FleetInstance i) {
-    if (i.lastModel().isEmpty() && i.models().isEmpty()) {
-      return i.staged().isEmpty() ? worstServed() : i.staged().get(0);
-    }
-    String model = "";
-    int size = 0;
-    for (ModelProfile m : engine.models()) {
-      if (m.groupSize() > size && !i.hasInMemory(m.name())) {
-        size = m.groupSize();
-        model = m.name();
-      }
-    }
-    return model;
-  }
-
-  /** Returns the model that lacks most instances, counting those that are staged or staging. */
-  private String worstServed() {
-    Map<String, Integer> instancesOf = new HashMap<>();
-    for (FleetInstance i : instances.values()) {
-      String model = !i.lastModel().isEmpty() ? i.lastModel() : firstOf(i.staged());
-      instancesOf.merge(model, 1, Integer::sum);
-    }
-    state.staging.values().forEach(s -> instancesOf.merge(s.model(), 1, Integer::sum));
-    String worst = "";
-    double least = Double.MAX_VALUE;
-    for (ModelProfile m : engine.models()) {
-      double served = instancesOf.getOrDefault(m.name(), 0) / Math.max(0.01, m.share());
-      if (served < least) {
-        least = served;
-        worst = m.name();
-      }
-    }
-    return worst;
-  }
-
-  private static String firstOf(List<String> models) {
-    return models.isEmpty() ? "" : models.get(0);
-  }
-
-  /**
-   * Free instances are staged before those that serve; among them, those that have not left such an
-   * order unanswered, those that a group is closest to need, and those that can serve nothing yet.
-   */
-  private List<FleetInstance> stagingOrder() {
-    Map<String, List<FleetInstance>> free = freeByDomain();
-    List<FleetInstance> out = new ArrayList<>(instances.values());
-    out.sort(
-        Comparator.comparingInt((FleetInstance i) -> isFree(i) ? 0 : 1)
-            .thenComparingInt(i -> state.book.tries(stageOrder(i, modelToStage(i))))
-            .thenComparingLong(i -> -warmNear(i, free))
-            .thenComparingInt(i -> i.lastModel().isEmpty() && i.staged().isEmpty() ? 0 : 1));
-    return out;
-  }
-
-  /** Returns the free instances of a domain that have the model which another one would load. */
-  private long warmNear(FleetInstance i, Map<String, List<FleetInstance>> free) {
-    String model = modelToStage(i);
-    return free.getOrDefault(domainOf(i), List.of()).stream()
-        .filter(o -> !model.isEmpty() && o.isWarmFor(model))
-        .count();
-  }
-
-  private Map<String, List<FleetInstance>> freeByDomain() {
+  Map<String, List<FleetInstance>> freeByDomain() {
     Map<String, List<FleetInstance>> out = new TreeMap<>();
     for (FleetInstance i : instances.values()) {
       if (isFree(i)) {
@@ -529,7 +387,7 @@
     return out;
   }
 
-  private boolean isFree(FleetInstance i) {
+  boolean isFree(FleetInstance i) {
     // An instance whose heartbeat is overdue would keep the others of a new group waiting.
     boolean overdue = ages.getOrDefault(i.id(), 0L) > state.quickSilentMillis;
     if (i.phase() != InstancePhase.READY || overdue || taken.contains(i.id())) {
@@ -547,7 +405,7 @@
         || now - state.leadsSince >= state.stallMillis + PlannerState.STALL_MARGIN_MILLIS;
   }
 
-  private boolean isLost(FleetInstance i) {
+  boolean isLost(FleetInstance i) {
     return i.phase() == InstancePhase.GONE || ages.getOrDefault(i.id(), 0L) > state.silentMillis;
   }
 
@@ -585,7 +443,7 @@
     send(new FleetOrder(kind, to.id(), to.address(), group, epoch, model, members, state.term));
   }
 
-  private boolean send(FleetOrder o) {
+  boolean send(FleetOrder o) {
     boolean due = state.book.send(o, now);
     if (due) {
       orders.add(o);
