Send a proposal to the leader that the log names first

It received the configuration at 6.221 s, but its ProposalClient began with the first replica by name, the frozen one, and waited 1,500 ms for it; the commit at 7.841 s came after the operator had moved on.

Ruled out: the log itself; the same configuration was committed at once at core-clt-1, which had asked before.

Change: FleetReplica gives ProposalClient the leader that its own log names; the first attempt of each proposal goes there.

Figures: ProposalClientTest.firstAttemptGoesToTheLeaderThatTheLogNames failed before (asked r0).

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ProposalClientTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ProposalClientTest.java
@@ -44,6 +44,17 @@
     assertEquals(2, peers.last().replica());
   }
 
+  /** Guards against a change that waits for a frozen replica although the leader is known. */
+  @Test
+  void firstAttemptGoesToTheLeaderThatTheLogNames() {
+    ProposalClient c = new ProposalClient(peers, timers, () -> HeldPeers.REPLICAS, () -> "r1");
+    c.propose("control", new byte[] {1}, 3_000);
+    assertEquals(1, peers.last().replica());
+    peers.last().reply(notLeader(null));
+    timers.advance(100);
+    assertEquals(2, peers.last().replica());
+  }
+
   /** Guards against a late failure of the old leader that sends proposals away from the new one. */
   @Test
   void keepsTheNewLeaderWhenAnOlderProposalFailsLate() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ProposalClient.java
@@ -26,6 +26,7 @@
   private final Peers network;
   private final TimerService timers;
   private final Supplier<List<ReplicaAddress>> replicas;
+  private final Supplier<@Nullable String> leader;
   private final Map<String, Integer> leaderOf = new ConcurrentHashMap<>();
 
   /**
@@ -36,16 +37,22 @@
    * @param replicas every control replica
    */
   public ProposalClient(Peers network, TimerService timers, List<ReplicaAddress> replicas) {
-    this(network, timers, () -> replicas);
+    this(network, timers, () -> replicas, () -> null);
   }
 
   /**
    * Creates a client of replicas that may change.
    *
    * @param replicas returns the control replicas that are known now, one at least
+   * @param leader returns the name of the leader if this process has heard of it from the log
+   *     itself, or null; each proposal goes there first
    */
   public ProposalClient(
-      Peers network, TimerService timers, Supplier<List<ReplicaAddress>> replicas) {
+      Peers network,
+      TimerService timers,
+      Supplier<List<ReplicaAddress>> replicas,
+      Supplier<@Nullable String> leader) {
+    this.leader = leader;
     this.network = network;
     this.timers = timers;
     this.replicas = replicas;
@@ -91,6 +98,7 @@
     private final long giveUpMillis;
     private final CompletableFuture<ProposalReply> done = new CompletableFuture<>();
     private boolean mayBeAccepted;
+    private boolean tried;
 
     Proposal(String channel, byte[] command, long giveUpMillis) {
       this.channel = channel;
@@ -105,12 +113,17 @@
         return;
       }
       List<ReplicaAddress> known = replicas.get();
-      int target = leaderOf.getOrDefault(channel, 0) % known.size();
+      int target = indexOf(known, tried ? null : leader.get());
+      if (target < 0) {
+        target = leaderOf.getOrDefault(channel, 0) % known.size();
+      }
+      tried = true;
+      final int asked = target;
       InetSocketAddress to = known.get(target).address();
       network
           .ask(to, FrameType.PROPOSE, channel, command, Math.min(left, ATTEMPT_TIMEOUT_MILLIS))
           .thenApply(b -> MessagePackCodec.decode(b, ProposalReply.class))
-          .whenComplete((reply, failure) -> answered(target, reply, failure));
+          .whenComplete((reply, failure) -> answered(asked, reply, failure));
     }
 
     private void answered(int target, @Nullable ProposalReply reply, @Nullable Throwable failure) {
@@ -126,14 +139,19 @@
       timers.after(RETRY_DELAY_MILLIS, this::attempt);
     }
 
-    private int next(int target, @Nullable String leader) {
+    private int next(int target, @Nullable String hint) {
       List<ReplicaAddress> known = replicas.get();
+      int hinted = indexOf(known, hint);
+      return hinted >= 0 && hinted != target ? hinted : (target + 1) % known.size();
+    }
+
+    private static int indexOf(List<ReplicaAddress> known, @Nullable String name) {
       for (int i = 0; i < known.size(); i++) {
-        if (known.get(i).name().equals(leader) && i != target) {
+        if (known.get(i).name().equals(name)) {
           return i;
         }
       }
-      return (target + 1) % known.size();
+      return -1;
     }
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -128,8 +128,6 @@
     this.source = source;
     this.orders = orders;
     this.directory = new ReplicaDirectory(settings.seeds());
-    this.proposals =
-        new ProposalClient(network, timers, () -> directory.addresses(timers.nowMillis()));
     SecureRandom random = new SecureRandom();
     this.log =
         new ServingLog(
@@ -140,6 +138,12 @@
             timers,
             opener,
             fatal);
+    this.proposals =
+        new ProposalClient(
+            network,
+            timers,
+            () -> directory.addresses(timers.nowMillis()),
+            () -> log.status().leader());
     this.follower =
         new FleetFollower(
             settings.name(),
