--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/Policy.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/Policy.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import org.ebonypond.forward.EngineCost;
 import org.ebonypond.forward.TargetSelector;
@@ -36,7 +37,7 @@
     private final TargetSelector selector;
 
     Ours(long seed) {
-      selector = new TargetSelector("z", new java.util.Random(seed));
+      selector = new TargetSelector("z", new Random(seed));
     }
 
     @Override
