Complete a large group with members of a small one, instead of losing large groups only

Cause: each lost member of a large group turned its three survivors into a small group and a spare.

Change: where the free instances of a domain lack no more members of a large group than a small group there has, and these are warm for the model, the least busy small group is dissolved for it, if what is missing of both models, weighed by their shares, gets less than with another small group of the survivors.

Ruled out: faster loads; the weight store bears six at once.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -85,6 +85,22 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /** Guards against a large model whose every loss leaves a small group, until it has none. */
+  @Test
+  void lossesOfLargeGroupsAreShared() {
+    start();
+    for (int i = 0; i < 7; i++) {
+      String head = fleet.head("large");
+      assertNotNull(head);
+      fleet.crash(fleet.membersOf(head).get(3));
+      fleet.run(planner, 4_000, false);
+    }
+    fleet.run(planner, 3_000, false);
+    int large = fleet.serving("large");
+    assertTrue(large >= 5, large + " large and " + fleet.serving("small") + " small groups");
+    assertEquals(List.of(), fleet.violations());
+  }
+
   /** Guards against members of a dissolved group that wait as for a lost head. */
   @Test
   void membersOfGroupWithDrainingMemberServeAgainWithinSeconds() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupFormation.java
@@ -35,6 +35,11 @@
   /** Groups are dissolved for another model if that lowers the greatest need by this much. */
   private static final double CONVERSION_MARGIN = 0.04;
 
+  /**
+   * A small group is dissolved to complete a large one if the sum of what is missing falls by this.
+   */
+  private static final double COMPLETION_MARGIN = 0.01;
+
   /** Groups that are busier than this part of their slots count as a need for more. */
   private static final double BUSY_PART = 0.7;
 
@@ -127,6 +132,24 @@
     return need(to, 0) > after + CONVERSION_MARGIN;
   }
 
+  /**
+   * Returns whether a group of a larger model is worth more than one of a smaller one beside it,
+   * and than another one that the survivors of the larger one could form.
+   */
+  boolean isWorthCompleting(ModelProfile large, ModelProfile small) {
+    if (counts.getOrDefault(small.name(), 0) <= 1) {
+      return false;
+    }
+    double before = missing(large, 0) + missing(small, 1);
+    double after = missing(large, 1) + missing(small, -1);
+    return before > after + COMPLETION_MARGIN;
+  }
+
+  /** Returns what a model lacks, weighed by its share of the requests. */
+  private double missing(ModelProfile m, int more) {
+    return m.share() * Math.max(0, need(m, more));
+  }
+
   /** Returns whether a model is so badly served that loads for it go before others. */
   boolean isBadlyServed(String model) {
     ModelProfile m = engine.model(model);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -305,6 +305,69 @@
     return best;
   }
 
+  /**
+   * Keeps the survivors of a large group for a new one, which members of a small group complete.
+   * Were each loss of a large group to leave a small one, the large model would lose all of its
+   * groups.
+   */
+  private void complete(String domain, List<FleetInstance> free, GroupFormation f) {
+    for (ModelProfile large : engine.models()) {
+      List<FleetInstance> warm = free.stream().filter(i -> i.isWarmFor(large.name())).toList();
+      int lacking = large.groupSize() - warm.size();
+      for (ModelProfile small : engine.models()) {
+        boolean helps =
+            small.groupSize() < large.groupSize() && lacking > 0 && lacking <= small.groupSize();
+        if (helps && (isDissolving(domain, large) || dissolveOne(domain, large, small, f))) {
+          free.removeAll(warm);
+          return;
+        }
+      }
+    }
+  }
+
+  /** Returns whether a group is being dissolved whose members can complete one of a model. */
+  private boolean isDissolving(String domain, ModelProfile large) {
+    return groups.values().stream()
+        .anyMatch(g -> state.retiring.containsKey(g.key()) && isWarmIn(domain, g, large));
+  }
+
+  /** Dissolves the least busy small group of a domain if that is worth a large one. */
+  private boolean dissolveOne(
+      String domain, ModelProfile large, ModelProfile small, GroupFormation f) {
+    if (!f.isWorthCompleting(large, small)) {
+      return false;
+    }
+    GroupView least = null;
+    for (GroupView g : groups.values()) {
+      boolean fits =
+          g.parts.model().equals(small.name()) && isServing(g) && isWarmIn(domain, g, large);
+      if (fits && (least == null || busyAt(g) < busyAt(least))) {
+        least = g;
+      }
+    }
+    if (least == null) {
+      return false;
+    }
+    state.retiring.put(least.key(), now);
+    return true;
+  }
+
+  private static boolean isServing(GroupView g) {
+    FleetInstance head = g.head();
+    return head != null && head.servesGroup();
+  }
+
+  private int busyAt(GroupView g) {
+    FleetInstance head = g.head();
+    return head == null ? 0 : activeAt(head.id());
+  }
+
+  private boolean isWarmIn(String domain, GroupView g, ModelProfile m) {
+    return g.isComplete()
+        && g.members.values().stream()
+            .allMatch(i -> domainOf(i).equals(domain) && i.isWarmFor(m.name()));
+  }
+
   String domainOf(FleetInstance i) {
     return i.domain().isEmpty() ? "zone " + i.zone() : i.domain();
   }
@@ -313,6 +376,9 @@
   void form() {
     Map<String, List<FleetInstance>> domains = freeByDomain();
     GroupFormation f = formation();
+    if (!beforeTraffic) {
+      domains.forEach((d, free) -> complete(d, free, f));
+    }
     while (true) {
       GroupFormation.Choice c = f.best(domains, beforeTraffic);
       if (c == null) {
