Choose, note and weigh in one place each

Cause: reading the whole change again.

Change: dispatch takes whether the call may wait; FleetReplica.note commits one note at a time; a round keeps its GroupFormation, whose inputs do not change within it. Behaviour stays as it is.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -90,8 +90,7 @@
   private final long boot = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
-  private boolean notingTraffic;
-  private boolean notingEntries;
+  private boolean noting;
   private int heardEntries;
   private long heardSince;
   private long startedAt;
@@ -343,12 +342,8 @@
       heardEntries = heard;
       heardSince = now;
     }
-    if (heard > log.current().entries()
-        && now - heardSince >= LEARN_ENTRIES_MILLIS
-        && !notingEntries) {
-      notingEntries = true;
-      commit(new ServingCommand.NoteEntries(heard))
-          .whenComplete((r, failure) -> executor.execute(() -> notingEntries = false));
+    if (heard > log.current().entries() && now - heardSince >= LEARN_ENTRIES_MILLIS) {
+      note(new ServingCommand.NoteEntries(heard));
     }
   }
 
@@ -394,6 +389,14 @@
     }
   }
 
+  /** Commits what a later process must know, one note at a time; the next round repeats it. */
+  private void note(ServingCommand c) {
+    if (!noting) {
+      noting = true;
+      commit(c).whenComplete((r, failure) -> executor.execute(() -> noting = false));
+    }
+  }
+
   private void logSummary(String service, String summary) {
     if (!summary.equals(summaries.put(service, summary))) {
       LOG.atInfo().addKeyValue("service", service).addKeyValue("state", summary).log("groups");
@@ -406,10 +409,8 @@
    */
   private boolean beforeTraffic() {
     boolean began = log.current().traffic();
-    if (!began && loads.hasTraffic() && !notingTraffic) {
-      notingTraffic = true;
-      commit(new ServingCommand.BeginTraffic())
-          .whenComplete((r, failure) -> executor.execute(() -> notingTraffic = false));
+    if (!began && loads.hasTraffic()) {
+      note(new ServingCommand.BeginTraffic());
     }
     return !began && !loads.hasTraffic();
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -181,6 +181,10 @@
 
   /** Chooses an instance and sends the request, lets it wait, or refuses it. */
   private void dispatch(String cause) {
+    dispatch(cause, true);
+  }
+
+  private void dispatch(String cause, boolean patient) {
     sendCause = cause;
     TargetSelector.Decision d = choose();
     if (d.target() != null) {
@@ -188,7 +192,7 @@
       return;
     }
     rejection = d;
-    if (!mayWait(d) || !waitInQueue(d.room())) {
+    if (!patient || !mayWait(d) || !waitInQueue(d.room())) {
       giveUp(d.reason(), d.pauseMillis());
     }
   }
@@ -243,14 +247,8 @@
     }
     if (route == null) {
       refuseUnconfigured();
-      return;
-    }
-    TargetSelector.Decision d = choose();
-    if (d.target() != null) {
-      send(d, sendCause);
     } else {
-      rejection = d;
-      giveUp(d.reason(), d.pauseMillis());
+      dispatch(sendCause, false);
     }
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -42,6 +42,7 @@
   final Set<String> taken = new HashSet<>();
   final Map<String, Integer> counts = new HashMap<>();
   final Map<String, Integer> active = new HashMap<>();
+  private @Nullable GroupFormation formation;
 
   PlanningRound(
       PlannerState state,
@@ -233,12 +234,18 @@
     }
   }
 
+  /** Returns the choice of groups of this round; call after the groups were reviewed. */
   GroupFormation formation() {
-    int usable = 0;
-    for (FleetInstance i : instances.values()) {
-      usable += i.phase() == InstancePhase.READY && !isLost(i) ? 1 : 0;
+    GroupFormation f = formation;
+    if (f == null) {
+      int usable = 0;
+      for (FleetInstance i : instances.values()) {
+        usable += i.phase() == InstancePhase.READY && !isLost(i) ? 1 : 0;
+      }
+      f = new GroupFormation(engine, counts, active, usable);
+      formation = f;
     }
-    return new GroupFormation(engine, counts, active, usable);
+    return f;
   }
 
   /**
@@ -420,8 +427,7 @@
   String summarize() {
     Map<String, Integer> open = new TreeMap<>();
     for (GroupView g : groups.values()) {
-      FleetInstance head = g.head();
-      if (head != null && head.servesGroup() && !state.retiring.containsKey(g.key())) {
+      if (isServing(g) && !state.retiring.containsKey(g.key())) {
         open.merge(g.parts.model(), 1, Integer::sum);
       }
     }
