--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/BudgetTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/BudgetTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.LongStream;
-import org.ebonypond.Seeds;
+import org.ebonypond.junit.Seeds;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
--- a/org.ebonypond.test/src/test/java/org/ebonypond/lease/ShareRandomTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/lease/ShareRandomTest.java
@@ -5,7 +5,7 @@
 
 import java.util.Random;
 import java.util.stream.LongStream;
-import org.ebonypond.Seeds;
+import org.ebonypond.junit.Seeds;
 import org.ebonypond.junit.ShareCluster;
 import org.ebonypond.junit.SimulatedShareEntry;
 import org.junit.jupiter.api.Test;
--- a/org.ebonypond.test/src/test/java/org/ebonypond/lease/ViewLeaseRandomTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/lease/ViewLeaseRandomTest.java
@@ -4,10 +4,10 @@
 
 import java.util.Random;
 import java.util.stream.LongStream;
-import org.ebonypond.Seeds;
 import org.ebonypond.junit.FakeReplicas;
 import org.ebonypond.junit.Faults;
 import org.ebonypond.junit.ManualTimerService;
+import org.ebonypond.junit.Seeds;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
