Check addresses where they are parsed, not at one of their sources

Cause: heartbeats checked that an address is no host name, settings looked names up, and polls between replicas were not checked at all: a stranger's poll that named itself "nobody" stayed in the directory for 30 s, and every look at the directory failed at it, so that no change could be proposed.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -1,6 +1,7 @@
 package org.ebonypond.server.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -14,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -157,6 +159,19 @@
     assertEquals(4, poll(start(), "entry-0").entries());
   }
 
+  /** Guards against a stranger whose poll names a replica that is no address, and stops changes. */
+  @Test
+  void pollOfStrangerStopsNoChange() throws Exception {
+    Started s = start();
+    for (String name : List.of("nobody", "host.example:7000", "10.0.0.1:x", ":1")) {
+      FleetPoll p = new FleetPoll("stranger", name, 0, -1, 0, 0, 0, List.of());
+      CompletableFuture<byte[]> answer =
+          s.network.ask(s.address, FrameType.FLEET_POLL, "", MessagePackCodec.encode(p), 200);
+      assertThrows(CompletionException.class, answer::join);
+    }
+    assertTrue(isCommitted(s));
+  }
+
   private static FleetPollResult poll(Started s, String entry) {
     FleetPoll p = new FleetPoll(entry, "", 0, -1, 0, 0, 0, List.of());
     byte[] answer =
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -301,6 +301,9 @@
     FleetPoll p = MessagePackCodec.decode(f.payload(), FleetPoll.class);
     long now = timers.nowMillis();
     boolean replica = !p.address().isEmpty();
+    if (replica && !ReplicaDirectory.isAddress(p.address())) {
+      throw new EbonypondException(ErrorCode.FRAME_INVALID, "a poll of " + p.address());
+    }
     if (replica) {
       directory.heard(p.address(), now);
       log.discover(p.address());
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ReplicaDirectory.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ReplicaDirectory.java
@@ -1,5 +1,6 @@
 package org.ebonypond.server.fleet;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.regex.Pattern;
 import org.ebonypond.server.settings.ReplicaAddress;
 
 /**
@@ -20,6 +22,9 @@
   /** A replica that has not answered for this long is forgotten unless the settings name it. */
   private static final long FORGET_MILLIS = 30_000;
 
+  private static final int MAX_PORT = 65_535;
+  private static final Pattern PORT = Pattern.compile("[1-9][0-9]{0,4}");
+
   private final Map<String, Long> lastHeard = new TreeMap<>();
   private Set<String> seeds;
 
@@ -68,10 +73,27 @@
     return names(now).stream().map(n -> new ReplicaAddress(n, address(n))).toList();
   }
 
-  /** Returns the socket address of a name of the form IP:PORT. */
-  public static InetSocketAddress address(String name) {
-    int colon = name.lastIndexOf(':');
+  /** Returns whether a text has the form IP:PORT, so that its address needs no name server. */
+  public static boolean isAddress(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon < 0 || !NetUtil.isValidIpV4Address(text.substring(0, colon))) {
+      return false;
+    }
+    String port = text.substring(colon + 1);
+    return PORT.matcher(port).matches() && Integer.parseInt(port) <= MAX_PORT;
+  }
+
+  /**
+   * Returns the socket address of a text of the form IP:PORT.
+   *
+   * @throws IllegalArgumentException if it has another form
+   */
+  public static InetSocketAddress address(String text) {
+    if (!isAddress(text)) {
+      throw new IllegalArgumentException(text + " is not an address of the form IP:PORT");
+    }
+    int colon = text.lastIndexOf(':');
     return new InetSocketAddress(
-        name.substring(0, colon), Integer.parseInt(name.substring(colon + 1)));
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
   }
 }
