Let the control loop of tests deliver a late load by itself

Cause: two tests built the same order of an earlier leader field by field. Change: ControlLoop.deliverLateLoad makes it from the group's record.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ControlLoop.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ControlLoop.java
@@ -14,6 +14,7 @@
 import org.ebonypond.control.GroupRecord;
 import org.ebonypond.control.GroupState;
 import org.ebonypond.events.EventSink;
+import org.ebonypond.group.EngineOrder;
 import org.ebonypond.group.EngineState;
 import org.ebonypond.group.GroupPlanner;
 import org.ebonypond.group.InstanceAnnouncement;
@@ -158,6 +159,23 @@
     late.add(new Late(now + delayMillis, order));
   }
 
+  /** Delivers, later, the load that the first leader ordered at the first member of a group. */
+  public void deliverLateLoad(GroupRecord group, long delayMillis) {
+    String instance = group.members().get(0).instance();
+    EngineOrder order =
+        new EngineOrder(
+            group.epoch(),
+            EngineOrder.Type.LOAD,
+            group.model(),
+            group.version(),
+            group.adapters(),
+            group.group(),
+            0,
+            List.of());
+    deliverLate(
+        new SchedulerOutput.OrderToSend(1, instance, instance + ":9000", order), delayMillis);
+  }
+
   /** Applies an operator's command at once. */
   public ControlResult apply(ControlCommand c) {
     log.add(c);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/group/OrderSchedulerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/group/OrderSchedulerTest.java
@@ -47,19 +47,8 @@
       loop.run(ControlLoop.TICK_MILLIS);
     }
     var old = loop.groups("drafter", GroupState.LOADING).get(0);
-    String instance = old.members().get(0).instance();
-    EngineOrder order =
-        new EngineOrder(
-            old.epoch(),
-            EngineOrder.Type.LOAD,
-            "drafter",
-            "1",
-            List.of("badge"),
-            old.group(),
-            0,
-            List.of());
     loop.elect(takeoverWait(waitMillis));
-    loop.deliverLate(new OrderToSend(1, instance, instance + ":9000", order), 3_900);
+    loop.deliverLateLoad(old, 3_900);
     loop.apply(Documents.create(checksFencing).model("drafter", "2", 1, 2, "a").version(2));
     boolean wrong = false;
     for (int i = 0; i < 150; i++) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/trace/TraceScenarios.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/trace/TraceScenarios.java
@@ -14,9 +14,7 @@
 import org.ebonypond.control.GroupState;
 import org.ebonypond.events.EventSink;
 import org.ebonypond.group.Documents;
-import org.ebonypond.group.EngineOrder;
 import org.ebonypond.group.PlannerSettings;
-import org.ebonypond.group.SchedulerOutput.OrderToSend;
 import org.ebonypond.group.SchedulerSettings;
 import org.ebonypond.group.ScoredPolicy;
 import org.ebonypond.junit.ControlLoop;
@@ -171,18 +169,7 @@
     loop.endLease();
     loop.run(1_000);
     loop.elect(SchedulerSettings.DEFAULT);
-    String instance = old.members().get(0).instance();
-    EngineOrder order =
-        new EngineOrder(
-            old.epoch(),
-            EngineOrder.Type.LOAD,
-            "drafter",
-            "1",
-            List.of("badge"),
-            old.group(),
-            0,
-            List.of());
-    loop.deliverLate(new OrderToSend(1, instance, instance + ":9000", order), 2_900);
+    loop.deliverLateLoad(old, 2_900);
     loop.apply(Documents.create(false).model("drafter", "2", 1, 2, "a").version(2));
     loop.run(15_000);
     return r;
