Show what takes a replica's event loop, and how long commits take

A replica now counts polls with their time and bytes, heartbeats, the delay of its event loop and the time of each commit, on its metrics address, and logs one line of them each two seconds. No decision changes. The gauges lose a doubled prefix.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -211,6 +212,7 @@
                 return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
               },
               EventSink.NONE,
+              new ReplicaMetrics(new MetricRegistry()),
               failure -> {
                 throw new IllegalStateException(failure);
               });
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ebonypond.consensus.RaftConfig;
 import org.ebonypond.consensus.RaftNode;
@@ -74,6 +75,11 @@
   /** All entries that reach this replica have polled it within this time, several times over. */
   private static final long LEARN_ENTRIES_MILLIS = 3_000;
 
+  /** How often the work of the event loop is logged and its delay is measured. */
+  private static final long LOAD_LINE_MILLIS = 2_000;
+
+  private static final long LOOP_CHECK_MILLIS = 100;
+
   private final FleetReplicaSettings settings;
   private final PeerNetwork network;
   private final TimerService timers;
@@ -86,6 +92,7 @@
   private final ServingLog log;
   private final ProposalClient proposals;
   private final FleetFollower follower;
+  private final ReplicaMetrics metrics;
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final long boot = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final Map<String, String> summaries = new HashMap<>();
@@ -94,6 +101,9 @@
   private int heardEntries;
   private long heardSince;
   private long startedAt;
+  private long loopCheckedAt;
+  private long worstLoopDelay;
+  private ReplicaMetrics.Totals logged = new ReplicaMetrics.Totals(0, 0, 0, 0, 0);
 
   /**
    * Opens the log; the replica runs after {@link #start}.
@@ -106,6 +116,7 @@
    * @param source decodes the configuration
    * @param orders sends orders to instances
    * @param events receives the events of the log
+   * @param metrics takes counts and times
    * @param fatal is called when the log is damaged, so that the process must end
    * @throws EbonypondException {@code log-corrupt}, {@code identity-mismatch} or {@code
    *     storage-failed}
@@ -119,8 +130,10 @@
       ConfigSource source,
       OrderSender orders,
       EventSink events,
+      ReplicaMetrics metrics,
       Consumer<Throwable> fatal) {
     this.settings = settings;
+    this.metrics = metrics;
     this.network = network;
     this.timers = timers;
     this.executor = executor;
@@ -184,6 +197,43 @@
     log.start();
     follower.start();
     timers.every(PLAN_MILLIS, () -> executor.execute(this::plan));
+    loopCheckedAt = startedAt;
+    timers.every(LOOP_CHECK_MILLIS, () -> executor.execute(this::checkLoop));
+    timers.every(LOAD_LINE_MILLIS, () -> executor.execute(this::logLoad));
+    metrics.gauge("log_applied_index", () -> status().appliedIndex());
+    metrics.gauge("log_leader", () -> status().role() == RaftRole.LEADER ? 1 : 0);
+    metrics.gauge("log_term", () -> status().term());
+    metrics.gauge("config_version", () -> log.current().version());
+    metrics.gauge("entries", () -> loads.entries(timers.nowMillis()));
+  }
+
+  private void checkLoop() {
+    long now = timers.nowMillis();
+    long delay = Math.max(0, now - loopCheckedAt - LOOP_CHECK_MILLIS);
+    loopCheckedAt = now;
+    worstLoopDelay = Math.max(worstLoopDelay, delay);
+    metrics.loopDelay(delay);
+  }
+
+  private void logLoad() {
+    ReplicaMetrics.Totals total = metrics.totals();
+    ReplicaMetrics.Totals t = total.since(logged);
+    logged = total;
+    ReplicaStatus s = log.status();
+    LOG.atInfo()
+        .addKeyValue("loop_delay_ms", worstLoopDelay)
+        .addKeyValue("entry_polls", t.entryPolls())
+        .addKeyValue("replica_polls", t.replicaPolls())
+        .addKeyValue("poll_ms", TimeUnit.MICROSECONDS.toMillis(t.pollMicros()))
+        .addKeyValue("poll_bytes", t.pollBytes())
+        .addKeyValue("heartbeats", t.heartbeats())
+        .addKeyValue("role", s.role())
+        .addKeyValue("term", s.term())
+        .addKeyValue("leader", String.valueOf(s.leader()))
+        .addKeyValue("applied", s.appliedIndex())
+        .addKeyValue("version", log.current().version())
+        .log("replica load");
+    worstLoopDelay = 0;
   }
 
   /**
@@ -211,6 +261,7 @@
 
   /** Takes a heartbeat. */
   public void heartbeat(FleetInstance instance) {
+    metrics.heartbeat();
     if (table.merge(instance, 0, timers.nowMillis())) {
       LOG.atInfo()
           .addKeyValue("instance", instance.id())
@@ -256,8 +307,12 @@
   }
 
   private CompletableFuture<ProposalReply> commit(ServingCommand c) {
-    return proposals.propose(
-        ServingLog.CHANNEL, MessagePackCodec.encode(c), PROPOSAL_TIMEOUT_MILLIS);
+    long since = timers.nowMillis();
+    String kind = c.getClass().getSimpleName();
+    return proposals
+        .propose(ServingLog.CHANNEL, MessagePackCodec.encode(c), PROPOSAL_TIMEOUT_MILLIS)
+        .whenComplete(
+            (r, failure) -> metrics.ended(kind, failure == null, timers.nowMillis() - since));
   }
 
   private CompletableFuture<ServingState.Committed> whenApplied(long index, long until) {
@@ -298,6 +353,7 @@
   }
 
   private CompletableFuture<byte[]> polled(Frame f) {
+    final long since = System.nanoTime();
     FleetPoll p = MessagePackCodec.decode(f.payload(), FleetPoll.class);
     long now = timers.nowMillis();
     boolean replica = !p.address().isEmpty();
@@ -324,7 +380,9 @@
             entries(now),
             knownReplicas(now),
             log.status().leader());
-    return CompletableFuture.completedFuture(MessagePackCodec.encode(r));
+    byte[] answer = MessagePackCodec.encode(r);
+    metrics.polled(replica, System.nanoTime() - since, answer.length);
+    return CompletableFuture.completedFuture(answer);
   }
 
   /**
@@ -463,15 +521,4 @@
                       planner.answered(o, outcome, now);
                     }));
   }
-
-  /** Returns figures for the metrics address. */
-  public Map<String, Long> figures() {
-    ReplicaStatus s = log.status();
-    Map<String, Long> out = new HashMap<>();
-    out.put("ebonypond_log_applied_index", s.appliedIndex());
-    out.put("ebonypond_log_leader", s.role() == RaftRole.LEADER ? 1L : 0L);
-    out.put("ebonypond_config_version", log.current().version());
-    out.put("ebonypond_entries", (long) loads.entries(timers.nowMillis()));
-    return out;
-  }
 }
