--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -0,0 +1,258 @@
+package org.ebonypond.server.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.fleet.EntryLoads;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.fleet.FleetPoll;
+import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.fleet.HeadLoad;
+import org.ebonypond.fleet.InstancePhase;
+import org.ebonypond.fleet.InstanceTable;
+import org.ebonypond.fleet.InstanceUpdate;
+import org.ebonypond.junit.ManualTimerService;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.Peers;
+import org.ebonypond.serving.ServingState;
+import org.ebonypond.wire.MessagePackCodec;
+
+/** Entries and control replicas that poll over a network in memory, on a manual clock. */
+final class PollNetwork {
+  private static final long ENTRY_POLL_MILLIS = 200;
+  private static final long LATENCY_MILLIS = 1;
+
+  final ManualTimerService timers = new ManualTimerService();
+  final Map<String, Replica> replicas = new TreeMap<>();
+  final List<Entry> entries = new ArrayList<>();
+  private final Set<Set<String>> cuts = new HashSet<>();
+
+  /**
+   * Starts processes; they know the first three replicas.
+   *
+   * @param heads the instances at which each entry has requests
+   */
+  PollNetwork(int replicaCount, int entryCount, int heads) {
+    List<String> names = new ArrayList<>();
+    for (int i = 1; i <= replicaCount; i++) {
+      names.add("10.0.0." + i + ":7000");
+    }
+    List<String> seeds = names.subList(0, Math.min(3, replicaCount));
+    names.forEach(n -> replicas.put(n, new Replica(n, seeds)));
+    for (int i = 0; i < entryCount; i++) {
+      entries.add(new Entry("entry-" + i, seeds, heads));
+    }
+    replicas.values().forEach(r -> r.follower.start());
+    entries.forEach(e -> e.follower.start());
+  }
+
+  /** Cuts two processes off from each other. */
+  void cut(String a, String b) {
+    cuts.add(Set.of(a, b));
+  }
+
+  /** Ends a replica: nobody reaches it. */
+  void end(String replica) {
+    replicas.keySet().forEach(r -> cutIfOther(replica, r));
+    entries.forEach(e -> cut(replica, e.name));
+  }
+
+  private void cutIfOther(String a, String b) {
+    if (!a.equals(b)) {
+      cut(a, b);
+    }
+  }
+
+  /** Lets all replicas hold a configuration. */
+  void commit(long version, byte[] content) {
+    replicas.values().forEach(r -> r.commit(version, content));
+  }
+
+  static FleetInstance instance(String id, long sequence) {
+    return new FleetInstance(
+        id,
+        1,
+        sequence,
+        "s",
+        "10.1.0.1:" + (1_000 + Math.abs(id.hashCode() % 50_000)),
+        "z",
+        InstancePhase.READY,
+        18,
+        0,
+        "d",
+        List.of(),
+        List.of("m"),
+        null,
+        "");
+  }
+
+  /** One process's view of the network; counts what it sends and receives. */
+  private final class Link implements Peers {
+    private final String name;
+    private long bytes;
+    private long contents;
+
+    Link(String name) {
+      this.name = name;
+    }
+
+    @Override
+    public void send(InetSocketAddress to, FrameType type, String channel, byte[] payload) {
+      throw new UnsupportedOperationException("polls are questions");
+    }
+
+    @Override
+    public CompletableFuture<byte[]> ask(
+        InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
+      String peer = to.getAddress().getHostAddress() + ":" + to.getPort();
+      CompletableFuture<byte[]> answer = new CompletableFuture<>();
+      bytes += payload.length;
+      timers.after(
+          timeoutMillis,
+          () -> answer.completeExceptionally(new EbonypondException(ErrorCode.NO_QUORUM)));
+      if (!cuts.contains(Set.of(name, peer))) {
+        timers.after(LATENCY_MILLIS, () -> deliver(peer, payload, answer));
+      }
+      return answer;
+    }
+
+    private void deliver(String peer, byte[] payload, CompletableFuture<byte[]> answer) {
+      byte[] result = replicas.get(peer).answer(payload);
+      timers.after(
+          LATENCY_MILLIS,
+          () -> {
+            bytes += result.length;
+            FleetPollResult r = MessagePackCodec.decode(result, FleetPollResult.class);
+            contents += r.state() != null && r.state().content().length > 0 ? 1 : 0;
+            answer.complete(result);
+          });
+    }
+  }
+
+  /** A control replica without its log. */
+  final class Replica {
+    final String name;
+    final InstanceTable table = new InstanceTable();
+    final EntryLoads loads = new EntryLoads();
+    private final Link link;
+    private final PollAnswers polls;
+    private final FleetFollower follower;
+    private ServingState.Committed state =
+        new ServingState.Committed(0, new byte[0], 0, List.of(), true, 0);
+
+    Replica(String name, List<String> seeds) {
+      this.name = name;
+      this.link = new Link(name);
+      ReplicaDirectory directory = new ReplicaDirectory(seeds);
+      polls =
+          new PollAnswers(
+              name, 7, directory, table, loads, () -> state, () -> null, timers.nowMillis());
+      follower =
+          new FleetFollower(
+              name,
+              name,
+              link,
+              timers,
+              directory,
+              Runnable::run,
+              FleetReplica.POLL_MILLIS,
+              () -> state.version(),
+              () -> state.zonesIndex(),
+              () -> 0,
+              List::of,
+              this::merge);
+    }
+
+    private void merge(String replica, FleetPollResult r) {
+      for (InstanceUpdate u : r.instances()) {
+        table.merge(u.instance(), u.ageMillis(), timers.nowMillis());
+      }
+    }
+
+    void heartbeat(FleetInstance i) {
+      table.merge(i, 0, timers.nowMillis());
+    }
+
+    void commit(long version, byte[] content) {
+      state = new ServingState.Committed(version, content, 0, List.of(), true, 0);
+    }
+
+    private byte[] answer(byte[] payload) {
+      FleetPoll p = MessagePackCodec.decode(payload, FleetPoll.class);
+      return MessagePackCodec.encode(polls.answer(p, timers.nowMillis()));
+    }
+  }
+
+  /** An entry without its callers. */
+  final class Entry {
+    final String name;
+    final Map<String, FleetInstance> instances = new HashMap<>();
+    Map<String, HeadLoad> others = Map.of();
+    byte[] content = {};
+    private final Link link;
+    private final FleetFollower follower;
+    private List<HeadLoad> loads = new ArrayList<>();
+    private long version;
+
+    Entry(String name, List<String> seeds, int heads) {
+      this.name = name;
+      this.link = new Link(name);
+      for (int i = 0; i < heads; i++) {
+        loads.add(new HeadLoad("i-" + Integer.toHexString(0x10000000 + i), 12, 2, 700, 20, 0));
+      }
+      follower =
+          new FleetFollower(
+              name,
+              "",
+              link,
+              timers,
+              new ReplicaDirectory(seeds),
+              Runnable::run,
+              ENTRY_POLL_MILLIS,
+              () -> version,
+              () -> 0,
+              () -> 1,
+              () -> loads,
+              this::learn);
+    }
+
+    private void learn(String replica, FleetPollResult r) {
+      ServingState.Committed s = r.state();
+      if (s != null && s.version() > version) {
+        version = s.version();
+        content = Arrays.copyOf(s.content(), s.content().length);
+      }
+      r.instances().forEach(u -> instances.put(u.instance().id(), u.instance()));
+      Map<String, HeadLoad> sum = new HashMap<>();
+      r.loads().forEach(l -> sum.put(l.instance(), l));
+      others = sum;
+    }
+
+    void loads(List<HeadLoad> next) {
+      loads = next;
+    }
+
+    long version() {
+      return version;
+    }
+
+    /** Returns the bytes of polls and their answers so far. */
+    long bytes() {
+      return link.bytes;
+    }
+
+    /** Returns how often a configuration has come so far. */
+    long contents() {
+      return link.contents;
+    }
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -1,7 +1,6 @@
 package org.ebonypond.server.fleet;
 
 import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,15 +64,15 @@
   private static final long PROPOSAL_TIMEOUT_MILLIS = 3_000;
 
   private static final long PLAN_MILLIS = 100;
-  private static final long POLL_MILLIS = 250;
+
+  /** The time between two polls of another replica, in milliseconds. */
+  static final long POLL_MILLIS = 250;
 
   /** Two heartbeats and the time that one may be late. */
   private static final long LATE_HEARTBEAT_MILLIS = 400;
 
-  private static final long REACHABLE_MILLIS = 3_000;
-
-  /** All entries that reach this replica have polled it within this time, several times over. */
-  private static final long LEARN_ENTRIES_MILLIS = 3_000;
+  /** Longer than the pause of a process that is restarted, so that a restart replaces nobody. */
+  private static final long REPLACE_AFTER_MILLIS = 3_000;
 
   /** How often the work of the event loop is logged and its delay is measured. */
   private static final long LOAD_LINE_MILLIS = 2_000;
@@ -91,16 +90,15 @@
   private final EntryLoads loads = new EntryLoads();
   private final ServingLog log;
   private final ProposalClient proposals;
+  private final PollAnswers polls;
   private final FleetFollower follower;
   private final ReplicaMetrics metrics;
   private final Map<String, FleetPlanner> planners = new HashMap<>();
-  private final long boot = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
   private boolean noting;
   private int heardEntries;
   private long heardSince;
-  private long startedAt;
   private long loopCheckedAt;
   private long worstLoopDelay;
   private ReplicaMetrics.Totals logged = new ReplicaMetrics.Totals(0, 0, 0, 0, 0);
@@ -156,6 +154,16 @@
             timers,
             () -> directory.addresses(timers.nowMillis()),
             () -> log.status().leader());
+    this.polls =
+        new PollAnswers(
+            settings.name(),
+            ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE),
+            directory,
+            table,
+            loads,
+            log::current,
+            () -> log.status().leader(),
+            timers.nowMillis());
     this.follower =
         new FleetFollower(
             settings.name(),
@@ -184,26 +192,26 @@
         MAX_BATCH_BYTES,
         MAX_BATCH_BYTES,
         settings.voters(),
-        REACHABLE_MILLIS,
+        REPLACE_AFTER_MILLIS,
         false);
   }
 
   /** Starts the log, the polls and the planner. */
   public void start() {
-    startedAt = timers.nowMillis();
     network.handle(FrameType.RAFT, this::raft);
     network.handle(FrameType.PROPOSE, this::proposed);
     network.handle(FrameType.FLEET_POLL, this::polled);
     log.start();
     follower.start();
     timers.every(PLAN_MILLIS, () -> executor.execute(this::plan));
-    loopCheckedAt = startedAt;
+    loopCheckedAt = timers.nowMillis();
     timers.every(LOOP_CHECK_MILLIS, () -> executor.execute(this::checkLoop));
     timers.every(LOAD_LINE_MILLIS, () -> executor.execute(this::logLoad));
     metrics.gauge("log_applied_index", () -> status().appliedIndex());
     metrics.gauge("log_leader", () -> status().role() == RaftRole.LEADER ? 1 : 0);
     metrics.gauge("log_term", () -> status().term());
     metrics.gauge("config_version", () -> log.current().version());
+    metrics.gauge("loads_summed", loads::summed);
     metrics.gauge("entries", () -> loads.entries(timers.nowMillis()));
   }
 
@@ -355,47 +363,14 @@
   private CompletableFuture<byte[]> polled(Frame f) {
     final long since = System.nanoTime();
     FleetPoll p = MessagePackCodec.decode(f.payload(), FleetPoll.class);
-    long now = timers.nowMillis();
-    boolean replica = !p.address().isEmpty();
-    if (replica && !ReplicaDirectory.isAddress(p.address())) {
-      throw new EbonypondException(ErrorCode.FRAME_INVALID, "a poll of " + p.address());
-    }
-    if (replica) {
-      directory.heard(p.address(), now);
+    byte[] answer = MessagePackCodec.encode(polls.answer(p, timers.nowMillis()));
+    if (!p.address().isEmpty()) {
       log.discover(p.address());
-    } else {
-      loads.report(p.node(), p.requests(), p.loads(), now);
     }
-    ServingState.Committed s = log.current();
-    boolean news = s.version() > p.version() || s.zonesIndex() > p.zonesIndex();
-    long cursor = table.cursor();
-    long from = p.boot() == boot ? p.cursor() : 0;
-    FleetPollResult r =
-        new FleetPollResult(
-            boot,
-            cursor,
-            news && !replica ? s : null,
-            from == cursor ? List.of() : table.since(from, !replica, now),
-            replica ? List.of() : loads.others(p.node(), now),
-            entries(now),
-            knownReplicas(now),
-            log.status().leader());
-    byte[] answer = MessagePackCodec.encode(r);
-    metrics.polled(replica, System.nanoTime() - since, answer.length);
+    metrics.polled(!p.address().isEmpty(), System.nanoTime() - since, answer.length);
     return CompletableFuture.completedFuture(answer);
   }
 
-  /**
-   * Returns the number of entries that share budgets. A replica that has just started has not heard
-   * of all of them; an entry that took itself for the only one would spend the budget of all.
-   */
-  private int entries(long now) {
-    int heard = loads.entries(now);
-    return now - startedAt < LEARN_ENTRIES_MILLIS
-        ? Math.max(heard, log.current().entries())
-        : heard;
-  }
-
   /** Notes the number of entries in the log once it has not grown for a while. */
   private void noteEntries(long now) {
     int heard = loads.entries(now);
@@ -403,19 +378,11 @@
       heardEntries = heard;
       heardSince = now;
     }
-    if (heard > log.current().entries() && now - heardSince >= LEARN_ENTRIES_MILLIS) {
+    if (heard > log.current().entries() && now - heardSince >= PollAnswers.LEARN_ENTRIES_MILLIS) {
       note(new ServingCommand.NoteEntries(heard));
     }
   }
 
-  private List<String> knownReplicas(long now) {
-    List<String> out = new ArrayList<>(directory.recent(now, REACHABLE_MILLIS));
-    if (!out.contains(settings.name())) {
-      out.add(settings.name());
-    }
-    return out;
-  }
-
   private void merge(String replica, FleetPollResult r) {
     long now = timers.nowMillis();
     r.instances().forEach(u -> table.merge(u.instance(), u.ageMillis(), now));
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollAnswers.java
@@ -0,0 +1,105 @@
+package org.ebonypond.server.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.fleet.EntryLoads;
+import org.ebonypond.fleet.FleetPoll;
+import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.fleet.InstanceTable;
+import org.ebonypond.serving.ServingState;
+import org.jspecify.annotations.Nullable;
+
+/** Answers the polls of entries and of other control replicas. Used on one thread. */
+final class PollAnswers {
+  /** All entries that reach this replica have polled it within this time, several times over. */
+  static final long LEARN_ENTRIES_MILLIS = 3_000;
+
+  private static final long REACHABLE_MILLIS = 3_000;
+
+  private final String self;
+  private final long boot;
+  private final ReplicaDirectory directory;
+  private final InstanceTable table;
+  private final EntryLoads loads;
+  private final Supplier<ServingState.Committed> state;
+  private final Supplier<@Nullable String> leader;
+  private final long startedAt;
+
+  /**
+   * Creates the answers of one replica.
+   *
+   * @param self the name of this replica
+   * @param boot identifies this start of the process
+   * @param state returns the committed state that this replica has applied
+   * @param leader returns the name of the presumed leader of the log, or null
+   * @param startedAt the time of the start, in milliseconds
+   */
+  PollAnswers(
+      String self,
+      long boot,
+      ReplicaDirectory directory,
+      InstanceTable table,
+      EntryLoads loads,
+      Supplier<ServingState.Committed> state,
+      Supplier<@Nullable String> leader,
+      long startedAt) {
+    this.self = self;
+    this.boot = boot;
+    this.directory = directory;
+    this.table = table;
+    this.loads = loads;
+    this.state = state;
+    this.leader = leader;
+    this.startedAt = startedAt;
+  }
+
+  /**
+   * Takes what the asker says of itself and answers it.
+   *
+   * @throws EbonypondException {@code frame-invalid} if the asker names an address that is none
+   */
+  FleetPollResult answer(FleetPoll p, long now) {
+    boolean replica = !p.address().isEmpty();
+    if (replica && !ReplicaDirectory.isAddress(p.address())) {
+      throw new EbonypondException(ErrorCode.FRAME_INVALID, "a poll of " + p.address());
+    }
+    if (replica) {
+      directory.heard(p.address(), now);
+    } else {
+      loads.report(p.node(), p.requests(), p.loads(), now);
+    }
+    ServingState.Committed s = state.get();
+    boolean news = s.version() > p.version() || s.zonesIndex() > p.zonesIndex();
+    long cursor = table.cursor();
+    long from = p.boot() == boot ? p.cursor() : 0;
+    return new FleetPollResult(
+        boot,
+        cursor,
+        news && !replica ? s : null,
+        from == cursor ? List.of() : table.since(from, !replica, now),
+        replica ? List.of() : loads.others(p.node(), now),
+        entries(now),
+        knownReplicas(now),
+        leader.get());
+  }
+
+  /**
+   * Returns the number of entries that share budgets. A replica that has just started has not heard
+   * of all of them; an entry that took itself for the only one would spend the budget of all.
+   */
+  private int entries(long now) {
+    int heard = loads.entries(now);
+    return now - startedAt < LEARN_ENTRIES_MILLIS ? Math.max(heard, state.get().entries()) : heard;
+  }
+
+  private List<String> knownReplicas(long now) {
+    List<String> out = new ArrayList<>(directory.recent(now, REACHABLE_MILLIS));
+    if (!out.contains(self)) {
+      out.add(self);
+    }
+    return out;
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
@@ -16,6 +16,7 @@
 
   private final Map<String, Report> reports = new TreeMap<>();
   private boolean traffic;
+  private long summed;
 
   /**
    * Takes the loads of an entry.
@@ -48,11 +49,17 @@
     return reports.size();
   }
 
+  /** Returns the number of loads that were added up so far. */
+  public synchronized long summed() {
+    return summed;
+  }
+
   private Map<String, HeadLoad> sum(String except, long now) {
     Map<String, HeadLoad> out = new HashMap<>();
     reports.forEach(
         (name, r) -> {
           if (!name.equals(except) && now - r.at <= EXPIRE_MILLIS) {
+            summed += r.loads.size();
             r.loads.forEach(l -> out.merge(l.instance(), l, HeadLoad::plus));
           }
         });
