Add up the loads of the entries once for many answers

Cause: a replica added up the loads of all entries anew for each poll of each entry, so its work grew with the square of the entries. Answers within 50 ms now share one sum, from which each entry's own report is taken out.

--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryLoadsTest.java
@@ -0,0 +1,82 @@
+package org.ebonypond.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class EntryLoadsTest {
+  /** Later than any sum that is still shared. */
+  private static final long ROUND_MILLIS = 100;
+
+  private static List<HeadLoad> drawn(Random random) {
+    List<HeadLoad> out = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      if (random.nextInt(3) > 0) {
+        int active = random.nextInt(3);
+        out.add(
+            new HeadLoad(
+                "i-" + i,
+                1 + random.nextInt(2),
+                active,
+                100 * active,
+                active == 0 ? HeadLoad.NEVER : random.nextInt(400),
+                random.nextInt(2) * random.nextInt(900)));
+      }
+    }
+    return out;
+  }
+
+  private static Map<String, HeadLoad> expected(Map<String, List<HeadLoad>> reports, String but) {
+    Map<String, Long> epochs = new HashMap<>();
+    reports.forEach((e, l) -> l.forEach(h -> epochs.merge(h.instance(), h.epoch(), Math::max)));
+    Map<String, HeadLoad> out = new HashMap<>();
+    reports.forEach(
+        (entry, loads) -> {
+          if (!entry.equals(but)) {
+            for (HeadLoad l : loads) {
+              if (l.epoch() == epochs.get(l.instance())) {
+                out.merge(l.instance(), l, HeadLoad::plus);
+              }
+            }
+          }
+        });
+    return out;
+  }
+
+  /** Guards against a shared sum from which one entry's own load is not taken out exactly. */
+  @Test
+  void othersAreTheSumOfEveryReportButTheOwn() {
+    for (int seed = 0; seed < 200; seed++) {
+      Random random = new Random(seed);
+      EntryLoads loads = new EntryLoads();
+      Map<String, List<HeadLoad>> reports = new HashMap<>();
+      for (int round = 1; round <= 5; round++) {
+        for (int e = 0; e < 4; e++) {
+          List<HeadLoad> l = drawn(random);
+          reports.put("e" + e, l);
+          loads.report("e" + e, 0, l, round * ROUND_MILLIS);
+        }
+        for (String entry : reports.keySet()) {
+          Map<String, HeadLoad> others = new HashMap<>();
+          loads.others(entry, round * ROUND_MILLIS).forEach(l -> others.put(l.instance(), l));
+          assertEquals(expected(reports, entry), others, "seed " + seed);
+        }
+        assertEquals(expected(reports, ""), loads.all(round * ROUND_MILLIS), "seed " + seed);
+      }
+    }
+  }
+
+  /** Guards against entries that are counted although they have ended. */
+  @Test
+  void loadsOfSilentEntriesExpire() {
+    EntryLoads loads = new EntryLoads();
+    loads.report("e0", 0, List.of(new HeadLoad("i", 1, 1, 10, 5, 0)), 0);
+    assertEquals(1, loads.others("e1", 1_000).size());
+    assertEquals(0, loads.others("e1", 3_000).size());
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
@@ -14,7 +14,13 @@
   /** An entry that is silent for this long no longer counts as one of the fleet's entries. */
   private static final long FORGET_MILLIS = 20_000;
 
+  /** The answers within this time share one sum; a fourth of the time between two reports. */
+  private static final long SUM_MILLIS = 50;
+
   private final Map<String, Report> reports = new TreeMap<>();
+  private Map<String, Report> counted = Map.of();
+  private Map<String, LoadTotal> totals = Map.of();
+  private long summedAt;
   private boolean traffic;
   private long summed;
 
@@ -25,7 +31,9 @@
    */
   public synchronized void report(String entry, long requests, List<HeadLoad> loads, long now) {
     traffic |= requests > 0;
-    reports.put(entry, new Report(List.copyOf(loads), now));
+    Map<String, HeadLoad> byInstance = new HashMap<>();
+    loads.forEach(l -> byInstance.put(l.instance(), l));
+    reports.put(entry, new Report(byInstance, now));
   }
 
   /** Returns whether any entry has received a request. */
@@ -35,12 +43,25 @@
 
   /** Returns the sum of the loads of all entries but one, by instance. */
   public synchronized List<HeadLoad> others(String entry, long now) {
-    return new ArrayList<>(sum(entry, now).values());
+    sum(now);
+    Report own = counted.get(entry);
+    List<HeadLoad> out = new ArrayList<>(totals.size());
+    totals.forEach(
+        (instance, t) -> {
+          HeadLoad l = t.without(entry, own == null ? null : own.loads.get(instance));
+          if (l != null) {
+            out.add(l);
+          }
+        });
+    return out;
   }
 
   /** Returns the sum of the loads of all entries, by instance. */
   public synchronized Map<String, HeadLoad> all(long now) {
-    return sum("", now);
+    sum(now);
+    Map<String, HeadLoad> out = new HashMap<>();
+    totals.forEach((instance, t) -> out.put(instance, t.all()));
+    return out;
   }
 
   /** Returns the number of entries that have reported lately. */
@@ -54,17 +75,23 @@
     return summed;
   }
 
-  private Map<String, HeadLoad> sum(String except, long now) {
-    Map<String, HeadLoad> out = new HashMap<>();
+  private void sum(long now) {
+    if (!counted.isEmpty() && now - summedAt < SUM_MILLIS) {
+      return;
+    }
+    summedAt = now;
+    counted = new HashMap<>();
+    totals = new HashMap<>();
     reports.forEach(
-        (name, r) -> {
-          if (!name.equals(except) && now - r.at <= EXPIRE_MILLIS) {
+        (entry, r) -> {
+          if (now - r.at <= EXPIRE_MILLIS) {
+            counted.put(entry, r);
             summed += r.loads.size();
-            r.loads.forEach(l -> out.merge(l.instance(), l, HeadLoad::plus));
+            r.loads.forEach(
+                (instance, l) -> totals.computeIfAbsent(instance, LoadTotal::new).add(entry, l));
           }
         });
-    return out;
   }
 
-  private record Report(List<HeadLoad> loads, long at) {}
+  private record Report(Map<String, HeadLoad> loads, long at) {}
 }
