Give each entry a home among the replicas

Cause: each entry told every replica its load and heard from each the loads, instances and configuration of the fleet, so control traffic was multiplied by the replicas; replicas passed whole records for each heartbeat. Now an entry does this with one replica, its home, chosen by a hash among those that answer and hear of a majority; the others are asked each 800 ms whether they hold a newer configuration, and for it if the home does not bring it. Replicas pass on the sum of the loads of their entries, and for a heartbeat that changed nothing only its number.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -132,7 +132,7 @@
   @Test
   void replicaThatIsStartedAgainAfterTheFirstRequestStagesFirst() throws Exception {
     Started s = start();
-    FleetPoll p = new FleetPoll("entry", "", 0, -1, 0, 0, 5, List.of());
+    FleetPoll p = new FleetPoll("entry", "", 0, -1, 0, 0, true, true, 5, List.of());
     await(
         () -> {
           s.network.ask(s.address, FrameType.FLEET_POLL, "", MessagePackCodec.encode(p), 1_000);
@@ -165,7 +165,7 @@
   void pollOfStrangerStopsNoChange() throws Exception {
     Started s = start();
     for (String name : List.of("nobody", "host.example:7000", "10.0.0.1:x", ":1")) {
-      FleetPoll p = new FleetPoll("stranger", name, 0, -1, 0, 0, 0, List.of());
+      FleetPoll p = new FleetPoll("stranger", name, 0, -1, 0, 0, true, true, 0, List.of());
       CompletableFuture<byte[]> answer =
           s.network.ask(s.address, FrameType.FLEET_POLL, "", MessagePackCodec.encode(p), 200);
       assertThrows(CompletionException.class, answer::join);
@@ -174,7 +174,7 @@
   }
 
   private static FleetPollResult poll(Started s, String entry) {
-    FleetPoll p = new FleetPoll(entry, "", 0, -1, 0, 0, 0, List.of());
+    FleetPoll p = new FleetPoll(entry, "", 0, -1, 0, 0, true, true, 0, List.of());
     byte[] answer =
         s.network
             .ask(s.address, FrameType.FLEET_POLL, "", MessagePackCodec.encode(p), 1_000)
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -13,6 +13,7 @@
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.fleet.EntryLoads;
+import org.ebonypond.fleet.EntryPollPlan;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.FleetPoll;
 import org.ebonypond.fleet.FleetPollResult;
@@ -20,6 +21,7 @@
 import org.ebonypond.fleet.InstancePhase;
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
+import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
@@ -163,12 +165,13 @@
               link,
               timers,
               directory,
+              new ReplicaPollPlan(name),
               Runnable::run,
               FleetReplica.POLL_MILLIS,
               () -> state.version(),
               () -> state.zonesIndex(),
               () -> 0,
-              List::of,
+              () -> loads.own(timers.nowMillis()),
               this::merge);
     }
 
@@ -176,6 +179,7 @@
       for (InstanceUpdate u : r.instances()) {
         table.merge(u.instance(), u.ageMillis(), timers.nowMillis());
       }
+      r.seen().forEach(i -> table.seen(i, timers.nowMillis()));
     }
 
     void heartbeat(FleetInstance i) {
@@ -216,6 +220,7 @@
               link,
               timers,
               new ReplicaDirectory(seeds),
+              new EntryPollPlan(name),
               Runnable::run,
               ENTRY_POLL_MILLIS,
               () -> version,
@@ -232,9 +237,11 @@
         content = Arrays.copyOf(s.content(), s.content().length);
       }
       r.instances().forEach(u -> instances.put(u.instance().id(), u.instance()));
-      Map<String, HeadLoad> sum = new HashMap<>();
-      r.loads().forEach(l -> sum.put(l.instance(), l));
-      others = sum;
+      if (r.loads() != null) {
+        Map<String, HeadLoad> sum = new HashMap<>();
+        r.loads().forEach(l -> sum.put(l.instance(), l));
+        others = sum;
+      }
     }
 
     void loads(List<HeadLoad> next) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
@@ -13,6 +13,7 @@
 import org.ebonypond.fleet.FleetPoll;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.HeadLoad;
+import org.ebonypond.fleet.PollPlan;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
 import org.ebonypond.time.TimerService;
@@ -22,8 +23,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Polls every known control replica for what has changed. Each replica is asked by itself, so that
- * a change that one of them has acknowledged reaches this process even if that one cannot reach the
+ * Polls the known control replicas for what has changed. Each replica is asked by itself, so that a
+ * change that one of them has acknowledged reaches this process even if that one cannot reach the
  * others. Used on one executor.
  */
 public final class FleetFollower {
@@ -37,6 +38,7 @@
   private final Peers peers;
   private final TimerService timers;
   private final ReplicaDirectory directory;
+  private final PollPlan plan;
   private final Executor executor;
   private final long periodMillis;
   private final LongSupplier version;
@@ -45,7 +47,6 @@
   private final Supplier<List<HeadLoad>> loads;
   private final BiConsumer<String, FleetPollResult> results;
   private final Map<String, Position> positions = new HashMap<>();
-  private final Set<String> asked = new HashSet<>();
   private final Set<String> lost = new HashSet<>();
   private long lastAnswer = Long.MIN_VALUE;
 
@@ -57,8 +58,9 @@
    * @param peers carries the polls
    * @param timers gives the time and the period
    * @param directory the control replicas
+   * @param plan decides which of them are asked
    * @param executor runs the callbacks
-   * @param periodMillis the time between two polls of one replica, in milliseconds
+   * @param periodMillis the time between two rounds of polls, in milliseconds
    * @param version the version of the configuration that this process holds
    * @param zonesIndex the log index of the zones that this process holds
    * @param requests the requests that this process has received
@@ -71,6 +73,7 @@
       Peers peers,
       TimerService timers,
       ReplicaDirectory directory,
+      PollPlan plan,
       Executor executor,
       long periodMillis,
       LongSupplier version,
@@ -83,6 +86,7 @@
     this.peers = peers;
     this.timers = timers;
     this.directory = directory;
+    this.plan = plan;
     this.executor = executor;
     this.periodMillis = periodMillis;
     this.version = version;
@@ -105,15 +109,14 @@
 
   private void pollAll() {
     long now = timers.nowMillis();
-    List<HeadLoad> current = loads.get();
-    for (String name : directory.names(now)) {
-      if (!name.equals(address) && asked.add(name)) {
-        poll(name, current);
-      }
-    }
+    List<PollPlan.Ask> due =
+        plan.due(directory.names(now), version.getAsLong(), zonesIndex.getAsLong(), now);
+    List<HeadLoad> current = due.stream().anyMatch(PollPlan.Ask::home) ? loads.get() : List.of();
+    due.forEach(a -> poll(a, a.home() ? current : List.of()));
   }
 
-  private void poll(String name, List<HeadLoad> current) {
+  private void poll(PollPlan.Ask ask, List<HeadLoad> current) {
+    String name = ask.replica();
     Position p = positions.getOrDefault(name, new Position(0, 0));
     FleetPoll q =
         new FleetPoll(
@@ -123,17 +126,20 @@
             zonesIndex.getAsLong(),
             p.boot,
             p.cursor,
+            ask.home(),
+            ask.wantsState(),
             requests.getAsLong(),
             current);
     InetSocketAddress to = ReplicaDirectory.address(name);
     peers
         .ask(to, FrameType.FLEET_POLL, "", MessagePackCodec.encode(q), TIMEOUT_MILLIS)
-        .whenComplete((bytes, failure) -> executor.execute(() -> answered(name, bytes, failure)));
+        .whenComplete((bytes, failure) -> executor.execute(() -> answered(ask, bytes, failure)));
   }
 
-  private void answered(String name, byte @Nullable [] bytes, @Nullable Throwable failure) {
-    asked.remove(name);
+  private void answered(PollPlan.Ask ask, byte @Nullable [] bytes, @Nullable Throwable failure) {
+    String name = ask.replica();
     if (bytes == null) {
+      plan.failed(name);
       if (lost.add(name)) {
         LOG.atWarn()
             .addKeyValue("replica", name)
@@ -149,8 +155,11 @@
     lastAnswer = now;
     directory.heard(name, now);
     FleetPollResult r = MessagePackCodec.decode(bytes, FleetPollResult.class);
+    plan.answered(name, r, now);
     r.replicas().forEach(n -> directory.learn(n, now));
-    positions.put(name, new Position(r.boot(), r.cursor()));
+    if (ask.home()) {
+      positions.put(name, new Position(r.boot(), r.cursor()));
+    }
     results.accept(name, r);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -24,6 +24,7 @@
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
 import org.ebonypond.fleet.LoadCeiling;
+import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.server.control.ProposalClient;
 import org.ebonypond.server.control.ProposalReply;
 import org.ebonypond.server.replica.ReplicaStatus;
@@ -65,8 +66,11 @@
 
   private static final long PLAN_MILLIS = 100;
 
-  /** The time between two polls of another replica, in milliseconds. */
-  static final long POLL_MILLIS = 250;
+  /**
+   * The time between two polls of another replica, in milliseconds. The loads of the entries that
+   * are at home there are that old at most, in addition to the time between their own reports.
+   */
+  static final long POLL_MILLIS = 125;
 
   /** Two heartbeats and the time that one may be late. */
   private static final long LATE_HEARTBEAT_MILLIS = 400;
@@ -171,12 +175,13 @@
             network,
             timers,
             directory,
+            new ReplicaPollPlan(settings.name()),
             executor,
             POLL_MILLIS,
             () -> log.current().version(),
             () -> log.current().zonesIndex(),
             () -> 0,
-            List::of,
+            () -> loads.own(timers.nowMillis()),
             this::merge);
   }
 
@@ -386,6 +391,7 @@
   private void merge(String replica, FleetPollResult r) {
     long now = timers.nowMillis();
     r.instances().forEach(u -> table.merge(u.instance(), u.ageMillis(), now));
+    r.seen().forEach(i -> table.seen(i, now));
     directory.names(now).forEach(log::discover);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -60,9 +60,11 @@
     if (!r.instances().isEmpty()) {
       index(now);
     }
-    Map<String, HeadLoad> loads = new HashMap<>();
-    r.loads().forEach(l -> loads.put(l.instance(), l));
-    others = loads;
+    if (r.loads() != null) {
+      Map<String, HeadLoad> loads = new HashMap<>();
+      r.loads().forEach(l -> loads.put(l.instance(), l));
+      others = loads;
+    }
     entries = Math.max(1, r.entries());
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollAnswers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollAnswers.java
@@ -1,7 +1,9 @@
 package org.ebonypond.server.fleet;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
@@ -19,6 +21,12 @@
 
   private static final long REACHABLE_MILLIS = 3_000;
 
+  /** Replicas poll each other several times within this time. */
+  private static final long CONTACT_MILLIS = 1_000;
+
+  /** Every instance has sent a heartbeat within this time of a replica's start. */
+  private static final long LEARN_FLEET_MILLIS = 1_500;
+
   private final String self;
   private final long boot;
   private final ReplicaDirectory directory;
@@ -68,24 +76,46 @@
     }
     if (replica) {
       directory.heard(p.address(), now);
-    } else {
+      loads.reportPeer(p.address(), p.loads(), now);
+    } else if (p.home()) {
       loads.report(p.node(), p.requests(), p.loads(), now);
+    } else {
+      loads.heard(p.node(), p.requests(), now);
     }
     ServingState.Committed s = state.get();
-    boolean news = s.version() > p.version() || s.zonesIndex() > p.zonesIndex();
     long cursor = table.cursor();
     long from = p.boot() == boot ? p.cursor() : 0;
+    boolean changes = p.home() && from != cursor;
     return new FleetPollResult(
         boot,
         cursor,
-        news && !replica ? s : null,
-        from == cursor ? List.of() : table.since(from, !replica, now),
-        replica ? List.of() : loads.others(p.node(), now),
+        s.version(),
+        s.zonesIndex(),
+        isReady(now),
+        p.wantsState() ? newerState(s, p) : null,
+        changes ? table.changedSince(from, now) : List.of(),
+        changes && replica ? table.seenSince(from, now) : List.of(),
+        p.home() && !replica ? loads.others(p.node(), now) : null,
         entries(now),
         knownReplicas(now),
         leader.get());
   }
 
+  private static ServingState.@Nullable Committed newerState(
+      ServingState.Committed s, FleetPoll p) {
+    if (s.version() > p.version()) {
+      return s;
+    }
+    return s.zonesIndex() > p.zonesIndex() ? s.withoutContent() : null;
+  }
+
+  private boolean isReady(long now) {
+    Set<String> reached = new HashSet<>(directory.recent(now, CONTACT_MILLIS));
+    reached.add(self);
+    return 2 * reached.size() > directory.names(now).size()
+        && now - startedAt >= LEARN_FLEET_MILLIS;
+  }
+
   /**
    * Returns the number of entries that share budgets. A replica that has just started has not heard
    * of all of them; an entry that took itself for the only one would spend the budget of all.
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
@@ -89,9 +89,24 @@
     table.merge(beat("i", 1, 1, "a:1", null), 0, 100);
     long cursor = table.cursor();
     table.merge(beat("i", 1, 2, "a:1", null), 0, 110);
-    assertEquals(0, table.since(cursor, true, 110).size());
-    assertEquals(1, table.since(cursor, false, 110).size());
+    assertEquals(0, table.changedSince(cursor, 110).size());
+    assertEquals(1, table.seenSince(cursor, 110).size());
     table.merge(beat("i", 1, 3, "a:2", null), 0, 120);
-    assertEquals(1, table.since(cursor, true, 120).size());
+    assertEquals(1, table.changedSince(cursor, 120).size());
+    assertEquals(0, table.seenSince(cursor, 120).size());
+  }
+
+  /** Guards against a heartbeat of an ended life that keeps the next one alive. */
+  @Test
+  void heartbeatWithoutChangesConfirmsOnlyTheRecordThatItRepeats() {
+    table.seen(new InstanceSeen("i", 1, 9, 0), 90);
+    assertEquals(0, table.all(90).size());
+    table.merge(beat("i", 2, 1, "a:1", null), 0, 100);
+    table.seen(new InstanceSeen("i", 1, 9, 0), 200);
+    assertEquals(100, table.all(200).get(0).ageMillis());
+    table.seen(new InstanceSeen("i", 2, 2, 10), 300);
+    assertEquals(10, table.all(300).get(0).ageMillis());
+    table.seen(new InstanceSeen("i", 2, 2, 0), 400);
+    assertEquals(110, table.all(400).get(0).ageMillis());
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
@@ -6,7 +6,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The latest loads that each entry reported to this control replica. Thread-safe. */
+/**
+ * The loads that entries reported: to this control replica if it is their home, otherwise to
+ * another one, which passes on the sum. Thread-safe.
+ */
 public final class EntryLoads {
   /** Loads that are older than this no longer count; entries report about four times a second. */
   private static final long EXPIRE_MILLIS = 2_000;
@@ -18,6 +21,8 @@
   private static final long SUM_MILLIS = 50;
 
   private final Map<String, Report> reports = new TreeMap<>();
+  private final Map<String, Report> peers = new TreeMap<>();
+  private final Map<String, Long> heard = new HashMap<>();
   private Map<String, Report> counted = Map.of();
   private Map<String, LoadTotal> totals = Map.of();
   private long summedAt;
@@ -25,15 +30,35 @@
   private long summed;
 
   /**
-   * Takes the loads of an entry.
+   * Takes the loads of an entry that is at home here.
    *
    * @param requests the requests that it has received
    */
   public synchronized void report(String entry, long requests, List<HeadLoad> loads, long now) {
+    note(entry, requests, now);
+    reports.put(entry, new Report(byInstance(loads), now));
+  }
+
+  /** Takes the news of an entry that is at home at another replica. */
+  public synchronized void heard(String entry, long requests, long now) {
+    note(entry, requests, now);
+    reports.remove(entry);
+  }
+
+  /** Takes the sum of the loads of the entries that are at home at another replica. */
+  public synchronized void reportPeer(String replica, List<HeadLoad> loads, long now) {
+    peers.put(replica, new Report(byInstance(loads), now));
+  }
+
+  private void note(String entry, long requests, long now) {
     traffic |= requests > 0;
-    Map<String, HeadLoad> byInstance = new HashMap<>();
-    loads.forEach(l -> byInstance.put(l.instance(), l));
-    reports.put(entry, new Report(byInstance, now));
+    heard.put(entry, now);
+  }
+
+  private static Map<String, HeadLoad> byInstance(List<HeadLoad> loads) {
+    Map<String, HeadLoad> out = new HashMap<>();
+    loads.forEach(l -> out.put(l.instance(), l));
+    return out;
   }
 
   /** Returns whether any entry has received a request. */
@@ -64,10 +89,17 @@
     return out;
   }
 
-  /** Returns the number of entries that have reported lately. */
+  /** Returns the sum of the loads of the entries that are at home here. */
+  public synchronized List<HeadLoad> own(long now) {
+    Map<String, LoadTotal> sums = new HashMap<>();
+    add(reports, sums, now);
+    return sums.values().stream().map(LoadTotal::all).toList();
+  }
+
+  /** Returns the number of entries that were heard of lately. */
   public synchronized int entries(long now) {
-    reports.values().removeIf(r -> now - r.at > FORGET_MILLIS);
-    return reports.size();
+    heard.values().removeIf(at -> now - at > FORGET_MILLIS);
+    return heard.size();
   }
 
   /** Returns the number of loads that were added up so far. */
@@ -76,20 +108,23 @@
   }
 
   private void sum(long now) {
-    if (!counted.isEmpty() && now - summedAt < SUM_MILLIS) {
+    if (!totals.isEmpty() && now - summedAt < SUM_MILLIS) {
       return;
     }
     summedAt = now;
-    counted = new HashMap<>();
     totals = new HashMap<>();
-    reports.forEach(
-        (entry, r) -> {
-          if (now - r.at <= EXPIRE_MILLIS) {
-            counted.put(entry, r);
-            summed += r.loads.size();
-            r.loads.forEach(
-                (instance, l) -> totals.computeIfAbsent(instance, LoadTotal::new).add(entry, l));
-          }
+    add(reports, totals, now);
+    add(peers, totals, now);
+    counted = Map.copyOf(reports);
+  }
+
+  private void add(Map<String, Report> from, Map<String, LoadTotal> to, long now) {
+    from.values().removeIf(r -> now - r.at > EXPIRE_MILLIS);
+    from.forEach(
+        (reporter, r) -> {
+          summed += r.loads.size();
+          r.loads.forEach(
+              (instance, l) -> to.computeIfAbsent(instance, LoadTotal::new).add(reporter, l));
         });
   }
 
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryPollPlan.java
@@ -0,0 +1,147 @@
+package org.ebonypond.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * How an entry polls. One replica is its home: it is asked often and for everything. The others are
+ * asked now and then whether they hold a newer configuration, so that a home that is cut off hides
+ * no change. Entries spread over the replicas by a hash of both names.
+ */
+public final class EntryPollPlan implements PollPlan {
+  /** The time between two polls of a replica that is not the home, in milliseconds. */
+  static final long OTHER_MILLIS = 800;
+
+  /** A replica that has not answered for this long is the home no longer; two polls and more. */
+  static final long PATIENCE_MILLIS = 500;
+
+  /** The home has brought a change that another replica knows within this time; one poll. */
+  static final long CATCH_UP_MILLIS = 250;
+
+  private static final long NEVER = Long.MIN_VALUE;
+
+  private final String node;
+  private final Map<String, Contact> contacts = new HashMap<>();
+  private @Nullable String home;
+
+  /**
+   * Creates the plan of an entry.
+   *
+   * @param node the name of the entry
+   */
+  public EntryPollPlan(String node) {
+    this.node = node;
+  }
+
+  @Override
+  public List<Ask> due(List<String> replicas, long heldVersion, long heldZones, long now) {
+    contacts.keySet().retainAll(replicas);
+    replicas.forEach(r -> contacts.computeIfAbsent(r, n -> new Contact()));
+    home = choose(replicas, now);
+    boolean lost = contacts.get(home).isSuspect(now);
+    boolean fetching = contacts.values().stream().anyMatch(c -> c.fetching);
+    List<Ask> out = new ArrayList<>();
+    for (String r : replicas) {
+      Contact c = contacts.get(r);
+      if (c.outstanding) {
+        continue;
+      }
+      if (r.equals(home)) {
+        c.ask(now, false);
+        out.add(new Ask(r, true, true));
+        continue;
+      }
+      boolean ahead = c.version > heldVersion || c.zonesIndex > heldZones;
+      boolean fetch = ahead && !fetching && now - c.answeredAt >= CATCH_UP_MILLIS;
+      // Without a home, every answer may bring one.
+      if (lost || fetch || c.answeredAt == NEVER || now - c.askedAt >= OTHER_MILLIS) {
+        fetching |= fetch;
+        c.ask(now, fetch);
+        out.add(new Ask(r, false, fetch));
+      }
+    }
+    return out;
+  }
+
+  @Override
+  public void answered(String replica, FleetPollResult r, long now) {
+    Contact c = contacts.get(replica);
+    if (c != null) {
+      c.outstanding = false;
+      c.answeredAt = now;
+      c.failed = false;
+      c.fetching = false;
+      c.ready = r.ready();
+      c.version = r.version();
+      c.zonesIndex = r.zonesIndex();
+    }
+  }
+
+  @Override
+  public void failed(String replica) {
+    Contact c = contacts.get(replica);
+    if (c != null) {
+      c.outstanding = false;
+      c.failed = true;
+      c.fetching = false;
+    }
+  }
+
+  /** Returns the replica that is the home now, or null before the first poll. */
+  public @Nullable String home() {
+    return home;
+  }
+
+  /** Chooses the first replica in this entry's order among those in the best condition. */
+  private String choose(List<String> replicas, long now) {
+    String best = replicas.get(0);
+    for (String r : replicas) {
+      int better = condition(r, now) - condition(best, now);
+      if (better > 0 || (better == 0 && rank(r) < rank(best))) {
+        best = r;
+      }
+    }
+    return best;
+  }
+
+  private int condition(String replica, long now) {
+    Contact c = contacts.get(replica);
+    if (c.isSuspect(now)) {
+      return 0;
+    }
+    if (c.answeredAt == NEVER) {
+      return 1;
+    }
+    return c.ready ? 3 : 2;
+  }
+
+  /** Spreads the bits of a hash, whose high ones hardly differ between similar names. */
+  private long rank(String replica) {
+    long h = (node + "/" + replica).hashCode() * 0x9E3779B97F4A7C15L;
+    return h ^ (h >>> 32);
+  }
+
+  private static final class Contact {
+    long askedAt;
+    long answeredAt = NEVER;
+    boolean outstanding;
+    boolean failed;
+    boolean fetching;
+    boolean ready;
+    long version;
+    long zonesIndex;
+
+    void ask(long now, boolean fetch) {
+      outstanding = true;
+      askedAt = now;
+      fetching = fetch;
+    }
+
+    boolean isSuspect(long now) {
+      return failed || (outstanding && now - askedAt >= PATIENCE_MILLIS);
+    }
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
@@ -63,6 +63,25 @@
         "");
   }
 
+  /** Returns this record with the number of a later heartbeat that says the same. */
+  public FleetInstance withSequence(long later) {
+    return new FleetInstance(
+        id,
+        born,
+        later,
+        service,
+        address,
+        zone,
+        phase,
+        slots,
+        coldMillis,
+        domain,
+        models,
+        staged,
+        group,
+        lastModel);
+  }
+
   /** Returns this record with the model of the instance's latest group. */
   public FleetInstance withLastModel(String model) {
     return new FleetInstance(
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
@@ -11,8 +11,12 @@
  * @param zonesIndex the log index of the zones out of service that the asker holds
  * @param boot the start of the control replica that the cursor belongs to
  * @param cursor the position in the replica's table of instances; 0 for everything
+ * @param home whether the asker reports its load here, and wants the loads of the others and the
+ *     instances that changed; an entry has one home among the replicas
+ * @param wantsState whether the asker wants the configuration and the zones if they are newer
  * @param requests the requests that the asker has received since its start
- * @param loads the work of the asker, by instance
+ * @param loads the work of the asker, by instance; that of the entries at home there if the asker
+ *     is a replica
  */
 public record FleetPoll(
     String node,
@@ -21,5 +25,7 @@
     long zonesIndex,
     long boot,
     long cursor,
+    boolean home,
+    boolean wantsState,
     long requests,
     List<HeadLoad> loads) {}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/HeadLoad.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/HeadLoad.java
@@ -1,5 +1,7 @@
 package org.ebonypond.fleet;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * The work that one process, or several together, have under way at an instance.
  *
@@ -12,6 +14,7 @@
  * @param distrustMillis the time since a process turned away from the instance because requests
  *     failed or made no progress there; 0 if none has
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record HeadLoad(
     String instance,
     long epoch,
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceSeen.java
@@ -0,0 +1,14 @@
+package org.ebonypond.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * A heartbeat that changed nothing but its number, on its way between replicas.
+ *
+ * @param id the identifier of the instance
+ * @param born the time of its start, in milliseconds since 1970
+ * @param sequence the number of the heartbeat
+ * @param ageMillis the time since the heartbeat, in milliseconds
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record InstanceSeen(String id, long born, long sequence, long ageMillis) {}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -55,6 +55,21 @@
     return changed;
   }
 
+  /**
+   * Takes the news of a heartbeat that changed nothing. It is dropped if the record that it
+   * confirms is not held.
+   *
+   * @param now the time in milliseconds
+   */
+  public synchronized void seen(InstanceSeen s, long now) {
+    Entry e = entries.get(s.id());
+    if (e == null || e.instance.born() != s.born() || e.instance.sequence() >= s.sequence()) {
+      return;
+    }
+    long at = Math.max(now - s.ageMillis(), e.lastSeen);
+    put(e, e.instance.withSequence(s.sequence()), at, false);
+  }
+
   /**
    * Takes the news that an instance has deregistered.
    *
@@ -97,22 +112,38 @@
   }
 
   /**
-   * Returns the records that were touched after a cursor.
+   * Returns the records that changed after a cursor in more than the last heartbeat.
    *
    * @param cursor an earlier value of {@link #cursor()}, or 0 for all
-   * @param changedOnly whether to leave out records of which only the last heartbeat is newer
    * @param now the time in milliseconds
    */
-  public synchronized List<InstanceUpdate> since(long cursor, boolean changedOnly, long now) {
+  public synchronized List<InstanceUpdate> changedSince(long cursor, long now) {
     List<InstanceUpdate> out = new ArrayList<>();
     for (Entry e : entries.values()) {
-      if ((changedOnly ? e.changed : e.touched) > cursor) {
+      if (e.changed > cursor) {
         out.add(new InstanceUpdate(e.instance, Math.max(0, now - e.lastSeen)));
       }
     }
     return out;
   }
 
+  /**
+   * Returns the heartbeats after a cursor that changed nothing in a record that the asker holds.
+   *
+   * @param cursor an earlier value of {@link #cursor()}
+   * @param now the time in milliseconds
+   */
+  public synchronized List<InstanceSeen> seenSince(long cursor, long now) {
+    List<InstanceSeen> out = new ArrayList<>();
+    for (Entry e : entries.values()) {
+      if (e.touched > cursor && e.changed <= cursor) {
+        FleetInstance i = e.instance;
+        out.add(new InstanceSeen(i.id(), i.born(), i.sequence(), Math.max(0, now - e.lastSeen)));
+      }
+    }
+    return out;
+  }
+
   /** Returns the record of an instance, or null. */
   public synchronized @Nullable FleetInstance get(String id) {
     Entry e = entries.get(id);
@@ -121,7 +152,7 @@
 
   /** Returns all records with the times since their last heartbeats. */
   public synchronized List<InstanceUpdate> all(long now) {
-    return since(-1, false, now);
+    return changedSince(-1, now);
   }
 
   /** Drops the records of instances that have been silent for long. */
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/ReplicaPollPlan.java
@@ -0,0 +1,41 @@
+package org.ebonypond.fleet;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * How a control replica polls: every other one each time, so that each knows the whole fleet. The
+ * configuration comes by the log.
+ */
+public final class ReplicaPollPlan implements PollPlan {
+  private final String self;
+  private final Set<String> outstanding = new HashSet<>();
+
+  /** Creates the plan of a replica. */
+  public ReplicaPollPlan(String self) {
+    this.self = self;
+  }
+
+  @Override
+  public List<Ask> due(List<String> replicas, long heldVersion, long heldZones, long now) {
+    List<Ask> out = new ArrayList<>();
+    for (String r : replicas) {
+      if (!r.equals(self) && outstanding.add(r)) {
+        out.add(new Ask(r, true, false));
+      }
+    }
+    return out;
+  }
+
+  @Override
+  public void answered(String replica, FleetPollResult result, long now) {
+    outstanding.remove(replica);
+  }
+
+  @Override
+  public void failed(String replica) {
+    outstanding.remove(replica);
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
@@ -68,6 +68,11 @@
       List<String> zonesOut,
       boolean traffic,
       int entries) {
+    /** Returns this state for a reader that holds the configuration already. */
+    public Committed withoutContent() {
+      return new Committed(version, NOTHING, zonesIndex, zonesOut, traffic, entries);
+    }
+
     private Committed with(long newVersion, byte[] newContent) {
       return new Committed(newVersion, newContent, zonesIndex, zonesOut, traffic, entries);
     }
