--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
@@ -27,6 +27,7 @@
 
   private final Random random;
   private final List<String> initialNames;
+  private final int targetVoters;
   private final SafetyChecker checker = new SafetyChecker();
   private final MemoryNetwork network;
   private final Map<String, FakeReplica> replicas = new TreeMap<>();
@@ -43,6 +44,16 @@
    * @param compactAfter see {@link RaftConfig#compactAfter()}
    */
   public RaftCluster(long seed, int size, int compactAfter) {
+    this(seed, size, compactAfter, size);
+  }
+
+  /**
+   * Creates a group with empty disks, which grows when replicas join; no process runs yet.
+   *
+   * @param targetVoters the number of voters up to which replicas that join are admitted
+   */
+  public RaftCluster(long seed, int size, int compactAfter, int targetVoters) {
+    this.targetVoters = targetVoters;
     random = new Random(seed);
     network = new MemoryNetwork(new Random(random.nextLong()));
     List<String> names = new ArrayList<>();
@@ -51,8 +62,7 @@
     }
     initialNames = List.copyOf(names);
     for (String name : names) {
-      RaftConfig config =
-          new RaftConfig(name, names, 100, 500, 1000, compactAfter, compactAfter / 4, 4096, 64);
+      RaftConfig config = config(name, compactAfter);
       replicas.put(name, new FakeReplica(config, new Random(random.nextLong()), checker));
     }
   }
@@ -88,20 +98,7 @@
 
   /** Starts a replica under a new name with an empty disk; the running ones learn of it. */
   public void join(String name) {
-    RaftConfig config =
-        new RaftConfig(
-            name,
-            initialNames,
-            100,
-            500,
-            1000,
-            1_000,
-            250,
-            4096,
-            64,
-            initialNames.size(),
-            REPLACE_AFTER_MILLIS,
-            true);
+    RaftConfig config = config(name, 1_000);
     replicas.put(name, new FakeReplica(config, new Random(random.nextLong()), checker));
     start(name);
     for (FakeReplica r : replicas.values()) {
@@ -111,6 +108,22 @@
     }
   }
 
+  private RaftConfig config(String name, int compactAfter) {
+    return new RaftConfig(
+        name,
+        initialNames,
+        100,
+        500,
+        1000,
+        compactAfter,
+        compactAfter / 4,
+        4096,
+        64,
+        targetVoters,
+        REPLACE_AFTER_MILLIS,
+        true);
+  }
+
   /** Starts every replica that is down. */
   public void startAll() {
     replicas.keySet().forEach(this::start);
@@ -120,6 +133,8 @@
   public void start(String name) {
     if (!replica(name).isUp()) {
       replica(name).start(now);
+      // The processes hear of the replicas outside of the log, here at once.
+      replicas.keySet().forEach(replica(name).node()::discover);
     }
   }
 
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -373,4 +373,37 @@
     assertEquals(3, cluster.awaitLeader().node().membership().members().size());
     assertFalse(cluster.replica("d").node().isVoter());
   }
+
+  /** Guards against changes that stop when two machines are lost at once, twice in a row. */
+  @Test
+  void fiveVotersOfSixReplicasSurviveTwoLostDisksAtOnce() {
+    RaftCluster group = new RaftCluster(11, 3, 1_000, 5);
+    group.startAll();
+    group.commit("first");
+    List.of("d", "e", "f").forEach(group::join);
+    group.await(15_000, () -> liveVoters(group) == 5);
+    group.commit("with five voters");
+    for (List<String> lost : List.of(List.of("a", "b"), List.of("c", "d"))) {
+      lost.forEach(group::wipe);
+      group.commit("without " + lost);
+      lost.forEach(group::start);
+      group.await(15_000, () -> liveVoters(group) == 5 && allHave(group, committed(group)));
+    }
+    assertEquals(4, committed(group));
+  }
+
+  private static long committed(RaftCluster group) {
+    return group.awaitLeader().machine().count();
+  }
+
+  private static boolean allHave(RaftCluster group, long commands) {
+    return group.replicas().stream().allMatch(r -> r.machine().count() == commands);
+  }
+
+  /** Returns the number of voters that are there with the disk under which they were admitted. */
+  private static long liveVoters(RaftCluster group) {
+    return group.awaitLeader().node().membership().members().entrySet().stream()
+        .filter(e -> group.replica(e.getKey()).node().identity().equals(e.getValue()))
+        .count();
+  }
 }
