Store and send configurations packed

Cause: a configuration with 1,600 more routes has 460 KB, went through the log as it was and then to each entry; with three replicas that each sent it to all of 75 entries, a version took more than 100 MB of links of 170 Mbit/s, longer than the time in which it must be in force. Reads unpack it, so that the operator gets the bytes that were sent.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.HeadLoad;
 import org.junit.jupiter.api.Test;
@@ -47,6 +49,37 @@
     }
   }
 
+  /** Guards against a configuration of many routes that is not in force in time. */
+  @Test
+  void configurationOfManyRoutesStaysWithinTheLimitWhileItSpreads() {
+    PollNetwork n = new PollNetwork(6, 20, HEADS);
+    run(n, SECONDS);
+    byte[] content = manyRoutes().getBytes(StandardCharsets.UTF_8);
+    long before = n.entries.get(0).bytes();
+    n.commit(1, content);
+    run(n, SECONDS);
+    for (PollNetwork.Entry e : n.entries) {
+      assertArrayEquals(content, e.content);
+    }
+    long perSecond = (n.entries.get(0).bytes() - before) / SECONDS;
+    assertTrue(perSecond <= LIMIT_BYTES, perSecond + " bytes a second");
+  }
+
+  private static String manyRoutes() {
+    Random random = new Random(1);
+    StringBuilder b = new StringBuilder("{\"version\":1,\"routes\":[");
+    for (int i = 0; i < 1_600; i++) {
+      String name = Long.toString(Math.abs(random.nextLong()), 36).substring(0, 7);
+      b.append(i == 0 ? "" : ",");
+      b.append("{\"name\":\"r-").append(name).append("\",\"host\":\"ficu95.example\",");
+      b.append("\"path_prefix\":\"/").append(name).append("/\",\"type\":\"stream\",");
+      b.append("\"timeout_ms\":8000,\"slo_ms\":500,\"priority\":1,\"service\":\"huvo11a\",");
+      b.append("\"attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,");
+      b.append("\"gap_slo_ms\":300}");
+    }
+    return b.append("]}").toString();
+  }
+
   /**
    * Guards against replicas whose event loop is taken by the loads of the entries: twice the
    * entries may take twice the work, not four times.
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +24,7 @@
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
+import org.ebonypond.serving.ServingCommand;
 import org.ebonypond.serving.ServingState;
 import org.ebonypond.wire.MessagePackCodec;
 
@@ -148,8 +148,8 @@
     private final Link link;
     private final PollAnswers polls;
     private final FleetFollower follower;
-    private ServingState.Committed state =
-        new ServingState.Committed(0, new byte[0], 0, List.of(), true, 0);
+    private final ServingState state = new ServingState();
+    private long index;
 
     Replica(String name, List<String> seeds) {
       this.name = name;
@@ -157,7 +157,7 @@
       ReplicaDirectory directory = new ReplicaDirectory(seeds);
       polls =
           new PollAnswers(
-              name, 7, directory, table, loads, () -> state, () -> null, timers.nowMillis());
+              name, 7, directory, table, loads, state::current, () -> null, timers.nowMillis());
       follower =
           new FleetFollower(
               name,
@@ -168,8 +168,8 @@
               new ReplicaPollPlan(name),
               Runnable::run,
               FleetReplica.POLL_MILLIS,
-              () -> state.version(),
-              () -> state.zonesIndex(),
+              () -> state.current().version(),
+              () -> state.current().zonesIndex(),
               () -> 0,
               () -> loads.own(timers.nowMillis()),
               this::merge);
@@ -187,7 +187,8 @@
     }
 
     void commit(long version, byte[] content) {
-      state = new ServingState.Committed(version, content, 0, List.of(), true, 0);
+      index++;
+      state.apply(index, MessagePackCodec.encode(ServingCommand.Install.of(version, content)));
     }
 
     private byte[] answer(byte[] payload) {
@@ -234,7 +235,7 @@
       ServingState.Committed s = r.state();
       if (s != null && s.version() > version) {
         version = s.version();
-        content = Arrays.copyOf(s.content(), s.content().length);
+        content = s.document();
       }
       r.instances().forEach(u -> instances.put(u.instance().id(), u.instance()));
       if (r.loads() != null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -255,7 +255,7 @@
    * @return completes when it is committed, or when a higher version was committed before
    */
   public CompletableFuture<Void> install(long version, byte[] content) {
-    return commit(new ServingCommand.Install(version, content)).thenAccept(r -> {});
+    return commit(ServingCommand.Install.of(version, content)).thenAccept(r -> {});
   }
 
   /** Takes a zone out of service or brings it back. */
@@ -461,7 +461,7 @@
     ServingState.Committed s = log.current();
     ServingConfig c = config;
     if (s.version() > 0 && (c == null || c.version() != s.version())) {
-      c = source.decode(s.content());
+      c = source.decode(s.document());
       config = c;
     }
     return c;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -71,7 +71,7 @@
   private void accept(ServingState.Committed s) {
     if (s.version() > version) {
       try {
-        config = source.decode(s.content());
+        config = source.decode(s.document());
         version = s.version();
         LOG.atInfo().addKeyValue("version", version).log("configuration in force");
       } catch (EbonypondException e) {
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.ebonypond.wire.Deflate;
 
 /** A command of the log that keeps the configuration and the zones out of service. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
@@ -17,9 +18,14 @@
    * Installs a configuration if its version is higher than the one held.
    *
    * @param version the version
-   * @param content the configuration as the operator sent it
+   * @param content the configuration as the operator sent it, packed by {@link Deflate}
    */
-  record Install(long version, byte[] content) implements ServingCommand {}
+  record Install(long version, byte[] content) implements ServingCommand {
+    /** Creates the command from a configuration as the operator sent it. */
+    public static Install of(long version, byte[] document) {
+      return new Install(version, Deflate.pack(document));
+    }
+  }
 
   /**
    * Takes an availability zone out of service or brings it back.
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.ebonypond.consensus.StateMachine;
+import org.ebonypond.wire.Deflate;
 import org.ebonypond.wire.MessagePackCodec;
 
 /**
@@ -14,6 +15,9 @@
 public final class ServingState implements StateMachine {
   private static final byte[] NOTHING = {};
 
+  /** Operators' bodies have 4 MB at most unless they raise that limit themselves. */
+  private static final int MAX_DOCUMENT_BYTES = 64 << 20;
+
   private volatile Committed committed = new Committed(0, NOTHING, 0, List.of(), false, 0);
 
   /** Returns the state after the last applied command. */
@@ -55,7 +59,8 @@
    * The committed state.
    *
    * @param version the version of the configuration; 0 if there is none
-   * @param content the configuration as the operator sent it; empty if there is none
+   * @param content the configuration as the operator sent it, packed by {@link Deflate}; empty if
+   *     there is none
    * @param zonesIndex the log index of the last change of the zones; 0 if there is none
    * @param zonesOut the zones out of service, sorted
    * @param traffic whether the fleet has received its first request
@@ -68,6 +73,11 @@
       List<String> zonesOut,
       boolean traffic,
       int entries) {
+    /** Returns the configuration as the operator sent it; empty if there is none. */
+    public byte[] document() {
+      return Deflate.unpack(content, MAX_DOCUMENT_BYTES);
+    }
+
     /** Returns this state for a reader that holds the configuration already. */
     public Committed withoutContent() {
       return new Committed(version, NOTHING, zonesIndex, zonesOut, traffic, entries);
