--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -374,6 +374,23 @@
     assertFalse(cluster.replica("d").node().isVoter());
   }
 
+  /** Guards against a replica whose heap of 64 MB is filled by few large configurations. */
+  @Test
+  void largeEntriesAreReplacedBySnapshotsBeforeTheyFillTheMemory() {
+    RaftCluster group = new RaftCluster(3, 1, 1_000);
+    group.startAll();
+    String large = "x".repeat(1 << 20);
+    for (int i = 0; i < 64; i++) {
+      group.commit(large + i);
+    }
+    LogStorage log = group.replica("a").storage();
+    long bytes = 0;
+    for (long i = log.firstIndex(); i <= log.lastIndex(); i++) {
+      bytes += log.entry(i).data().length;
+    }
+    assertTrue(bytes <= 32 << 20, bytes + " bytes of entries are held");
+  }
+
   /** Guards against changes that stop when two machines are lost at once, twice in a row. */
   @Test
   void fiveVotersOfSixReplicasSurviveTwoLostDisksAtOnce() {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Applier.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Applier.java
@@ -16,6 +16,12 @@
 public final class Applier {
   private static final byte[] NOTHING = {};
 
+  /**
+   * A snapshot is written after that many bytes of entries, too. Entries are held in memory; this
+   * is an eighth of a small replica's heap of 64 MB.
+   */
+  private static final long COMPACT_AFTER_BYTES = 8 << 20;
+
   private final RaftConfig config;
   private final RaftLog log;
   private final StateMachine machine;
@@ -23,6 +29,7 @@
   private final EventSink events;
   private long commit;
   private long applied;
+  private long bytesSinceSnapshot;
 
   /** Restores the state machine from the stored snapshot, if there is one. */
   public Applier(
@@ -70,6 +77,7 @@
         reportAdmissions(e.index());
       }
       applied = e.index();
+      bytesSinceSnapshot += e.data().length;
       proposals.applied(e.index(), result);
     }
   }
@@ -84,12 +92,18 @@
 
   /** Writes a snapshot if enough entries were applied since the last one. */
   public void compact() {
-    if (applied - log.snapshotIndex() < config.compactAfter()) {
+    boolean due =
+        applied - log.snapshotIndex() >= config.compactAfter()
+            || bytesSinceSnapshot >= COMPACT_AFTER_BYTES;
+    if (!due) {
       return;
     }
+    bytesSinceSnapshot = 0;
     Membership m = log.membershipAt(applied);
     log.compact(
-        new Snapshot(applied, log.term(applied), m, machine.snapshot()), config.keepEntries());
+        new Snapshot(applied, log.term(applied), m, machine.snapshot()),
+        config.keepEntries(),
+        COMPACT_AFTER_BYTES);
     emit(EventCode.SNAPSHOT_WRITTEN, Map.of("index", String.valueOf(applied)));
   }
 
@@ -110,6 +124,7 @@
     machine.restore(s.data());
     commit = s.index();
     applied = s.index();
+    bytesSinceSnapshot = 0;
   }
 
   private void reportAdmissions(long index) {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/RaftLog.java
@@ -230,9 +230,21 @@
     return hardStateSync <= syncsEnded;
   }
 
-  /** Replaces applied entries by a snapshot and keeps some of them readable. */
-  public void compact(Snapshot snapshot, int keepEntries) {
-    storage.saveSnapshot(snapshot, Math.max(1, snapshot.index() + 1 - keepEntries));
+  /**
+   * Replaces applied entries by a snapshot and keeps some of them readable.
+   *
+   * @param keepEntries the largest number of entries to keep
+   * @param keepBytes the largest size of the entries to keep
+   */
+  public void compact(Snapshot snapshot, int keepEntries, long keepBytes) {
+    long kept = snapshot.index() + 1;
+    long earliest = Math.max(firstIndex(), kept - keepEntries);
+    long bytes = 0;
+    while (kept > earliest && bytes + entry(kept - 1).data().length <= keepBytes) {
+      kept--;
+      bytes += entry(kept).data().length;
+    }
+    storage.saveSnapshot(snapshot, Math.max(1, kept));
     noteSnapshot(snapshot);
     noteChange();
   }
