Let a large answer arrive instead of asking for it again

When many entries fetched a large configuration at once, none finished, and each try put the same load on the links again: a system that stays overloaded by its own retries. A question is now given up only when nothing arrives for its timeout, ten times at most, and an entry fetches a configuration from one replica at a time. PeerNetworkTest.largeAnswerMayTakeLongerThanTheTimeoutWhileItsBytesArrive failed before.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -9,6 +10,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.DecoderException;
+import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -18,6 +20,7 @@
 import java.net.SocketException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.junit.ByteMutator;
@@ -104,6 +107,78 @@
     }
   }
 
+  /**
+   * Guards against a large answer that never arrives: its connection was closed at the timeout, and
+   * the next question asked for the whole of it again.
+   */
+  @Test
+  void largeAnswerMayTakeLongerThanTheTimeoutWhileItsBytesArrive() throws Exception {
+    byte[] large = new byte[400_000];
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      InetSocketAddress at = (InetSocketAddress) server.getLocalSocketAddress();
+      CompletableFuture<byte[]> answer = ask(at);
+      try (Socket s = server.accept()) {
+        DataInputStream in = new DataInputStream(s.getInputStream());
+        in.readFully(new byte[in.readInt()]);
+        byte[] frame = answerFrame(large);
+        DataOutputStream out = new DataOutputStream(s.getOutputStream());
+        out.writeInt(frame.length);
+        int part = frame.length / 4;
+        for (int i = 0; i < 3; i++) {
+          out.write(frame, i * part, part);
+          out.flush();
+          awaitReceived(4 + (i + 1L) * part);
+          timers.advance(1_000);
+          assertFalse(answer.isDone(), "after part " + i);
+        }
+        out.write(frame, 3 * part, frame.length - 3 * part);
+        out.flush();
+        assertArrayEquals(large, answer.get(10, TimeUnit.SECONDS));
+      }
+    }
+  }
+
+  /** Guards against a peer that keeps a question open for good by a byte now and then. */
+  @Test
+  void answerThatNeverEndsFailsAfterSomeTimeouts() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      CompletableFuture<byte[]> answer = ask((InetSocketAddress) server.getLocalSocketAddress());
+      try (Socket s = server.accept()) {
+        DataOutputStream out = new DataOutputStream(s.getOutputStream());
+        out.writeInt(1 << 20);
+        for (int i = 1; i <= 20 && !answer.isDone(); i++) {
+          out.write(0);
+          out.flush();
+          awaitReceived(4 + i);
+          timers.advance(1_000);
+        }
+        assertThrows(CompletionException.class, answer::join);
+      }
+    }
+  }
+
+  private void awaitReceived(long bytes) throws InterruptedException {
+    for (int i = 0; i < 1_000 && client.receivedBytes() < bytes; i++) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertEquals(bytes, client.receivedBytes());
+  }
+
+  private static byte[] answerFrame(byte[] payload) throws IOException {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      p.packArrayHeader(7);
+      p.packInt(FrameType.ANSWER.ordinal());
+      p.packString("peer");
+      p.packString("control");
+      p.packLong(1);
+      p.packLong(1);
+      p.packInt(1);
+      p.packBinaryHeader(payload.length);
+      p.writePayload(payload);
+      return p.toByteArray();
+    }
+  }
+
   /** Sends a frame as a stranger: its length, then the content. */
   private static void sendAsStranger(InetSocketAddress to, byte[] content) throws IOException {
     try (Socket s = new Socket(to.getAddress(), to.getPort())) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -1,9 +1,11 @@
 package org.ebonypond.server.transport;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
@@ -28,6 +30,7 @@
 import org.ebonypond.time.HybridClock;
 import org.ebonypond.time.HybridTimestamp;
 import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,9 +43,14 @@
   private static final int MAX_FRAME_BYTES = 16 << 20;
   private static final int LENGTH_BYTES = 4;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  /** The timeouts for which an answer may go on arriving after the first. */
+  private static final int MAX_EXTENSIONS = 9;
+
   // Frames to a peer that reads slowly are dropped above this mark instead of filling the heap.
   private static final int WRITE_BUFFER_BYTES = 32 << 20;
-  private static final AttributeKey<Long> LAST_READ = AttributeKey.valueOf("ebonypond.lastRead");
+  private static final AttributeKey<Long> LAST_FRAME = AttributeKey.valueOf("ebonypond.lastFrame");
+  private static final AttributeKey<Long> LAST_BYTES = AttributeKey.valueOf("ebonypond.lastBytes");
 
   private final String node;
   private final HybridClock clock;
@@ -52,6 +60,7 @@
   private final Map<Long, Question> questions = new ConcurrentHashMap<>();
   private final AtomicLong nextCorrelation = new AtomicLong(1);
   private final AtomicLong sentBytes = new AtomicLong();
+  private final AtomicLong receivedBytes = new AtomicLong();
   private final EventLoopGroup loops;
 
   /**
@@ -101,16 +110,9 @@
   public CompletableFuture<byte[]> ask(
       InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
     long id = nextCorrelation.getAndIncrement();
-    CompletableFuture<byte[]> answer = new CompletableFuture<>();
-    long askedAt = timers.nowMillis();
-    TimerService.Subscription timeout =
-        timers.after(
-            timeoutMillis,
-            () -> {
-              fail(id, "timeout of " + timeoutMillis + " ms");
-              closeIfSilent(to, askedAt);
-            });
-    questions.put(id, new Question(answer, timeout));
+    Question q = new Question(to, timers.nowMillis(), timeoutMillis);
+    questions.put(id, q);
+    q.timeout = timers.after(timeoutMillis, () -> timedOut(id, q));
     ChannelFuture f = write(to, frame(type, channel, id, payload));
     f.addListener(
         done -> {
@@ -118,7 +120,36 @@
             fail(id, String.valueOf(done.cause()));
           }
         });
-    return answer;
+    return q.answer;
+  }
+
+  /**
+   * Fails a question, unless a frame that may be its answer is arriving: a large answer takes its
+   * time, and would take it again if it was asked for anew.
+   */
+  private void timedOut(long id, Question q) {
+    long now = timers.nowMillis();
+    if (q.extensions < MAX_EXTENSIONS && isFrameArriving(q, now)) {
+      q.extensions++;
+      q.timeout = timers.after(q.timeoutMillis, () -> timedOut(id, q));
+      return;
+    }
+    fail(id, "timeout of " + q.timeoutMillis + " ms");
+    closeIfSilent(q.to, q.askedAt);
+  }
+
+  private boolean isFrameArriving(Question q, long now) {
+    ChannelFuture f = outgoing.get(q.to);
+    if (f == null) {
+      return false;
+    }
+    long bytes = time(f, LAST_BYTES);
+    return bytes >= now - q.timeoutMillis && time(f, LAST_FRAME) < q.askedAt;
+  }
+
+  private static long time(ChannelFuture f, AttributeKey<Long> key) {
+    Long t = f.channel().attr(key).get();
+    return t == null ? Long.MIN_VALUE : t;
   }
 
   /** Returns the number of payload bytes sent so far. */
@@ -126,6 +157,11 @@
     return sentBytes.get();
   }
 
+  /** Returns the number of bytes received so far, frames that are not whole yet included. */
+  public long receivedBytes() {
+    return receivedBytes.get();
+  }
+
   @Override
   public void close() {
     loops.shutdownGracefully();
@@ -164,8 +200,7 @@
     if (f == null) {
       return;
     }
-    Long lastRead = f.channel().attr(LAST_READ).get();
-    if (f.isDone() && (lastRead == null || lastRead < askedAt)) {
+    if (f.isDone() && time(f, LAST_FRAME) < askedAt) {
       LOG.atInfo().addKeyValue("peer", to).log("silent connection closed");
       f.channel().close();
     }
@@ -203,6 +238,7 @@
       @Override
       protected void initChannel(SocketChannel c) {
         c.pipeline()
+            .addLast(new ByteCounter())
             .addLast(
                 new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
             .addLast(new LengthFieldPrepender(LENGTH_BYTES))
@@ -215,7 +251,7 @@
   private void fail(long id, String reason) {
     Question q = questions.remove(id);
     if (q != null) {
-      q.timeout.cancel();
+      q.cancelTimeout();
       q.answer.completeExceptionally(
           new EbonypondException(new RuntimeException(reason), ErrorCode.NO_QUORUM));
     }
@@ -254,17 +290,48 @@
     }
     Question q = questions.remove(f.correlation());
     if (q != null) {
-      q.timeout.cancel();
+      q.cancelTimeout();
       q.answer.complete(f.payload());
     }
   }
 
-  private record Question(CompletableFuture<byte[]> answer, TimerService.Subscription timeout) {}
+  private static final class Question {
+    final CompletableFuture<byte[]> answer = new CompletableFuture<>();
+    final InetSocketAddress to;
+    final long askedAt;
+    final long timeoutMillis;
+    private TimerService.@Nullable Subscription timeout;
+    private int extensions;
+
+    Question(InetSocketAddress to, long askedAt, long timeoutMillis) {
+      this.to = to;
+      this.askedAt = askedAt;
+      this.timeoutMillis = timeoutMillis;
+    }
+
+    void cancelTimeout() {
+      TimerService.Subscription t = timeout;
+      if (t != null) {
+        t.cancel();
+      }
+    }
+  }
+
+  private final class ByteCounter extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (message instanceof ByteBuf b) {
+        receivedBytes.addAndGet(b.readableBytes());
+        ctx.channel().attr(LAST_BYTES).set(timers.nowMillis());
+      }
+      ctx.fireChannelRead(message);
+    }
+  }
 
   private final class Receiver extends SimpleChannelInboundHandler<Frame> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Frame f) {
-      ctx.channel().attr(LAST_READ).set(timers.nowMillis());
+      ctx.channel().attr(LAST_FRAME).set(timers.nowMillis());
       try {
         received(ctx.channel(), f);
       } catch (RuntimeException e) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/Peers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/Peers.java
@@ -15,7 +15,8 @@
    * @param type the kind of frame
    * @param channel the replicated log, or an empty string
    * @param payload the encoded message
-   * @param timeoutMillis the longest wait for the answer, in milliseconds
+   * @param timeoutMillis the longest wait for the answer, in milliseconds; an answer that is
+   *     arriving by then may take several times as long
    * @return the payload of the answer; fails with {@code no-quorum} when none arrives in time
    */
   CompletableFuture<byte[]> ask(
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryPollPlanTest.java
@@ -0,0 +1,110 @@
+package org.ebonypond.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class EntryPollPlanTest {
+  private static final long TICK_MILLIS = 200;
+  private static final List<String> NAMES = List.of("r1", "r2", "r3", "r4", "r5", "r6");
+
+  private final EntryPollPlan plan = new EntryPollPlan("entry");
+  private long now;
+
+  private static FleetPollResult answer(long version, boolean ready) {
+    return new FleetPollResult(
+        1, 1, version, 0, ready, null, List.of(), List.of(), null, 1, List.of(), null);
+  }
+
+  private List<PollPlan.Ask> tick() {
+    now += TICK_MILLIS;
+    return plan.due(NAMES, 0, 0, now);
+  }
+
+  /** Answers everything for some ticks. */
+  private void settle() {
+    for (int i = 0; i < 10; i++) {
+      tick().forEach(a -> plan.answered(a.replica(), answer(0, true), now + 2));
+    }
+  }
+
+  private static List<String> fetches(List<PollPlan.Ask> asks) {
+    return asks.stream().filter(PollPlan.Ask::wantsState).map(PollPlan.Ask::replica).toList();
+  }
+
+  /** Guards against replicas of which one is the home of most entries. */
+  @Test
+  void entriesSpreadOverTheReplicas() {
+    Map<String, Integer> homes = new HashMap<>();
+    for (int i = 0; i < 600; i++) {
+      EntryPollPlan p = new EntryPollPlan("front-" + i);
+      p.due(NAMES, 0, 0, 0);
+      homes.merge(String.valueOf(p.home()), 1, Integer::sum);
+    }
+    assertEquals(NAMES.size(), homes.size());
+    homes.values().forEach(n -> assertTrue(n > 60 && n < 140, homes.toString()));
+  }
+
+  /** Guards against entries that stay with a replica that is silent or hears of no majority. */
+  @Test
+  void homeIsLeftWhenItIsSilentOrCutOff() {
+    settle();
+    String first = plan.home();
+    for (int i = 0; i < 5; i++) {
+      tick().stream()
+          .filter(a -> !a.replica().equals(first))
+          .forEach(a -> plan.answered(a.replica(), answer(0, true), now));
+    }
+    String second = plan.home();
+    assertNotEquals(first, second);
+    for (int i = 0; i < 5; i++) {
+      for (PollPlan.Ask a : tick()) {
+        boolean ready = !a.replica().equals(second);
+        plan.answered(a.replica(), answer(0, ready), now);
+      }
+    }
+    assertNotEquals(second, plan.home());
+  }
+
+  /** Guards against a large configuration that is fetched again while it arrives. */
+  @Test
+  void configurationIsFetchedFromOneReplicaAtATime() {
+    settle();
+    String home = String.valueOf(plan.home());
+    List<PollPlan.Ask> first = tick();
+    assertEquals(List.of(home), fetches(first));
+    // The home's answer takes 4 s; the others tell of a newer version.
+    for (int i = 0; i < 20; i++) {
+      for (PollPlan.Ask a : tick()) {
+        assertEquals(false, a.wantsState(), a.toString());
+        plan.answered(a.replica(), answer(7, true), now);
+      }
+    }
+    plan.failed(home);
+    assertEquals(1, fetches(tick()).size());
+  }
+
+  /** Guards against a home that hides a change because the change has not reached it. */
+  @Test
+  void newerVersionThatTheHomeDoesNotBringIsFetchedElsewhere() {
+    settle();
+    String home = String.valueOf(plan.home());
+    long since = now;
+    for (int i = 0; i < 10; i++) {
+      for (PollPlan.Ask a : tick()) {
+        boolean elsewhere = !a.replica().equals(home);
+        if (elsewhere && a.wantsState()) {
+          assertTrue(now - since <= 1_500, "fetched after " + (now - since) + " ms");
+          return;
+        }
+        plan.answered(a.replica(), answer(elsewhere ? 7 : 0, true), now);
+      }
+    }
+    throw new AssertionError("never fetched");
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryPollPlan.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryPollPlan.java
@@ -40,9 +40,14 @@
   public List<Ask> due(List<String> replicas, long heldVersion, long heldZones, long now) {
     contacts.keySet().retainAll(replicas);
     replicas.forEach(r -> contacts.computeIfAbsent(r, n -> new Contact()));
+    String before = home;
     home = choose(replicas, now);
     boolean lost = contacts.get(home).isSuspect(now);
-    boolean fetching = contacts.values().stream().anyMatch(c -> c.fetching);
+    // A large configuration that is on its way from one replica is not fetched from another.
+    boolean homeFetches = contacts.get(home).fetching || !home.equals(before);
+    boolean othersFetch =
+        contacts.entrySet().stream()
+            .anyMatch(e -> !e.getKey().equals(home) && e.getValue().fetching);
     List<Ask> out = new ArrayList<>();
     for (String r : replicas) {
       Contact c = contacts.get(r);
@@ -50,15 +55,16 @@
         continue;
       }
       if (r.equals(home)) {
-        c.ask(now, false);
-        out.add(new Ask(r, true, true));
+        out.add(new Ask(r, true, !othersFetch));
+        c.ask(now, !othersFetch);
         continue;
       }
       boolean ahead = c.version > heldVersion || c.zonesIndex > heldZones;
-      boolean fetch = ahead && !fetching && now - c.answeredAt >= CATCH_UP_MILLIS;
+      boolean fetch =
+          ahead && !homeFetches && !othersFetch && now - c.answeredAt >= CATCH_UP_MILLIS;
       // Without a home, every answer may bring one.
       if (lost || fetch || c.answeredAt == NEVER || now - c.askedAt >= OTHER_MILLIS) {
-        fetching |= fetch;
+        othersFetch |= fetch;
         c.ask(now, fetch);
         out.add(new Ask(r, false, fetch));
       }
@@ -118,10 +124,12 @@
     return c.ready ? 3 : 2;
   }
 
-  /** Spreads the bits of a hash, whose high ones hardly differ between similar names. */
+  /** Mixes the bits of a hash (SplitMix64), which hardly differs between similar names. */
   private long rank(String replica) {
-    long h = (node + "/" + replica).hashCode() * 0x9E3779B97F4A7C15L;
-    return h ^ (h >>> 32);
+    long h = (node + "/" + replica).hashCode();
+    h = (h ^ (h >>> 30)) * 0xBF58476D1CE4E5B9L;
+    h = (h ^ (h >>> 27)) * 0x94D049BB133111EBL;
+    return h ^ (h >>> 31);
   }
 
   private static final class Contact {
