Bound the answers that an entry holds, over all calls

Users warned of bytes without end in a body. An answer that is passed on whole was held up to 32 MB for each call, without a bound over all calls: 40 callers of a backend server that sends without end filled a heap of 96 MB, and one answer of that kind read 38 to 59 MB and left the backend server trusted. An answer now has 8 MB at most, all together 20 MB, where the largest is given up; its connection is closed, the instance counts as failed and the caller gets 502 or another instance's answer.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -63,8 +63,6 @@
   /** A call that must not run twice avoids connections that may be closing at their other end. */
   private static final long FRESH_MILLIS = 1_000;
 
-  private static final int MAX_WHOLE_ANSWER_BYTES = 32 << 20;
-
   /** The pause before a caller returns to an entry that knows no configuration yet. */
   private static final long START_PAUSE_MILLIS = 1_000;
 
@@ -524,7 +522,7 @@
   }
 
   /** One send to one instance. */
-  private final class Attempt implements BackendListener {
+  final class Attempt implements BackendListener {
     final FleetInstance target;
     final InstanceStats stats;
     final long sentAt;
@@ -562,6 +560,7 @@
       over = true;
       stats.ended(unread);
       unread = 0;
+      owner.held().remove(this);
       body.release();
       if (current == this) {
         current = null;
@@ -596,14 +595,28 @@
       stats.progressed(now);
       if (streams(r)) {
         pass(bytes, now);
-      } else if (body.readableBytes() + bytes.readableBytes() <= MAX_WHOLE_ANSWER_BYTES) {
-        body.writeBytes(bytes);
       } else {
-        stop();
-        brokenOff("answer-too-large");
+        hold(bytes);
+      }
+    }
+
+    private void hold(ByteBuf bytes) {
+      Attempt tooLarge = owner.held().add(this, bytes.readableBytes());
+      body.writeBytes(bytes);
+      if (tooLarge != null) {
+        tooLarge.giveUpAnswer("answer-too-large");
       }
     }
 
+    /** Gives up an answer that cannot become one, and its backend server for a while. */
+    private void giveUpAnswer(String reason) {
+      stop();
+      stats.failed(timers.nowMillis());
+      owner.metrics().sendFailed(kind(), reason);
+      log.sendFailed(target, true, reason);
+      brokenOff(reason);
+    }
+
     private boolean streams(BackendReply r) {
       return route().kind() == CallKind.STREAM && r.isSuccess() && r.signed();
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -48,6 +48,7 @@
   private final ForwardMetrics metrics;
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
+  private final HeldAnswers<ForwardCall.Attempt> held = new HeldAnswers<>();
   private final CallQueue queue;
   private long received;
   private boolean refusing;
@@ -138,6 +139,11 @@
     return calls.size();
   }
 
+  /** Returns the bytes of answers that are held until they are whole. */
+  public long heldBytes() {
+    return held.total();
+  }
+
   /**
    * Refuses the calls that come from now on. The process stops soon: a long answer could not be
    * finished.
@@ -194,6 +200,10 @@
     calls.remove(c);
   }
 
+  HeldAnswers<ForwardCall.Attempt> held() {
+    return held;
+  }
+
   CallQueue queue() {
     return queue;
   }
