Let a replica that starts among many entries recover

Cause: after its start at 5 s, core-jawa-tengah-1 was asked for the whole fleet by all 75 entries at once, 14 ms of its event loop for each answer. The last answers came after the 900 ms that an entry waits; it gave up, closed the connection, and asked for the whole fleet again. Change: a poll brings 100 records at most, so that each answer is progress; entries that have another home come back to a replica that has started one after the other, within 5 s.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
@@ -155,6 +155,34 @@
     }
   }
 
+  /**
+   * Guards against a replica that never recovers from a start: all entries asked it for the whole
+   * fleet at once, gave up before the answers came, and asked for the whole fleet again.
+   */
+  @Test
+  void replicaThatStartsAgainAmongManyEntriesRecovers() {
+    PollNetwork n = new PollNetwork(3, 75, HEADS);
+    Runnable heartbeats =
+        () -> {
+          for (int i = 0; i < 174; i++) {
+            PollNetwork.Replica r = n.replicas.get("10.0.0." + (1 + i % 3) + ":7000");
+            r.heartbeat(PollNetwork.instance("i-" + i, n.timers.nowMillis()));
+          }
+        };
+    n.timers.every(1_000, heartbeats);
+    run(n, SECONDS);
+    String name = "10.0.0.2:7000";
+    PollNetwork.Replica r = n.replicas.get(name);
+    n.restart(name);
+    run(n, 5);
+    double before = r.busyMillis();
+    run(n, SECONDS);
+    double busy = (r.busyMillis() - before) / (1_000.0 * SECONDS);
+    assertTrue(busy < 0.5, "busy for " + busy + " of the time");
+    assertEquals(174, r.table.all(n.timers.nowMillis()).size());
+    assertEquals(0, n.entries.stream().filter(e -> e.instances.size() != 174).count());
+  }
+
   /** Guards against instances that count as lost because two replicas cannot reach each other. */
   @Test
   void heartbeatsReachEveryReplicaOverAThirdOne() {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -33,6 +33,17 @@
   private static final long ENTRY_POLL_MILLIS = 200;
   private static final long LATENCY_MILLIS = 1;
 
+  /** What an answer costs a replica with a fifth of a processor, as measured on such a machine. */
+  private static final double ANSWER_MILLIS = 0.5;
+
+  private static final double RECORD_MILLIS = 0.07;
+
+  /** A process that has just started runs code that is not compiled yet. */
+  private static final double COLD_FACTOR = 4;
+
+  private static final long COLD_MILLIS = 3_000;
+  private static final double LOAD_MILLIS = 0.03;
+
   final ManualTimerService timers = new ManualTimerService();
   final Map<String, Replica> replicas = new TreeMap<>();
   final List<Entry> entries = new ArrayList<>();
@@ -74,6 +85,15 @@
     }
   }
 
+  private static FleetPollResult decode(byte[] result) {
+    return MessagePackCodec.decode(result, FleetPollResult.class);
+  }
+
+  /** Ends a replica and starts it again; it knows nothing of the fleet. */
+  void restart(String replica) {
+    replicas.get(replica).restart();
+  }
+
   /** Lets all replicas hold a configuration. */
   void commit(long version, byte[] content) {
     replicas.values().forEach(r -> r.commit(version, content));
@@ -102,6 +122,7 @@
     private final String name;
     private long bytes;
     private long contents;
+    private boolean ended;
 
     Link(String name) {
       this.name = name;
@@ -117,6 +138,9 @@
         InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
       String peer = to.getAddress().getHostAddress() + ":" + to.getPort();
       CompletableFuture<byte[]> answer = new CompletableFuture<>();
+      if (ended) {
+        return answer;
+      }
       bytes += payload.length;
       timers.after(
           timeoutMillis,
@@ -128,13 +152,14 @@
     }
 
     private void deliver(String peer, byte[] payload, CompletableFuture<byte[]> answer) {
-      byte[] result = replicas.get(peer).answer(payload);
+      Replica r = replicas.get(peer);
+      byte[] result = r.answer(payload);
       timers.after(
-          LATENCY_MILLIS,
+          LATENCY_MILLIS + r.workMillis(result),
           () -> {
             bytes += result.length;
-            FleetPollResult r = MessagePackCodec.decode(result, FleetPollResult.class);
-            contents += r.state() != null && r.state().content().length > 0 ? 1 : 0;
+            ServingState.Committed s = decode(result).state();
+            contents += s != null && s.content().length > 0 ? 1 : 0;
             answer.complete(result);
           });
     }
@@ -143,21 +168,36 @@
   /** A control replica without its log. */
   final class Replica {
     final String name;
-    final InstanceTable table = new InstanceTable();
-    final EntryLoads loads = new EntryLoads();
-    private final Link link;
-    private final PollAnswers polls;
-    private final FleetFollower follower;
+    InstanceTable table;
+    EntryLoads loads;
+    private final List<String> seeds;
+    private Link link;
+    private PollAnswers polls;
+    private FleetFollower follower;
     private final ServingState state = new ServingState();
     private long index;
+    private long boot;
+    private long startedAt;
+    private double busyUntil;
+    private double busyMillis;
 
     Replica(String name, List<String> seeds) {
       this.name = name;
-      this.link = new Link(name);
+      this.seeds = seeds;
+      create();
+    }
+
+    private void create() {
+      boot++;
+      startedAt = timers.nowMillis();
+      link = new Link(name);
+      table = new InstanceTable();
+      loads = new EntryLoads();
+      busyUntil = 0;
       ReplicaDirectory directory = new ReplicaDirectory(seeds);
       polls =
           new PollAnswers(
-              name, 7, directory, table, loads, state::current, () -> null, timers.nowMillis());
+              name, boot, directory, table, loads, state::current, () -> null, timers.nowMillis());
       follower =
           new FleetFollower(
               name,
@@ -175,6 +215,32 @@
               this::merge);
     }
 
+    private void restart() {
+      link.ended = true;
+      create();
+      follower.start();
+    }
+
+    /** Returns when an answer is ready: they are worked out one after the other. */
+    private long workMillis(byte[] answer) {
+      FleetPollResult r = decode(answer);
+      int loaded = r.loads() == null ? 0 : r.loads().size();
+      double cost =
+          ANSWER_MILLIS
+              + RECORD_MILLIS * (r.instances().size() + r.seen().size())
+              + LOAD_MILLIS * loaded;
+      boolean cold = boot > 1 && timers.nowMillis() - startedAt < COLD_MILLIS;
+      cost *= cold ? COLD_FACTOR : 1;
+      busyMillis += cost;
+      busyUntil = Math.max(busyUntil, timers.nowMillis()) + cost;
+      return (long) Math.ceil(busyUntil - timers.nowMillis());
+    }
+
+    /** Returns the time that answers have taken so far, in milliseconds. */
+    double busyMillis() {
+      return busyMillis;
+    }
+
     private void merge(String replica, FleetPollResult r) {
       for (InstanceUpdate u : r.instances()) {
         table.merge(u.instance(), u.ageMillis(), timers.nowMillis());
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollAnswers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollAnswers.java
@@ -21,6 +21,12 @@
 
   private static final long REACHABLE_MILLIS = 3_000;
 
+  /**
+   * The most records in one answer; more come with the next. A hundred take a replica with a fifth
+   * of a processor 7 ms, so that it can answer many entries that know nothing yet.
+   */
+  private static final int MAX_RECORDS = 100;
+
   /** Replicas poll each other several times within this time. */
   private static final long CONTACT_MILLIS = 1_000;
 
@@ -83,18 +89,20 @@
       loads.heard(p.node(), p.requests(), now);
     }
     ServingState.Committed s = state.get();
-    long cursor = table.cursor();
     long from = p.boot() == boot ? p.cursor() : 0;
-    boolean changes = p.home() && from != cursor;
+    InstanceTable.Changes changes =
+        p.home()
+            ? table.changedSince(from, MAX_RECORDS, now)
+            : new InstanceTable.Changes(List.of(), from, false);
     return new FleetPollResult(
         boot,
-        cursor,
+        changes.cursor(),
         s.version(),
         s.zonesIndex(),
         isReady(now),
         p.wantsState() ? newerState(s, p) : null,
-        changes ? table.changedSince(from, now) : List.of(),
-        changes && replica ? table.seenSince(from, now) : List.of(),
+        changes.records(),
+        replica && changes.whole() ? table.seenSince(from, now) : List.of(),
         p.home() && !replica ? loads.others(p.node(), now) : null,
         entries(now),
         knownReplicas(now),
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
@@ -89,10 +91,10 @@
     table.merge(beat("i", 1, 1, "a:1", null), 0, 100);
     long cursor = table.cursor();
     table.merge(beat("i", 1, 2, "a:1", null), 0, 110);
-    assertEquals(0, table.changedSince(cursor, 110).size());
+    assertEquals(0, table.changedSince(cursor, 9, 110).records().size());
     assertEquals(1, table.seenSince(cursor, 110).size());
     table.merge(beat("i", 1, 3, "a:2", null), 0, 120);
-    assertEquals(1, table.changedSince(cursor, 120).size());
+    assertEquals(1, table.changedSince(cursor, 9, 120).records().size());
     assertEquals(0, table.seenSince(cursor, 120).size());
   }
 
@@ -109,4 +111,28 @@
     table.seen(new InstanceSeen("i", 2, 2, 0), 400);
     assertEquals(110, table.all(400).get(0).ageMillis());
   }
+
+  /**
+   * Guards against a reader that is sent the whole fleet at once, and against a record it misses.
+   */
+  @Test
+  void longListsOfChangesComeInParts() {
+    for (int i = 0; i < 25; i++) {
+      table.merge(beat("i-" + i, 1, 1, "a:" + i, null), 0, 100);
+    }
+    table.merge(beat("i-3", 1, 2, "b:3", null), 0, 110);
+    Set<String> read = new HashSet<>();
+    InstanceTable.Changes c = table.changedSince(0, 10, 120);
+    for (int parts = 1; !c.whole(); parts++) {
+      assertEquals(10, c.records().size());
+      c.records().forEach(u -> read.add(u.instance().id()));
+      // A change while the list is read comes later.
+      table.merge(beat("i-" + parts, 1, 9, "c:" + parts, null), 0, 120);
+      c = table.changedSince(c.cursor(), 10, 120);
+      assertTrue(parts < 4);
+    }
+    c.records().forEach(u -> read.add(u.instance().id()));
+    assertEquals(25, read.size());
+    assertEquals(table.cursor(), c.cursor());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryPollPlan.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryPollPlan.java
@@ -21,9 +21,16 @@
   /** The home has brought a change that another replica knows within this time; one poll. */
   static final long CATCH_UP_MILLIS = 250;
 
+  /** An entry returns to the first replica of its order when it has been ready for so long. */
+  private static final long RETURN_MILLIS = 1_000;
+
+  /** The entries return one after the other within this time, in milliseconds. */
+  private static final long RETURN_SPREAD_MILLIS = 5_000;
+
   private static final long NEVER = Long.MIN_VALUE;
 
   private final String node;
+  private final long returnMillis;
   private final Map<String, Contact> contacts = new HashMap<>();
   private @Nullable String home;
 
@@ -34,6 +41,7 @@
    */
   public EntryPollPlan(String node) {
     this.node = node;
+    this.returnMillis = RETURN_MILLIS + Math.floorMod(rank(""), RETURN_SPREAD_MILLIS);
   }
 
   @Override
@@ -80,7 +88,11 @@
       c.answeredAt = now;
       c.failed = false;
       c.fetching = false;
-      c.ready = r.ready();
+      if (!r.ready()) {
+        c.readySince = NEVER;
+      } else if (c.readySince == NEVER) {
+        c.readySince = now;
+      }
       c.version = r.version();
       c.zonesIndex = r.zonesIndex();
     }
@@ -92,6 +104,7 @@
     if (c != null) {
       c.outstanding = false;
       c.failed = true;
+      c.readySince = NEVER;
       c.fetching = false;
     }
   }
@@ -101,7 +114,11 @@
     return home;
   }
 
-  /** Chooses the first replica in this entry's order among those in the best condition. */
+  /**
+   * Chooses the first replica in this entry's order among those in the best condition. A home that
+   * is as good is kept for a while: entries that all returned at once to a replica that has just
+   * started would ask it for the whole fleet at the same time.
+   */
   private String choose(List<String> replicas, long now) {
     String best = replicas.get(0);
     for (String r : replicas) {
@@ -110,7 +127,13 @@
         best = r;
       }
     }
-    return best;
+    String current = home;
+    boolean keep =
+        current != null
+            && contacts.containsKey(current)
+            && condition(current, now) >= condition(best, now)
+            && now - contacts.get(best).readySince < returnMillis;
+    return keep ? current : best;
   }
 
   private int condition(String replica, long now) {
@@ -121,7 +144,7 @@
     if (c.answeredAt == NEVER) {
       return 1;
     }
-    return c.ready ? 3 : 2;
+    return c.readySince == NEVER ? 2 : 3;
   }
 
   /** Mixes the bits of a hash (SplitMix64), which hardly differs between similar names. */
@@ -138,7 +161,7 @@
     boolean outstanding;
     boolean failed;
     boolean fetching;
-    boolean ready;
+    long readySince = NEVER;
     long version;
     long zonesIndex;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -1,6 +1,7 @@
 package org.ebonypond.fleet;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -112,21 +113,40 @@
   }
 
   /**
-   * Returns the records that changed after a cursor in more than the last heartbeat.
+   * Returns the records that changed after a cursor in more than the last heartbeat, the earliest
+   * changes first.
    *
-   * @param cursor an earlier value of {@link #cursor()}, or 0 for all
+   * @param cursor an earlier value of {@link #cursor()} or {@link Changes#cursor}, or 0 for all
+   * @param max the largest number of records
    * @param now the time in milliseconds
    */
-  public synchronized List<InstanceUpdate> changedSince(long cursor, long now) {
-    List<InstanceUpdate> out = new ArrayList<>();
+  public synchronized Changes changedSince(long cursor, int max, long now) {
+    List<Entry> changed = new ArrayList<>();
     for (Entry e : entries.values()) {
       if (e.changed > cursor) {
-        out.add(new InstanceUpdate(e.instance, Math.max(0, now - e.lastSeen)));
+        changed.add(e);
       }
     }
-    return out;
+    boolean whole = changed.size() <= max;
+    if (!whole) {
+      changed.sort(Comparator.comparingLong(e -> e.changed));
+    }
+    List<InstanceUpdate> out = new ArrayList<>();
+    for (Entry e : whole ? changed : changed.subList(0, max)) {
+      out.add(new InstanceUpdate(e.instance, Math.max(0, now - e.lastSeen)));
+    }
+    return new Changes(out, whole ? clock : changed.get(max - 1).changed, whole);
   }
 
+  /**
+   * Records that changed.
+   *
+   * @param records the records
+   * @param cursor the position after them
+   * @param whole whether there are no more
+   */
+  public record Changes(List<InstanceUpdate> records, long cursor, boolean whole) {}
+
   /**
    * Returns the heartbeats after a cursor that changed nothing in a record that the asker holds.
    *
@@ -152,7 +172,7 @@
 
   /** Returns all records with the times since their last heartbeats. */
   public synchronized List<InstanceUpdate> all(long now) {
-    return changedSince(-1, now);
+    return changedSince(-1, Integer.MAX_VALUE, now).records();
   }
 
   /** Drops the records of instances that have been silent for long. */
