--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -0,0 +1,38 @@
+package org.ebonypond.server.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.serving.ClientLimits;
+import org.ebonypond.serving.ServingConfig;
+import org.ebonypond.serving.ServingState;
+import org.junit.jupiter.api.Test;
+
+class FleetViewTest {
+  private final FleetView view =
+      new FleetView(
+          content -> new ServingConfig(1, List.of(), Map.of(), List.of(), ClientLimits.DEFAULT));
+
+  private void zones(long index, List<String> out, long now) {
+    ServingState.Committed s = new ServingState.Committed(1, new byte[1], index, out, true, 0);
+    view.accept(
+        new FleetPollResult(
+            1, 1, 1, index, true, s, List.of(), List.of(), null, 1, List.of(), null),
+        now);
+  }
+
+  /** Guards against the full load on instances that turned cold while their zone was out. */
+  @Test
+  void instancesOfReturnedZoneMayBeColdUntilTheyHaveSaidOtherwise() {
+    zones(1, List.of("a"), 0);
+    assertFalse(view.cameBack("a", 10));
+    zones(2, List.of(), 5_000);
+    assertTrue(view.cameBack("a", 5_000));
+    assertTrue(view.cameBack("a", 7_500));
+    assertFalse(view.cameBack("a", 8_000));
+    assertFalse(view.cameBack("b", 5_000));
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -25,6 +25,9 @@
 public final class FleetView {
   private static final Logger LOG = LoggerFactory.getLogger(FleetView.class);
 
+  /** Each instance has said in a heartbeat by then whether it is cold; two and a half periods. */
+  private static final long TELL_COLD_MILLIS = 3_000;
+
   private final ConfigSource source;
   private final InstanceTable table = new InstanceTable();
   private final Map<String, FleetInstance> ready = new HashMap<>();
@@ -32,6 +35,7 @@
   private long version;
   private long zonesIndex = -1;
   private Set<String> zonesOut = Set.of();
+  private final Map<String, Long> backAt = new HashMap<>();
   private Map<String, HeadLoad> others = Map.of();
   private int entries = 1;
 
@@ -43,7 +47,7 @@
   /** Takes the answer of a control replica. */
   public void accept(FleetPollResult r, long now) {
     if (r.state() != null) {
-      accept(r.state());
+      accept(r.state(), now);
     }
     for (InstanceUpdate u : r.instances()) {
       FleetInstance i = u.instance();
@@ -68,7 +72,7 @@
     entries = Math.max(1, r.entries());
   }
 
-  private void accept(ServingState.Committed s) {
+  private void accept(ServingState.Committed s, long now) {
     if (s.version() > version) {
       try {
         config = source.decode(s.document());
@@ -84,6 +88,7 @@
     }
     if (s.zonesIndex() > zonesIndex) {
       zonesIndex = s.zonesIndex();
+      zonesOut.stream().filter(z -> !s.zonesOut().contains(z)).forEach(z -> backAt.put(z, now));
       zonesOut = Set.copyOf(s.zonesOut());
       LOG.atInfo()
           .addKeyValue("zones_out", zonesOut)
@@ -126,6 +131,15 @@
     return zonesOut.contains(zone);
   }
 
+  /**
+   * Returns whether a zone came back into service so lately that its instances may have become cold
+   * without having said so.
+   */
+  public boolean cameBack(String zone, long now) {
+    Long at = backAt.get(zone);
+    return at != null && now - at < TELL_COLD_MILLIS;
+  }
+
   /** Returns all known instances. */
   public Collection<FleetInstance> instances() {
     return ready.values();
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/MixedRandomRunTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/MixedRandomRunTest.java
@@ -247,7 +247,7 @@
 
   private static final class Entry {
     final RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS);
-    final ArrivalGuard guard = new ArrivalGuard(OVERSHOOT, COLD_SLACK);
+    final ArrivalGuard guard = new ArrivalGuard(OVERSHOOT, COLD_SLACK, new Random(1));
     List<String> heads = List.of();
     boolean cutOff;
     long startsUntil;
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/BudgetTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/BudgetTest.java
@@ -57,7 +57,7 @@
     List<Long> sends = new ArrayList<>();
     List<ArrivalGuard> guards = new ArrayList<>();
     for (int i = 0; i < ENTRIES; i++) {
-      guards.add(new ArrivalGuard(1.5, 5));
+      guards.add(new ArrivalGuard(1.5, 5, new Random(1)));
     }
     for (long now = 0; now < 5_000; now++) {
       for (ArrivalGuard g : guards) {
@@ -74,10 +74,41 @@
     }
   }
 
+  /**
+   * Guards against a cold instance that falls over because each of very many entries sends it one
+   * request in the same second.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void knownColdInstanceIsNotOverloadedByMoreEntriesThanItBearsRequests(long seed) {
+    for (int entries : new int[] {20, 75, 600}) {
+      Random random = new Random(seed);
+      List<ArrivalGuard> guards = new ArrayList<>();
+      for (int i = 0; i < entries; i++) {
+        guards.add(new ArrivalGuard(1.5, 5, random));
+      }
+      List<Long> sends = new ArrayList<>();
+      for (long now = 0; now < 6_000; now += 20) {
+        for (ArrivalGuard g : guards) {
+          if (g.allows("i", 18, true, entries, now)) {
+            g.sent("i", now);
+            sends.add(now);
+          }
+        }
+      }
+      for (long from = 0; from < 5_000; from += 50) {
+        final long start = from;
+        long n = sends.stream().filter(t -> t >= start && t < start + 1_000).count();
+        assertTrue(n <= 18 * 1.5 + 5, n + " in the second from " + from);
+      }
+      assertTrue(sends.size() >= 18 * 6 / 2, "only " + sends.size() + " in 6 s");
+    }
+  }
+
   /** Guards against the full rate at an instance that is known to be cold. */
   @Test
   void knownColdInstanceGetsItsPublishedRate() {
-    ArrivalGuard g = new ArrivalGuard(1.5, 5);
+    ArrivalGuard g = new ArrivalGuard(1.5, 5, new Random(1));
     int n = 0;
     for (long now = 0; now < 1_000; now++) {
       if (g.allows("i", 28, true, ENTRIES, now)) {
@@ -86,7 +117,7 @@
       }
     }
     assertTrue(n <= 4, n + " requests of one entry");
-    assertTrue(new ArrivalGuard(1.5, 5).allows("i", 0, true, ENTRIES, 0));
+    assertTrue(new ArrivalGuard(1.5, 5, new Random(1)).allows("i", 0, true, ENTRIES, 0));
     assertFalse(g.allows("i", 28, true, ENTRIES, 999));
   }
 }
