Give up a backend server that sends bytes without end which are no answer

Users warned of bytes that are no answer and come without end, in a head or a body, until the caller closes. Empty lines, interim heads, answers of other requests, comments and events that the caller has were read as long as they came: a call that must not be repeated ended with 504 at its deadline, a stream stayed at the backend server although another one was free, because any byte counted as progress, and the backend server stayed trusted. Each answer of another request also wrote a log line. The connection is closed, the instance counts as failed, the caller gets 502 or another instance's answer.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Set;
+import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.HeadLoad;
 import org.ebonypond.forward.EngineCost;
@@ -592,10 +593,10 @@
         return;
       }
       long now = timers.nowMillis();
-      stats.progressed(now);
       if (streams(r)) {
         pass(bytes, now);
       } else {
+        stats.progressed(now);
         hold(bytes);
       }
     }
@@ -604,16 +605,16 @@
       Attempt tooLarge = owner.held().add(this, bytes.readableBytes());
       body.writeBytes(bytes);
       if (tooLarge != null) {
-        tooLarge.giveUpAnswer("answer-too-large");
+        tooLarge.giveUpAnswer("answer-too-large", "the memory for answers is used up");
       }
     }
 
     /** Gives up an answer that cannot become one, and its backend server for a while. */
-    private void giveUpAnswer(String reason) {
+    private void giveUpAnswer(String reason, String detail) {
       stop();
       stats.failed(timers.nowMillis());
       owner.metrics().sendFailed(kind(), reason);
-      log.sendFailed(target, true, reason);
+      log.sendFailed(target, true, detail);
       brokenOff(reason);
     }
 
@@ -628,10 +629,18 @@
         splitter = s;
       }
       events.reset();
-      int n = s.feed(ByteBufUtil.getBytes(bytes), events);
+      int n;
+      try {
+        n = s.feed(ByteBufUtil.getBytes(bytes), events);
+      } catch (EbonypondException e) {
+        giveUpAnswer("no-answer", String.valueOf(e.getMessage()));
+        return;
+      }
       if (n == 0) {
+        // Bytes without a new event are no progress.
         return;
       }
+      stats.progressed(now);
       startAnswer(now);
       if (lastEventAt > 0) {
         observePace(now - lastEventAt, n);
@@ -697,6 +706,13 @@
         return;
       }
       startAnswer(timers.nowMillis());
+      if (s != null) {
+        events.reset();
+        s.finish(events);
+        if (events.size() > 0) {
+          call.piece(Unpooled.wrappedBuffer(events.toByteArray()));
+        }
+      }
       close();
       completed(this, r.status());
       call.end();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -25,6 +25,7 @@
   private final BackendPool pool;
   private final String key;
   private final TimerService timers;
+  private final UnclaimedBytes unclaimed = new UnclaimedBytes();
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange current;
   private boolean idle;
@@ -38,6 +39,11 @@
     this.timers = timers;
   }
 
+  /** Returns the handler that stands before the codec of this connection. */
+  UnclaimedBytes unclaimed() {
+    return unclaimed;
+  }
+
   BackendExchange send(HttpRequest head, ByteBuf body, BackendListener listener) {
     Exchange x = new Exchange(head, body, listener);
     current = x;
@@ -178,7 +184,9 @@
 
     private void readHead(HttpResponse r) {
       accepted = listener.head(r);
-      if (!accepted) {
+      if (accepted) {
+        unclaimed.claimed();
+      } else {
         extra = true;
       }
       boolean framed = HttpUtil.isContentLengthSet(r) || HttpUtil.isTransferEncodingChunked(r);
@@ -191,6 +199,7 @@
         return;
       }
       if (accepted && !ended && c.content().isReadable()) {
+        unclaimed.claimed();
         listener.content(c.content());
       }
       if (c instanceof LastHttpContent && accepted && !ended && !broken) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -93,6 +93,7 @@
                   @Override
                   protected void initChannel(SocketChannel ch) {
                     ch.pipeline()
+                        .addLast(c.unclaimed())
                         .addLast(
                             new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(c);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -9,6 +10,7 @@
 import java.util.Arrays;
 import java.util.Random;
 import java.util.stream.LongStream;
+import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.junit.Seeds;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -73,4 +75,33 @@
     assertEquals(50, events);
     assertEquals(text.toString(), passed());
   }
+
+  /** Guards against comments that count as an answer, or are lost from one. */
+  @Test
+  void commentsComeWithTheNextEventOrTheEnd() {
+    EventSplitter s = new EventSplitter("");
+    assertEquals(0, s.feed(bytes(": none\n\n: more\n\n"), out));
+    assertFalse(s.hasPartialEvent());
+    assertEquals(1, s.feed(bytes("id: 1\ndata: a\n\n: last\n\n"), out));
+    assertEquals(": none\n\n: more\n\nid: 1\ndata: a\n\n", passed());
+    s.finish(out);
+    assertEquals(": none\n\n: more\n\nid: 1\ndata: a\n\n: last\n\n", passed());
+  }
+
+  /** Guards against a stream that takes memory or time without end and brings nothing. */
+  @Test
+  void streamThatBringsNothingNewFails() {
+    EventSplitter silent = new EventSplitter("");
+    assertThrows(EbonypondException.class, () -> feedWithoutEnd(silent, ": none\n\n"));
+    EventSplitter endless = new EventSplitter("");
+    assertThrows(EbonypondException.class, () -> feedWithoutEnd(endless, "data: x\n"));
+    EventSplitter repeating = new EventSplitter("7");
+    assertThrows(EbonypondException.class, () -> feedWithoutEnd(repeating, "id: 7\ndata: x\n\n"));
+  }
+
+  private void feedWithoutEnd(EventSplitter s, String text) {
+    for (int i = 0; i < 200_000; i++) {
+      s.feed(bytes(text), out);
+    }
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -11,10 +13,11 @@
  * caller has had are dropped.
  */
 public final class EventSplitter {
-  /**
-   * Events that are larger end the stream with an error; answers have events of some hundred bytes.
-   */
-  private static final int MAX_EVENT_BYTES = 1 << 20;
+  /** The largest event, with the comments before it; answers have events of some hundred bytes. */
+  private static final int MAX_EVENT_BYTES = 64 << 10;
+
+  /** The most bytes of events that the caller has; an answer that starts anew has fewer. */
+  private static final int MAX_DROPPED_BYTES = 1 << 20;
 
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
@@ -22,6 +25,8 @@
   private int length;
   private int scanned;
   private int lineStart;
+  private boolean hasField;
+  private int droppedBytes;
   private long lastId;
   private boolean hasId;
   private String lastIdText;
@@ -43,7 +48,8 @@
    *
    * @param out receives the whole events that are new to the caller
    * @return the number of events written to {@code out}
-   * @throws IllegalStateException if an event is too large
+   * @throws EbonypondException {@code upstream-failed} if an event is too large, or if the stream
+   *     goes on to bring only events that the caller has
    */
   public int feed(byte[] bytes, ByteArrayOutputStream out) {
     append(bytes);
@@ -55,12 +61,13 @@
         continue;
       }
       scanned++;
-      if (isBlank(lineStart, scanned)) {
-        if (isNew(eventStart, scanned)) {
-          out.write(buffer, eventStart, scanned - eventStart);
-          events++;
-        }
+      boolean blank = isBlank(lineStart, scanned);
+      if (!blank) {
+        hasField |= buffer[lineStart] != ':';
+      } else if (hasField) {
+        events += pass(eventStart, scanned, out);
         eventStart = scanned;
+        hasField = false;
       }
       lineStart = scanned;
     }
@@ -71,9 +78,36 @@
     return events;
   }
 
-  /** Returns whether an event has begun and not ended. */
+  private int pass(int from, int end, ByteArrayOutputStream out) {
+    if (isNew(from, end)) {
+      droppedBytes = 0;
+      out.write(buffer, from, end - from);
+      return 1;
+    }
+    droppedBytes += end - from;
+    if (droppedBytes > MAX_DROPPED_BYTES) {
+      throw failure("nothing new in " + droppedBytes + " bytes of events");
+    }
+    return 0;
+  }
+
+  private static EbonypondException failure(String what) {
+    return new EbonypondException(ErrorCode.UPSTREAM_FAILED, what);
+  }
+
+  /** Returns whether an event has begun and not ended; comments alone are none. */
   public boolean hasPartialEvent() {
-    return length > 0;
+    return hasField || (length > lineStart && buffer[lineStart] != ':');
+  }
+
+  /**
+   * Takes the end of the stream.
+   *
+   * @param out receives the comments after the last event
+   */
+  public void finish(ByteArrayOutputStream out) {
+    out.write(buffer, 0, lineStart);
+    dropPartialEvent();
   }
 
   /** Drops an unfinished event, before the stream goes on at another instance. */
@@ -81,6 +115,7 @@
     length = 0;
     scanned = 0;
     lineStart = 0;
+    hasField = false;
   }
 
   /** Returns the identifier of the last whole event, or an empty string if there is none. */
@@ -91,7 +126,7 @@
   private void append(byte[] bytes) {
     if (length + bytes.length > buffer.length) {
       if (length + bytes.length > MAX_EVENT_BYTES) {
-        throw new IllegalStateException("event of more than " + MAX_EVENT_BYTES + " bytes");
+        throw failure("event of more than " + MAX_EVENT_BYTES + " bytes");
       }
       buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + bytes.length));
     }
