Read a stream no faster than its caller does

Cause: events were written to the caller as they came, up to 4 MB a connection, and then the connection was cut: many callers that read slowly, or a backend server that streams without end, took the memory of an entry (a heap of 96 MB), and callers lost answers that they were still reading. The entry now stops reading from the backend server while the caller's socket takes no more, and goes on when it does; such a stream does not count as stalled.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -134,6 +134,7 @@
     }
     owner.opened(this);
     call.onClosed(this::callerLeft);
+    call.onWritable(this::callerReadsOn);
     ServingConfig config = owner.view().config();
     if (config != null) {
       accept(config);
@@ -319,7 +320,7 @@
   void watch(long now) {
     Attempt a = current;
     RouteRule r = route;
-    if (a == null || r == null || done || !r.idempotent()) {
+    if (a == null || r == null || done || a.paused || !r.idempotent()) {
       return;
     }
     boolean stalled;
@@ -430,6 +431,14 @@
     }
   }
 
+  private void callerReadsOn() {
+    Attempt a = current;
+    if (a != null && a.paused) {
+      a.stats.progressed(timers.nowMillis());
+      a.readAnswer(true);
+    }
+  }
+
   private void callerLeft() {
     if (done) {
       return;
@@ -532,6 +541,7 @@
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private int unread = head.promptTokens();
     private boolean over;
+    private boolean paused;
     private long lastEventAt;
     private @Nullable BackendReply reply;
     private @Nullable HttpHeaders headers;
@@ -649,6 +659,18 @@
       longestGap = lastPieceAt == 0 ? 0 : Math.max(longestGap, now - lastPieceAt);
       lastPieceAt = now;
       call.piece(Unpooled.wrappedBuffer(events.toByteArray()));
+      if (!call.isWritable()) {
+        readAnswer(false);
+      }
+    }
+
+    /** Stops or resumes reading; the events of a caller who reads slowly stay where they are. */
+    private void readAnswer(boolean on) {
+      paused = !on;
+      BackendExchange x = exchange;
+      if (x != null && !over) {
+        x.reading(on);
+      }
     }
 
     private void startAnswer(long now) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -215,6 +215,11 @@
       // an unknown state.
       boolean reusable = keepAlive && sentWhole && !extra;
       current = null;
+      ChannelHandlerContext ctx = context;
+      if (ctx != null) {
+        // The end of the answer may have been read with the piece that stopped the reading.
+        ctx.channel().config().setAutoRead(true);
+      }
       if (reusable) {
         idle = true;
         idleSince = timers.nowMillis();
@@ -254,6 +259,14 @@
       }
     }
 
+    @Override
+    public void reading(boolean on) {
+      ChannelHandlerContext ctx = context;
+      if (ctx != null && !ended && !cancelled) {
+        ctx.channel().config().setAutoRead(on);
+      }
+    }
+
     private static long announced(HttpResponse r) {
       String v = r.headers().get("Keep-Alive");
       if (v == null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpCall.java
@@ -43,6 +43,12 @@
   /** Sends a piece of a started answer. */
   void piece(ByteBuf bytes);
 
+  /** Returns whether the caller reads its answer fast enough for another piece. */
+  boolean isWritable();
+
+  /** Runs a task each time the caller has read so much that {@link #isWritable} holds again. */
+  void onWritable(Runnable task);
+
   /** Completes a started answer. */
   void end();
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -204,6 +204,15 @@
     }
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    Exchange e = current;
+    if (e != null && channel.isWritable()) {
+      e.writable();
+    }
+    ctx.fireChannelWritabilityChanged();
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     LOG.atDebug()
@@ -234,6 +243,7 @@
     private final ByteBuf content;
     private final boolean keepAlive;
     private @Nullable Runnable onClosed;
+    private @Nullable Runnable onWritable;
     private boolean started;
     private boolean done;
 
@@ -321,6 +331,23 @@
       }
     }
 
+    @Override
+    public boolean isWritable() {
+      return channel.isWritable();
+    }
+
+    @Override
+    public void onWritable(Runnable task) {
+      onWritable = task;
+    }
+
+    private void writable() {
+      Runnable r = onWritable;
+      if (r != null && !done) {
+        r.run();
+      }
+    }
+
     @Override
     public void end() {
       if (!done) {
