--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
@@ -33,6 +33,9 @@
   private static final int SERVER_ERROR = 500;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
+  /** A body that nobody needs is read up to this size; a longer one costs its connection. */
+  private static final int MAX_DISCARDED_BYTES = 64 << 10;
+
   private final ExecController controller;
   private final HttpClient client;
 
@@ -81,6 +84,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private final SseParser parser = new SseParser(this::event);
     private volatile @Nullable Subscription subscription;
+    private long bytesAfterEnd;
 
     RunningAttempt(EngineRequest request, EngineListener listener) {
       this.request = request;
@@ -166,6 +170,14 @@
     public void onNext(ByteBuf buf) {
       byte[] bytes = ByteBufUtil.getBytes(buf);
       buf.release();
+      if (ended.get()) {
+        // Reads the end of the body, so that the connection can be used again, but no more.
+        bytesAfterEnd += bytes.length;
+        if (bytesAfterEnd > MAX_DISCARDED_BYTES) {
+          cancelSubscription();
+        }
+        return;
+      }
       try {
         parser.feed(bytes);
       } catch (EbonypondException | NumberFormatException e) {
@@ -206,16 +218,25 @@
     }
   }
 
-  /** Reads a body to its end without keeping it, so that the connection can be used again. */
+  /** Reads a short body to its end without keeping it, so that its connection can be used again. */
   private static final class Discard implements Subscriber<ByteBuf> {
+    private @Nullable Subscription subscription;
+    private long bytes;
+
     @Override
     public void onSubscribe(Subscription s) {
+      subscription = s;
       s.request(Long.MAX_VALUE);
     }
 
     @Override
     public void onNext(ByteBuf buf) {
+      bytes += buf.readableBytes();
       buf.release();
+      Subscription s = subscription;
+      if (s != null && bytes > MAX_DISCARDED_BYTES) {
+        s.cancel();
+      }
     }
 
     @Override
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/SseParser.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/SseParser.java
@@ -10,11 +10,15 @@
 public final class SseParser {
   private static final int MAX_LINE_BYTES = 1 << 20;
 
+  /** The largest event, with the comments and unknown fields before it. */
+  private static final int MAX_EVENT_BYTES = 2 << 20;
+
   private final Consumer<SseEvent> sink;
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final StringBuilder data = new StringBuilder();
   private String id = "";
   private boolean hasData;
+  private int bytesSinceEvent;
   private boolean lastWasCarriageReturn;
 
   /**
@@ -29,10 +33,15 @@
   /**
    * Takes the next bytes.
    *
-   * @throws EbonypondException {@code upstream-failed} if a line is longer than 1 MiB
+   * @throws EbonypondException {@code upstream-failed} if a line is longer than 1 MiB, or if 2 MiB
+   *     bring no event
    */
   public void feed(byte[] bytes) {
     for (byte b : bytes) {
+      bytesSinceEvent++;
+      if (bytesSinceEvent > MAX_EVENT_BYTES) {
+        throw new EbonypondException(ErrorCode.UPSTREAM_FAILED, "no event in 2 MiB");
+      }
       if (b == '\n' && lastWasCarriageReturn) {
         lastWasCarriageReturn = false;
         continue;
@@ -80,6 +89,7 @@
 
   private void endEvent() {
     if (hasData) {
+      bytesSinceEvent = 0;
       sink.accept(new SseEvent(id, data.toString()));
     }
     data.setLength(0);
