Do not let entries forget a fleet that has not changed for a minute

A record that its instance goes on to confirm now counts as changed again every 20 s. FleetViewTest.instancesThatLiveOnWithoutAChangeAreKept failed before (after 150,000 ms).

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -1,11 +1,13 @@
 package org.ebonypond.server.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Map;
 import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.serving.ServingConfig;
 import org.ebonypond.serving.ServingState;
@@ -24,6 +26,32 @@
         now);
   }
 
+  /**
+   * Guards against an entry that forgets the whole fleet once most of it has not changed for a
+   * minute.
+   */
+  @Test
+  void instancesThatLiveOnWithoutAChangeAreKept() {
+    InstanceTable table = new InstanceTable();
+    long cursor = 0;
+    for (long now = 0; now < 300_000; now += 1_000) {
+      table.merge(PollNetwork.instance("i-1", now), 0, now);
+      table.merge(PollNetwork.instance("i-2", now), 0, now);
+      if (now == 150_000) {
+        table.merge(PollNetwork.instance("i-new", now), 0, now);
+      }
+      table.prune(now);
+      InstanceTable.Changes c = table.changedSince(cursor, 100, now);
+      cursor = c.cursor();
+      view.accept(
+          new FleetPollResult(
+              1, cursor, 1, 0, true, null, c.records(), List.of(), null, 1, List.of(), null),
+          now);
+      assertNotNull(view.instance("i-1"), "after " + now + " ms");
+      assertNotNull(view.instance("i-2"), "after " + now + " ms");
+    }
+  }
+
   /** Guards against the full load on instances that turned cold while their zone was out. */
   @Test
   void instancesOfReturnedZoneMayBeColdUntilTheyHaveSaidOtherwise() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -17,6 +17,12 @@
   /** Records of instances that are silent for this long are dropped; longer than any cut. */
   private static final long FORGET_MILLIS = 60_000;
 
+  /**
+   * A record that its instance confirms counts as changed again after this time, so that readers of
+   * changes alone do not take the instance for silent; a third of the time until it is dropped.
+   */
+  private static final long CONFIRM_MILLIS = FORGET_MILLIS / 3;
+
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, String> idsByAddress = new HashMap<>();
   private long clock;
@@ -207,8 +213,9 @@
     e.instance = record;
     e.lastSeen = seen;
     e.touched = clock;
-    if (changed) {
+    if (changed || seen - e.changedAt >= CONFIRM_MILLIS) {
       e.changed = clock;
+      e.changedAt = seen;
     }
   }
 
@@ -217,6 +224,7 @@
     long lastSeen = Long.MIN_VALUE;
     long touched;
     long changed;
+    long changedAt;
 
     Entry(FleetInstance instance) {
       this.instance = instance;
