Ask the home replica as often as its traffic and its processor allow

The home is now asked every 100 ms, less often when that takes more than 20 KB a second or when the replica's entries together ask more than 125 times a second; replicas exchange sums every 75 ms.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -30,7 +30,7 @@
 
 /** Entries and control replicas that poll over a network in memory, on a manual clock. */
 final class PollNetwork {
-  private static final long ENTRY_POLL_MILLIS = 200;
+  private static final long ENTRY_POLL_MILLIS = 100;
   private static final long LATENCY_MILLIS = 1;
 
   /** What an answer costs a replica with a fifth of a processor, as measured on such a machine. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
@@ -130,13 +130,17 @@
             ask.wantsState(),
             requests.getAsLong(),
             current);
+    byte[] question = MessagePackCodec.encode(q);
     InetSocketAddress to = ReplicaDirectory.address(name);
     peers
-        .ask(to, FrameType.FLEET_POLL, "", MessagePackCodec.encode(q), TIMEOUT_MILLIS)
-        .whenComplete((bytes, failure) -> executor.execute(() -> answered(ask, bytes, failure)));
+        .ask(to, FrameType.FLEET_POLL, "", question, TIMEOUT_MILLIS)
+        .whenComplete(
+            (bytes, failure) ->
+                executor.execute(() -> answered(ask, question.length, bytes, failure)));
   }
 
-  private void answered(PollPlan.Ask ask, byte @Nullable [] bytes, @Nullable Throwable failure) {
+  private void answered(
+      PollPlan.Ask ask, int asked, byte @Nullable [] bytes, @Nullable Throwable failure) {
     String name = ask.replica();
     if (bytes == null) {
       plan.failed(name);
@@ -155,7 +159,7 @@
     lastAnswer = now;
     directory.heard(name, now);
     FleetPollResult r = MessagePackCodec.decode(bytes, FleetPollResult.class);
-    plan.answered(name, r, now);
+    plan.answered(name, r, asked + bytes.length, now);
     r.replicas().forEach(n -> directory.learn(n, now));
     if (ask.home()) {
       positions.put(name, new Position(r.boot(), r.cursor()));
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -70,7 +70,7 @@
    * The time between two polls of another replica, in milliseconds. The loads of the entries that
    * are at home there are that old at most, in addition to the time between their own reports.
    */
-  static final long POLL_MILLIS = 125;
+  static final long POLL_MILLIS = 75;
 
   /** Two heartbeats and the time that one may be late. */
   private static final long LATE_HEARTBEAT_MILLIS = 400;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollAnswers.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollAnswers.java
@@ -33,6 +33,9 @@
   /** Every instance has sent a heartbeat within this time of a replica's start. */
   private static final long LEARN_FLEET_MILLIS = 1_500;
 
+  /** A quarter of the time of a replica with a fifth of a processor, at 2 ms for an answer. */
+  private static final int HOME_POLLS_PER_SECOND = 125;
+
   private final String self;
   private final long boot;
   private final ReplicaDirectory directory;
@@ -105,6 +108,7 @@
         replica && changes.whole() ? table.seenSince(from, now) : List.of(),
         p.home() && !replica ? loads.others(p.node(), now) : null,
         entries(now),
+        1_000L * loads.homes() / HOME_POLLS_PER_SECOND,
         knownReplicas(now),
         leader.get());
   }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryPollPlanTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryPollPlanTest.java
@@ -18,7 +18,7 @@
 
   private static FleetPollResult answer(long version, boolean ready) {
     return new FleetPollResult(
-        1, 1, version, 0, ready, null, List.of(), List.of(), null, 1, List.of(), null);
+        1, 1, version, 0, ready, null, List.of(), List.of(), null, 1, 0, List.of(), null);
   }
 
   private List<PollPlan.Ask> tick() {
@@ -29,7 +29,7 @@
   /** Answers everything for some ticks. */
   private void settle() {
     for (int i = 0; i < 10; i++) {
-      tick().forEach(a -> plan.answered(a.replica(), answer(0, true), now + 2));
+      tick().forEach(a -> plan.answered(a.replica(), answer(0, true), 100, now + 2));
     }
   }
 
@@ -58,14 +58,14 @@
     for (int i = 0; i < 5; i++) {
       tick().stream()
           .filter(a -> !a.replica().equals(first))
-          .forEach(a -> plan.answered(a.replica(), answer(0, true), now));
+          .forEach(a -> plan.answered(a.replica(), answer(0, true), 100, now));
     }
     String second = plan.home();
     assertNotEquals(first, second);
     for (int i = 0; i < 5; i++) {
       for (PollPlan.Ask a : tick()) {
         boolean ready = !a.replica().equals(second);
-        plan.answered(a.replica(), answer(0, ready), now);
+        plan.answered(a.replica(), answer(0, ready), 100, now);
       }
     }
     assertNotEquals(second, plan.home());
@@ -82,7 +82,7 @@
     for (int i = 0; i < 20; i++) {
       for (PollPlan.Ask a : tick()) {
         assertEquals(false, a.wantsState(), a.toString());
-        plan.answered(a.replica(), answer(7, true), now);
+        plan.answered(a.replica(), answer(7, true), 100, now);
       }
     }
     plan.failed(home);
@@ -102,7 +102,7 @@
           assertTrue(now - since <= 1_500, "fetched after " + (now - since) + " ms");
           return;
         }
-        plan.answered(a.replica(), answer(elsewhere ? 7 : 0, true), now);
+        plan.answered(a.replica(), answer(elsewhere ? 7 : 0, true), 100, now);
       }
     }
     throw new AssertionError("never fetched");
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryLoads.java
@@ -11,14 +11,14 @@
  * another one, which passes on the sum. Thread-safe.
  */
 public final class EntryLoads {
-  /** Loads that are older than this no longer count; entries report about four times a second. */
+  /** Loads that are older than this no longer count; entries report several times a second. */
   private static final long EXPIRE_MILLIS = 2_000;
 
   /** An entry that is silent for this long no longer counts as one of the fleet's entries. */
   private static final long FORGET_MILLIS = 20_000;
 
   /** The answers within this time share one sum; a fourth of the time between two reports. */
-  private static final long SUM_MILLIS = 50;
+  private static final long SUM_MILLIS = 25;
 
   private final Map<String, Report> reports = new TreeMap<>();
   private final Map<String, Report> peers = new TreeMap<>();
@@ -96,6 +96,11 @@
     return sums.values().stream().map(LoadTotal::all).toList();
   }
 
+  /** Returns the number of entries that are at home here. */
+  public synchronized int homes() {
+    return reports.size();
+  }
+
   /** Returns the number of entries that were heard of lately. */
   public synchronized int entries(long now) {
     heard.values().removeIf(at -> now - at > FORGET_MILLIS);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryPollPlan.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/EntryPollPlan.java
@@ -12,13 +12,20 @@
  * no change. Entries spread over the replicas by a hash of both names.
  */
 public final class EntryPollPlan implements PollPlan {
+  /**
+   * The traffic with the home, in bytes a second, above which it is asked less often. The other
+   * polls, frames and a configuration now and then have the rest of the 27 KB a second that a node
+   * may spend for control.
+   */
+  static final long HOME_BYTES_PER_SECOND = 20_000;
+
   /** The time between two polls of a replica that is not the home, in milliseconds. */
   static final long OTHER_MILLIS = 800;
 
-  /** A replica that has not answered for this long is the home no longer; two polls and more. */
+  /** A replica that has not answered for this long is the home no longer. */
   static final long PATIENCE_MILLIS = 500;
 
-  /** The home has brought a change that another replica knows within this time; one poll. */
+  /** The home has brought a change that another replica knows within this time; two polls. */
   static final long CATCH_UP_MILLIS = 250;
 
   /** An entry returns to the first replica of its order when it has been ready for so long. */
@@ -63,6 +70,9 @@
         continue;
       }
       if (r.equals(home)) {
+        if (now < c.askedAt + c.pauseMillis) {
+          continue;
+        }
         out.add(new Ask(r, true, !othersFetch));
         c.ask(now, !othersFetch);
         continue;
@@ -81,9 +91,12 @@
   }
 
   @Override
-  public void answered(String replica, FleetPollResult r, long now) {
+  public void answered(String replica, FleetPollResult r, int bytes, long now) {
     Contact c = contacts.get(replica);
     if (c != null) {
+      boolean routine = r.state() == null && r.instances().isEmpty();
+      long spread = Math.max(r.pauseMillis(), 1_000L * bytes / HOME_BYTES_PER_SECOND);
+      c.pauseMillis = routine ? spread : 0;
       c.outstanding = false;
       c.answeredAt = now;
       c.failed = false;
@@ -157,6 +170,7 @@
 
   private static final class Contact {
     long askedAt;
+    long pauseMillis;
     long answeredAt = NEVER;
     boolean outstanding;
     boolean failed;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
@@ -19,6 +19,8 @@
  * @param seen the instances whose heartbeats brought nothing new, for a replica that asks
  * @param loads the work of all other entries, by instance; null unless the asker is at home here
  * @param entries the number of entries that polled lately
+ * @param pauseMillis the time after which an entry that is at home here may poll again, in
+ *     milliseconds, so that the entries share what the replica can answer
  * @param replicas the addresses of the control replicas that the answering one knows
  * @param leader the address of the presumed leader, or null
  */
@@ -33,5 +35,6 @@
     List<InstanceSeen> seen,
     @Nullable List<HeadLoad> loads,
     int entries,
+    long pauseMillis,
     List<String> replicas,
     @Nullable String leader) {}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollPlan.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollPlan.java
@@ -14,8 +14,12 @@
    */
   List<Ask> due(List<String> replicas, long heldVersion, long heldZones, long now);
 
-  /** Takes an answer. */
-  void answered(String replica, FleetPollResult result, long now);
+  /**
+   * Takes an answer.
+   *
+   * @param bytes the size of the poll and its answer
+   */
+  void answered(String replica, FleetPollResult result, int bytes, long now);
 
   /** Takes the news that a poll was not answered. */
   void failed(String replica);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/ReplicaPollPlan.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/ReplicaPollPlan.java
@@ -30,7 +30,7 @@
   }
 
   @Override
-  public void answered(String replica, FleetPollResult result, long now) {
+  public void answered(String replica, FleetPollResult result, int bytes, long now) {
     outstanding.remove(replica);
   }
 
