Refuse messages that claim more bytes than they have

Cause: the MessagePack parser allocates a claimed length before it reads; six bytes of a stranger on the port between processes took up to 2 GB, or ended the decoding with an error instead of a refusal. Every message is now walked once before it is decoded. MessagePackCodecTest.claimedLengthsAreNotAllocated failed before (Requested array size exceeds VM limit).

--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/wire/MessagePackCodecTest.java
@@ -0,0 +1,26 @@
+package org.ebonypond.wire;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.serving.ServingCommand;
+import org.junit.jupiter.api.Test;
+
+class MessagePackCodecTest {
+  /** Guards against a few bytes of a stranger that claim gigabytes, and take them. */
+  @Test
+  void claimedLengthsAreNotAllocated() {
+    byte[][] claims = {
+      {(byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1},
+      {(byte) 0xdb, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1},
+      {(byte) 0xdd, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1},
+      {(byte) 0xdf, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1},
+      {(byte) 0xc9, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1},
+      {(byte) 0x81, (byte) 0xa1, 'a', (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff},
+    };
+    for (byte[] claim : claims) {
+      assertThrows(
+          EbonypondException.class, () -> MessagePackCodec.decode(claim, ServingCommand.class));
+    }
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/wire/MessagePackCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/wire/MessagePackCodec.java
@@ -7,6 +7,9 @@
 import java.io.IOException;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
@@ -42,10 +45,22 @@
    * @throws EbonypondException {@code frame-invalid} if the bytes are not a value of the type
    */
   public static <T> T decode(byte[] bytes, Class<T> type) {
+    checkLengths(bytes);
     try {
       return MAPPER.readValue(bytes, type);
     } catch (IOException e) {
       throw new EbonypondException(e, ErrorCode.FRAME_INVALID, String.valueOf(e.getMessage()));
     }
   }
+
+  /**
+   * Refuses a value that claims more bytes than there are: the parser would allocate them first.
+   */
+  private static void checkLengths(byte[] bytes) {
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+      u.skipValue();
+    } catch (IOException | MessagePackException e) {
+      throw new EbonypondException(e, ErrorCode.FRAME_INVALID, String.valueOf(e.getMessage()));
+    }
+  }
 }
