--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
@@ -55,7 +55,7 @@
     PollNetwork n = new PollNetwork(6, 20, HEADS);
     run(n, SECONDS);
     byte[] content = manyRoutes().getBytes(StandardCharsets.UTF_8);
-    long before = n.entries.get(0).bytes();
+    final long before = n.entries.get(0).bytes();
     n.commit(1, content);
     run(n, SECONDS);
     for (PollNetwork.Entry e : n.entries) {
@@ -185,7 +185,7 @@
 
   /** Guards against instances that count as lost because two replicas cannot reach each other. */
   @Test
-  void heartbeatsReachEveryReplicaOverAThirdOne() {
+  void heartbeatsReachEveryReplicaOverOthers() {
     PollNetwork n = new PollNetwork(3, 3, 0);
     run(n, SECONDS);
     n.cut("10.0.0.1:7000", "10.0.0.3:7000");
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -135,7 +135,7 @@
     FleetPoll p = new FleetPoll("entry", "", 0, -1, 0, 0, true, true, 5, List.of());
     await(
         () -> {
-          s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encode(p), 1_000);
+          s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encodePoll(p), 1_000);
           return s.replica.applied().traffic();
         });
     s.close();
@@ -167,7 +167,7 @@
     for (String name : List.of("nobody", "host.example:7000", "10.0.0.1:x", ":1")) {
       FleetPoll p = new FleetPoll("stranger", name, 0, -1, 0, 0, true, true, 0, List.of());
       CompletableFuture<byte[]> answer =
-          s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encode(p), 200);
+          s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encodePoll(p), 200);
       assertThrows(CompletionException.class, answer::join);
     }
     assertTrue(isCommitted(s));
@@ -176,7 +176,7 @@
   private static FleetPollResult poll(Started s, String entry) {
     FleetPoll p = new FleetPoll(entry, "", 0, -1, 0, 0, true, true, 0, List.of());
     byte[] answer =
-        s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encode(p), 1_000).join();
+        s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encodePoll(p), 1_000).join();
     return PollCodec.decodeResult(answer);
   }
 
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -31,7 +31,7 @@
    * minute.
    */
   @Test
-  void instancesThatLiveOnWithoutAChangeAreKept() {
+  void instancesThatLiveOnUnchangedAreKept() {
     InstanceTable table = new InstanceTable();
     long cursor = 0;
     for (long now = 0; now < 300_000; now += 1_000) {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -137,7 +137,7 @@
     @Override
     public CompletableFuture<byte[]> ask(
         InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
-      String peer = to.getAddress().getHostAddress() + ":" + to.getPort();
+      final String peer = to.getAddress().getHostAddress() + ":" + to.getPort();
       CompletableFuture<byte[]> answer = new CompletableFuture<>();
       if (ended) {
         return answer;
@@ -260,7 +260,7 @@
 
     private byte[] answer(byte[] payload) {
       FleetPoll p = PollCodec.decodePoll(payload);
-      return PollCodec.encode(polls.answer(p, timers.nowMillis()));
+      return PollCodec.encodeResult(polls.answer(p, timers.nowMillis()));
     }
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
@@ -130,7 +130,7 @@
             ask.wantsState(),
             requests.getAsLong(),
             current);
-    byte[] question = PollCodec.encode(q);
+    byte[] question = PollCodec.encodePoll(q);
     InetSocketAddress to = ReplicaDirectory.address(name);
     peers
         .ask(to, FrameType.FLEET_POLL, "", question, TIMEOUT_MILLIS)
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -369,7 +369,7 @@
   private CompletableFuture<byte[]> polled(Frame f) {
     final long since = System.nanoTime();
     FleetPoll p = PollCodec.decodePoll(f.payload());
-    byte[] answer = PollCodec.encode(polls.answer(p, timers.nowMillis()));
+    byte[] answer = PollCodec.encodeResult(polls.answer(p, timers.nowMillis()));
     if (!p.address().isEmpty()) {
       log.discover(p.address());
     }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryPollPlanTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryPollPlanTest.java
@@ -73,7 +73,7 @@
 
   /** Guards against a large configuration that is fetched again while it arrives. */
   @Test
-  void configurationIsFetchedFromOneReplicaAtATime() {
+  void configurationIsFetchedFromOneReplicaOnly() {
     settle();
     String home = String.valueOf(plan.home());
     List<PollPlan.Ask> first = tick();
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -72,16 +72,16 @@
   /** Guards against a field that is lost or swapped on the way. */
   @Test
   void messagesComeBackUnchanged() {
-    assertEquals(POLL, PollCodec.decodePoll(PollCodec.encode(POLL)));
+    assertEquals(POLL, PollCodec.decodePoll(PollCodec.encodePoll(POLL)));
     FleetPollResult r = result();
-    FleetPollResult back = PollCodec.decodeResult(PollCodec.encode(r));
+    FleetPollResult back = PollCodec.decodeResult(PollCodec.encodeResult(r));
     assertArrayEquals(r.state().content(), back.state().content());
     assertEquals(r.state().zonesOut(), back.state().zonesOut());
     assertEquals(withoutState(r), withoutState(back));
     FleetPollResult light =
         new FleetPollResult(
             1, 2, 3, 4, false, null, List.of(), List.of(), null, 1, 0, List.of(), null);
-    assertEquals(light, PollCodec.decodeResult(PollCodec.encode(light)));
+    assertEquals(light, PollCodec.decodeResult(PollCodec.encodeResult(light)));
   }
 
   private static FleetPollResult withoutState(FleetPollResult r) {
@@ -104,7 +104,7 @@
   /** Guards against a process that does not understand one of the next version. */
   @Test
   void fieldsOfLaterVersionsAreSkipped() throws IOException {
-    byte[] known = PollCodec.encode(POLL);
+    byte[] known = PollCodec.encodePoll(POLL);
     try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
       p.packArrayHeader(12);
       p.writePayload(known, 1, known.length - 1);
@@ -118,8 +118,8 @@
   /** Guards against bytes of a stranger that end the process or take its memory. */
   @Test
   void damagedMessagesAreRefused() {
-    damage(PollCodec.encode(POLL), PollCodec::decodePoll);
-    damage(PollCodec.encode(result()), PollCodec::decodeResult);
+    damage(PollCodec.encodePoll(POLL), PollCodec::decodePoll);
+    damage(PollCodec.encodeResult(result()), PollCodec::decodeResult);
   }
 
   private static void damage(byte[] good, Consumer<byte[]> decoder) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -33,7 +33,7 @@
   private PollCodec() {}
 
   /** Encodes a poll. */
-  public static byte[] encode(FleetPoll q) {
+  public static byte[] encodePoll(FleetPoll q) {
     return pack(
         p -> {
           p.packArrayHeader(POLL_FIELDS);
@@ -78,7 +78,7 @@
   }
 
   /** Encodes an answer. */
-  public static byte[] encode(FleetPollResult r) {
+  public static byte[] encodeResult(FleetPollResult r) {
     return pack(
         p -> {
           p.packArrayHeader(RESULT_FIELDS);
