Check the lengths of polls before they are read

PollCodecTest.claimedLengthsAreNotAllocated failed before (Java heap space). The check is the one that all other messages pass.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.util.List;
@@ -122,6 +123,21 @@
     damage(PollCodec.encodeResult(result()), PollCodec::decodeResult);
   }
 
+  /** Guards against an answer that claims a configuration of gigabytes, and takes them. */
+  @Test
+  void claimedLengthsAreNotAllocated() throws IOException {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      p.packArrayHeader(13);
+      for (int i = 0; i < 4; i++) {
+        p.packLong(1);
+      }
+      p.packBoolean(true);
+      p.packBinaryHeader(Integer.MAX_VALUE - 8);
+      byte[] claim = p.toByteArray();
+      assertThrows(EbonypondException.class, () -> PollCodec.decodeResult(claim));
+    }
+  }
+
   private static void damage(byte[] good, Consumer<byte[]> decoder) {
     for (long seed = 1; seed <= COPIES; seed++) {
       byte[] bad = new ByteMutator(seed).damage(good);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -15,10 +15,9 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * The MessagePack form of polls and their answers: an array of fields for each record. It is
- * written out because a process exchanges some hundred of them in a second, mostly before its code
- * is compiled; the general codec took 2 ms for a poll and its answer then. Fields that a later
- * version adds at the end of a message are skipped.
+ * The MessagePack form of polls and their answers. Polls are the most frequent messages between
+ * processes, so each record is an array of its fields in order, without their names. Fields that a
+ * later version adds at the end of a record are skipped.
  */
 public final class PollCodec {
   private static final int POLL_FIELDS = 10;
@@ -324,6 +323,7 @@
   }
 
   private static <T> T unpack(byte[] bytes, Reader<T> reader) {
+    MessagePackCodec.checkLengths(bytes);
     try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
       return reader.read(u);
     } catch (IOException | MessagePackException e) {
--- a/org.ebonypond/src/main/java/org/ebonypond/wire/MessagePackCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/wire/MessagePackCodec.java
@@ -54,9 +54,11 @@
   }
 
   /**
-   * Refuses a value that claims more bytes than there are: the parser would allocate them first.
+   * Refuses a value that claims more bytes than there are: a parser would allocate them first.
+   *
+   * @throws EbonypondException {@code frame-invalid} if it does
    */
-  private static void checkLengths(byte[] bytes) {
+  public static void checkLengths(byte[] bytes) {
     try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
       u.skipValue();
     } catch (IOException | MessagePackException e) {
