Ask a replica again after an answer that cannot be read

Found by reading the change once more. ControlTrafficTest.entriesGoOnAfterDamagedAnswers failed before (an entry stayed at version 0 after 2 s of damaged answers).

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ControlTrafficTest.java
@@ -183,6 +183,19 @@
     assertEquals(0, n.entries.stream().filter(e -> e.instances.size() != 174).count());
   }
 
+  /** Guards against a replica that is never asked again after an answer that cannot be read. */
+  @Test
+  void entriesGoOnAfterDamagedAnswers() {
+    PollNetwork n = new PollNetwork(3, 5, 0);
+    run(n, SECONDS);
+    n.damage(true);
+    run(n, 2);
+    n.damage(false);
+    n.commit(1, new byte[] {1});
+    run(n, 2);
+    n.entries.forEach(e -> assertEquals(1, e.version(), e.name));
+  }
+
   /** Guards against instances that count as lost because two replicas cannot reach each other. */
   @Test
   void heartbeatsReachEveryReplicaOverOthers() {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -49,6 +49,7 @@
   final Map<String, Replica> replicas = new TreeMap<>();
   final List<Entry> entries = new ArrayList<>();
   private final Set<Set<String>> cuts = new HashSet<>();
+  private boolean damaged;
 
   /**
    * Starts processes; they know the first three replicas.
@@ -74,6 +75,11 @@
     cuts.add(Set.of(a, b));
   }
 
+  /** Damages every answer from now on, or none. */
+  void damage(boolean on) {
+    damaged = on;
+  }
+
   /** Ends a replica: nobody reaches it. */
   void end(String replica) {
     replicas.keySet().forEach(r -> cutIfOther(replica, r));
@@ -161,7 +167,7 @@
             bytes += result.length;
             ServingState.Committed s = decode(result).state();
             contents += s != null && s.content().length > 0 ? 1 : 0;
-            answer.complete(result);
+            answer.complete(damaged ? new byte[] {1} : result);
           });
     }
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetFollower.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.fleet.FleetPoll;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.HeadLoad;
@@ -142,7 +143,8 @@
   private void answered(
       PollPlan.Ask ask, int asked, byte @Nullable [] bytes, @Nullable Throwable failure) {
     String name = ask.replica();
-    if (bytes == null) {
+    FleetPollResult r = bytes == null ? null : decode(name, bytes);
+    if (bytes == null || r == null) {
       plan.failed(name);
       if (lost.add(name)) {
         LOG.atWarn()
@@ -158,7 +160,6 @@
     long now = timers.nowMillis();
     lastAnswer = now;
     directory.heard(name, now);
-    FleetPollResult r = PollCodec.decodeResult(bytes);
     plan.answered(name, r, asked + bytes.length, now);
     r.replicas().forEach(n -> directory.learn(n, now));
     if (ask.home()) {
@@ -167,5 +168,14 @@
     results.accept(name, r);
   }
 
+  private static @Nullable FleetPollResult decode(String replica, byte[] bytes) {
+    try {
+      return PollCodec.decodeResult(bytes);
+    } catch (EbonypondException e) {
+      LOG.atWarn().addKeyValue("replica", replica).setCause(e).log("answer cannot be read");
+      return null;
+    }
+  }
+
   private record Position(long boot, long cursor) {}
 }
