Count only late requests towards the late share, and wait until the answer no longer fits

Calls that came back with 3 s left were refused at half of that, a moment before the entry knew the fleet; a model call now waits until its predicted answer no longer fits.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
@@ -130,7 +130,7 @@
     FleetInstance target = selection.target();
     if (target != null) {
       waiting.remove(c);
-      send(c, target.id(), selection.urgency());
+      send(c, target.id(), selection);
       return;
     }
     long waitUntil = c.arrival + Math.min(MAX_WAIT_MILLIS, (c.deadlineAt - c.arrival) / 2);
@@ -197,7 +197,7 @@
         model);
   }
 
-  private void send(Call c, String name, int urgency) {
+  private void send(Call c, String name, TargetSelector.Selection selection) {
     ExperimentGroup g = groups.get(name);
     if (g == null) {
       throw new IllegalStateException("no group " + name);
@@ -207,10 +207,12 @@
     c.group = name;
     c.prefillLeft = c.promptTokens;
     c.lastAt = timers.nowMillis();
-    statsOf(name).started(c.promptTokens, c.lastAt);
+    c.late = selection.late();
+    statsOf(name).started(c.promptTokens, c.late, c.lastAt);
     inFlight.add(c);
     ExperimentGroup.Job job =
-        new ExperimentGroup.Job(urgency, order++, c.promptTokens, c.eventsLeft, new Progress(c));
+        new ExperimentGroup.Job(
+            selection.urgency(), order++, c.promptTokens, c.eventsLeft, new Progress(c));
     c.job = job;
     timers.after(1, () -> submit(c, job, g));
   }
@@ -239,7 +241,7 @@
 
   private void detach(Call c) {
     inFlight.remove(c);
-    statsOf(c.group).ended(c.prefillLeft);
+    statsOf(c.group).ended(c.prefillLeft, c.late);
     c.prefillLeft = 0;
     ExperimentGroup g = groups.get(c.group);
     ExperimentGroup.Job j = c.job;
@@ -261,7 +263,7 @@
       long now = timers.nowMillis();
       InstanceStats s = statsOf(call.group);
       if (call.prefillLeft > 0) {
-        s.prefilled(call.prefillLeft);
+        s.prefilled(call.prefillLeft, call.late);
         call.prefillLeft = 0;
       } else {
         double predicted = cost.passMillis(call.model, s.active(), call.promptTokens);
@@ -307,6 +309,7 @@
     int eventsLeft;
     int sends;
     int prefillLeft;
+    boolean late;
     long firstAt = -1;
     long lastAt;
     long longestGapMillis;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -86,7 +86,7 @@
   /** Deadline of callers that set none, in milliseconds, until the route is known. */
   private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
 
-  /** A call is queued for at most the caller's time to the deadline divided by this. */
+  /** The part of the caller's time that is left for an answer of unknown duration, as a divisor. */
   private static final int WAIT_DIVISOR = 2;
 
   /** How long an interrupted stream waits for a free slot to resume, in milliseconds. */
@@ -216,8 +216,8 @@
 
   /**
    * Queues the call until this process knows more of the fleet, or until a slot is free for a
-   * request that has missed its latency target. The wait is limited to half of the time to the
-   * deadline, so that the rest remains for the answer.
+   * request that has missed its latency target. The wait ends early enough for the answer, see
+   * {@link #waitUntil}.
    *
    * @param capacity the number of calls that may wait
    * @return whether the call is queued; true also if it was queued already
@@ -243,8 +243,20 @@
    */
   private long waitUntil() {
     long from = Math.max(receivedAt, forwarder.queue().configuredAt());
-    long half = receivedAt + (deadlineAt - receivedAt) / WAIT_DIVISOR;
-    return Math.min(from + CallQueue.MAX_WAIT_MILLIS, half);
+    return Math.min(from + CallQueue.MAX_WAIT_MILLIS, deadlineAt - answerMillis());
+  }
+
+  /**
+   * Returns the expected duration of the answer, in milliseconds: that of a model's answer in a
+   * full batch, or the caller's time divided by {@link #WAIT_DIVISOR} if it cannot be predicted.
+   */
+  private long answerMillis() {
+    ModelProfile m = model;
+    EngineCost c = cost;
+    if (m == null || c == null) {
+      return (deadlineAt - receivedAt) / WAIT_DIVISOR;
+    }
+    return Math.round(c.answerMillis(m, c.slots() - 1, head.promptTokens(), head.outputTokens()));
   }
 
   int bodyBytes() {
@@ -339,7 +351,7 @@
             workspace == null ? null : workspace.name(),
             s == null ? head.resumeAfter() : s.lastId(),
             model == null ? -1 : selection.urgency());
-    Attempt a = new Attempt(target, forwarder.stats(target.id()), selection.firstMillis(), now);
+    Attempt a = new Attempt(target, forwarder.stats(target.id()), selection, now);
     current = a;
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
     log.sent(cause, target, selection, d, a.stats, loadOfOthers);
@@ -593,6 +605,7 @@
     final InstanceStats stats;
     final long sentAt;
     final double predictedMillis;
+    private final boolean late;
     private final ByteBuf body = call.body().alloc().buffer();
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private int pendingPrefillTokens = head.promptTokens();
@@ -603,12 +616,15 @@
     private @Nullable HttpHeaders headers;
     @Nullable BackendExchange exchange;
 
-    Attempt(FleetInstance target, InstanceStats stats, double predictedMillis, long now) {
+    Attempt(
+        FleetInstance target, InstanceStats stats, TargetSelector.Selection selection, long now) {
       this.target = target;
-      this.predictedMillis = predictedMillis;
+      this.predictedMillis = selection.firstMillis();
+      // Only a stream shows when its prompt has been processed.
+      this.late = selection.late() && route().kind() == CallKind.STREAM;
       this.stats = stats;
       this.sentAt = now;
-      stats.started(pendingPrefillTokens, now);
+      stats.started(pendingPrefillTokens, late, now);
     }
 
     /** Cancels the attempt by closing its connection, which the backend server notices. */
@@ -625,7 +641,7 @@
         return false;
       }
       closed = true;
-      stats.ended(pendingPrefillTokens);
+      stats.ended(pendingPrefillTokens, late);
       pendingPrefillTokens = 0;
       forwarder.bufferedAnswers().remove(this);
       body.release();
@@ -736,7 +752,7 @@
 
     private void startAnswer(long now) {
       if (pendingPrefillTokens > 0) {
-        stats.prefilled(pendingPrefillTokens);
+        stats.prefilled(pendingPrefillTokens, late);
         pendingPrefillTokens = 0;
       }
       if (!answerStarted) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -52,7 +52,7 @@
       String id, int active, @Nullable InstanceLoad loadOfOthers) {
     InstanceStats s = new InstanceStats();
     for (int i = 0; i < active; i++) {
-      s.started(0, 0);
+      s.started(0, false, 0);
     }
     s.progressed(0);
     return new TargetSelector.Candidate(head(id), s, loadOfOthers);
@@ -108,7 +108,7 @@
       TargetSelector.Selection d = selector.choose(need(8_000, Set.of()), c, COST, 1, 0);
       if (d.target() != null) {
         admitted++;
-        c.get(0).stats().started(1_400, 0);
+        c.get(0).stats().started(1_400, false, 0);
       }
     }
     assertTrue(admitted >= 12 && admitted <= 26, admitted + " admitted");
@@ -155,7 +155,7 @@
         if (d.target() != null) {
           c.stream()
               .filter(g -> g.instance().id().equals(chosen(d)))
-              .forEach(g -> g.stats().started(1_400, 0));
+              .forEach(g -> g.stats().started(1_400, d.late(), 0));
           pendingTokens += 1_400;
         } else {
           assertTrue(d.waitingLimit() > 0, "late requests wait");
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EngineCost.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EngineCost.java
@@ -50,6 +50,19 @@
     return prefillMillis(model, prefillBacklog + promptTokens) + pass + queued * slotMillis;
   }
 
+  /**
+   * Predicts the duration of an answer in milliseconds, without a queue.
+   *
+   * @param active the other requests in flight at the group
+   * @param promptTokens the prompt tokens of the request
+   * @param outputTokens the expected tokens of the answer
+   */
+  public double answerMillis(ModelProfile model, int active, int promptTokens, int outputTokens) {
+    int events = Math.max(1, outputTokens / tokensPerEvent());
+    return prefillMillis(model, promptTokens)
+        + events * passMillis(model, active + 1, promptTokens);
+  }
+
   /** Returns the number of requests that a group processes concurrently. */
   public int slots() {
     return engine.slots();
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
@@ -25,6 +25,7 @@
   private long epoch;
   private int active;
   private int prefillTokens;
+  private int latePrefillTokens;
   private long lastProgress = Long.MIN_VALUE;
   private long suspectUntil = Long.MIN_VALUE;
   private long fullUntil = Long.MIN_VALUE;
@@ -54,28 +55,36 @@
     return epoch;
   }
 
-  /** Records that a request with a number of prompt tokens is sent. */
-  public void started(int tokens, long now) {
+  /**
+   * Records that a request is sent.
+   *
+   * @param tokens the number of its prompt tokens
+   * @param late whether it has missed its latency target already
+   */
+  public void started(int tokens, boolean late, long now) {
     if (active == 0) {
       lastProgress = now;
     }
     active++;
     prefillTokens += tokens;
+    latePrefillTokens += late ? tokens : 0;
   }
 
   /** Records the first event of a request, which shows that its prompt tokens are processed. */
-  public void prefilled(int tokens) {
+  public void prefilled(int tokens, boolean late) {
     prefillTokens -= tokens;
+    latePrefillTokens -= late ? tokens : 0;
   }
 
   /**
    * Records that a request has ended.
    *
    * @param tokensNotPrefilled its prompt tokens; 0 if its first event was recorded
+   * @param late whether it had missed its latency target when it was sent
    */
-  public void ended(int tokensNotPrefilled) {
+  public void ended(int tokensNotPrefilled, boolean late) {
     active--;
-    prefillTokens -= tokensNotPrefilled;
+    prefilled(tokensNotPrefilled, late);
   }
 
   /** Records that bytes arrived. */
@@ -162,6 +171,11 @@
     return Math.max(0, prefillTokens);
   }
 
+  /** Returns the prompt tokens of the requests that were sent late and have no first event. */
+  public int latePrefillTokens() {
+    return Math.max(0, latePrefillTokens);
+  }
+
   /** Returns the time in milliseconds since bytes last arrived; 0 if no request is in flight. */
   public long idleMillis(long now) {
     return active == 0 ? 0 : now - lastProgress;
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -189,13 +189,13 @@
   }
 
   /**
-   * Returns whether this entry may send a late request in addition to its requests without a first
-   * event. Each entry has an equal share, since it learns too late what the others send at the same
-   * moment; one request is always allowed.
+   * Returns whether this entry may send a late request in addition to its late requests without a
+   * first event. Each entry has an equal share, since it learns too late what the others send at
+   * the same moment; one request is always allowed.
    */
   private static boolean isWithinLateShare(
       Need need, EngineCost cost, List<Candidate> groups, int entries) {
-    int pendingTokens = groups.stream().mapToInt(g -> g.stats().prefillTokens()).sum();
+    int pendingTokens = groups.stream().mapToInt(g -> g.stats().latePrefillTokens()).sum();
     double shareMillis = LATE_PREFILL_FRACTION * need.routeTargetMillis() * groups.size() / entries;
     int tokens = pendingTokens + need.promptTokens();
     return pendingTokens == 0 || cost.prefillMillis(need.requireModel(), tokens) <= shareMillis;
@@ -268,6 +268,11 @@
       String reason,
       int waitingLimit,
       long retryAfterMillis) {
+    /** Returns whether the request was admitted although it cannot be on time. */
+    public boolean late() {
+      return urgency == URGENCY_LATE;
+    }
+
     static Selection send(FleetInstance target, int urgency, double firstMillis) {
       return new Selection(target, urgency, firstMillis, 0, "", 0, 0);
     }
