Reject inconsistent messages of the log before they reach its thread

One message that breaks this, from a stranger or a replica of another version, failed the thread of the log, and the process exited as after a corrupt disk. RaftMessageTest.inconsistentMessagesAreRejected failed before.

--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftCodec.java
@@ -61,12 +61,43 @@
   }
 
   /**
-   * Decodes a message.
+   * Decodes a message and checks what a replica relies on. An inconsistent message that reached the
+   * log would end the process.
    *
    * @throws EbonypondException {@code frame-invalid} if the bytes are not a valid message
    */
   public static RaftMessage decodeMessage(byte[] bytes) {
-    return FieldReader.decode(bytes, RaftCodec::readMessage);
+    RaftMessage m = FieldReader.decode(bytes, RaftCodec::readMessage);
+    if (m instanceof RaftMessage.AppendRequest a) {
+      checkEntries(a);
+    } else if (m instanceof RaftMessage.SnapshotRequest s) {
+      checkPart(s);
+    }
+    return m;
+  }
+
+  private static void checkEntries(RaftMessage.AppendRequest a) {
+    long index = a.prevIndex();
+    for (LogEntry e : a.entries()) {
+      index++;
+      if (e.index() != index) {
+        throw new EbonypondException(
+            ErrorCode.FRAME_INVALID, "entry " + e.index() + " at the position of entry " + index);
+      }
+      if (e.type() == EntryType.MEMBERSHIP) {
+        decodeMembership(e.data());
+      }
+    }
+  }
+
+  private static void checkPart(RaftMessage.SnapshotRequest s) {
+    boolean valid =
+        s.offset() >= 0 && s.total() >= 0 && s.part().length <= (long) s.total() - s.offset();
+    if (!valid) {
+      throw new EbonypondException(
+          ErrorCode.FRAME_INVALID,
+          "part of " + s.part().length + " bytes at " + s.offset() + " of " + s.total());
+    }
   }
 
   private static RaftMessage readMessage(FieldReader r) {
