Do not trust a refusal without an identifier on a reused connection

An answer names the request that it answers. A refusal without a name was taken for the current request, even on a connection that had served another one: a late second copy then made the entry repeat a call that must not run twice, or tell its caller that it had not run. On a reused connection such an answer now counts as a possible run. On a new one it can only belong to the call.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -821,6 +821,13 @@
       long now = timers.nowMillis();
       ByteBuf whole = body.retain();
       close();
+      if (!isAnswerToThisRequest(r)) {
+        whole.release();
+        stats.answeredFailure(now);
+        forwarder.metrics().sendFailed(kind(), "no-request-id");
+        onPossiblyRun("no-request-id");
+        return;
+      }
       if (r.notRun()) {
         whole.release();
         onRefused(r, now);
@@ -844,6 +851,15 @@
       call.answer(h, whole);
     }
 
+    /**
+     * Returns whether an answer belongs to this request. One without an identifier may be a late
+     * answer to an earlier request on the connection, which does not tell whether this one ran.
+     */
+    private boolean isAnswerToThisRequest(BackendReply r) {
+      BackendExchange x = exchange;
+      return r.requestId() != null || (x != null && x.isFirstOnConnection());
+    }
+
     private boolean canTryAnother() {
       return possibleRuns + 1 < route().maxInstances()
           && remaining() > MIN_REMAINING_MILLIS
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -28,6 +28,7 @@
   private final UnsolicitedByteLimiter unsolicited = new UnsolicitedByteLimiter();
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange current;
+  private int requests;
   private boolean idle;
   private boolean broken;
   private long idleSince;
@@ -45,7 +46,8 @@
   }
 
   BackendExchange send(HttpRequest head, ByteBuf body, BackendListener listener) {
-    Exchange x = new Exchange(head, body, listener);
+    Exchange x = new Exchange(head, body, listener, requests == 0);
+    requests++;
     current = x;
     idle = false;
     ChannelHandlerContext ctx = context;
@@ -134,6 +136,7 @@
     private final HttpRequest head;
     private final ByteBuf body;
     private final BackendListener listener;
+    private final boolean first;
     private boolean cancelled;
     private boolean written;
     private boolean ended;
@@ -143,7 +146,8 @@
     private boolean interim;
     private @Nullable ChannelFuture writeFuture;
 
-    Exchange(HttpRequest head, ByteBuf body, BackendListener listener) {
+    Exchange(HttpRequest head, ByteBuf body, BackendListener listener, boolean first) {
+      this.first = first;
       this.head = head;
       this.body = body;
       this.listener = listener;
@@ -259,6 +263,11 @@
       }
     }
 
+    @Override
+    public boolean isFirstOnConnection() {
+      return first;
+    }
+
     @Override
     public void setReading(boolean on) {
       ChannelHandlerContext ctx = context;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendExchange.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendExchange.java
@@ -5,6 +5,12 @@
   /** Aborts the request by closing its connection; the listener is not called again. */
   void cancel();
 
+  /**
+   * Returns whether no other request was sent on the connection before, so that every answer on it
+   * belongs to this request.
+   */
+  boolean isFirstOnConnection();
+
   /**
    * Pauses or resumes reading the answer, as backpressure while its consumer is slower than the
    * backend server.
