Answer the pipelined requests that a stopping entry has read

A draining or refusing connection closed after the answer in progress, although it had read further requests: their callers got a closed connection without an answer. It now closes after the last of them, and a malformed request behind others gets its 400. Both cases of ForwardingTest.pipelinedRequestsThatWereReadAreAnswered failed before.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -57,6 +57,10 @@
   private @Nullable HttpRequest head;
   private @Nullable ByteBuf body;
   private boolean refused;
+
+  /** The answer to a malformed request behind pipelined ones, or null if there is none. */
+  private @Nullable HttpResponseStatus pendingRefusal;
+
   private long lastActive;
 
   HttpConnection(
@@ -167,14 +171,18 @@
     }
   }
 
-  /** Rejects a request that cannot be read and closes the connection, after a pending answer. */
+  /** Rejects a request that cannot be read and closes the connection, after the pending answers. */
   private void refuse(HttpResponseStatus status) {
     refused = true;
     releasePartial();
     if (current != null || !waiting.isEmpty()) {
-      // An earlier request is still being answered; the connection closes after its answer.
+      pendingRefusal = status;
       return;
     }
+    writeRefusal(status);
+  }
+
+  private void writeRefusal(HttpResponseStatus status) {
     FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     r.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -381,13 +389,19 @@
       release();
       if (close) {
         written.addListener(ChannelFutureListener.CLOSE);
+      } else if (waiting.isEmpty() && pendingRefusal != null) {
+        writeRefusal(pendingRefusal);
       } else {
         handleNext();
       }
     }
 
+    /**
+     * Returns whether the connection closes after this answer. A stopping process still answers the
+     * pipelined requests that it has read.
+     */
     private boolean closesAfterAnswer() {
-      return !keepAlive || refused || draining.getAsBoolean();
+      return !keepAlive || (draining.getAsBoolean() && waiting.isEmpty() && pendingRefusal == null);
     }
 
     private void setConnection(HttpResponse r) {
