Part ForwardCall by what it decides

Attempt receives the answer of one instance and decides when it has stalled; CallerAnswer holds the state of the answer to the caller across attempts; ForwardCall keeps dispatching, waiting and ending. No decision changes.

--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -0,0 +1,385 @@
+package org.ebonypond.server.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.fleet.FleetInstance;
+import org.ebonypond.forward.EngineCost;
+import org.ebonypond.forward.InstanceStats;
+import org.ebonypond.forward.TargetSelector;
+import org.ebonypond.server.http1.BackendExchange;
+import org.ebonypond.server.http1.BackendListener;
+import org.ebonypond.serving.CallKind;
+import org.ebonypond.serving.ModelProfile;
+import org.ebonypond.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One attempt to run a call on one instance: receives the backend server's answer and forwards it,
+ * or reports to the call why it cannot be used.
+ */
+final class Attempt implements BackendListener {
+  /**
+   * Shortest stall, in milliseconds; a group without progress for longer may have lost a member.
+   */
+  private static final long MIN_STALL_MILLIS = 160;
+
+  /** A stream has stalled after this many forward passes of the engine without an event. */
+  private static final double STALL_PASSES = 4;
+
+  /** A stream without a first event has stalled after this multiple of the predicted time. */
+  private static final double FIRST_EVENT_FACTOR = 1.5;
+
+  /** A stream without a prediction has stalled after this many milliseconds without an event. */
+  private static final long UNPREDICTED_STALL_MILLIS = 1_000;
+
+  /** An idempotent call moves to another instance after this multiple of its latency target. */
+  private static final double SLOW_FACTOR = 2;
+
+  /** Lower bound of the time after which an idempotent call moves, in milliseconds. */
+  private static final long MIN_SLOW_MILLIS = 300;
+
+  private final ForwardCall owner;
+  private final Forwarder forwarder;
+  private final TimerService timers;
+  private final CallerAnswer answer;
+  private final FleetInstance target;
+  private final InstanceStats stats;
+  private final long sentAt;
+  private final double predictedMillis;
+  private final boolean late;
+  private final ByteBuf body;
+  private int pendingPrefillTokens;
+  private boolean closed;
+  private boolean paused;
+  private long lastEventAt;
+  private @Nullable BackendReply reply;
+  private @Nullable HttpHeaders headers;
+  private @Nullable BackendExchange exchange;
+
+  /**
+   * Starts an attempt, which counts as load of the instance from now on.
+   *
+   * @param owner the call
+   * @param answer the answer to the caller, which an earlier attempt may have started
+   * @param target the instance
+   * @param selection why the instance was selected
+   * @param body an empty buffer for an answer that is not a stream; released at the end
+   */
+  Attempt(
+      ForwardCall owner,
+      Forwarder forwarder,
+      CallerAnswer answer,
+      FleetInstance target,
+      TargetSelector.Selection selection,
+      ByteBuf body) {
+    this.owner = owner;
+    this.forwarder = forwarder;
+    this.timers = forwarder.timers();
+    this.answer = answer;
+    this.target = target;
+    this.stats = forwarder.stats(target.id());
+    this.sentAt = timers.nowMillis();
+    this.predictedMillis = selection.firstMillis();
+    this.body = body;
+    this.pendingPrefillTokens = owner.head().promptTokens();
+    // Only a stream shows when its prompt has been processed.
+    this.late = selection.late() && owner.route().kind() == CallKind.STREAM;
+    stats.started(pendingPrefillTokens, late, sentAt);
+  }
+
+  /** Sets the exchange that this attempt listens to. */
+  void sent(BackendExchange x) {
+    exchange = x;
+  }
+
+  FleetInstance target() {
+    return target;
+  }
+
+  InstanceStats stats() {
+    return stats;
+  }
+
+  boolean isPaused() {
+    return paused;
+  }
+
+  /** Continues to read the answer because the caller has read what was written. */
+  void resume() {
+    stats.progressed(timers.nowMillis());
+    setReading(true);
+  }
+
+  /** Cancels the attempt by closing its connection, which the backend server notices. */
+  void stop() {
+    close();
+    BackendExchange x = exchange;
+    if (x != null) {
+      x.cancel();
+    }
+  }
+
+  private boolean close() {
+    if (closed) {
+      return false;
+    }
+    closed = true;
+    stats.ended(pendingPrefillTokens, late);
+    pendingPrefillTokens = 0;
+    forwarder.bufferedAnswers().remove(this);
+    body.release();
+    owner.ended(this);
+    return true;
+  }
+
+  @Override
+  public boolean head(HttpResponse h) {
+    if (closed) {
+      return false;
+    }
+    BackendReply r = forwarder.dialect().decodeReply(h);
+    boolean matches =
+        r.requestId() == null ? !r.isSuccess() : r.requestId().equals(owner.head().id());
+    if (!matches) {
+      owner.log().mismatchedAnswer(target.id(), r.requestId());
+      return false;
+    }
+    reply = r;
+    headers = forwarder.dialect().forwardedHeaders(h);
+    stats.progressed(timers.nowMillis());
+    return true;
+  }
+
+  @Override
+  public void content(ByteBuf bytes) {
+    BackendReply r = reply;
+    if (closed || r == null) {
+      return;
+    }
+    long now = timers.nowMillis();
+    if (isStream(r)) {
+      forwardEvents(bytes, now);
+    } else {
+      stats.progressed(now);
+      buffer(bytes);
+    }
+  }
+
+  private void buffer(ByteBuf bytes) {
+    Attempt evicted = forwarder.bufferedAnswers().add(this, bytes.readableBytes());
+    body.writeBytes(bytes);
+    if (evicted != null) {
+      evicted.discardAnswer("answer-too-large", "the limit of buffered answer bytes is reached");
+    }
+  }
+
+  /**
+   * Discards an answer that cannot be forwarded and records a failure of its instance, which is
+   * then avoided for a while.
+   */
+  private void discardAnswer(String reason, String detail) {
+    stop();
+    stats.failed(timers.nowMillis());
+    forwarder.metrics().sendFailed(owner.kind(), reason);
+    owner.log().sendFailed(target, true, detail);
+    owner.onPossiblyRun(reason);
+  }
+
+  private boolean isStream(BackendReply r) {
+    return owner.route().kind() == CallKind.STREAM && r.isSuccess() && r.signed();
+  }
+
+  private void forwardEvents(ByteBuf bytes, long now) {
+    int eventCount;
+    try {
+      eventCount = answer.feed(ByteBufUtil.getBytes(bytes));
+    } catch (EbonypondException e) {
+      discardAnswer("no-answer", String.valueOf(e.getMessage()));
+      return;
+    }
+    if (eventCount == 0) {
+      // Bytes that complete no event do not count as progress.
+      return;
+    }
+    stats.progressed(now);
+    startAnswer(now);
+    if (lastEventAt > 0) {
+      observePace(now - lastEventAt, eventCount);
+    }
+    lastEventAt = now;
+    answer.writeEvents(now);
+    if (!answer.isWritable()) {
+      setReading(false);
+    }
+  }
+
+  /** Pauses or resumes reading, so that a slow caller exerts backpressure on the backend server. */
+  private void setReading(boolean on) {
+    paused = !on;
+    BackendExchange x = exchange;
+    if (x != null && !closed) {
+      x.setReading(on);
+    }
+  }
+
+  private void startAnswer(long now) {
+    if (pendingPrefillTokens > 0) {
+      stats.prefilled(pendingPrefillTokens, late);
+      pendingPrefillTokens = 0;
+    }
+    if (!answer.isStarted()) {
+      forwarder.metrics().firstOutput(owner.kind(), now - owner.receivedAt());
+      answer.start(answerHead(), now);
+    }
+  }
+
+  private void observePace(long gapMillis, int eventCount) {
+    ModelProfile m = owner.model();
+    EngineCost c = owner.cost();
+    if (m != null && c != null) {
+      double predicted = c.passMillis(m, stats.active(), owner.head().promptTokens());
+      stats.recordPace((double) gapMillis / eventCount, predicted, timers.nowMillis());
+    }
+  }
+
+  private HttpResponse answerHead() {
+    BackendReply r = reply;
+    HttpHeaders h = headers;
+    if (r == null || h == null) {
+      throw new IllegalStateException("no answer has arrived");
+    }
+    return new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(r.status()), h);
+  }
+
+  @Override
+  public void end() {
+    BackendReply r = reply;
+    if (closed || r == null) {
+      return;
+    }
+    if (isStream(r)) {
+      endStream(r);
+    } else {
+      endWhole(r);
+    }
+  }
+
+  private void endStream(BackendReply r) {
+    if (answer.hasPartialEvent()) {
+      close();
+      stats.failed(timers.nowMillis());
+      forwarder.metrics().sendFailed(owner.kind(), "unfinished-event");
+      owner.onPossiblyRun("unfinished-event");
+      return;
+    }
+    startAnswer(timers.nowMillis());
+    answer.finishEvents();
+    close();
+    owner.completed(this, r.status());
+    answer.end();
+  }
+
+  private void endWhole(BackendReply r) {
+    long now = timers.nowMillis();
+    ByteBuf whole = body.retain();
+    close();
+    if (!isAnswerToThisRequest(r)) {
+      whole.release();
+      stats.answeredFailure(now);
+      forwarder.metrics().sendFailed(owner.kind(), "no-request-id");
+      owner.onPossiblyRun("no-request-id");
+      return;
+    }
+    if (r.notRun()) {
+      whole.release();
+      onRefused(r, now);
+      return;
+    }
+    boolean unsignedSuccess = r.isSuccess() && !r.signed();
+    boolean failed = r.status() >= 500 && owner.route().idempotent();
+    if (unsignedSuccess || answer.isStarted() || (failed && owner.canTryAnother())) {
+      whole.release();
+      stats.answeredFailure(now);
+      forwarder.metrics().sendFailed(owner.kind(), "status-" + r.status());
+      owner.onPossiblyRun(unsignedSuccess ? "unsigned" : "failed-" + r.status());
+      return;
+    }
+    forwarder.metrics().firstOutput(owner.kind(), now - owner.receivedAt());
+    HttpResponse h = answerHead();
+    if (r.status() >= 500) {
+      stats.answeredFailure(now);
+    }
+    owner.completed(this, r.status());
+    answer.answerWhole(h, whole);
+  }
+
+  /**
+   * Returns whether an answer belongs to this request. One without an identifier may be a late
+   * answer to an earlier request on the connection, which does not tell whether this one ran.
+   */
+  private boolean isAnswerToThisRequest(BackendReply r) {
+    BackendExchange x = exchange;
+    return r.requestId() != null || (x != null && x.isFirstOnConnection());
+  }
+
+  private void onRefused(BackendReply r, long now) {
+    boolean full = r.status() == 503 && r.blockingInstance() == null;
+    if (full) {
+      stats.recordFull(now);
+    } else {
+      stats.failed(now);
+    }
+    forwarder.metrics().sendFailed(owner.kind(), full ? "full" : "refused-" + r.status());
+    owner.log().backendRefused(target.id(), r);
+    owner.onNotRun(full ? "full" : "refused", true);
+  }
+
+  @Override
+  public void failed(boolean sent, String reason) {
+    if (!close()) {
+      return;
+    }
+    long now = timers.nowMillis();
+    stats.failed(now);
+    forwarder.metrics().sendFailed(owner.kind(), sent ? "cut" : "connect");
+    owner.log().sendFailed(target, sent, reason);
+    if (sent) {
+      owner.onPossiblyRun("cut");
+    } else {
+      owner.onNotRun("connect", false);
+    }
+  }
+
+  /**
+   * Returns whether this attempt has made no progress for so long that its group may have lost a
+   * member.
+   */
+  boolean isStalled(long now) {
+    if (paused) {
+      return false;
+    }
+    if (owner.route().kind() == CallKind.STREAM) {
+      long limit = stallMillis(now);
+      return now - sentAt > limit && stats.idleMillis(now) > limit;
+    }
+    double slow = Math.max(MIN_SLOW_MILLIS, SLOW_FACTOR * owner.route().targetMillis());
+    return now - sentAt > slow && reply == null;
+  }
+
+  private long stallMillis(long now) {
+    ModelProfile m = owner.model();
+    EngineCost c = owner.cost();
+    if (m == null || c == null) {
+      return UNPREDICTED_STALL_MILLIS;
+    }
+    double pass = c.passMillis(m, c.slots(), owner.head().promptTokens()) * stats.slowness(now);
+    double limit = Math.max(MIN_STALL_MILLIS, STALL_PASSES * pass);
+    return (long) (lastEventAt > 0 ? limit : limit + FIRST_EVENT_FACTOR * predictedMillis);
+  }
+}
--- /dev/null
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
@@ -0,0 +1,104 @@
+package org.ebonypond.server.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import org.ebonypond.forward.EventSplitter;
+import org.ebonypond.server.http1.HttpCall;
+
+/**
+ * The answer to a caller while it is written. A stream may come from several instances in turn:
+ * each continues after the last complete event.
+ */
+final class CallerAnswer {
+  private final HttpCall call;
+  private final EventSplitter splitter;
+  private final ByteArrayOutputStream events = new ByteArrayOutputStream();
+  private boolean started;
+  private long firstOutputAt;
+  private long lastWriteAt;
+  private long longestGapMillis;
+
+  /**
+   * Creates an answer that is not started.
+   *
+   * @param resumeAfter the identifier of the last event that the caller has already; may be empty
+   */
+  CallerAnswer(HttpCall call, String resumeAfter) {
+    this.call = call;
+    this.splitter = new EventSplitter(resumeAfter);
+  }
+
+  boolean isStarted() {
+    return started;
+  }
+
+  long firstOutputAt() {
+    return firstOutputAt;
+  }
+
+  /** Returns the longest time between two writes of a stream, in milliseconds. */
+  long longestGapMillis() {
+    return longestGapMillis;
+  }
+
+  /** Returns the identifier of the last complete event; may be empty. */
+  String lastId() {
+    return splitter.lastId();
+  }
+
+  boolean hasPartialEvent() {
+    return splitter.hasPartialEvent();
+  }
+
+  void dropPartialEvent() {
+    splitter.dropPartialEvent();
+  }
+
+  /** Sends the head of a stream. */
+  void start(HttpResponse head, long now) {
+    started = true;
+    firstOutputAt = now;
+    call.start(head);
+  }
+
+  /**
+   * Takes bytes of a stream; returns the number of events that they complete.
+   *
+   * @throws org.ebonypond.errors.EbonypondException if they are no valid events
+   */
+  int feed(byte[] bytes) {
+    events.reset();
+    return splitter.feed(bytes, events);
+  }
+
+  /** Writes the events that the last bytes completed. */
+  void writeEvents(long now) {
+    longestGapMillis = lastWriteAt == 0 ? 0 : Math.max(longestGapMillis, now - lastWriteAt);
+    lastWriteAt = now;
+    call.writeContent(Unpooled.wrappedBuffer(events.toByteArray()));
+  }
+
+  /** Writes what follows the last event of a complete stream. */
+  void finishEvents() {
+    events.reset();
+    splitter.finish(events);
+    if (events.size() > 0) {
+      call.writeContent(Unpooled.wrappedBuffer(events.toByteArray()));
+    }
+  }
+
+  void end() {
+    call.end();
+  }
+
+  /** Sends an answer that is no stream. */
+  void answerWhole(HttpResponse head, ByteBuf body) {
+    call.answer(head, body);
+  }
+
+  boolean isWritable() {
+    return call.isWritable();
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -1,31 +1,19 @@
 package org.ebonypond.server.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Set;
-import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.EngineCost;
-import org.ebonypond.forward.EventSplitter;
-import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.TargetSelector;
 import org.ebonypond.forward.WaitingOrder;
 import org.ebonypond.server.fleet.ReplicaDirectory;
-import org.ebonypond.server.http1.BackendExchange;
-import org.ebonypond.server.http1.BackendListener;
 import org.ebonypond.server.http1.HttpCall;
-import org.ebonypond.serving.CallKind;
 import org.ebonypond.serving.ModelProfile;
 import org.ebonypond.serving.RouteRule;
 import org.ebonypond.serving.ServiceProfile;
@@ -42,26 +30,6 @@
   /** After this many refusals by backend servers, the next one ends the call. */
   private static final int MAX_REFUSALS = 3;
 
-  /**
-   * Shortest stall, in milliseconds; a group without progress for longer may have lost a member.
-   */
-  private static final long MIN_STALL_MILLIS = 160;
-
-  /** A stream has stalled after this many forward passes of the engine without an event. */
-  private static final double STALL_PASSES = 4;
-
-  /** A stream without a first event has stalled after this multiple of the predicted time. */
-  private static final double FIRST_EVENT_FACTOR = 1.5;
-
-  /** A stream without a prediction has stalled after this many milliseconds without an event. */
-  private static final long UNPREDICTED_STALL_MILLIS = 1_000;
-
-  /** An idempotent call moves to another instance after this multiple of its latency target. */
-  private static final double SLOW_FACTOR = 2;
-
-  /** Lower bound of the time after which an idempotent call moves, in milliseconds. */
-  private static final long MIN_SLOW_MILLIS = 300;
-
   /** A request whose deadline is closer than this, in milliseconds, is not sent again. */
   private static final long MIN_REMAINING_MILLIS = 100;
 
@@ -102,6 +70,7 @@
   private final long receivedAt;
   private final int bodyBytes;
   private final RequestLog log;
+  private final CallerAnswer answer;
   private final Set<String> tried = new HashSet<>();
 
   private @Nullable RouteRule route;
@@ -115,16 +84,11 @@
   private TargetSelector.@Nullable Selection rejection;
   private long deadlineAt;
   private @Nullable Attempt current;
-  private @Nullable EventSplitter splitter;
   private int possibleRuns;
   private int refusals;
   private int sends;
   private boolean mayHaveRun;
-  private boolean answerStarted;
   private boolean done;
-  private long firstOutputAt;
-  private long lastWriteAt;
-  private long longestGapMillis;
 
   ForwardCall(Forwarder forwarder, HttpCall call, CallHead head) {
     this.forwarder = forwarder;
@@ -134,6 +98,7 @@
     this.receivedAt = timers.nowMillis();
     this.bodyBytes = call.body().readableBytes();
     this.log = new RequestLog(head.id(), timers, receivedAt);
+    this.answer = new CallerAnswer(call, head.resumeAfter());
   }
 
   void start() {
@@ -227,7 +192,7 @@
     if (waitLimit != null) {
       return true;
     }
-    long waitUntil = answerStarted ? now + RESUME_WAIT_MILLIS : waitUntil();
+    long waitUntil = answer.isStarted() ? now + RESUME_WAIT_MILLIS : waitUntil();
     if (waitUntil <= now || !forwarder.queue().add(this, capacity, now)) {
       return false;
     }
@@ -288,7 +253,7 @@
   }
 
   private void onWaitTimeout() {
-    long left = answerStarted ? 0 : waitUntil() - timers.nowMillis();
+    long left = answer.isStarted() ? 0 : waitUntil() - timers.nowMillis();
     if (!done && left > 0) {
       waitLimit = timers.after(left, this::onWaitTimeout);
       return;
@@ -314,7 +279,7 @@
             head.promptTokens(),
             head.outputTokens(),
             deadlineAt - now,
-            answerStarted ? deadlineAt - now : targetMillis,
+            answer.isStarted() ? deadlineAt - now : targetMillis,
             route().targetMillis(),
             tried);
     EngineCost c = model == null ? null : cost;
@@ -339,25 +304,23 @@
     long now = timers.nowMillis();
     forwarder.guard().sent(target.id(), now);
     forwarder.metrics().sent(kind(), cause);
-    EventSplitter s = splitter;
-    if (s != null) {
-      // The next instance resumes after the last complete event.
-      s.dropPartialEvent();
-    }
+    // The next instance resumes after the last complete event.
+    answer.dropPartialEvent();
     Dispatch d =
         new Dispatch(
             target.id(),
             Math.max(1, deadlineAt - now),
             workspace == null ? null : workspace.name(),
-            s == null ? head.resumeAfter() : s.lastId(),
+            answer.lastId(),
             model == null ? -1 : selection.urgency());
-    Attempt a = new Attempt(target, forwarder.stats(target.id()), selection, now);
+    ByteBuf buffer = call.body().alloc().buffer();
+    Attempt a = new Attempt(this, forwarder, answer, target, selection, buffer);
     current = a;
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
-    log.sent(cause, target, selection, d, a.stats, loadOfOthers);
+    log.sent(cause, target, selection, d, a.stats(), loadOfOthers);
     InetSocketAddress to = ReplicaDirectory.address(target.address());
     long maxIdle = route().idempotent() ? Long.MAX_VALUE : MAX_IDLE_MILLIS;
-    a.exchange =
+    a.sent(
         forwarder
             .pool()
             .send(
@@ -366,51 +329,32 @@
                 forwarder.dialect().encode(call, d),
                 call.body().retainedDuplicate(),
                 maxIdle,
-                a);
+                a));
   }
 
   /** Moves a stalled request to another instance if one can take it. */
   void checkProgress(long now) {
     Attempt a = current;
     RouteRule r = route;
-    if (a == null || r == null || done || a.paused || !r.idempotent()) {
+    if (a == null || r == null || done || !r.idempotent()) {
       return;
     }
-    boolean stalled;
-    if (r.kind() == CallKind.STREAM) {
-      long limit = stallMillis(a, now);
-      stalled = now - a.sentAt > limit && a.stats.idleMillis(now) > limit;
-    } else {
-      double slow = Math.max(MIN_SLOW_MILLIS, SLOW_FACTOR * r.targetMillis());
-      stalled = now - a.sentAt > slow && a.reply == null;
-    }
-    if (!stalled || !mayRetry(a)) {
+    if (!a.isStalled(now) || !mayRunElsewhere()) {
       return;
     }
     TargetSelector.Selection selection = choose();
     if (selection.target() == null || !tryRetry()) {
       return;
     }
-    log.moved("stalled", a.target.id(), sends);
+    log.moved("stalled", a.target().id(), sends);
     a.stop();
-    a.stats.failed(now);
+    a.stats().failed(now);
     mayHaveRun = true;
     possibleRuns++;
     send(selection, "stalled");
   }
 
-  private long stallMillis(Attempt a, long now) {
-    ModelProfile m = model;
-    EngineCost c = cost;
-    if (m == null || c == null) {
-      return UNPREDICTED_STALL_MILLIS;
-    }
-    double pass = c.passMillis(m, c.slots(), head.promptTokens()) * a.stats.slowness(now);
-    double limit = Math.max(MIN_STALL_MILLIS, STALL_PASSES * pass);
-    return (long) (a.lastEventAt > 0 ? limit : limit + FIRST_EVENT_FACTOR * a.predictedMillis);
-  }
-
-  private boolean mayRetry(Attempt a) {
+  private boolean mayRunElsewhere() {
     return possibleRuns + 1 < route().maxInstances() && remaining() > MIN_REMAINING_MILLIS;
   }
 
@@ -430,7 +374,7 @@
    * @param reachedBackend whether a backend server refused it; a retry then counts against the
    *     retry allowance
    */
-  private void onNotRun(String reason, boolean reachedBackend) {
+  void onNotRun(String reason, boolean reachedBackend) {
     refusals++;
     boolean retry =
         refusals <= MAX_REFUSALS
@@ -444,7 +388,7 @@
   }
 
   /** Retries or gives up after an attempt that may have run, or has run in part. */
-  private void onPossiblyRun(String reason) {
+  void onPossiblyRun(String reason) {
     mayHaveRun = true;
     possibleRuns++;
     boolean retry =
@@ -460,7 +404,7 @@
   }
 
   private void giveUp(String reason, long retryAfterMillis) {
-    if (answerStarted) {
+    if (answer.isStarted()) {
       log.brokenOff(route().name(), reason, sends);
       forwarder.metrics().ended(kind(), "broken-off", reason, timers.nowMillis() - receivedAt);
       cleanUp();
@@ -485,7 +429,7 @@
       a.stop();
       mayHaveRun = true;
     }
-    if (answerStarted) {
+    if (answer.isStarted()) {
       giveUp("deadline", 0);
     } else if (mayHaveRun) {
       refuse(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", 0);
@@ -496,9 +440,8 @@
 
   private void onCallerWritable() {
     Attempt a = current;
-    if (a != null && a.paused) {
-      a.stats.progressed(timers.nowMillis());
-      a.setReading(true);
+    if (a != null && a.isPaused()) {
+      a.resume();
     }
   }
 
@@ -510,7 +453,7 @@
     if (a != null) {
       a.stop();
     }
-    log.cancelled("caller-left", a == null ? "" : a.target.id(), sends);
+    log.cancelled("caller-left", a == null ? "" : a.target().id(), sends);
     forwarder.metrics().ended(kind(), "cancelled", "caller-left", timers.nowMillis() - receivedAt);
     cleanUp();
   }
@@ -566,24 +509,64 @@
     forwarder.closed(this);
   }
 
-  private void completed(Attempt a, int status) {
+  /** Ends the call because an attempt has an answer to it. */
+  void completed(Attempt a, int status) {
     long now = timers.nowMillis();
-    a.stats.succeeded(now);
-    long first = firstOutputAt == 0 ? now : firstOutputAt;
+    a.stats().succeeded(now);
+    long first = answer.isStarted() ? answer.firstOutputAt() : now;
     log.answered(
-        route().name(), a.target.id(), status, sends, first - receivedAt, longestGapMillis);
+        route().name(),
+        a.target().id(),
+        status,
+        sends,
+        first - receivedAt,
+        answer.longestGapMillis());
     forwarder
         .metrics()
         .ended(kind(), "answered", "status-" + status / 100 + "xx", now - receivedAt);
     cleanUp();
   }
 
-  private String kind() {
+  /** Records that an attempt has ended. */
+  void ended(Attempt a) {
+    if (current == a) {
+      current = null;
+    }
+  }
+
+  CallHead head() {
+    return head;
+  }
+
+  RequestLog log() {
+    return log;
+  }
+
+  long receivedAt() {
+    return receivedAt;
+  }
+
+  @Nullable ModelProfile model() {
+    return model;
+  }
+
+  @Nullable EngineCost cost() {
+    return cost;
+  }
+
+  /** Returns whether another instance could take the call now, after a failure of this one. */
+  boolean canTryAnother() {
+    return mayRunElsewhere() && choose().target() != null;
+  }
+
+  /** Returns the kind of the call as a label of metrics. */
+  String kind() {
     RouteRule r = route;
     return r == null ? "unknown" : r.kind().name().toLowerCase(Locale.ROOT);
   }
 
-  private RouteRule route() {
+  /** Returns the route; an attempt exists only after it is known. */
+  RouteRule route() {
     RouteRule r = route;
     if (r == null) {
       throw new IllegalStateException("the request has no route");
@@ -598,300 +581,4 @@
     }
     return s;
   }
-
-  /** One attempt to run the request on one instance. */
-  final class Attempt implements BackendListener {
-    final FleetInstance target;
-    final InstanceStats stats;
-    final long sentAt;
-    final double predictedMillis;
-    private final boolean late;
-    private final ByteBuf body = call.body().alloc().buffer();
-    private final ByteArrayOutputStream events = new ByteArrayOutputStream();
-    private int pendingPrefillTokens = head.promptTokens();
-    private boolean closed;
-    private boolean paused;
-    private long lastEventAt;
-    private @Nullable BackendReply reply;
-    private @Nullable HttpHeaders headers;
-    @Nullable BackendExchange exchange;
-
-    Attempt(
-        FleetInstance target, InstanceStats stats, TargetSelector.Selection selection, long now) {
-      this.target = target;
-      this.predictedMillis = selection.firstMillis();
-      // Only a stream shows when its prompt has been processed.
-      this.late = selection.late() && route().kind() == CallKind.STREAM;
-      this.stats = stats;
-      this.sentAt = now;
-      stats.started(pendingPrefillTokens, late, now);
-    }
-
-    /** Cancels the attempt by closing its connection, which the backend server notices. */
-    void stop() {
-      close();
-      BackendExchange x = exchange;
-      if (x != null) {
-        x.cancel();
-      }
-    }
-
-    private boolean close() {
-      if (closed) {
-        return false;
-      }
-      closed = true;
-      stats.ended(pendingPrefillTokens, late);
-      pendingPrefillTokens = 0;
-      forwarder.bufferedAnswers().remove(this);
-      body.release();
-      if (current == this) {
-        current = null;
-      }
-      return true;
-    }
-
-    @Override
-    public boolean head(HttpResponse h) {
-      if (closed) {
-        return false;
-      }
-      BackendReply r = forwarder.dialect().decodeReply(h);
-      boolean matches = r.requestId() == null ? !r.isSuccess() : r.requestId().equals(head.id());
-      if (!matches) {
-        log.mismatchedAnswer(target.id(), r.requestId());
-        return false;
-      }
-      reply = r;
-      headers = forwarder.dialect().forwardedHeaders(h);
-      stats.progressed(timers.nowMillis());
-      return true;
-    }
-
-    @Override
-    public void content(ByteBuf bytes) {
-      BackendReply r = reply;
-      if (closed || r == null) {
-        return;
-      }
-      long now = timers.nowMillis();
-      if (isStream(r)) {
-        forwardEvents(bytes, now);
-      } else {
-        stats.progressed(now);
-        buffer(bytes);
-      }
-    }
-
-    private void buffer(ByteBuf bytes) {
-      Attempt evicted = forwarder.bufferedAnswers().add(this, bytes.readableBytes());
-      body.writeBytes(bytes);
-      if (evicted != null) {
-        evicted.discardAnswer("answer-too-large", "the limit of buffered answer bytes is reached");
-      }
-    }
-
-    /**
-     * Discards an answer that cannot be forwarded and records a failure of its instance, which is
-     * then avoided for a while.
-     */
-    private void discardAnswer(String reason, String detail) {
-      stop();
-      stats.failed(timers.nowMillis());
-      forwarder.metrics().sendFailed(kind(), reason);
-      log.sendFailed(target, true, detail);
-      onPossiblyRun(reason);
-    }
-
-    private boolean isStream(BackendReply r) {
-      return route().kind() == CallKind.STREAM && r.isSuccess() && r.signed();
-    }
-
-    private void forwardEvents(ByteBuf bytes, long now) {
-      EventSplitter s = splitter;
-      if (s == null) {
-        s = new EventSplitter(head.resumeAfter());
-        splitter = s;
-      }
-      events.reset();
-      int eventCount;
-      try {
-        eventCount = s.feed(ByteBufUtil.getBytes(bytes), events);
-      } catch (EbonypondException e) {
-        discardAnswer("no-answer", String.valueOf(e.getMessage()));
-        return;
-      }
-      if (eventCount == 0) {
-        // Bytes that complete no event do not count as progress.
-        return;
-      }
-      stats.progressed(now);
-      startAnswer(now);
-      if (lastEventAt > 0) {
-        observePace(now - lastEventAt, eventCount);
-      }
-      lastEventAt = now;
-      longestGapMillis = lastWriteAt == 0 ? 0 : Math.max(longestGapMillis, now - lastWriteAt);
-      lastWriteAt = now;
-      call.writeContent(Unpooled.wrappedBuffer(events.toByteArray()));
-      if (!call.isWritable()) {
-        setReading(false);
-      }
-    }
-
-    /**
-     * Pauses or resumes reading, so that a slow caller exerts backpressure on the backend server.
-     */
-    private void setReading(boolean on) {
-      paused = !on;
-      BackendExchange x = exchange;
-      if (x != null && !closed) {
-        x.setReading(on);
-      }
-    }
-
-    private void startAnswer(long now) {
-      if (pendingPrefillTokens > 0) {
-        stats.prefilled(pendingPrefillTokens, late);
-        pendingPrefillTokens = 0;
-      }
-      if (!answerStarted) {
-        answerStarted = true;
-        firstOutputAt = now;
-        forwarder.metrics().firstOutput(kind(), now - receivedAt);
-        call.start(answerHead());
-      }
-    }
-
-    private void observePace(long gapMillis, int eventCount) {
-      ModelProfile m = model;
-      EngineCost c = cost;
-      if (m != null && c != null) {
-        double predicted = c.passMillis(m, stats.active(), head.promptTokens());
-        stats.recordPace((double) gapMillis / eventCount, predicted, timers.nowMillis());
-      }
-    }
-
-    private HttpResponse answerHead() {
-      BackendReply r = reply;
-      HttpHeaders h = headers;
-      if (r == null || h == null) {
-        throw new IllegalStateException("no answer has arrived");
-      }
-      return new DefaultHttpResponse(
-          HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(r.status()), h);
-    }
-
-    @Override
-    public void end() {
-      BackendReply r = reply;
-      if (closed || r == null) {
-        return;
-      }
-      if (isStream(r)) {
-        endStream(r);
-      } else {
-        endWhole(r);
-      }
-    }
-
-    private void endStream(BackendReply r) {
-      EventSplitter s = splitter;
-      if (s != null && s.hasPartialEvent()) {
-        close();
-        stats.failed(timers.nowMillis());
-        forwarder.metrics().sendFailed(kind(), "unfinished-event");
-        onPossiblyRun("unfinished-event");
-        return;
-      }
-      startAnswer(timers.nowMillis());
-      if (s != null) {
-        events.reset();
-        s.finish(events);
-        if (events.size() > 0) {
-          call.writeContent(Unpooled.wrappedBuffer(events.toByteArray()));
-        }
-      }
-      close();
-      completed(this, r.status());
-      call.end();
-    }
-
-    private void endWhole(BackendReply r) {
-      long now = timers.nowMillis();
-      ByteBuf whole = body.retain();
-      close();
-      if (!isAnswerToThisRequest(r)) {
-        whole.release();
-        stats.answeredFailure(now);
-        forwarder.metrics().sendFailed(kind(), "no-request-id");
-        onPossiblyRun("no-request-id");
-        return;
-      }
-      if (r.notRun()) {
-        whole.release();
-        onRefused(r, now);
-        return;
-      }
-      boolean unsignedSuccess = r.isSuccess() && !r.signed();
-      boolean failed = r.status() >= 500 && route().idempotent();
-      if (unsignedSuccess || answerStarted || (failed && canTryAnother())) {
-        whole.release();
-        stats.answeredFailure(now);
-        forwarder.metrics().sendFailed(kind(), "status-" + r.status());
-        onPossiblyRun(unsignedSuccess ? "unsigned" : "failed-" + r.status());
-        return;
-      }
-      forwarder.metrics().firstOutput(kind(), now - receivedAt);
-      HttpResponse h = answerHead();
-      if (r.status() >= 500) {
-        stats.answeredFailure(now);
-      }
-      completed(this, r.status());
-      call.answer(h, whole);
-    }
-
-    /**
-     * Returns whether an answer belongs to this request. One without an identifier may be a late
-     * answer to an earlier request on the connection, which does not tell whether this one ran.
-     */
-    private boolean isAnswerToThisRequest(BackendReply r) {
-      BackendExchange x = exchange;
-      return r.requestId() != null || (x != null && x.isFirstOnConnection());
-    }
-
-    private boolean canTryAnother() {
-      return possibleRuns + 1 < route().maxInstances()
-          && remaining() > MIN_REMAINING_MILLIS
-          && choose().target() != null;
-    }
-
-    private void onRefused(BackendReply r, long now) {
-      boolean full = r.status() == 503 && r.blockingInstance() == null;
-      if (full) {
-        stats.recordFull(now);
-      } else {
-        stats.failed(now);
-      }
-      forwarder.metrics().sendFailed(kind(), full ? "full" : "refused-" + r.status());
-      log.backendRefused(target.id(), r);
-      onNotRun(full ? "full" : "refused", true);
-    }
-
-    @Override
-    public void failed(boolean sent, String reason) {
-      if (!close()) {
-        return;
-      }
-      long now = timers.nowMillis();
-      stats.failed(now);
-      forwarder.metrics().sendFailed(kind(), sent ? "cut" : "connect");
-      log.sendFailed(target, sent, reason);
-      if (sent) {
-        onPossiblyRun("cut");
-      } else {
-        onNotRun("connect", false);
-      }
-    }
-  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -48,7 +48,7 @@
   private final ForwardMetrics metrics;
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
-  private final BufferedAnswers<ForwardCall.Attempt> bufferedAnswers = new BufferedAnswers<>();
+  private final BufferedAnswers<Attempt> bufferedAnswers = new BufferedAnswers<>();
   private final CallQueue queue;
   private long received;
   private boolean refusing;
@@ -207,7 +207,7 @@
     calls.remove(c);
   }
 
-  BufferedAnswers<ForwardCall.Attempt> bufferedAnswers() {
+  BufferedAnswers<Attempt> bufferedAnswers() {
     return bufferedAnswers;
   }
 
