--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -515,12 +515,7 @@
     a.stats().succeeded(now);
     long first = answer.isStarted() ? answer.firstOutputAt() : now;
     log.answered(
-        route().name(),
-        a.target().id(),
-        status,
-        sends,
-        first - receivedAt,
-        answer.longestGapMillis());
+        route(), a.target().id(), status, sends, first - receivedAt, answer.longestGapMillis());
     forwarder
         .metrics()
         .ended(kind(), "answered", "status-" + status / 100 + "xx", now - receivedAt);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -5,6 +5,7 @@
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.TargetSelector;
+import org.ebonypond.serving.RouteRule;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -142,19 +143,21 @@
   }
 
   void answered(
-      String route,
+      RouteRule route,
       String instance,
       int status,
       int sends,
       long firstMillis,
       long longestGapMillis) {
     event()
-        .addKeyValue("route", route)
+        .addKeyValue("route", route.name())
         .addKeyValue("instance", instance)
         .addKeyValue("status", status)
         .addKeyValue("sends", sends)
         .addKeyValue("first_ms", firstMillis)
+        .addKeyValue("target_ms", route.targetMillis())
         .addKeyValue("longest_gap_ms", longestGapMillis)
+        .addKeyValue("gap_target_ms", route.maxGapMillis())
         .addKeyValue("took_ms", tookMillis())
         .log("request answered");
   }
