Log the parts of the prompt of a failed attempt, and whether its answer had begun

The lines of an entry could not tell the request that ended an instance from those beside it: all say "connection closed". With the parts, the hypotheses of docs/incidents/poison-prompt-part.md can be told apart.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -187,10 +187,14 @@
     stop();
     stats.failed(timers.nowMillis());
     forwarder.metrics().sendFailed(owner.kind(), reason);
-    owner.log().sendFailed(target, true, detail);
+    logFailure(true, detail);
     owner.onPossiblyRun(reason);
   }
 
+  private void logFailure(boolean sent, String cause) {
+    owner.log().sendFailed(target, sent, lastEventAt > 0, owner.head().sharedParts(), cause);
+  }
+
   private boolean isStream(BackendReply r) {
     return owner.route().kind() == CallKind.STREAM && r.isSuccess() && r.signed();
   }
@@ -348,7 +352,7 @@
     long now = timers.nowMillis();
     stats.failed(now);
     forwarder.metrics().sendFailed(owner.kind(), sent ? "cut" : "connect");
-    owner.log().sendFailed(target, sent, reason);
+    logFailure(sent, reason);
     if (sent) {
       owner.onPossiblyRun("cut");
     } else {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallHead.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallHead.java
@@ -1,5 +1,6 @@
 package org.ebonypond.server.forward;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,6 +17,8 @@
  * @param hintedTokens the caller's estimate of the number of tokens of the answer; 0 if there is
  *     none
  * @param resumeAfter the identifier of the last event that the caller received, or an empty string
+ * @param sharedParts the identifiers of the prompt's parts that other requests may share; the last
+ *     part, which belongs to this request or its session, is not among them
  */
 public record CallHead(
     String id,
@@ -27,7 +30,8 @@
     int promptTokens,
     int maxOutputTokens,
     int hintedTokens,
-    String resumeAfter) {
+    String resumeAfter,
+    List<Long> sharedParts) {
   /** Returns the expected number of tokens of the answer. */
   public int outputTokens() {
     return hintedTokens > 0 ? Math.min(hintedTokens, maxOutputTokens) : maxOutputTokens;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -1,5 +1,6 @@
 package org.ebonypond.server.forward;
 
+import java.util.List;
 import java.util.Set;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.InstanceLoad;
@@ -97,11 +98,20 @@
         .log("backend server refused a request");
   }
 
-  void sendFailed(FleetInstance target, boolean sent, String cause) {
+  /**
+   * Logs an attempt that failed.
+   *
+   * @param began whether the instance had begun to write an answer
+   * @param parts the parts of the prompt that other requests may share
+   */
+  void sendFailed(
+      FleetInstance target, boolean sent, boolean began, List<Long> parts, String cause) {
     event()
         .addKeyValue("instance", target.id())
         .addKeyValue("address", target.address())
         .addKeyValue("sent", sent)
+        .addKeyValue("began", began)
+        .addKeyValue("parts", parts.stream().map(Long::toHexString).toList())
         .addKeyValue("cause", cause)
         .log("send failed");
   }
