Do not take the end of a connection before the first event for an empty answer

A stream may have neither a length nor chunks and end with its connection. If the instance crashed between the head and the first event, the caller got a complete answer of 200 without any event: that end is also what a crash looks like. Such a stream is now broken off and sent to another instance, as one that ends inside an event was before.

UnframedAnswerTest.streamWithoutAnEventIsRequestedAgain and streamWithoutAnEventIsNotComplete failed before. The other cases of it and those of UnframedEngineTest, for the product's own clients, passed: whole answers, an end inside an event, a reset in place of an end, a connection that is not used again.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.fleet.FleetInstance;
@@ -57,6 +58,7 @@
   private int pendingPrefillTokens;
   private boolean closed;
   private boolean paused;
+  private boolean endsWithConnection;
   private long lastEventAt;
   private @Nullable BackendReply reply;
   private @Nullable HttpHeaders headers;
@@ -152,6 +154,7 @@
     }
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
+    endsWithConnection = !HttpUtil.isContentLengthSet(h) && !HttpUtil.isTransferEncodingChunked(h);
     stats.progressed(timers.nowMillis());
     return true;
   }
@@ -279,9 +282,13 @@
   private void endStream(BackendReply r) {
     if (answer.hasPartialEvent()) {
       close();
-      stats.failed(timers.nowMillis());
-      forwarder.metrics().sendFailed(owner.kind(), "unfinished-event");
-      owner.onPossiblyRun("unfinished-event");
+      brokenOff("unfinished-event", "the stream ended inside an event");
+      return;
+    }
+    if (endsWithConnection && lastEventAt == 0) {
+      // The end of the connection is also what the crash of an instance looks like.
+      close();
+      brokenOff("no-event", "the connection ended before the first event");
       return;
     }
     startAnswer(timers.nowMillis());
@@ -352,22 +359,30 @@
     if (!close()) {
       return;
     }
-    long now = timers.nowMillis();
-    stats.failed(now);
-    forwarder.metrics().sendFailed(owner.kind(), sent ? "cut" : "connect");
-    logFailure(sent, reason);
     if (sent) {
-      if (lastEventAt == 0) {
-        forwarder
-            .quarantine()
-            .crashed(target.id(), target.startMillis(), owner.head().sharedParts(), now);
-      }
-      owner.onPossiblyRun("cut");
+      brokenOff("cut", reason);
     } else {
+      stats.failed(timers.nowMillis());
+      forwarder.metrics().sendFailed(owner.kind(), "connect");
+      logFailure(false, reason);
       owner.onNotRun("connect", false);
     }
   }
 
+  /** Reports an answer that the instance has not completed, and may have crashed on. */
+  private void brokenOff(String reason, String detail) {
+    long now = timers.nowMillis();
+    stats.failed(now);
+    forwarder.metrics().sendFailed(owner.kind(), reason);
+    logFailure(true, detail);
+    if (lastEventAt == 0) {
+      forwarder
+          .quarantine()
+          .crashed(target.id(), target.startMillis(), owner.head().sharedParts(), now);
+    }
+    owner.onPossiblyRun(reason);
+  }
+
   /**
    * Returns whether this attempt has made no progress for so long that its group may have lost a
    * member.
