--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -45,6 +45,9 @@
   /** Lower bound of the time after which an idempotent call moves, in milliseconds. */
   private static final long MIN_SLOW_MILLIS = 300;
 
+  /** The status of another instance at the address, whose limit is not that of the target. */
+  private static final int MISDIRECTED = 421;
+
   private final ForwardCall owner;
   private final Forwarder forwarder;
   private final TimerService timers;
@@ -152,6 +155,9 @@
       owner.log().mismatchedAnswer(target.id(), r.requestId());
       return false;
     }
+    if (r.requestId() != null && r.status() != MISDIRECTED) {
+      owner.log().acceptedRate(target.id(), r.acceptedPerSecond());
+    }
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
     endsWithConnection = !HttpUtil.isContentLengthSet(h) && !HttpUtil.isTransferEncodingChunked(h);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
@@ -10,13 +10,16 @@
  * @param notRun whether the backend server declares that it did not run the request
  * @param signed whether it carries the header that marks the answer as a backend server's own
  * @param blockingInstance the instance because of which the request was not run, or null
+ * @param acceptedPerSecond the requests a second that the instance accepts from all callers
+ *     together; infinite if it names no limit, NaN if it names one that cannot be read
  */
 public record BackendReply(
     int status,
     @Nullable String requestId,
     boolean notRun,
     boolean signed,
-    @Nullable String blockingInstance) {
+    @Nullable String blockingInstance,
+    double acceptedPerSecond) {
   /** Returns whether the status is 2xx. */
   public boolean isSuccess() {
     return status >= 200 && status < 300;
