Keep the limits that instances name, over all entries together

Each entry keeps an equal share of other limits, with at least one request a second, which is far too much with 9 entries and more so with 77.

An entry now takes turns: one request each entries / rate seconds, at 0.8 of the rate, from a random start; turns are not saved.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
@@ -168,7 +168,7 @@
       if (g != null && g.model().equals(c.model)) {
         out.add(
             new TargetSelector.Candidate(
-                headInstance(name, g), statsOf(name), loadsOfOthers.get(name)));
+                headInstance(name, g), statsOf(name), loadsOfOthers.get(name), false));
       }
     }
     return policy.choose(need, out, cost, entries, now);
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -131,7 +131,8 @@
   @Test
   void replicaRestartedAfterTheFirstRequestStagesFirst() throws Exception {
     TestReplica s = start();
-    FleetPoll p = new FleetPoll("entry", "", 0, -1, 0, 0, true, true, 5, List.of(), List.of());
+    FleetPoll p =
+        new FleetPoll("entry", "", 0, -1, 0, 0, true, true, 5, List.of(), List.of(), List.of());
     await(
         () -> {
           s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encodePoll(p), 1_000);
@@ -165,7 +166,8 @@
     TestReplica s = start();
     for (String name : List.of("nobody", "host.example:7000", "10.0.0.1:x", ":1")) {
       FleetPoll p =
-          new FleetPoll("stranger", name, 0, -1, 0, 0, true, true, 0, List.of(), List.of());
+          new FleetPoll(
+              "stranger", name, 0, -1, 0, 0, true, true, 0, List.of(), List.of(), List.of());
       CompletableFuture<byte[]> answer =
           s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encodePoll(p), 200);
       assertThrows(CompletionException.class, answer::join);
@@ -174,7 +176,8 @@
   }
 
   private static FleetPollResult poll(TestReplica s, String entry) {
-    FleetPoll p = new FleetPoll(entry, "", 0, -1, 0, 0, true, true, 0, List.of(), List.of());
+    FleetPoll p =
+        new FleetPoll(entry, "", 0, -1, 0, 0, true, true, 0, List.of(), List.of(), List.of());
     byte[] answer =
         s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encodePoll(p), 1_000).join();
     return PollCodec.decodeResult(answer);
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -22,7 +22,8 @@
     ServingState.Committed s = new ServingState.Committed(1, new byte[1], index, out, true, 0);
     view.accept(
         new FleetPollResult(
-            1, 1, 1, index, true, s, List.of(), List.of(), null, 1, 0, List.of(), null, List.of()),
+            1, 1, 1, index, true, s, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
+            List.of()),
         now);
   }
 
@@ -58,6 +59,7 @@
               0,
               List.of(),
               null,
+              List.of(),
               List.of()),
           now);
       assertNotNull(view.instance("i-1"), "after " + now + " ms");
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -20,6 +20,7 @@
 import org.ebonypond.fleet.InstancePhase;
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
+import org.ebonypond.fleet.NamedLimits;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.junit.ManualTimerService;
@@ -225,6 +226,7 @@
               () -> 0,
               () -> loads.own(timers.nowMillis()),
               () -> handler.ownSuspicions(timers.nowMillis()),
+              () -> handler.ownLimits(timers.nowMillis()),
               this::merge);
     }
 
@@ -285,6 +287,7 @@
     private final Link link;
     private final FleetPoller poller;
     private List<InstanceLoad> loads = new ArrayList<>();
+    NamedLimits limits = new NamedLimits();
     PartQuarantine quarantine = new PartQuarantine(new QuarantineLog());
     private long version;
 
@@ -309,11 +312,13 @@
               () -> 1,
               () -> loads,
               () -> quarantine.report(timers.nowMillis()),
+              () -> limits.own(timers.nowMillis()),
               this::accept);
     }
 
     private void accept(String replica, FleetPollResult r) {
       quarantine.merge(r.suspicions(), timers.nowMillis());
+      limits.merge(r.limits(), false, timers.nowMillis());
       ServingState.Committed s = r.state();
       if (s != null && s.version() > version) {
         version = s.version();
@@ -330,6 +335,7 @@
     /** Restarts the entry, which forgets what it has observed. */
     void restart() {
       quarantine = new PartQuarantine(new QuarantineLog());
+      limits = new NamedLimits();
     }
 
     void loads(List<InstanceLoad> next) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
@@ -14,6 +14,7 @@
 import org.ebonypond.fleet.FleetPoll;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstanceLoad;
+import org.ebonypond.fleet.NamedLimit;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.fleet.PollPlan;
 import org.ebonypond.quarantine.PartSuspicion;
@@ -48,6 +49,7 @@
   private final LongSupplier requests;
   private final Supplier<List<InstanceLoad>> loads;
   private final Supplier<List<PartSuspicion>> suspicions;
+  private final Supplier<List<NamedLimit>> limits;
   private final BiConsumer<String, FleetPollResult> results;
   private final Map<String, Position> positions = new HashMap<>();
   private final Set<String> unreachable = new HashSet<>();
@@ -69,6 +71,7 @@
    * @param requests the number of requests that this process has received
    * @param loads the load of this process at each instance
    * @param suspicions the prompt parts that this process suspects of crashing instances
+   * @param limits the limits that instances named to this process
    * @param results receives the name of a replica and its answer
    */
   public FleetPoller(
@@ -85,6 +88,7 @@
       LongSupplier requests,
       Supplier<List<InstanceLoad>> loads,
       Supplier<List<PartSuspicion>> suspicions,
+      Supplier<List<NamedLimit>> limits,
       BiConsumer<String, FleetPollResult> results) {
     this.node = node;
     this.address = address;
@@ -99,6 +103,7 @@
     this.requests = requests;
     this.loads = loads;
     this.suspicions = suspicions;
+    this.limits = limits;
     this.results = results;
   }
 
@@ -142,7 +147,8 @@
             planned.wantsState(),
             requests.getAsLong(),
             currentLoads,
-            planned.home() ? suspicions.get() : List.of());
+            planned.home() ? suspicions.get() : List.of(),
+            planned.home() ? limits.get() : List.of());
     byte[] request = PollCodec.encodePoll(message);
     InetSocketAddress to = ReplicaDirectory.address(name);
     peers
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -199,6 +199,7 @@
             () -> 0,
             () -> loads.own(timers.nowMillis()),
             () -> pollHandler.ownSuspicions(timers.nowMillis()),
+            () -> pollHandler.ownLimits(timers.nowMillis()),
             this::merge);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
@@ -11,6 +11,8 @@
 import org.ebonypond.fleet.FleetPoll;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstanceTable;
+import org.ebonypond.fleet.NamedLimit;
+import org.ebonypond.fleet.NamedLimits;
 import org.ebonypond.quarantine.PartSuspicion;
 import org.ebonypond.quarantine.SuspicionTable;
 import org.ebonypond.serving.ServingState;
@@ -52,6 +54,7 @@
   private final InstanceTable table;
   private final EntryLoads loads;
   private final SuspicionTable suspicions = new SuspicionTable();
+  private final NamedLimits limits = new NamedLimits();
   private final Supplier<ServingState.Committed> state;
   private final Supplier<@Nullable String> leader;
   private final long startedAt;
@@ -99,9 +102,11 @@
       directory.recordContact(p.address(), now);
       loads.reportPeer(p.address(), p.loads(), now);
       suspicions.merge(REPLICA + p.address(), p.suspicions(), now);
+      limits.merge(p.limits(), false, now);
     } else if (p.home()) {
       loads.report(p.node(), p.requests(), p.loads(), now);
       suspicions.merge(p.node(), p.suspicions(), now);
+      limits.merge(p.limits(), true, now);
     } else {
       loads.noteEntry(p.node(), p.requests(), now);
       suspicions.removeReporter(p.node());
@@ -128,7 +133,16 @@
         leader.get(),
         p.home() && !replica
             ? suspicions.report(reporter -> !reporter.equals(p.node()), now)
-            : List.of());
+            : List.of(),
+        p.home() && !replica ? limits.all(now) : List.of());
+  }
+
+  /**
+   * Returns the limits that instances named to the entries whose home this is, to be reported to
+   * other replicas.
+   */
+  List<NamedLimit> ownLimits(long now) {
+    return limits.own(now);
   }
 
   /** Returns what the entries whose home this is suspect, to be reported to other replicas. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -155,8 +155,10 @@
       owner.log().mismatchedAnswer(target.id(), r.requestId());
       return false;
     }
-    if (r.requestId() != null && r.status() != MISDIRECTED) {
-      owner.log().acceptedRate(target.id(), r.acceptedPerSecond());
+    boolean named = r.acceptedPerSecond() != Double.POSITIVE_INFINITY;
+    // A refusal may come from something in front of the instance that does not know its limit.
+    if (r.requestId() != null && r.status() != MISDIRECTED && (named || r.signed())) {
+      forwarder.observeLimit(target, r.acceptedPerSecond());
     }
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -322,7 +322,7 @@
     sends++;
     tried.add(target.id());
     long now = timers.nowMillis();
-    forwarder.guard().sent(target.id(), now);
+    forwarder.recordSent(target.id(), now);
     forwarder.metrics().sent(kind(), cause);
     // The next instance resumes after the last complete event.
     answer.dropPartialEvent();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -13,7 +13,10 @@
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.fleet.InstancePhase;
+import org.ebonypond.fleet.NamedLimit;
+import org.ebonypond.fleet.NamedLimits;
 import org.ebonypond.forward.ArrivalGuard;
+import org.ebonypond.forward.EntryTurns;
 import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.RetryAllowance;
 import org.ebonypond.forward.TargetSelector;
@@ -45,6 +48,8 @@
   private final RetryAllowance allowance;
   private final ArrivalGuard guard;
   private final PartQuarantine quarantine;
+  private final NamedLimits limits = new NamedLimits();
+  private final EntryTurns turns;
   private final TimerService timers;
   private final RandomGenerator random;
   private final ForwardMetrics metrics;
@@ -91,6 +96,7 @@
     this.quarantine = quarantine;
     this.timers = timers;
     this.random = random;
+    this.turns = new EntryTurns(random);
     this.metrics = metrics;
     this.queue = new CallQueue(heartbeatMillis);
     timers.every(CHECK_INTERVAL_MILLIS, this::checkCalls);
@@ -134,6 +140,50 @@
     return out;
   }
 
+  /** Returns the limits that instances named to this entry. */
+  public List<NamedLimit> limits() {
+    return limits.own(timers.nowMillis());
+  }
+
+  /** Merges the limits that instances named to other entries. */
+  public void mergeLimits(List<NamedLimit> reported) {
+    for (NamedLimit l : limits.merge(reported, false, timers.nowMillis())) {
+      logLimit(l.instance(), l.perSecond(), l.ageMillis());
+    }
+  }
+
+  /** Returns the number of instances that limit their requests. */
+  public int limitedInstances() {
+    return limits.size();
+  }
+
+  /**
+   * Records the requests a second that an instance accepts.
+   *
+   * @param perSecond the rate; infinite if the instance names no limit, NaN if it cannot be read
+   */
+  void observeLimit(FleetInstance i, double perSecond) {
+    if (Double.isNaN(perSecond)) {
+      LOG.atWarn().addKeyValue("instance", i.id()).log("limit of an instance cannot be read");
+    } else if (limits.observe(i.id(), i.startMillis(), perSecond, timers.nowMillis())) {
+      logLimit(i.id(), perSecond, 0);
+    }
+  }
+
+  private static void logLimit(String instance, double perSecond, long ageMillis) {
+    LOG.atInfo()
+        .addKeyValue("instance", instance)
+        .addKeyValue("per_second", perSecond)
+        .addKeyValue("age_ms", ageMillis)
+        .log("instance changed its limit");
+  }
+
+  /** Records that a request is sent to an instance. */
+  void recordSent(String instance, long now) {
+    guard.sent(instance, now);
+    turns.sent(instance);
+  }
+
   /** Dispatches queued calls again because the view of the fleet has changed. */
   public void viewChanged() {
     queue.viewChanged(view.config() != null, timers.nowMillis());
@@ -171,7 +221,9 @@
     List.copyOf(calls).forEach(ForwardCall::shutDown);
   }
 
-  /** Returns the instances to which a call of a service may be sent now. */
+  /**
+   * Returns the instances to which a call of a service may be sent, now or when they accept more.
+   */
   List<TargetSelector.Candidate> candidates(ServiceProfile service, @Nullable String model) {
     long now = timers.nowMillis();
     int entries = view.entries();
@@ -194,7 +246,9 @@
           && guard.allows(i.id(), service.coldPerSecond(), cold, entries, now)) {
         InstanceStats s = stats(i.id());
         s.onGroupEpoch(i.group() == null ? 0 : i.group().epoch());
-        out.add(new TargetSelector.Candidate(i, s, view.loadOfOthers(i.id())));
+        double accepted = limits.perSecond(i.id(), i.startMillis());
+        boolean limited = !turns.isTurn(i.id(), accepted, entries, now);
+        out.add(new TargetSelector.Candidate(i, s, view.loadOfOthers(i.id()), limited));
       }
     }
     return out;
@@ -240,10 +294,6 @@
     return allowance;
   }
 
-  ArrivalGuard guard() {
-    return guard;
-  }
-
   PartQuarantine quarantine() {
     return quarantine;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -91,16 +91,6 @@
         .log("answer to another request dropped");
   }
 
-  /** Logs the requests a second that an instance accepts, if it names a limit. */
-  void acceptedRate(String instance, double perSecond) {
-    if (perSecond != Double.POSITIVE_INFINITY) {
-      event()
-          .addKeyValue("instance", instance)
-          .addKeyValue("per_second", perSecond)
-          .log("instance limits its requests");
-    }
-  }
-
   void backendRefused(String instance, BackendReply r) {
     event()
         .addKeyValue("instance", instance)
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -37,7 +37,8 @@
               new InstanceLoad("i-2", 4, 0, 0, 20, 900)),
           List.of(
               new PartSuspicion(
-                  Long.MIN_VALUE, 7, List.of(new PartSuspicion.Crash(-1, 12)), 3, true)));
+                  Long.MIN_VALUE, 7, List.of(new PartSuspicion.Crash(-1, 12)), 3, true)),
+          List.of(new NamedLimit("i-1", 8, 3.25, 40)));
 
   private static FleetInstance instance(GroupMembership g) {
     return new FleetInstance(
@@ -73,7 +74,8 @@
         100,
         List.of("10.0.0.1:7000"),
         "10.0.0.2:7000",
-        POLL.suspicions());
+        POLL.suspicions(),
+        POLL.limits());
   }
 
   /** Guards against a field that is lost or swapped in the encoding. */
@@ -87,7 +89,8 @@
     assertEquals(withoutState(r), withoutState(decoded));
     FleetPollResult withoutOptionalFields =
         new FleetPollResult(
-            1, 2, 3, 4, false, null, List.of(), List.of(), null, 1, 0, List.of(), null, List.of());
+            1, 2, 3, 4, false, null, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
+            List.of());
     assertEquals(
         withoutOptionalFields,
         PollCodec.decodeResult(PollCodec.encodeResult(withoutOptionalFields)));
@@ -108,7 +111,8 @@
         r.minPollIntervalMillis(),
         r.replicas(),
         r.leader(),
-        r.suspicions());
+        r.suspicions(),
+        r.limits());
   }
 
   /** Guards against rejecting messages of a later version that has additional fields. */
@@ -116,7 +120,7 @@
   void fieldsOfLaterVersionsAreSkipped() throws IOException {
     byte[] known = PollCodec.encodePoll(POLL);
     try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      p.packArrayHeader(13);
+      p.packArrayHeader(14);
       p.writePayload(known, 1, known.length - 1);
       p.packString("new");
       p.packArrayHeader(1);
@@ -125,15 +129,18 @@
     }
   }
 
-  /** Guards against rejecting messages of a version that has no suspicions yet. */
+  /** Guards against rejecting messages of versions that have no suspicions or limits yet. */
   @Test
-  void messagesOfTheFirstVersionAreAccepted() throws IOException {
-    FleetPoll withoutSuspicions =
-        new FleetPoll("front-1", "", 7, -1, 3, 12, true, false, 99, POLL.loads(), List.of());
-    byte[] current = PollCodec.encodePoll(withoutSuspicions);
-    byte[] first = Arrays.copyOf(current, current.length - 1);
-    first[0]--;
-    assertEquals(withoutSuspicions, PollCodec.decodePoll(first));
+  void messagesOfEarlierVersionsAreAccepted() throws IOException {
+    FleetPoll poll =
+        new FleetPoll(
+            "front-1", "", 7, -1, 3, 12, true, false, 99, POLL.loads(), List.of(), List.of());
+    byte[] current = PollCodec.encodePoll(poll);
+    for (int missing = 1; missing <= 2; missing++) {
+      byte[] earlier = Arrays.copyOf(current, current.length - missing);
+      earlier[0] -= (byte) missing;
+      assertEquals(poll, PollCodec.decodePoll(earlier));
+    }
   }
 
   /** Guards against malformed input that crashes the process or exhausts its memory. */
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -55,7 +55,7 @@
       s.started(0, false, 0);
     }
     s.progressed(0);
-    return new TargetSelector.Candidate(head(id), s, loadOfOthers);
+    return new TargetSelector.Candidate(head(id), s, loadOfOthers, false);
   }
 
   private static TargetSelector.Need need(long remaining, Set<String> tried) {
@@ -184,7 +184,7 @@
   @Test
   void prefersOwnZoneUnlessItIsBusier() {
     TargetSelector.Candidate far =
-        new TargetSelector.Candidate(head("far", "y"), new InstanceStats(), null);
+        new TargetSelector.Candidate(head("far", "y"), new InstanceStats(), null, false);
     TargetSelector.Candidate near = candidate("near", 3, null);
     TargetSelector.Candidate busy = candidate("near", 17, null);
     assertEquals(
@@ -199,4 +199,27 @@
     List<TargetSelector.Candidate> c = List.of(candidate("a", 0, null));
     assertNull(selector.choose(need(8_000, Set.of("a")), c, COST, 1, 0).target());
   }
+
+  private static TargetSelector.Candidate limited(String id) {
+    return new TargetSelector.Candidate(head(id), new InstanceStats(), null, true);
+  }
+
+  /** Guards against requests to an instance that accepts none now, while another one has room. */
+  @Test
+  void groupsThatLimitTheirRequestsLeaveTheRestToOthers() {
+    List<TargetSelector.Candidate> c = List.of(limited("a"), limited("b"), candidate("c", 9, null));
+    assertEquals("c", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 0)));
+  }
+
+  /** Guards against requests that wait, or whose refusal hides its reason, if all are limited. */
+  @Test
+  void surplusIsRefusedIfAllGroupsLimitTheirRequests() {
+    List<TargetSelector.Candidate> c = List.of(limited("a"), limited("b"));
+    TargetSelector.Selection d = selector.choose(need(8_000, Set.of()), c, COST, 1, 0);
+    assertNull(d.target());
+    assertEquals("limited", d.reason());
+    assertEquals(0, d.waitingLimit());
+    assertEquals(
+        "no-instance", selector.choose(need(8_000, Set.of("a", "b")), c, COST, 1, 0).reason());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
@@ -21,6 +21,7 @@
  * @param loads the sender's load at each instance; a replica sends the sum over the entries whose
  *     home it is
  * @param suspicions the prompt parts that the sender suspects of crashing instances
+ * @param limits the limits that instances named to the sender, or to the entries whose home it is
  */
 public record FleetPoll(
     String node,
@@ -33,4 +34,5 @@
     boolean wantsState,
     long requests,
     List<InstanceLoad> loads,
-    List<PartSuspicion> suspicions) {}
+    List<PartSuspicion> suspicions,
+    List<NamedLimit> limits) {}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
@@ -27,6 +27,8 @@
  * @param leader the address of the presumed leader, or null
  * @param suspicions the prompt parts that other processes suspect of crashing instances; empty
  *     unless this replica is the sender's home
+ * @param limits the limits that instances have named to any entry; empty unless this replica is the
+ *     sender's home
  */
 public record FleetPollResult(
     long boot,
@@ -42,4 +44,5 @@
     long minPollIntervalMillis,
     List<String> replicas,
     @Nullable String leader,
-    List<PartSuspicion> suspicions) {}
+    List<PartSuspicion> suspicions,
+    List<NamedLimit> limits) {}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -28,7 +28,7 @@
   private static final int RESULT_FIELDS = 13;
 
   /** The fields of a poll and of a result that the first version lacked. */
-  private static final int ADDED_FIELDS = 1;
+  private static final int ADDED_FIELDS = 2;
 
   private static final int INSTANCE_FIELDS = 15;
   private static final int GROUP_FIELDS = 4;
@@ -36,6 +36,7 @@
   private static final int LOAD_FIELDS = 6;
   private static final int SUSPICION_FIELDS = 5;
   private static final int CRASH_FIELDS = 2;
+  private static final int LIMIT_FIELDS = 4;
   private static final InstancePhase[] PHASES = InstancePhase.values();
   private static final MemberState[] STATES = MemberState.values();
 
@@ -57,6 +58,7 @@
           p.packLong(poll.requests());
           packList(p, poll.loads(), PollCodec::packLoad);
           packList(p, poll.suspicions(), PollCodec::packSuspicion);
+          packList(p, poll.limits(), PollCodec::packLimit);
         });
   }
 
@@ -82,7 +84,8 @@
                   u.unpackBoolean(),
                   u.unpackLong(),
                   unpackList(u, PollCodec::unpackLoad),
-                  unpackAdded(u, extra, PollCodec::unpackSuspicion));
+                  unpackAdded(u, extra >= 1, PollCodec::unpackSuspicion),
+                  unpackAdded(u, extra >= 2, PollCodec::unpackLimit));
           u.skipValue(Math.max(0, extra - ADDED_FIELDS));
           return poll;
         });
@@ -107,6 +110,7 @@
           packList(p, r.replicas(), MessagePacker::packString);
           packText(p, r.leader());
           packList(p, r.suspicions(), PollCodec::packSuspicion);
+          packList(p, r.limits(), PollCodec::packLimit);
         });
   }
 
@@ -135,7 +139,8 @@
                   u.unpackLong(),
                   unpackList(u, MessageUnpacker::unpackString),
                   unpackText(u),
-                  unpackAdded(u, extra, PollCodec::unpackSuspicion));
+                  unpackAdded(u, extra >= 1, PollCodec::unpackSuspicion),
+                  unpackAdded(u, extra >= 2, PollCodec::unpackLimit));
           u.skipValue(Math.max(0, extra - ADDED_FIELDS));
           return r;
         });
@@ -229,6 +234,22 @@
     return c;
   }
 
+  private static void packLimit(MessagePacker p, NamedLimit l) throws IOException {
+    p.packArrayHeader(LIMIT_FIELDS);
+    p.packString(l.instance());
+    p.packLong(l.startMillis());
+    p.packDouble(l.perSecond());
+    p.packLong(l.ageMillis());
+  }
+
+  private static NamedLimit unpackLimit(MessageUnpacker u) throws IOException {
+    int extra = extraFields(u, LIMIT_FIELDS);
+    NamedLimit l =
+        new NamedLimit(u.unpackString(), u.unpackLong(), u.unpackDouble(), u.unpackLong());
+    u.skipValue(extra);
+    return l;
+  }
+
   private static void packHeartbeat(MessagePacker p, UnchangedHeartbeat heartbeat)
       throws IOException {
     p.packArrayHeader(HEARTBEAT_FIELDS);
@@ -344,9 +365,9 @@
   }
 
   /** Reads a list that the first version of a message lacked. */
-  private static <T> List<T> unpackAdded(MessageUnpacker u, int extra, Reader<T> reader)
+  private static <T> List<T> unpackAdded(MessageUnpacker u, boolean present, Reader<T> reader)
       throws IOException {
-    return extra > 0 ? unpackList(u, reader) : List.of();
+    return present ? unpackList(u, reader) : List.of();
   }
 
   /** Reads the header of a record; returns the number of fields beyond the known ones. */
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -89,19 +89,20 @@
    * Selects an instance.
    *
    * @param need the request
-   * @param candidates the instances that serve the model or service and accept requests now
+   * @param candidates the instances that serve the model or service
    * @param cost predicts the latencies of a model's groups; null for a plain service
    * @param entries the number of entries that share the instances
    * @param now the time in milliseconds
    */
   public Selection choose(
       Need need, List<Candidate> candidates, @Nullable EngineCost cost, int entries, long now) {
+    List<Candidate> accepting = candidates.stream().filter(c -> !c.limited()).toList();
     Candidate best = null;
     double bestScore = Double.MAX_VALUE;
     boolean engine = cost != null;
     boolean anyHealthy =
-        candidates.stream().anyMatch(c -> isOpen(c, need, now) && isHealthy(c, engine, now));
-    for (Candidate c : candidates) {
+        accepting.stream().anyMatch(c -> isOpen(c, need, now) && isHealthy(c, engine, now));
+    for (Candidate c : accepting) {
       if (!isOpen(c, need, now) || (anyHealthy && !isHealthy(c, engine, now))) {
         continue;
       }
@@ -113,12 +114,15 @@
       }
     }
     if (best == null) {
-      boolean full = candidates.stream().anyMatch(c -> c.stats().isFull(now));
-      return full
-          ? Selection.refuse("full", FULL_RETRY_MILLIS)
+      if (accepting.stream().anyMatch(c -> c.stats().isFull(now))) {
+        return Selection.refuse("full", FULL_RETRY_MILLIS);
+      }
+      boolean limited = candidates.stream().anyMatch(c -> c.limited() && isOpen(c, need, now));
+      return limited
+          ? Selection.refuse("limited", FULL_RETRY_MILLIS)
           : Selection.refuse("no-instance", NO_INSTANCE_RETRY_MILLIS);
     }
-    return cost == null ? admitPlain(best) : admit(need, best, cost, candidates, entries, now);
+    return cost == null ? admitPlain(best) : admit(need, best, cost, accepting, entries, now);
   }
 
   private static boolean isOpen(Candidate c, Need need, long now) {
@@ -235,9 +239,14 @@
    * @param instance the instance
    * @param stats this entry's statistics of it
    * @param loadOfOthers the load from other entries, or null if there is none
+   * @param limited whether it accepts no request of this entry now because of the limit that it
+   *     names
    */
   public record Candidate(
-      FleetInstance instance, InstanceStats stats, @Nullable InstanceLoad loadOfOthers) {
+      FleetInstance instance,
+      InstanceStats stats,
+      @Nullable InstanceLoad loadOfOthers,
+      boolean limited) {
     int active() {
       return stats.active() + (loadOfOthers == null ? 0 : loadOfOthers.active());
     }
