Keep blocked prompt parts in the log

If all processes lost power while a part was blocked, its requests ended a new series of instances: the evidence was only in the memory of entries and replicas. The leader now commits the blocked parts, and each replica takes them over when they change, so that entries learn them with their first answers.

FleetReplicaTest.blockedPromptPartsOutliveTheLossOfAllProcesses and PartQuarantineTest.blockedPartsAreRestoredFromTheLog show it; there was no way to pass them before.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -32,6 +32,7 @@
 import org.ebonypond.fleet.OrderOutcome;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.junit.FakeFleet;
+import org.ebonypond.quarantine.PartSuspicion;
 import org.ebonypond.server.timer.ScheduledTimerService;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.PeerNetwork;
@@ -160,6 +161,30 @@
     assertEquals(4, poll(start(), "entry-0").entries());
   }
 
+  /** Guards against a new series of crashes after all processes stopped at the same time. */
+  @Test
+  void blockedPromptPartsOutliveTheLossOfAllProcesses() throws Exception {
+    TestReplica s = start();
+    List<PartSuspicion.Crash> crashes =
+        List.of(
+            new PartSuspicion.Crash(1, 0),
+            new PartSuspicion.Crash(2, 500),
+            new PartSuspicion.Crash(3, 1_000));
+    List<PartSuspicion> blocked = List.of(new PartSuspicion(0xBAD, 0, crashes, 0, true));
+    await(
+        () -> {
+          poll(s, "entry", blocked);
+          return s.replica.applied().quarantine().size() == 1;
+        });
+    s.close();
+    TestReplica restarted = start();
+    await(() -> !poll(restarted, "other", List.of()).suspicions().isEmpty());
+    PartSuspicion restored = poll(restarted, "other", List.of()).suspicions().get(0);
+    assertEquals(0xBAD, restored.part());
+    assertTrue(restored.blocked());
+    assertEquals(3, restored.crashes().size());
+  }
+
   /** Guards against a poll with a malformed replica address that blocks further changes. */
   @Test
   void pollWithMalformedAddressDoesNotBlockChanges() throws Exception {
@@ -176,8 +201,12 @@
   }
 
   private static FleetPollResult poll(TestReplica s, String entry) {
+    return poll(s, entry, List.of());
+  }
+
+  private static FleetPollResult poll(TestReplica s, String entry, List<PartSuspicion> suspicions) {
     FleetPoll p =
-        new FleetPoll(entry, "", 0, -1, 0, 0, true, true, 0, List.of(), List.of(), List.of());
+        new FleetPoll(entry, "", 0, -1, 0, 0, true, true, 0, List.of(), suspicions, List.of());
     byte[] answer =
         s.network.ask(s.address, FrameType.FLEET_POLL, "", PollCodec.encodePoll(p), 1_000).join();
     return PollCodec.decodeResult(answer);
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -19,7 +19,8 @@
           content -> new ServingConfig(1, List.of(), Map.of(), List.of(), ClientLimits.DEFAULT));
 
   private void zones(long index, List<String> out, long now) {
-    ServingState.Committed s = new ServingState.Committed(1, new byte[1], index, out, true, 0);
+    ServingState.Committed s =
+        new ServingState.Committed(1, new byte[1], index, out, true, 0, List.of());
     view.accept(
         new FleetPollResult(
             1, 1, 1, index, true, s, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -113,6 +113,7 @@
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
   private boolean observationInFlight;
+  private List<String> restoredQuarantine = List.of();
   private int lastEntryCount;
   private long entryCountSince;
   private long loopCheckedAt;
@@ -410,6 +411,29 @@
     }
   }
 
+  private void recordQuarantine(long now) {
+    List<String> parts = pollHandler.quarantine(now);
+    if (!parts.equals(log.current().quarantine())) {
+      proposeObservation(new ServingCommand.Quarantine(parts));
+    }
+  }
+
+  /** Takes over the blocked prompt parts of the log when they have changed. */
+  private void restoreQuarantine(long now) {
+    List<String> parts = log.current().quarantine();
+    if (parts.equals(restoredQuarantine)) {
+      return;
+    }
+    restoredQuarantine = parts;
+    try {
+      pollHandler.restoreQuarantine(parts, now);
+      LOG.atInfo().addKeyValue("parts", parts).log("quarantine of the log");
+    } catch (EbonypondException e) {
+      // Entries find a harmful part again; without the configuration they could not serve at all.
+      LOG.atError().addKeyValue("parts", parts).setCause(e).log("quarantine cannot be decoded");
+    }
+  }
+
   private void merge(String replica, FleetPollResult r) {
     long now = timers.nowMillis();
     r.instances().forEach(u -> table.merge(u.instance(), u.ageMillis(), now));
@@ -420,12 +444,14 @@
   private void plan() {
     long now = timers.nowMillis();
     table.prune(now);
+    restoreQuarantine(now);
     ReplicaStatus s = log.status();
     ServingConfig c = current();
     if (c == null || s.role() != RaftRole.LEADER || !s.mayLead(now)) {
       return;
     }
     recordEntries(now);
+    recordQuarantine(now);
     List<InstanceUpdate> all = table.all(now);
     for (ServiceProfile p : c.services().values()) {
       if (p.engine() != null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
@@ -13,6 +13,7 @@
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.NamedLimit;
 import org.ebonypond.fleet.NamedLimits;
+import org.ebonypond.quarantine.BlockedPart;
 import org.ebonypond.quarantine.PartSuspicion;
 import org.ebonypond.quarantine.SuspicionTable;
 import org.ebonypond.serving.ServingState;
@@ -145,6 +146,20 @@
     return limits.own(now);
   }
 
+  /** Returns the prompt parts that entries have blocked, to be kept in the log. */
+  List<String> quarantine(long now) {
+    return suspicions.blockedParts(now).stream().map(BlockedPart::encode).toList();
+  }
+
+  /**
+   * Takes over the blocked prompt parts of the log, which this process does not know after a start.
+   *
+   * @throws EbonypondException {@code frame-invalid} if one of them is malformed
+   */
+  void restoreQuarantine(List<String> parts, long now) {
+    suspicions.restore(parts.stream().map(BlockedPart::decode).toList(), now);
+  }
+
   /** Returns what the entries whose home this is suspect, to be reported to other replicas. */
   List<PartSuspicion> ownSuspicions(long now) {
     return suspicions.report(reporter -> !reporter.startsWith(REPLICA), now);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -66,7 +66,7 @@
         7,
         8,
         true,
-        new ServingState.Committed(7, new byte[] {1, 2}, 8, List.of("z"), true, 75),
+        new ServingState.Committed(7, new byte[] {1, 2}, 8, List.of("z"), true, 75, List.of()),
         List.of(new InstanceUpdate(instance(g), 40), new InstanceUpdate(instance(null), 0)),
         List.of(new UnchangedHeartbeat("i-3", 1, 2, 3)),
         POLL.loads(),
--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
@@ -11,10 +12,12 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.LongStream;
+import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.junit.Seeds;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which prompt parts one entry blocks; several entries are in QuarantineGossipTest. */
 class PartQuarantineTest {
@@ -81,7 +84,7 @@
   @Test
   void partThatRecursInCrashesIsBlocked() {
     answer(20, SHARED);
-    crashSeries(PartQuarantine.MIN_CRASHES, POISON);
+    crashSeries(SuspicionTable.MIN_CRASHES, POISON);
     assertTrue(isBlocked(SHARED, POISON));
     assertFalse(isBlocked(SHARED));
     assertFalse(isBlocked(SHARED, FIRST_SUBJECT));
@@ -100,7 +103,7 @@
   /** Guards against blocking sound requests that share all other parts with the harmful ones. */
   @Test
   void rarePartThatAccompaniesTheCauseIsAcquittedByItsSoundRequests() {
-    for (int i = 0; i < PartQuarantine.MIN_CRASHES; i++) {
+    for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
       now += 500;
       crash(List.of(SHARED, POISON));
     }
@@ -114,7 +117,7 @@
   /** Guards against a group of parts that only the harmless half of the requests has in common. */
   @Test
   void causeInGroupIsFoundByTheNextRequestWithoutTheOthers() {
-    for (int i = 0; i < PartQuarantine.MIN_CRASHES; i++) {
+    for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
       now += 500;
       crash(List.of(SHARED, POISON));
     }
@@ -161,7 +164,7 @@
   @Test
   void twoHarmfulPartsAreBothBlocked() {
     answer(20, SHARED);
-    for (int i = 0; i < PartQuarantine.MIN_CRASHES; i++) {
+    for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
       crashSeries(1, POISON);
       crashSeries(1, SECOND_POISON);
     }
@@ -220,8 +223,8 @@
    */
   @Test
   void partIsBlockedOnlyAfterOtherEntriesCouldReport() {
-    for (int i = 0; i < PartQuarantine.MIN_CRASHES; i++) {
-      now += PartQuarantine.SIMULTANEOUS_MILLIS;
+    for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
+      now += SuspicionTable.SIMULTANEOUS_MILLIS;
       crash(List.of(POISON));
     }
     assertFalse(isBlocked(POISON));
@@ -232,7 +235,7 @@
   /** Guards against a block that ends while requests with the part still come. */
   @Test
   void blockLastsWhileRequestsWithThePartCome() {
-    crashSeries(PartQuarantine.MIN_CRASHES, POISON);
+    crashSeries(SuspicionTable.MIN_CRASHES, POISON);
     now += PartQuarantine.CONSULT_MILLIS;
     for (int i = 0; i < 20; i++) {
       assertTrue(isBlocked(POISON));
@@ -247,7 +250,7 @@
    */
   @Test
   void blockEndsAfterRequestsWithThePartHaveStopped() {
-    crashSeries(PartQuarantine.MIN_CRASHES, POISON);
+    crashSeries(SuspicionTable.MIN_CRASHES, POISON);
     now += PartQuarantine.CONSULT_MILLIS;
     assertTrue(isBlocked(POISON));
     now += SuspicionTable.EXPIRY_MILLIS + 1;
@@ -275,7 +278,7 @@
     assertTrue(recent.count(SHARED, now) > RecentParts.MAX_PARTS / 2);
     assertTrue(quarantine.report(now).size() <= SuspicionTable.MAX_REPORTED);
     // The part that recurs is found among the many that do not.
-    crashSeries(PartQuarantine.MIN_CRASHES, POISON);
+    crashSeries(SuspicionTable.MIN_CRASHES, POISON);
     now += PartQuarantine.CONSULT_MILLIS;
     assertTrue(isBlocked(SHARED, POISON));
     assertNotNull(quarantine.quarantined(List.of(POISON), now));
@@ -287,7 +290,7 @@
    */
   @Test
   void blockLastsWhenOtherRequestsAreEndedMoreOften() {
-    crashSeries(PartQuarantine.MIN_CRASHES, POISON);
+    crashSeries(SuspicionTable.MIN_CRASHES, POISON);
     now += PartQuarantine.CONSULT_MILLIS;
     assertTrue(isBlocked(POISON));
     PartQuarantine unlucky = new PartQuarantine(new Recorder());
@@ -305,9 +308,9 @@
   /** Guards against crashes that go on while the verdict waits longer than the entries need. */
   @Test
   void partIsBlockedEarlierOnceTheOtherEntriesHaveReported() {
-    for (int i = 0; i < PartQuarantine.MIN_CRASHES; i++) {
+    for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
       crash(List.of(POISON));
-      now += PartQuarantine.SIMULTANEOUS_MILLIS;
+      now += SuspicionTable.SIMULTANEOUS_MILLIS;
     }
     assertFalse(isBlocked(POISON));
     for (int i = 0; i < PartQuarantine.CONSULTED_REPORTS; i++) {
@@ -316,6 +319,38 @@
     assertTrue(isBlocked(POISON));
   }
 
+  /** Guards against a new series of crashes after all processes stopped at the same time. */
+  @Test
+  void blockedPartsAreRestoredFromTheLog() {
+    for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
+      now += 500;
+      crash(List.of(SHARED, POISON));
+    }
+    crashSeries(SuspicionTable.MIN_CRASHES, SECOND_POISON);
+    now += PartQuarantine.CONSULT_MILLIS;
+    assertTrue(isBlocked(SHARED, POISON));
+    SuspicionTable replica = new SuspicionTable();
+    replica.merge("entry", quarantine.report(now), now);
+    List<String> kept = replica.blockedParts(now).stream().map(BlockedPart::encode).toList();
+
+    now += 60_000;
+    SuspicionTable restarted = new SuspicionTable();
+    restarted.restore(kept.stream().map(BlockedPart::decode).toList(), now);
+    assertEquals(kept, restarted.blockedParts(now).stream().map(BlockedPart::encode).toList());
+    PartQuarantine entry = new PartQuarantine(new Recorder());
+    entry.merge(restarted.report(r -> true, now), now + 5);
+    assertNotNull(entry.quarantined(List.of(SHARED, POISON), now + 5));
+    assertNotNull(entry.quarantined(List.of(SECOND_POISON), now + 5));
+    assertNull(entry.quarantined(List.of(SHARED), now + 5));
+  }
+
+  /** Guards against a replica that fails on a malformed record of its log. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "1", "x:1", "1:", ":1", "1:12345678901234567"})
+  void malformedBlockedPartIsRejected(String text) {
+    assertThrows(EbonypondException.class, () -> BlockedPart.decode(text));
+  }
+
   /** Guards against evidence that counts twice because it comes back from other processes. */
   @Test
   void evidenceThatReturnsDoesNotCountTwice() {
@@ -334,7 +369,7 @@
   @Test
   void circulatingEvidenceExpires() {
     PartQuarantine other = new PartQuarantine(new Recorder());
-    crashSeries(PartQuarantine.MIN_CRASHES, POISON);
+    crashSeries(SuspicionTable.MIN_CRASHES, POISON);
     long end = now + SuspicionTable.EXPIRY_MILLIS + 10_000;
     while (now < end) {
       List<PartSuspicion> report = quarantine.report(now);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingCodecTest.java
@@ -12,7 +12,7 @@
 
 class ServingCodecTest {
   private static final ServingState.Committed STATE =
-      new ServingState.Committed(7, new byte[] {1, -2}, 5, List.of("a", "b"), true, 6);
+      new ServingState.Committed(7, new byte[] {1, -2}, 5, List.of("a", "b"), true, 6, List.of());
 
   /** Guards against commands that are decoded as another command or with other values. */
   @Test
@@ -22,6 +22,7 @@
             new ServingCommand.SetZone("z", true),
             new ServingCommand.BeginTraffic(),
             new ServingCommand.NoteEntries(7),
+            new ServingCommand.Quarantine(List.of("b:2:3")),
             new ServingCommand.Barrier());
     for (ServingCommand c : commands) {
       assertEquals(c, ServingCodec.decodeCommand(ServingCodec.encodeCommand(c)));
@@ -45,6 +46,22 @@
     assertStateEquals(ServingCodec.decodeState(MessagePackCodec.encode(STATE)));
   }
 
+  /** Guards against an upgrade that cannot read a state without a quarantine. */
+  @Test
+  void readsStateOfTheVersionBefore() {
+    byte[] before =
+        new FieldWriter()
+            .number("version", 7)
+            .bytes("content", new byte[] {1, -2})
+            .number("zonesIndex", 5)
+            .texts("zonesOut", List.of("a", "b"))
+            .flag("traffic", true)
+            .number("entries", 6)
+            .toByteArray();
+    assertStateEquals(ServingCodec.decodeState(before));
+    assertEquals(List.of(), ServingCodec.decodeState(before).quarantine());
+  }
+
   /** Guards against a failure of the state machine on a command of an unknown kind. */
   @Test
   void rejectsUnknownCommands() {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
@@ -65,6 +65,8 @@
     apply(new ServingCommand.BeginTraffic());
     apply(new ServingCommand.NoteEntries(7));
     apply(new ServingCommand.NoteEntries(3));
+    apply(new ServingCommand.Quarantine(List.of("a:1")));
+    apply(new ServingCommand.Quarantine(List.of("b:2:3")));
     apply(new ServingCommand.Barrier());
     ServingState copy = new ServingState();
     copy.restore(state.snapshot());
@@ -74,5 +76,6 @@
     assertEquals(2, copy.current().zonesIndex());
     assertTrue(copy.current().traffic());
     assertEquals(7, copy.current().entries());
+    assertEquals(List.of("b:2:3"), copy.current().quarantine());
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
@@ -26,12 +26,6 @@
   /** The reporter of what the other entries observe. */
   private static final String OTHERS = "others";
 
-  /**
-   * The minimum number of crashes after which a part is blocked: one more than the instances that a
-   * single request can crash with the usual limit of two attempts.
-   */
-  static final int MIN_CRASHES = 3;
-
   /**
    * The probability below which chance does not explain the crashes of a part. With a few hundred
    * parts in use, one part in a hundred such series of crashes is blocked in error.
@@ -55,12 +49,6 @@
 
   private static final double PRIOR_ENDED = 0.5;
 
-  /**
-   * Crashes within this time of each other, in milliseconds, count as one. Instances that are lost
-   * together, such as those of an availability zone, have another cause than a prompt.
-   */
-  static final long SIMULTANEOUS_MILLIS = 300;
-
   /**
    * The number of reports from the other entries after which a part may be blocked. The first ones
    * tell them of the part; the answers that have begun at them come with the later ones.
@@ -209,7 +197,7 @@
    * the cause.
    */
   private @Nullable Group heaviest(Set<Long> explained, long now) {
-    int most = MIN_CRASHES;
+    int most = SuspicionTable.MIN_CRASHES;
     long leastBegun = Long.MAX_VALUE;
     Map<Set<Long>, Set<Long>> partsByCrashes = new HashMap<>();
     for (SuspicionTable.Suspect s : table.suspects()) {
@@ -269,7 +257,7 @@
     int n = 0;
     long last = 0;
     for (long t : times) {
-      if (n == 0 || t - last >= SIMULTANEOUS_MILLIS) {
+      if (n == 0 || t - last >= SuspicionTable.SIMULTANEOUS_MILLIS) {
         n++;
         last = t;
       }
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -39,6 +39,18 @@
    */
   private static final long MIN_ADVANCE_MILLIS = 2_000;
 
+  /**
+   * The minimum number of crashes after which a part is blocked: one more than the instances that a
+   * single request can crash with the usual limit of two attempts.
+   */
+  static final int MIN_CRASHES = 3;
+
+  /**
+   * Crashes within this time of each other, in milliseconds, count as one. Instances that are lost
+   * together, such as those of an availability zone, have another cause than a prompt.
+   */
+  static final long SIMULTANEOUS_MILLIS = 300;
+
   /** The maximum number of answers begun for each crash of a part that may be the cause. */
   static final int MAX_BEGUN_PER_CRASH = 3;
 
@@ -117,6 +129,36 @@
     }
   }
 
+  /** Returns the blocked parts, at most {@link #MAX_REPORTED}, by their identifiers. */
+  public List<BlockedPart> blockedParts(long now) {
+    prune(now);
+    return suspects.values().stream()
+        .filter(s -> s.blocked && s.isHardlyAnswered())
+        .sorted(Comparator.comparingLong(s -> s.part))
+        .limit(MAX_REPORTED)
+        .map(
+            s ->
+                new BlockedPart(
+                    s.part, s.crashes.keySet().stream().sorted().limit(MIN_CRASHES).toList()))
+        .toList();
+  }
+
+  /**
+   * Adds parts that were blocked before all processes stopped, as if their crashes had just
+   * happened one after the other.
+   */
+  public void restore(List<BlockedPart> parts, long now) {
+    for (BlockedPart b : parts) {
+      Suspect s = suspects.computeIfAbsent(b.part(), Suspect::new);
+      for (int i = 0; i < b.crashes().size(); i++) {
+        s.addCrash(b.crashes().get(i), now - i * SIMULTANEOUS_MILLIS);
+      }
+      s.lastSeenAt = now;
+      s.blocked = true;
+    }
+    evictIfFull();
+  }
+
   boolean contains(long part) {
     return suspects.containsKey(part);
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCodec.java
@@ -15,6 +15,7 @@
   private static final String ZONE = "zone";
   private static final String TRAFFIC = "traffic";
   private static final String ENTRIES = "entries";
+  private static final String QUARANTINE = "quarantine";
   private static final String BARRIER = "barrier";
 
   private ServingCodec() {}
@@ -30,6 +31,8 @@
       w.text(TYPE, TRAFFIC);
     } else if (c instanceof ServingCommand.NoteEntries n) {
       w.text(TYPE, ENTRIES).number("entries", n.entries());
+    } else if (c instanceof ServingCommand.Quarantine q) {
+      w.text(TYPE, QUARANTINE).texts("parts", q.parts());
     } else if (c instanceof ServingCommand.Barrier) {
       w.text(TYPE, BARRIER);
     }
@@ -52,6 +55,7 @@
       case ZONE -> new ServingCommand.SetZone(r.text("zone"), r.flag("out"));
       case TRAFFIC -> new ServingCommand.BeginTraffic();
       case ENTRIES -> new ServingCommand.NoteEntries(r.smallNumber("entries"));
+      case QUARANTINE -> new ServingCommand.Quarantine(r.texts("parts"));
       case BARRIER -> new ServingCommand.Barrier();
       default ->
           throw new EbonypondException(ErrorCode.FRAME_INVALID, "unknown command type " + type);
@@ -64,6 +68,7 @@
     w.number("version", c.version()).bytes("content", c.content());
     w.number("zonesIndex", c.zonesIndex()).texts("zonesOut", c.zonesOut());
     w.flag("traffic", c.traffic()).number("entries", c.entries());
+    w.texts("quarantine", c.quarantine());
     return w.toByteArray();
   }
 
@@ -82,6 +87,7 @@
                 r.number("zonesIndex"),
                 r.texts("zonesOut"),
                 r.flag("traffic"),
-                r.smallNumber("entries")));
+                r.smallNumber("entries"),
+                r.optionalTexts("quarantine")));
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
@@ -1,5 +1,6 @@
 package org.ebonypond.serving;
 
+import java.util.List;
 import org.ebonypond.wire.Deflate;
 
 /** A command of the replicated log of the configuration and the zones out of service. */
@@ -39,6 +40,20 @@
    */
   record NoteEntries(int entries) implements ServingCommand {}
 
+  /**
+   * Replaces the prompt parts that are refused because they crash instances, so that they stay
+   * refused when all processes stop at the same time.
+   *
+   * @param parts the parts, each in the encoding of {@link
+   *     org.ebonypond.quarantine.BlockedPart#encode}
+   */
+  record Quarantine(List<String> parts) implements ServingCommand {
+    /** Copies the list. */
+    public Quarantine {
+      parts = List.copyOf(parts);
+    }
+  }
+
   /** No operation; a read after it reflects everything committed before. */
   record Barrier() implements ServingCommand {}
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
@@ -17,7 +17,8 @@
   /** Bounds decompression; request bodies are at most 4 MB unless operators raise that limit. */
   private static final int MAX_DOCUMENT_BYTES = 64 << 20;
 
-  private volatile Committed committed = new Committed(0, NO_BYTES, 0, List.of(), false, 0);
+  private volatile Committed committed =
+      new Committed(0, NO_BYTES, 0, List.of(), false, 0, List.of());
 
   /** Returns the state after the last applied command. */
   public Committed current() {
@@ -40,6 +41,8 @@
       committed = old.withTraffic();
     } else if (c instanceof ServingCommand.NoteEntries n) {
       committed = old.withEntries(Math.max(old.entries(), n.entries()));
+    } else if (c instanceof ServingCommand.Quarantine q) {
+      committed = old.withQuarantine(q.parts());
     }
     return NO_BYTES;
   }
@@ -65,6 +68,7 @@
    * @param traffic whether the fleet has received its first request
    * @param entries the highest recorded number of entries that share the budgets; 0 if none was
    *     recorded
+   * @param quarantine the prompt parts that are refused because they crash instances
    */
   public record Committed(
       long version,
@@ -72,7 +76,8 @@
       long zonesIndex,
       List<String> zonesOut,
       boolean traffic,
-      int entries) {
+      int entries,
+      List<String> quarantine) {
     /** Returns the configuration as the operator sent it; empty if there is none. */
     public byte[] document() {
       return Deflate.unpack(content, MAX_DOCUMENT_BYTES);
@@ -80,23 +85,29 @@
 
     /** Returns this state without the content, for a reader that already has the configuration. */
     public Committed withoutContent() {
-      return new Committed(version, NO_BYTES, zonesIndex, zonesOut, traffic, entries);
+      return new Committed(version, NO_BYTES, zonesIndex, zonesOut, traffic, entries, quarantine);
     }
 
     private Committed with(long newVersion, byte[] newContent) {
-      return new Committed(newVersion, newContent, zonesIndex, zonesOut, traffic, entries);
+      return new Committed(
+          newVersion, newContent, zonesIndex, zonesOut, traffic, entries, quarantine);
     }
 
     private Committed with(long newZonesIndex, List<String> newZonesOut) {
-      return new Committed(version, content, newZonesIndex, newZonesOut, traffic, entries);
+      return new Committed(
+          version, content, newZonesIndex, newZonesOut, traffic, entries, quarantine);
     }
 
     private Committed withTraffic() {
-      return new Committed(version, content, zonesIndex, zonesOut, true, entries);
+      return new Committed(version, content, zonesIndex, zonesOut, true, entries, quarantine);
     }
 
     private Committed withEntries(int newEntries) {
-      return new Committed(version, content, zonesIndex, zonesOut, traffic, newEntries);
+      return new Committed(version, content, zonesIndex, zonesOut, traffic, newEntries, quarantine);
+    }
+
+    private Committed withQuarantine(List<String> parts) {
+      return new Committed(version, content, zonesIndex, zonesOut, traffic, entries, parts);
     }
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/wire/FieldReader.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/wire/FieldReader.java
@@ -77,6 +77,11 @@
     return value(name, u -> u.readPayload(u.unpackBinaryHeader()));
   }
 
+  /** Returns a list of strings, or an empty one if the field is missing. */
+  public List<String> optionalTexts(String name) {
+    return values.containsKey(name) ? texts(name) : List.of();
+  }
+
   /** Returns a list of strings that must be present. */
   public List<String> texts(String name) {
     return value(
