Do not send a completion on after two groups have broken before its first token

The product's own interface had the same fault as the platform's path: a prompt that crashes engines was sent to up to four groups, one after the other, because only the number of attempts was limited. After two groups have broken before any output the call ends as failed. A call with output has shown that it is not the cause, and is resumed as before.

CompletionCallTest.requestThatMayHaveCrashedTwoGroupsIsNotSentToAnother failed before. Nothing is learned over requests on this path: prompts there have no list of parts.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -50,6 +50,35 @@
     entry.assertIdle();
   }
 
+  /** Guards against one request that ends every group of its model, one after the other. */
+  @Test
+  void requestThatMayHaveCrashedTwoGroupsIsNotSentToAnother() {
+    EntryFixture groups = new EntryFixture(4, 1, 1);
+    final Caller c = groups.call(DEADLINE_MILLIS);
+    groups.engines.last().fail(FailureKind.BROKEN);
+    assertFalse(c.ended());
+    groups.engines.last().fail(FailureKind.BROKEN);
+    assertTrue(c.ended());
+    assertEquals(2, groups.engines.attempts.size());
+    assertEquals(ErrorCode.UPSTREAM_FAILED, problem(c).code());
+    assertEquals(Outcome.FAILED, problem(c).outcome());
+    groups.assertIdle();
+  }
+
+  /** Guards against a lost answer although the request has shown that it is not the cause. */
+  @Test
+  void requestWithOutputIsSentOnAfterTwoCrashes() {
+    EntryFixture groups = new EntryFixture(4, 1, 1);
+    final Caller c = groups.call(DEADLINE_MILLIS);
+    for (int i = 0; i < 2; i++) {
+      groups.engines.last().chunk(i, false);
+      groups.engines.last().fail(FailureKind.BROKEN);
+    }
+    groups.engines.last().chunk(2, true);
+    assertTrue(c.done);
+    assertEquals(3, groups.engines.attempts.size());
+  }
+
   /** Guards against events of a failed attempt that another thread delivers after its end. */
   @Test
   void ignoresEventsOfFailedAttemptsWhileWaitingForTheNext() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -40,6 +40,12 @@
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
   private static final int MAX_DISPATCHES = 4;
 
+  /**
+   * The number of attempts that may break before the first token. After two groups have broken on
+   * the same prompt, the prompt is the more likely cause than chance.
+   */
+  private static final int MAX_BROKEN_WITHOUT_OUTPUT = 2;
+
   /** An attempt without a chunk for this long is abandoned; tokens usually come every 53 ms. */
   private static final long STALL_MILLIS = 5_000;
 
@@ -64,6 +70,7 @@
   private TimerService.@Nullable Subscription timer;
   private int admissions;
   private int dispatches;
+  private int brokenWithoutOutput;
 
   /** The number of the running attempt, or 0 if there is none; events of others are ignored. */
   private int runningAttempt;
@@ -306,7 +313,10 @@
       release(r, kind);
     }
     emit(EventCode.REQUEST_FAILED, Map.of("kind", kind.name(), "detail", detail));
-    if (kind == FailureKind.REJECTED) {
+    if (kind == FailureKind.BROKEN && assembler.resumeOffset() == 0) {
+      brokenWithoutOutput++;
+    }
+    if (kind == FailureKind.REJECTED || brokenWithoutOutput >= MAX_BROKEN_WITHOUT_OUTPUT) {
       problem(Problem.failed(ErrorCode.UPSTREAM_FAILED, detail));
       return;
     }
