Judge each crash by the rate of its own time before a prompt part is blocked

Harmless parts could be blocked after a troubled time had ended: their crashes were judged by the current rate of ended requests, and an entry that had just started judged them by no rate at all. The crashes now carry the rate that their reporters saw, so that all entries judge alike, and the accepted chance is divided among the suspected parts. Crashes 200 ms apart count separately; requests of one second ended four instances that counted as two.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
@@ -91,6 +91,36 @@
     assertEquals(Set.of(Set.of(POISON)), recorder.blocked);
   }
 
+  /**
+   * Guards against blame for crashes while many instances crashed, once they have stopped: by this
+   * entry, and by one that was not there and knows only the reports.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void crashesOfTroubledTimesAreNotJudgedByCalmOnes(long seed) {
+    Random random = new Random(seed);
+    for (int step = 0; step < 1_000; step++) {
+      now += 20;
+      long subject = 1_000 + random.nextInt(300);
+      if (random.nextInt(8) == 0) {
+        crash(List.of(SHARED, subject));
+      } else {
+        answer(1, SHARED, subject);
+      }
+    }
+    for (int i = 0; i < 120; i++) {
+      now += 1_000;
+      answer(50, SHARED);
+      isBlocked(SHARED);
+    }
+    assertEquals(0, recorder.decisions);
+    Recorder restarted = new Recorder();
+    PartQuarantine late = new PartQuarantine(restarted);
+    late.merge(quarantine.report(now), now);
+    late.quarantined(List.of(SHARED), now + PartQuarantine.CONSULT_MILLIS);
+    assertEquals(0, restarted.decisions);
+  }
+
   /** Guards against the blame of a popular part that every request of the crashed instances has. */
   @Test
   void popularPartThatIsInEveryCrashIsNotBlocked() {
@@ -322,6 +352,7 @@
   /** Guards against a new series of crashes after all processes stopped at the same time. */
   @Test
   void blockedPartsAreRestoredFromTheLog() {
+    answer(200, FIRST_SUBJECT);
     for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
       now += 500;
       crash(List.of(SHARED, POISON));
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -35,7 +35,7 @@
   private static final int HEARTBEAT_FIELDS = 4;
   private static final int LOAD_FIELDS = 6;
   private static final int SUSPICION_FIELDS = 5;
-  private static final int CRASH_FIELDS = 2;
+  private static final int CRASH_FIELDS = 3;
   private static final int LIMIT_FIELDS = 4;
   private static final InstancePhase[] PHASES = InstancePhase.values();
   private static final MemberState[] STATES = MemberState.values();
@@ -225,11 +225,13 @@
     p.packArrayHeader(CRASH_FIELDS);
     p.packLong(c.id());
     p.packLong(c.ageMillis());
+    p.packDouble(c.endedRate());
   }
 
   private static PartSuspicion.Crash unpackCrash(MessageUnpacker u) throws IOException {
     int extra = extraFields(u, CRASH_FIELDS);
-    PartSuspicion.Crash c = new PartSuspicion.Crash(u.unpackLong(), u.unpackLong());
+    PartSuspicion.Crash c =
+        new PartSuspicion.Crash(u.unpackLong(), u.unpackLong(), u.unpackDouble());
     u.skipValue(extra);
     return c;
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
@@ -1,6 +1,6 @@
 package org.ebonypond.quarantine;
 
-import java.util.Collection;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -27,10 +27,13 @@
   private static final String OTHERS = "others";
 
   /**
-   * The probability below which chance does not explain the crashes of a part. With a few hundred
-   * parts in use, one part in a hundred such series of crashes is blocked in error.
+   * The accepted probability that any of the suspected parts is blocked by chance. Each of them
+   * gets an equal share, so that more evidence is needed while many instances crash.
    */
-  private static final double BLOCKING_PROBABILITY = 5e-5;
+  private static final double ERROR_PROBABILITY = 5e-4;
+
+  /** The number of parts among which the probability is divided at least. */
+  private static final int MIN_SUSPECTS = 10;
 
   /** A request with a part that is in this many crashes may not be sent again after a crash. */
   private static final int MIN_CRASHES_TO_SUSPECT = 2;
@@ -103,7 +106,7 @@
     long crash = crashId(instance, startMillis);
     for (long part : parts) {
       boolean isNew = !table.contains(part);
-      table.crashed(part, crash, now);
+      table.crashed(part, crash, endedRate(part, now), now);
       countRecent(isNew, part, now);
     }
   }
@@ -178,10 +181,10 @@
       }
     }
     for (SuspicionTable.Suspect s : table.suspects()) {
-      int recurrences = recurrences(s, explained);
-      if (recurrences >= MIN_CRASHES_TO_SUSPECT
+      List<Double> recurrences = recurrences(s, explained);
+      if (recurrences.size() >= MIN_CRASHES_TO_SUSPECT
           && s.isHardlyAnswered()
-          && chance(s, recurrences, now) <= SUSPECTING_PROBABILITY) {
+          && chance(s, recurrences) <= SUSPECTING_PROBABILITY) {
         nextSuspected.add(s.part);
       }
     }
@@ -197,19 +200,20 @@
    * the cause.
    */
   private @Nullable Group heaviest(Set<Long> explained, long now) {
+    double acceptedChance = ERROR_PROBABILITY / Math.max(MIN_SUSPECTS, table.suspects().size());
     int most = SuspicionTable.MIN_CRASHES;
     long leastBegun = Long.MAX_VALUE;
     Map<Set<Long>, Set<Long>> partsByCrashes = new HashMap<>();
     for (SuspicionTable.Suspect s : table.suspects()) {
-      int recurrences = recurrences(s, explained);
-      if (recurrences < most
+      List<Double> recurrences = recurrences(s, explained);
+      if (recurrences.size() < most
           || !s.isHardlyAnswered()
-          || (!s.isBlocked() && chance(s, recurrences, now) > BLOCKING_PROBABILITY)
+          || (!s.isBlocked() && chance(s, recurrences) > acceptedChance)
           || !isConsulted(s, now)) {
         continue;
       }
-      if (recurrences > most || s.begun() < leastBegun) {
-        most = recurrences;
+      if (recurrences.size() > most || s.begun() < leastBegun) {
+        most = recurrences.size();
         leastBegun = s.begun();
         partsByCrashes.clear();
       }
@@ -225,19 +229,29 @@
   }
 
   /**
-   * Returns the probability that requests with a harmless part are ended in so many crashes. The
-   * rate at which requests without the part are ended is that of this entry.
+   * Returns a bound of the probability that requests with a harmless part are ended in all of these
+   * crashes. Each one has the probability of its own time, since troubled times are followed by
+   * calm ones.
    */
-  private double chance(SuspicionTable.Suspect s, int recurrences, long now) {
-    double ended = recentlyEnded.total(now) - recentlyEnded.count(s.part, now);
-    double begun = recentlyBegun.total(now) - recentlyBegun.count(s.part, now);
-    double rate = (ended + PRIOR_ENDED) / (ended + begun + PRIOR_REQUESTS);
+  private static double chance(SuspicionTable.Suspect s, List<Double> endedRates) {
     int requests = (int) s.begun() + s.crashes().size();
-    return BinomialTail.atLeast(recurrences, requests, rate);
+    double chance = 1;
+    for (int i = 0; i < endedRates.size(); i++) {
+      // The factors of the first fraction make up the number of ways to choose these requests.
+      chance *= (double) (requests - i) / (i + 1) * endedRates.get(i);
+    }
+    return chance;
+  }
+
+  /** Returns the fraction of the recent requests without a part that instances have ended. */
+  private double endedRate(long part, long now) {
+    double ended = recentlyEnded.total(now) - recentlyEnded.count(part, now);
+    double begun = recentlyBegun.total(now) - recentlyBegun.count(part, now);
+    return (ended + PRIOR_ENDED) / (ended + begun + PRIOR_REQUESTS);
   }
 
   private boolean isConsulted(SuspicionTable.Suspect s, long now) {
-    long first = s.crashes().stream().mapToLong(s::crashedAt).min().orElse(now);
+    long first = s.crashesExcept(Set.of()).get(0).at();
     long reportsSince = reports - reportsWhenSuspected.getOrDefault(s.part, reports);
     if (s.isBlocked() || reportsSince >= CONSULTED_REPORTS || now - first >= CONSULT_MILLIS) {
       return true;
@@ -246,23 +260,23 @@
     return false;
   }
 
-  /** Returns the number of unexplained crashes of a part, those at the same time counted once. */
-  private static int recurrences(SuspicionTable.Suspect s, Collection<Long> explained) {
-    long[] times =
-        s.crashes().stream()
-            .filter(c -> !explained.contains(c))
-            .mapToLong(s::crashedAt)
-            .sorted()
-            .toArray();
-    int n = 0;
-    long last = 0;
-    for (long t : times) {
-      if (n == 0 || t - last >= SuspicionTable.SIMULTANEOUS_MILLIS) {
-        n++;
-        last = t;
+  /**
+   * Returns the rates of the unexplained crashes of a part. Those at the same time count once, with
+   * the highest rate.
+   */
+  private static List<Double> recurrences(SuspicionTable.Suspect s, Set<Long> explained) {
+    List<Double> rates = new ArrayList<>();
+    long startedAt = 0;
+    for (SuspicionTable.Crash c : s.crashesExcept(explained)) {
+      if (rates.isEmpty() || c.at() - startedAt >= SuspicionTable.SIMULTANEOUS_MILLIS) {
+        rates.add(c.endedRate());
+        startedAt = c.at();
+      } else {
+        int last = rates.size() - 1;
+        rates.set(last, Math.max(rates.get(last), c.endedRate()));
       }
     }
-    return n;
+    return rates;
   }
 
   /** Returns the identifier of a crash, which is the same at all entries. */
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartSuspicion.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartSuspicion.java
@@ -20,6 +20,8 @@
    *
    * @param id the identifier of the crash, the same in all processes
    * @param ageMillis the time since the crash, in milliseconds
+   * @param endedRate the fraction of the requests without the part that instances ended at that
+   *     time, 0 to 1: the probability of the crash if the part is harmless
    */
-  public record Crash(long id, long ageMillis) {}
+  public record Crash(long id, long ageMillis, double endedRate) {}
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -49,7 +49,7 @@
    * Crashes within this time of each other, in milliseconds, count as one. Instances that are lost
    * together, such as those of an availability zone, have another cause than a prompt.
    */
-  static final long SIMULTANEOUS_MILLIS = 300;
+  static final long SIMULTANEOUS_MILLIS = 200;
 
   /** The maximum number of answers begun for each crash of a part that may be the cause. */
   static final int MAX_BEGUN_PER_CRASH = 3;
@@ -66,10 +66,14 @@
 
   private final Map<Long, Suspect> suspects = new HashMap<>();
 
-  /** Records that an instance crashed before it began to write an answer on a part. */
-  void crashed(long part, long crash, long now) {
+  /**
+   * Records that an instance crashed before it began to write an answer on a part.
+   *
+   * @param endedRate the fraction of the requests without the part that instances end now
+   */
+  void crashed(long part, long crash, double endedRate, long now) {
     Suspect s = suspects.computeIfAbsent(part, Suspect::new);
-    s.addCrash(crash, now);
+    s.addCrash(crash, now, endedRate);
     s.lastSeenAt = now;
     evictIfFull();
   }
@@ -98,7 +102,7 @@
       if (s.lastSeenAt == Long.MIN_VALUE || seenAt > s.lastSeenAt + MIN_ADVANCE_MILLIS) {
         s.lastSeenAt = seenAt;
       }
-      p.crashes().forEach(c -> s.addCrash(c.id(), now - Math.max(0, c.ageMillis())));
+      p.crashes().forEach(c -> s.addCrash(c.id(), now - Math.max(0, c.ageMillis()), c.endedRate()));
       s.begun.merge(reporter, p.begun(), Math::max);
       s.blocked |= p.blocked();
     }
@@ -151,7 +155,7 @@
     for (BlockedPart b : parts) {
       Suspect s = suspects.computeIfAbsent(b.part(), Suspect::new);
       for (int i = 0; i < b.crashes().size(); i++) {
-        s.addCrash(b.crashes().get(i), now - i * SIMULTANEOUS_MILLIS);
+        s.addCrash(b.crashes().get(i), now - i * SIMULTANEOUS_MILLIS, 0);
       }
       s.lastSeenAt = now;
       s.blocked = true;
@@ -197,7 +201,7 @@
   /** A suspected part. */
   static final class Suspect {
     final long part;
-    private final Map<Long, Long> crashes = new HashMap<>();
+    private final Map<Long, Crash> crashes = new HashMap<>();
     private final Map<String, Long> begun = new HashMap<>();
     private long lastSeenAt = Long.MIN_VALUE;
     private boolean blocked;
@@ -206,9 +210,9 @@
       this.part = part;
     }
 
-    private void addCrash(long id, long at) {
+    private void addCrash(long id, long at, double endedRate) {
       if (crashes.size() < MAX_CRASHES || crashes.containsKey(id)) {
-        crashes.merge(id, at, Math::min);
+        crashes.merge(id, new Crash(at, endedRate), Crash::merge);
       }
     }
 
@@ -217,9 +221,13 @@
       return crashes.keySet();
     }
 
-    /** Returns when a crash happened, in milliseconds. */
-    long crashedAt(long id) {
-      return crashes.getOrDefault(id, Long.MIN_VALUE);
+    /** Returns the crashes that are not among the given ones, in the order of their times. */
+    List<Crash> crashesExcept(Set<Long> explained) {
+      return crashes.entrySet().stream()
+          .filter(e -> !explained.contains(e.getKey()))
+          .map(Map.Entry::getValue)
+          .sorted(Comparator.comparingLong(Crash::at))
+          .toList();
     }
 
     /** Returns whether an entry has found that chance does not explain the crashes. */
@@ -249,8 +257,20 @@
 
     private PartSuspicion report(Predicate<String> reporters, long now) {
       List<PartSuspicion.Crash> out = new ArrayList<>();
-      crashes.forEach((id, at) -> out.add(new PartSuspicion.Crash(id, now - at)));
+      crashes.forEach((id, c) -> out.add(new PartSuspicion.Crash(id, now - c.at, c.endedRate)));
       return new PartSuspicion(part, now - lastSeenAt, out, begun(reporters), blocked);
     }
   }
+
+  /**
+   * A crash of an instance.
+   *
+   * @param at when it happened, in milliseconds
+   * @param endedRate the fraction of the requests without the part that instances ended then
+   */
+  record Crash(long at, double endedRate) {
+    private Crash merge(Crash other) {
+      return new Crash(Math.min(at, other.at), Math.max(endedRate, other.endedRate));
+    }
+  }
 }
