Reject polls with impossible rates of ended requests

A rate of NaN or below 0 in one report would have blocked a harmless part at every entry, since no chance is above it.

PollCodecTest.impossibleRatesOfCrashesAreRejected failed before.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -14,6 +14,8 @@
 import org.ebonypond.quarantine.PartSuspicion;
 import org.ebonypond.serving.ServingState;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 
@@ -143,6 +145,19 @@
     }
   }
 
+  /** Guards against impossible evidence, which would block a harmless part at every entry. */
+  @ParameterizedTest
+  @ValueSource(doubles = {-0.1, 1.1, Double.NaN, Double.NEGATIVE_INFINITY})
+  void impossibleRatesOfCrashesAreRejected(double rate) {
+    PartSuspicion impossible =
+        new PartSuspicion(1, 0, List.of(new PartSuspicion.Crash(1, 0, rate)), 0, false);
+    FleetPoll poll =
+        new FleetPoll(
+            "e", "", 0, 0, 0, 0, true, false, 0, List.of(), List.of(impossible), List.of());
+    byte[] encoded = PollCodec.encodePoll(poll);
+    assertThrows(EbonypondException.class, () -> PollCodec.decodePoll(encoded));
+  }
+
   /** Guards against malformed input that crashes the process or exhausts its memory. */
   @Test
   void corruptedMessagesAreRejected() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -232,6 +232,9 @@
     int extra = extraFields(u, CRASH_FIELDS);
     PartSuspicion.Crash c =
         new PartSuspicion.Crash(u.unpackLong(), u.unpackLong(), u.unpackDouble());
+    if (!(c.endedRate() >= 0 && c.endedRate() <= 1)) {
+      throw invalid("a rate of ended requests of " + c.endedRate());
+    }
     u.skipValue(extra);
     return c;
   }
