--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
@@ -281,12 +281,7 @@
 
   /** Returns the identifier of a crash, which is the same at all entries. */
   private static long crashId(String instance, long startMillis) {
-    // FNV-1a; the hash code of a string has too few bits.
-    long h = 0xCBF29CE484222325L;
-    for (int i = 0; i < instance.length(); i++) {
-      h = (h ^ instance.charAt(i)) * 0x100000001B3L;
-    }
-    return (h ^ startMillis) * 0x100000001B3L;
+    return TextHash.of(instance + "@" + startMillis);
   }
 
   /** Parts that are blocked together, their crashes, and the answers begun on each of them. */
