Forget suspected prompt parts that are answered

After a series of crashes, popular parts stayed in every report for as long as requests with them came, up to 5 KB in each poll, because each request renewed them. Only blocked parts are renewed now, and a part that is answered too often to be the cause is forgotten 30 s after its last crash.

PartQuarantineTest.answeredPartsLeaveTheReports failed before.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
@@ -289,6 +289,26 @@
     assertTrue(quarantine.report(now).isEmpty());
   }
 
+  /**
+   * Guards against reports that grow and never shrink again: popular parts are at many crashed
+   * instances, and requests with them never stop.
+   */
+  @Test
+  void answeredPartsLeaveTheReports() {
+    crashSeries(SuspicionTable.MIN_CRASHES, POISON);
+    now += PartQuarantine.CONSULT_MILLIS;
+    assertTrue(isBlocked(POISON));
+    for (int i = 0; i < 100; i++) {
+      now += 1_000;
+      answer(20, SHARED);
+      assertFalse(isBlocked(SHARED));
+    }
+    assertFalse(
+        quarantine.report(now).stream().anyMatch(s -> s.part() == SHARED),
+        "still reported although it is answered");
+    assertTrue(isBlocked(POISON));
+  }
+
   /** Guards against memory that grows with the number of distinct parts. */
   @Test
   void memoryIsBoundedForThousandsOfDistinctParts() {
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -30,9 +30,18 @@
    */
   static final int MAX_REPORTED = 24;
 
-  /** The time after the last request with a part at which the part is forgotten. */
+  /**
+   * The time at which a part is forgotten, in milliseconds: after the last request if the part is
+   * blocked, otherwise after its last crash.
+   */
   static final long EXPIRY_MILLIS = 600_000;
 
+  /**
+   * The time after the last crash at which a part is forgotten that is answered too often to be the
+   * cause, in milliseconds. Popular parts are at many crashed instances and would fill the reports.
+   */
+  static final long ANSWERED_EXPIRY_MILLIS = 30_000;
+
   /**
    * A reported time replaces a known one only if it is later by more than this. Each hop makes a
    * report appear younger by its latency, and reports that circulate would otherwise never expire.
@@ -78,10 +87,10 @@
     evictIfFull();
   }
 
-  /** Records that a request with a part arrived; has no effect if the part is not suspected. */
+  /** Records that a request with a part arrived, if the part is blocked. */
   void seen(long part, long now) {
     Suspect s = suspects.get(part);
-    if (s != null) {
+    if (s != null && s.blocked && s.isHardlyAnswered()) {
       s.lastSeenAt = now;
     }
   }
@@ -183,7 +192,7 @@
 
   /** Removes expired parts; returns whether there were any. */
   boolean prune(long now) {
-    return suspects.values().removeIf(s -> now - s.lastSeenAt > EXPIRY_MILLIS);
+    return suspects.values().removeIf(s -> s.isExpired(now));
   }
 
   Collection<Suspect> suspects() {
@@ -243,6 +252,11 @@
       return begun() <= (long) MAX_BEGUN_PER_CRASH * crashes.size();
     }
 
+    private boolean isExpired(long now) {
+      long expiry = isHardlyAnswered() ? EXPIRY_MILLIS : ANSWERED_EXPIRY_MILLIS;
+      return now - lastSeenAt > expiry;
+    }
+
     /** Returns the number of answers that instances have begun to write on the part. */
     long begun() {
       return begun(r -> true);
