--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -313,6 +313,7 @@
   private void checkCalls() {
     long now = timers.nowMillis();
     guard.prune(now);
+    turns.retain(id -> view.instance(id) != null);
     for (ForwardCall c : List.copyOf(calls)) {
       c.checkProgress(now);
     }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EntryTurnsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EntryTurnsTest.java
@@ -126,6 +126,17 @@
     assertTrue(sent >= 8 && sent <= 25, sent + " requests in 200 s");
   }
 
+  /** Guards against memory that grows with each instance that ever had a limit. */
+  @Test
+  void turnsAtInstancesThatAreGoneAreForgotten() {
+    EntryTurns turns = new EntryTurns(new Random(1));
+    for (int i = 0; i < 100; i++) {
+      turns.isTurn("i-" + i, 3, 9, i);
+    }
+    turns.retain("i-7"::equals);
+    assertEquals(1, turns.size());
+  }
+
   /** Guards against a huge limit that overflows, and against turns kept after a limit has ended. */
   @Test
   void hugeLimitIsNone() {
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EntryTurns.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EntryTurns.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -70,6 +71,16 @@
     }
   }
 
+  /** Forgets the turns at instances that do not exist any more. */
+  public void retain(Predicate<String> exists) {
+    turnsByInstance.keySet().removeIf(exists.negate());
+  }
+
+  /** Returns the number of instances at which this entry takes turns. */
+  int size() {
+    return turnsByInstance.size();
+  }
+
   /** The numbered turns at one instance. */
   private static final class Turns {
     /** The number of turns so far, with the elapsed fraction of the time until the next one. */
