Lock the table of suspected prompt parts

The planning thread of a replica reads the table while polls change it on the network's thread; on the platform both are one thread, elsewhere a poll could fail with a ConcurrentModificationException.

--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -12,7 +12,8 @@
 /**
  * The suspected prompt parts that a process knows. Crashes from several reporters are united, so a
  * report that arrives twice or returns to its origin changes nothing; answers that began are added
- * up over the reporters. Parts expire some time after the last request with them. Not thread-safe.
+ * up over the reporters. Parts expire some time after the last request with them. Thread-safe, but
+ * for {@link #suspects}.
  */
 public final class SuspicionTable {
   /**
@@ -80,7 +81,7 @@
    *
    * @param endedRate the fraction of the requests without the part that instances end now
    */
-  void crashed(long part, long crash, double endedRate, long now) {
+  synchronized void crashed(long part, long crash, double endedRate, long now) {
     Suspect s = suspects.computeIfAbsent(part, Suspect::new);
     s.addCrash(crash, now, endedRate);
     s.lastSeenAt = now;
@@ -88,7 +89,7 @@
   }
 
   /** Records that a request with a part arrived, if the part is blocked. */
-  void seen(long part, long now) {
+  synchronized void seen(long part, long now) {
     Suspect s = suspects.get(part);
     if (s != null && s.blocked && s.isHardlyAnswered()) {
       s.lastSeenAt = now;
@@ -101,7 +102,7 @@
    * @param reporter the process whose answers the report counts
    * @param report the suspected parts that it knows
    */
-  public void merge(String reporter, List<PartSuspicion> report, long now) {
+  public synchronized void merge(String reporter, List<PartSuspicion> report, long now) {
     for (PartSuspicion p : report) {
       long seenAt = now - Math.max(0, p.idleMillis());
       if (p.crashes().isEmpty() || now - seenAt > EXPIRY_MILLIS) {
@@ -119,7 +120,7 @@
   }
 
   /** Adds to the number of answers that instances have begun to write on a part. */
-  void begun(String reporter, long part, long count) {
+  synchronized void begun(String reporter, long part, long count) {
     Suspect s = suspects.get(part);
     if (s != null) {
       s.begun.merge(reporter, count, Long::sum);
@@ -127,7 +128,7 @@
   }
 
   /** Removes the count of answers of a reporter that now reports to another process. */
-  public void removeReporter(String reporter) {
+  public synchronized void removeReporter(String reporter) {
     suspects.values().forEach(s -> s.begun.remove(reporter));
   }
 
@@ -135,7 +136,7 @@
    * Records that chance does not explain the crashes of a part. Reports carry this, so that an
    * entry that sees less does not have to find it again.
    */
-  void block(long part) {
+  synchronized void block(long part) {
     Suspect s = suspects.get(part);
     if (s != null) {
       s.blocked = true;
@@ -143,7 +144,7 @@
   }
 
   /** Returns the blocked parts, at most {@link #MAX_REPORTED}, by their identifiers. */
-  public List<BlockedPart> blockedParts(long now) {
+  public synchronized List<BlockedPart> blockedParts(long now) {
     prune(now);
     return suspects.values().stream()
         .filter(s -> s.blocked && s.isHardlyAnswered())
@@ -160,7 +161,7 @@
    * Adds parts that were blocked before all processes stopped, as if their crashes had just
    * happened one after the other.
    */
-  public void restore(List<BlockedPart> parts, long now) {
+  public synchronized void restore(List<BlockedPart> parts, long now) {
     for (BlockedPart b : parts) {
       Suspect s = suspects.computeIfAbsent(b.part(), Suspect::new);
       for (int i = 0; i < b.crashes().size(); i++) {
@@ -172,7 +173,7 @@
     evictIfFull();
   }
 
-  boolean contains(long part) {
+  synchronized boolean contains(long part) {
     return suspects.containsKey(part);
   }
 
@@ -181,7 +182,7 @@
    *
    * @param reporters selects the reporters whose answers are counted
    */
-  public List<PartSuspicion> report(Predicate<String> reporters, long now) {
+  public synchronized List<PartSuspicion> report(Predicate<String> reporters, long now) {
     prune(now);
     return suspects.values().stream()
         .sorted(BY_WEIGHT)
@@ -191,7 +192,7 @@
   }
 
   /** Removes expired parts; returns whether there were any. */
-  boolean prune(long now) {
+  synchronized boolean prune(long now) {
     return suspects.values().removeIf(s -> s.isExpired(now));
   }
 
