--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -164,7 +164,8 @@
    */
   void observeLimit(FleetInstance i, double perSecond) {
     if (Double.isNaN(perSecond)) {
-      LOG.atWarn().addKeyValue("instance", i.id()).log("limit of an instance cannot be read");
+      // A line of this level is dropped under load; each answer of the instance may bring one.
+      LOG.atInfo().addKeyValue("instance", i.id()).log("limit of an instance cannot be read");
     } else if (limits.observe(i.id(), i.startMillis(), perSecond, timers.nowMillis())) {
       logLimit(i.id(), perSecond, 0);
     }
