Block a prompt part whose requests end several instances at the same time

Crashes within 200 ms count as one, but the number of requests among which they were drawn counted each, so the more instances such requests ended, the more they looked like chance.

PartQuarantineTest.frequentRequestsThatEndManyInstancesAtOnceAreBlocked failed before.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
@@ -178,6 +178,26 @@
     assertEquals(0, recorder.decisions);
   }
 
+  /**
+   * Guards against a part that is not blocked because its requests are so many that they end
+   * several instances at the same time, with many others beside them.
+   */
+  @Test
+  void frequentRequestsThatEndManyInstancesAtOnceAreBlocked() {
+    answer(100, SHARED);
+    for (int i = 0; i < 6; i++) {
+      now += 250;
+      answer(20, SHARED);
+      for (int n = 0; n < 4; n++) {
+        long bystander = 5_000 + 10 * i + n;
+        crash(List.of(SHARED, POISON), List.of(SHARED, bystander), List.of(SHARED, bystander + 5));
+      }
+    }
+    now += PartQuarantine.CONSULT_MILLIS;
+    assertTrue(isBlocked(SHARED, POISON));
+    assertFalse(isBlocked(SHARED));
+  }
+
   /** Guards against blame for the loss of a zone, which ends many instances at the same time. */
   @Test
   void instancesThatAreLostTogetherBlockNothing() {
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
@@ -234,7 +234,7 @@
    * calm ones.
    */
   private static double chance(SuspicionTable.Suspect s, List<Double> endedRates) {
-    int requests = (int) s.begun() + s.crashes().size();
+    int requests = (int) s.begun() + endedRates.size();
     double chance = 1;
     for (int i = 0; i < endedRates.size(); i++) {
       // The factors of the first fraction make up the number of ways to choose these requests.
