Count every crash of a prompt part that was never answered

Where two fifths of all instances were down, a harmful part was blocked more than 3 s after its fifth crash: simultaneous crashes count once, and while many requests beside it were ended too, a few such counts are not beyond chance. If a part crashes only half of the instances, its answers grew on while its crashes were no longer counted, and it looked harmless for good.

A part that was never answered is now judged by all of its crashes, which even a popular part could not have by chance; the answers of others are counted only as long as the crashes are, and in proportion to them.

--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
@@ -184,7 +184,7 @@
       List<Double> recurrences = recurrences(s, explained, now);
       if (recurrences.size() >= MIN_CRASHES_TO_SUSPECT
           && s.isHardlyAnswered()
-          && chance(s, recurrences) <= SUSPECTING_PROBABILITY) {
+          && chance(s, recurrences, explained) <= SUSPECTING_PROBABILITY) {
         nextSuspected.add(s.part);
       }
     }
@@ -208,7 +208,7 @@
       List<Double> recurrences = recurrences(s, explained, now);
       if (recurrences.size() < SuspicionTable.MIN_CRASHES
           || !s.isHardlyAnswered()
-          || (!s.isBlocked() && chance(s, recurrences) > acceptedChance)
+          || (!s.isBlocked() && chance(s, recurrences, explained) > acceptedChance)
           || !isConsulted(s, now)) {
         continue;
       }
@@ -233,10 +233,18 @@
   /**
    * Returns a bound of the probability that requests with a harmless part are ended in all of these
    * crashes. Each one has the probability of its own time, since troubled times are followed by
-   * calm ones.
+   * calm ones. Simultaneous crashes count once, and the answers in proportion, unless the part was
+   * never answered: then even a popular part could not be at several instances by chance.
    */
-  private static double chance(SuspicionTable.Suspect s, List<Double> endedRates) {
-    int requests = (int) s.begun() + endedRates.size();
+  private static double chance(
+      SuspicionTable.Suspect s, List<Double> endedRates, Set<Long> explained) {
+    if (s.begun() == 0) {
+      return s.crashesExcept(explained).stream()
+          .mapToDouble(SuspicionTable.Crash::endedRate)
+          .reduce(1, (x, y) -> x * y);
+    }
+    double begunPerCrash = (double) s.begun() / s.crashes().size();
+    int requests = (int) Math.ceil(endedRates.size() * (1 + begunPerCrash));
     double chance = 1;
     for (int i = 0; i < endedRates.size(); i++) {
       // The factors of the first fraction make up the number of ways to choose these requests.
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -122,7 +122,8 @@
   /** Adds to the number of answers that instances have begun to write on a part. */
   synchronized void begun(String reporter, long part, long count) {
     Suspect s = suspects.get(part);
-    if (s != null) {
+    // Further crashes would not be counted either, and the part would look harmless in the end.
+    if (s != null && s.crashes.size() < MAX_CRASHES) {
       s.begun.merge(reporter, count, Long::sum);
     }
   }
