--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/SuspicionTableTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/SuspicionTableTest.java
@@ -1,5 +1,6 @@
 package org.ebonypond.quarantine;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -10,6 +11,19 @@
 class SuspicionTableTest {
   private static final int ROUNDS = 20_000;
 
+  /** Guards against a block that is renewed whenever another part is blocked or released. */
+  @Test
+  void changesOfTheLogDoNotRenewKnownParts() {
+    SuspicionTable table = new SuspicionTable();
+    List<BlockedPart> first = List.of(new BlockedPart(1, List.of(11L, 12L, 13L)));
+    table.restore(first, 0);
+    long later = SuspicionTable.EXPIRY_MILLIS - 1;
+    List<BlockedPart> both = List.of(first.get(0), new BlockedPart(2, List.of(21L, 22L, 23L)));
+    table.restore(both, later);
+    assertEquals(both, table.blockedParts(later));
+    assertEquals(both.subList(1, 2), table.blockedParts(later + 2));
+  }
+
   /** Guards against a replica that fails when a poll arrives while its leader reads the table. */
   @Test
   void pollsMayArriveWhileTheTableIsRead() throws Exception {
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -160,7 +160,7 @@
 
   /**
    * Adds parts that were blocked before all processes stopped, as if their crashes had just
-   * happened one after the other.
+   * happened one after the other. Known parts are not renewed.
    */
   public synchronized void restore(List<BlockedPart> parts, long now) {
     for (BlockedPart b : parts) {
@@ -168,7 +168,9 @@
       for (int i = 0; i < b.crashes().size(); i++) {
         s.addCrash(b.crashes().get(i), now - i * SIMULTANEOUS_MILLIS, 0);
       }
-      s.lastSeenAt = now;
+      if (s.lastSeenAt == Long.MIN_VALUE) {
+        s.lastSeenAt = now;
+      }
       s.blocked = true;
     }
     evictIfFull();
