--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -155,11 +155,7 @@
       owner.log().mismatchedAnswer(target.id(), r.requestId());
       return false;
     }
-    boolean named = r.acceptedPerSecond() != Double.POSITIVE_INFINITY;
-    // A refusal may come from something in front of the instance that does not know its limit.
-    if (r.requestId() != null && r.status() != MISDIRECTED && (named || r.signed())) {
-      forwarder.observeLimit(target, r.acceptedPerSecond());
-    }
+    observeLimit(r);
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
     endsWithConnection = !HttpUtil.isContentLengthSet(h) && !HttpUtil.isTransferEncodingChunked(h);
@@ -167,6 +163,17 @@
     return true;
   }
 
+  /** Records the rate that the instance accepts, unless the answer may be that of another one. */
+  private void observeLimit(BackendReply r) {
+    boolean named = r.acceptedPerSecond() != Double.POSITIVE_INFINITY;
+    boolean ofTarget = r.requestId() != null && r.status() != MISDIRECTED;
+    // Only a signed answer ends a limit: a refusal may come from something in front of the
+    // instance.
+    if (ofTarget && (named || r.signed())) {
+      forwarder.observeLimit(target, r.acceptedPerSecond());
+    }
+  }
+
   @Override
   public void content(ByteBuf bytes) {
     BackendReply r = reply;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -47,9 +47,9 @@
   private final TargetSelector selector;
   private final RetryAllowance allowance;
   private final ArrivalGuard guard;
+  private final EntryTurns turns;
   private final PartQuarantine quarantine;
   private final NamedLimits limits = new NamedLimits();
-  private final EntryTurns turns;
   private final TimerService timers;
   private final RandomGenerator random;
   private final ForwardMetrics metrics;
@@ -69,6 +69,7 @@
    * @param selector chooses the instance of a call
    * @param allowance limits the calls that are sent again
    * @param guard limits the rate of calls to one instance
+   * @param turns limits the rate of calls to instances that name a limit for all entries
    * @param quarantine decides which prompt parts are refused because they crash instances
    * @param timers provides the clock and the periodic check
    * @param random chooses among the services of a route
@@ -82,6 +83,7 @@
       TargetSelector selector,
       RetryAllowance allowance,
       ArrivalGuard guard,
+      EntryTurns turns,
       PartQuarantine quarantine,
       TimerService timers,
       RandomGenerator random,
@@ -93,10 +95,10 @@
     this.selector = selector;
     this.allowance = allowance;
     this.guard = guard;
+    this.turns = turns;
     this.quarantine = quarantine;
     this.timers = timers;
     this.random = random;
-    this.turns = new EntryTurns(random);
     this.metrics = metrics;
     this.queue = new CallQueue(heartbeatMillis);
     timers.every(CHECK_INTERVAL_MILLIS, this::checkCalls);
