Log how old the configuration of an entry is and where it came from

A refusal as wrong could not be told apart afterwards: a late entry, a replica that was cut off, and a wrong configuration left the same lines.

The leader of the log knows until when it was certainly the only leader. That time travels with the answers to polls, as an age, and is counted from the time of the poll on the receiver's clock, so that frozen processes and delayed answers do not make it look newer. `request refused` has host, path, the age and the replica; `configuration in force` the replica and the age; replicas log each configuration that they apply. Nothing decides by it yet.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/FakeReplica.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/FakeReplica.java
@@ -50,6 +50,11 @@
     return now + clockOffset;
   }
 
+  /** Returns the cluster time of a time on the clock of this replica. */
+  long clusterTime(long local) {
+    return local - clockOffset;
+  }
+
   /** Returns whether the running process may act as the leader at a cluster time. */
   public boolean mayLead(long now) {
     return node().mayLead(localTime(now));
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
@@ -320,13 +320,17 @@
     results.put(result.proposalId(), result);
     byte[] command = commands.remove(result.proposalId());
     if (result.failure() == null && command != null) {
-      checker.onAcknowledged(result.index(), command);
+      checker.onAcknowledged(now, result.index(), command);
     }
   }
 
   private void checkLeaders() {
     List<String> leaders = new ArrayList<>();
     for (FakeReplica r : replicas.values()) {
+      if (r.isUp() && r.node().confirmedAt() != Long.MIN_VALUE) {
+        long confirmedAt = r.clusterTime(r.node().confirmedAt());
+        checker.checkConfirmed(r.name(), r.node().appliedIndex(), confirmedAt);
+      }
       if (r.isUp() && r.mayLead(now)) {
         RaftNode n = r.node();
         leaders.add(r.name());
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/SafetyChecker.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/SafetyChecker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.ebonypond.consensus.LogEntry;
 import org.ebonypond.consensus.LogStorage;
 import org.ebonypond.errors.EbonypondException;
@@ -13,6 +14,7 @@
 public final class SafetyChecker {
   private final Map<Long, String> leaders = new HashMap<>();
   private final Map<Long, Applied> appliedByIndex = new HashMap<>();
+  private final TreeMap<Long, Long> acknowledgedByTime = new TreeMap<>();
   private long maxAcknowledged;
 
   /** Records a leader and checks that its term has no other one. */
@@ -39,13 +41,26 @@
         "restored state at index " + index + " differs from the applied one");
   }
 
-  /** Records an index that was acknowledged to a proposer and checks the command there. */
-  public void onAcknowledged(long index, byte[] command) {
+  /**
+   * Records an index that was acknowledged to a proposer and checks the command there.
+   *
+   * @param now the cluster time in milliseconds
+   */
+  public void onAcknowledged(long now, long index, byte[] command) {
     Applied a = appliedByIndex.get(index);
     check(
         a != null && Arrays.equals(a.command, command),
         "acknowledged command at index " + index + " is not the committed one");
     maxAcknowledged = Math.max(maxAcknowledged, index);
+    acknowledgedByTime.put(now, maxAcknowledged);
+  }
+
+  /** Checks that a replica has applied every command that was acknowledged before a time. */
+  public void checkConfirmed(String name, long appliedIndex, long confirmedAt) {
+    Map.Entry<Long, Long> before = acknowledgedByTime.lowerEntry(confirmedAt);
+    check(
+        before == null || appliedIndex >= before.getValue(),
+        name + " claims the state of " + confirmedAt + " ms, but applied only " + appliedIndex);
   }
 
   /** Checks that a replica that may act as the leader has applied every acknowledged command. */
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -22,9 +22,11 @@
     ServingState.Committed s =
         new ServingState.Committed(1, new byte[1], index, out, true, 0, List.of());
     view.accept(
+        "r",
         new FleetPollResult(
             1, 1, 1, index, true, s, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
-            List.of()),
+            List.of(), 0),
+        now,
         now);
   }
 
@@ -46,6 +48,7 @@
       InstanceTable.Changes c = table.changedSince(cursor, 100, now);
       cursor = c.cursor();
       view.accept(
+          "r",
           new FleetPollResult(
               1,
               cursor,
@@ -61,7 +64,9 @@
               List.of(),
               null,
               List.of(),
-              List.of()),
+              List.of(),
+              0),
+          now,
           now);
       assertNotNull(view.instance("i-1"), "after " + now + " ms");
       assertNotNull(view.instance("i-2"), "after " + now + " ms");
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -210,7 +210,7 @@
       ReplicaDirectory directory = new ReplicaDirectory(seeds);
       handler =
           new PollHandler(
-              name, boot, directory, table, loads, state::current, () -> null, timers.nowMillis());
+              name, boot, directory, table, loads, this::confirmed, () -> null, timers.nowMillis());
       poller =
           new FleetPoller(
               name,
@@ -256,7 +256,11 @@
       return busyMillis;
     }
 
-    private void merge(String replica, FleetPollResult r) {
+    private ConfirmedState confirmed() {
+      return new ConfirmedState(state.current(), timers.nowMillis());
+    }
+
+    private void merge(String replica, FleetPollResult r, long sentAt) {
       for (InstanceUpdate u : r.instances()) {
         table.merge(u.instance(), u.ageMillis(), timers.nowMillis());
       }
@@ -316,7 +320,7 @@
               this::accept);
     }
 
-    private void accept(String replica, FleetPollResult r) {
+    private void accept(String replica, FleetPollResult r, long sentAt) {
       quarantine.merge(r.suspicions(), timers.nowMillis());
       limits.merge(r.limits(), false, timers.nowMillis());
       ServingState.Committed s = r.state();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.ebonypond.errors.EbonypondException;
@@ -50,7 +49,7 @@
   private final Supplier<List<InstanceLoad>> loads;
   private final Supplier<List<PartSuspicion>> suspicions;
   private final Supplier<List<NamedLimit>> limits;
-  private final BiConsumer<String, FleetPollResult> results;
+  private final PollListener listener;
   private final Map<String, Position> positions = new HashMap<>();
   private final Set<String> unreachable = new HashSet<>();
   private long lastAnswerMillis = Long.MIN_VALUE;
@@ -72,7 +71,7 @@
    * @param loads the load of this process at each instance
    * @param suspicions the prompt parts that this process suspects of crashing instances
    * @param limits the limits that instances named to this process
-   * @param results receives the name of a replica and its answer
+   * @param listener receives the answers
    */
   public FleetPoller(
       String node,
@@ -89,7 +88,7 @@
       Supplier<List<InstanceLoad>> loads,
       Supplier<List<PartSuspicion>> suspicions,
       Supplier<List<NamedLimit>> limits,
-      BiConsumer<String, FleetPollResult> results) {
+      PollListener listener) {
     this.node = node;
     this.address = address;
     this.peers = peers;
@@ -104,7 +103,7 @@
     this.loads = loads;
     this.suspicions = suspicions;
     this.limits = limits;
-    this.results = results;
+    this.listener = listener;
   }
 
   /** Starts polling. */
@@ -151,15 +150,17 @@
             planned.home() ? limits.get() : List.of());
     byte[] request = PollCodec.encodePoll(message);
     InetSocketAddress to = ReplicaDirectory.address(name);
+    long sentAt = timers.nowMillis();
     peers
         .ask(to, FrameType.FLEET_POLL, "", request, TIMEOUT_MILLIS)
         .whenComplete(
             (bytes, failure) ->
-                executor.execute(() -> answered(planned, request.length, bytes, failure)));
+                executor.execute(() -> answered(planned, sentAt, request.length, bytes, failure)));
   }
 
   private void answered(
       PollPlan.PlannedPoll planned,
+      long sentAt,
       int requestBytes,
       byte @Nullable [] bytes,
       @Nullable Throwable failure) {
@@ -186,7 +187,7 @@
     if (planned.home()) {
       positions.put(name, new Position(r.boot(), r.cursor()));
     }
-    results.accept(name, r);
+    listener.answered(name, r, sentAt);
   }
 
   private static @Nullable FleetPollResult decode(String replica, byte[] bytes) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -25,6 +25,7 @@
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
+import org.ebonypond.fleet.NewestVersion;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.fleet.WeightLoadLimiter;
@@ -109,11 +110,13 @@
   private final PollHandler pollHandler;
   private final FleetPoller poller;
   private final ReplicaMetrics metrics;
+  private final NewestVersion newestVersion = new NewestVersion();
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
   private boolean observationInFlight;
   private List<String> restoredQuarantine = List.of();
+  private long loggedVersion;
   private int lastEntryCount;
   private long entryCountSince;
   private long loopCheckedAt;
@@ -182,7 +185,7 @@
             directory,
             table,
             loads,
-            log::current,
+            this::confirmed,
             () -> log.status().leader(),
             timers.nowMillis());
     this.poller =
@@ -434,8 +437,9 @@
     }
   }
 
-  private void merge(String replica, FleetPollResult r) {
+  private void merge(String replica, FleetPollResult r, long sentAt) {
     long now = timers.nowMillis();
+    newestVersion.record(r, sentAt);
     r.instances().forEach(u -> table.merge(u.instance(), u.ageMillis(), now));
     r.unchanged().forEach(i -> table.confirm(i, now));
     directory.names(now).forEach(log::discover);
@@ -445,6 +449,7 @@
     long now = timers.nowMillis();
     table.prune(now);
     restoreQuarantine(now);
+    logConfiguration(now);
     ReplicaStatus s = log.status();
     ServingConfig c = current();
     if (c == null || s.role() != RaftRole.LEADER || !s.mayLead(now)) {
@@ -482,6 +487,31 @@
     }
   }
 
+  /** Returns the applied state, which the leader of the log knows to be the newest by itself. */
+  private ConfirmedState confirmed() {
+    // The state is read after the status, so that it contains what the status tells.
+    long leaderAt = log.status().confirmedAt();
+    ServingState.Committed s = log.current();
+    newestVersion.record(s.version(), leaderAt);
+    return new ConfirmedState(s, newestVersion.confirmedAt(s.version()));
+  }
+
+  /** Logs a configuration that this replica has applied, so that its way can be followed. */
+  private void logConfiguration(long now) {
+    ConfirmedState s = confirmed();
+    long version = s.state().version();
+    if (version != loggedVersion) {
+      loggedVersion = version;
+      LOG.atInfo()
+          .addKeyValue("version", version)
+          .addKeyValue("applied", status().appliedIndex())
+          .addKeyValue(
+              "confirmed_ms_ago",
+              s.confirmedAt() == Long.MIN_VALUE ? -1 : Math.max(0, now - s.confirmedAt()))
+          .log("configuration applied");
+    }
+  }
+
   private void logSummary(String service, String summary) {
     if (!summary.equals(summaries.put(service, summary))) {
       LOG.atInfo().addKeyValue("service", service).addKeyValue("state", summary).log("groups");
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -10,6 +10,7 @@
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
+import org.ebonypond.fleet.NewestVersion;
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.serving.ServingConfig;
 import org.ebonypond.serving.ServingState;
@@ -32,10 +33,12 @@
   private static final long COLD_REPORT_MILLIS = 3_000;
 
   private final ConfigSource source;
+  private final NewestVersion newestVersion = new NewestVersion();
   private final InstanceTable table = new InstanceTable();
   private final Map<String, FleetInstance> byId = new HashMap<>();
   private @Nullable ServingConfig config;
   private long version;
+  private String configSource = "";
   private long zonesIndex = -1;
   private Set<String> zonesOut = Set.of();
   private final Map<String, Long> restoredAt = new HashMap<>();
@@ -47,11 +50,17 @@
     this.source = source;
   }
 
-  /** Merges the answer of a control replica. */
-  public void accept(FleetPollResult r, long now) {
+  /**
+   * Merges the answer of a control replica.
+   *
+   * @param replica the name of the replica
+   * @param sentAt when the poll was sent, in milliseconds
+   */
+  public void accept(String replica, FleetPollResult r, long sentAt, long now) {
     if (r.state() != null) {
-      accept(r.state(), now);
+      accept(replica, r.state(), r.stateAgeMillis(), now);
     }
+    newestVersion.record(r, sentAt);
     for (InstanceUpdate u : r.instances()) {
       FleetInstance i = u.instance();
       if (table.merge(i, u.ageMillis(), now)) {
@@ -75,16 +84,22 @@
     entries = Math.max(1, r.entries());
   }
 
-  private void accept(ServingState.Committed s, long now) {
+  private void accept(String replica, ServingState.Committed s, long ageMillis, long now) {
     if (s.version() > version) {
       try {
         config = source.decode(s.document());
         version = s.version();
-        LOG.atInfo().addKeyValue("version", version).log("configuration in force");
+        configSource = replica;
+        LOG.atInfo()
+            .addKeyValue("version", version)
+            .addKeyValue("replica", replica)
+            .addKeyValue("confirmed_ms_ago", ageMillis)
+            .log("configuration in force");
       } catch (EbonypondException e) {
         // It was validated before it was committed, but another release may have done that.
         LOG.atError()
             .addKeyValue("version", s.version())
+            .addKeyValue("replica", replica)
             .setCause(e)
             .log("configuration cannot be decoded");
       }
@@ -124,6 +139,29 @@
     return version;
   }
 
+  /** Returns the control replica that sent the configuration in force; empty if none is known. */
+  public String configSource() {
+    return configSource;
+  }
+
+  /**
+   * Returns how long ago the configuration in force was known to be the newest committed one, in
+   * milliseconds; -1 if it never was or if a newer one is known.
+   */
+  public long configAgeMillis(long now) {
+    long at = confirmedAt();
+    return at == Long.MIN_VALUE ? -1 : now - at;
+  }
+
+  /**
+   * Returns the latest time at which the configuration in force was known to be the newest
+   * committed one, in milliseconds; {@code Long.MIN_VALUE} if it never was or if a newer one is
+   * known.
+   */
+  public long confirmedAt() {
+    return newestVersion.confirmedAt(version);
+  }
+
   /** Returns the log index of the zones out of service; -1 if they are not known. */
   public long zonesIndex() {
     return zonesIndex;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
@@ -56,7 +56,7 @@
   private final EntryLoads loads;
   private final SuspicionTable suspicions = new SuspicionTable();
   private final NamedLimits limits = new NamedLimits();
-  private final Supplier<ServingState.Committed> state;
+  private final Supplier<ConfirmedState> state;
   private final Supplier<@Nullable String> leader;
   private final long startedAt;
 
@@ -75,7 +75,7 @@
       ReplicaDirectory directory,
       InstanceTable table,
       EntryLoads loads,
-      Supplier<ServingState.Committed> state,
+      Supplier<ConfirmedState> state,
       Supplier<@Nullable String> leader,
       long startedAt) {
     this.self = self;
@@ -112,7 +112,8 @@
       loads.noteEntry(p.node(), p.requests(), now);
       suspicions.removeReporter(p.node());
     }
-    ServingState.Committed s = state.get();
+    ConfirmedState confirmed = state.get();
+    ServingState.Committed s = confirmed.state();
     long from = p.boot() == boot ? p.cursor() : 0;
     InstanceTable.Changes changes =
         p.home()
@@ -135,7 +136,8 @@
         p.home() && !replica
             ? suspicions.report(reporter -> !reporter.equals(p.node()), now)
             : List.of(),
-        p.home() && !replica ? limits.all(now) : List.of());
+        p.home() && !replica ? limits.all(now) : List.of(),
+        stateAgeMillis(confirmed, now));
   }
 
   /**
@@ -173,6 +175,12 @@
     return s.zonesIndex() > p.zonesIndex() ? s.withoutContent() : null;
   }
 
+  private static long stateAgeMillis(ConfirmedState s, long now) {
+    return s.confirmedAt() == Long.MIN_VALUE
+        ? FleetPollResult.UNCONFIRMED
+        : Math.max(0, now - s.confirmedAt());
+  }
+
   private boolean isReady(long now) {
     Set<String> reachable = new HashSet<>(directory.recent(now, CONTACT_MILLIS));
     reachable.add(self);
@@ -188,7 +196,7 @@
   private int entries(long now) {
     int count = loads.entries(now);
     return now - startedAt < ENTRY_DISCOVERY_MILLIS
-        ? Math.max(count, state.get().entries())
+        ? Math.max(count, state.get().state().entries())
         : count;
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -499,13 +499,14 @@
     long took = timers.nowMillis() - receivedAt;
     TargetSelector.Selection selection = rejection;
     log.refused(
+        head.host() + head.path(),
         route == null ? "" : route.name(),
         workspace == null ? "" : workspace.name(),
         status.code(),
         reason,
         sends,
         tried,
-        forwarder.view().version(),
+        forwarder.view(),
         selection == null ? 0 : (long) selection.endMillis(),
         remaining(),
         retryAfterMillis);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -7,6 +7,7 @@
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.TargetSelector;
+import org.ebonypond.server.fleet.FleetView;
 import org.ebonypond.serving.RouteRule;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
@@ -21,6 +22,9 @@
 final class RequestLog {
   private static final Logger LOG = LoggerFactory.getLogger("ebonypond.requests");
 
+  /** Characters of the host and path in a line; paths come from callers and may have 16 KB. */
+  private static final int MAX_TARGET_CHARS = 100;
+
   private final String id;
   private final TimerService timers;
   private final long receivedAt;
@@ -135,25 +139,35 @@
         .log("answer broken off");
   }
 
+  /**
+   * Logs a refusal.
+   *
+   * @param target the host and the path of the request
+   * @param view the view whose configuration decided
+   */
   void refused(
+      String target,
       String route,
       String workspace,
       int status,
       String reason,
       int sends,
       Set<String> tried,
-      long configVersion,
+      FleetView view,
       long predictedEndMillis,
       long remainingMillis,
       long retryAfterMillis) {
     event()
+        .addKeyValue("target", target.substring(0, Math.min(target.length(), MAX_TARGET_CHARS)))
         .addKeyValue("route", route)
         .addKeyValue("workspace", workspace)
         .addKeyValue("status", status)
         .addKeyValue("reason", reason)
         .addKeyValue("sends", sends)
         .addKeyValue("tried", tried)
-        .addKeyValue("config", configVersion)
+        .addKeyValue("config", view.version())
+        .addKeyValue("config_age_ms", view.configAgeMillis(timers.nowMillis()))
+        .addKeyValue("config_source", view.configSource())
         .addKeyValue("predicted_end_ms", predictedEndMillis)
         .addKeyValue("left_ms", remainingMillis)
         .addKeyValue("took_ms", tookMillis())
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
@@ -16,6 +16,8 @@
  * @param appliedIndex the index of the last applied log entry
  * @param leaseHeldUntil the monotonic time in milliseconds until which the replica may act as the
  *     leader; {@code Long.MIN_VALUE} if it may not
+ * @param confirmedAt the latest monotonic time in milliseconds at which the replica was certainly
+ *     the only leader, see {@link RaftNode#confirmedAt}
  */
 public record ReplicaStatus(
     RaftRole role,
@@ -25,7 +27,8 @@
     long lastDurableIndex,
     long commitIndex,
     long appliedIndex,
-    long leaseHeldUntil) {
+    long leaseHeldUntil,
+    long confirmedAt) {
   static ReplicaStatus of(RaftNode n) {
     return new ReplicaStatus(
         n.role(),
@@ -35,7 +38,8 @@
         n.lastDurableIndex(),
         n.commitIndex(),
         n.appliedIndex(),
-        n.leaseHeldUntil());
+        n.leaseHeldUntil(),
+        n.confirmedAt());
   }
 
   /** Returns the status after the replica has stopped: it neither leads nor votes. */
@@ -48,6 +52,7 @@
         lastDurableIndex,
         commitIndex,
         appliedIndex,
+        Long.MIN_VALUE,
         Long.MIN_VALUE);
   }
 
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryPollPlanTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/EntryPollPlanTest.java
@@ -19,7 +19,7 @@
   private static FleetPollResult answer(long version, boolean ready) {
     return new FleetPollResult(
         1, 1, version, 0, ready, null, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
-        List.of());
+        List.of(), 0);
   }
 
   private List<PollPlan.PlannedPoll> tick() {
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/NewestVersionTest.java
@@ -0,0 +1,64 @@
+package org.ebonypond.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class NewestVersionTest {
+  private final NewestVersion newest = new NewestVersion();
+
+  private static FleetPollResult answer(long version, long stateAgeMillis) {
+    return new FleetPollResult(
+        1,
+        1,
+        version,
+        0,
+        true,
+        null,
+        List.of(),
+        List.of(),
+        null,
+        1,
+        0,
+        List.of(),
+        null,
+        List.of(),
+        List.of(),
+        stateAgeMillis);
+  }
+
+  /** Guards against taking a configuration for the newest one before any replica has said so. */
+  @Test
+  void nothingIsConfirmedAtFirst() {
+    assertEquals(Long.MIN_VALUE, newest.confirmedAt(7));
+    newest.record(answer(7, FleetPollResult.UNCONFIRMED), 1_000);
+    newest.record(7, Long.MIN_VALUE);
+    assertEquals(Long.MIN_VALUE, newest.confirmedAt(7));
+  }
+
+  /** Guards against an answer that was delayed for long and confirms the time of its arrival. */
+  @Test
+  void answerConfirmsTheTimeOfItsPollLessItsAge() {
+    newest.record(answer(7, 150), 1_000);
+    assertEquals(850, newest.confirmedAt(7));
+    assertEquals(850, newest.confirmedAt(8));
+  }
+
+  /** Guards against a stale replica that undoes what a current one has confirmed. */
+  @Test
+  void olderKnowledgeIsIgnored() {
+    newest.record(answer(8, 100), 1_000);
+    newest.record(answer(7, 5_000), 1_100);
+    assertEquals(900, newest.confirmedAt(8));
+  }
+
+  /** Guards against relying on a configuration after a newer one has become known. */
+  @Test
+  void olderVersionIsNotConfirmedOnceNewerOneIsKnown() {
+    newest.record(answer(7, 0), 1_000);
+    newest.record(answer(8, 0), 1_100);
+    assertEquals(Long.MIN_VALUE, newest.confirmedAt(7));
+    assertEquals(1_100, newest.confirmedAt(8));
+  }
+}
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -77,7 +77,8 @@
         List.of("10.0.0.1:7000"),
         "10.0.0.2:7000",
         POLL.suspicions(),
-        POLL.limits());
+        POLL.limits(),
+        350);
   }
 
   /** Guards against a field that is lost or swapped in the encoding. */
@@ -91,8 +92,22 @@
     assertEquals(withoutState(r), withoutState(decoded));
     FleetPollResult withoutOptionalFields =
         new FleetPollResult(
-            1, 2, 3, 4, false, null, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
-            List.of());
+            1,
+            2,
+            3,
+            4,
+            false,
+            null,
+            List.of(),
+            List.of(),
+            null,
+            1,
+            0,
+            List.of(),
+            null,
+            List.of(),
+            List.of(),
+            FleetPollResult.UNCONFIRMED);
     assertEquals(
         withoutOptionalFields,
         PollCodec.decodeResult(PollCodec.encodeResult(withoutOptionalFields)));
@@ -114,7 +129,8 @@
         r.replicas(),
         r.leader(),
         r.suspicions(),
-        r.limits());
+        r.limits(),
+        r.stateAgeMillis());
   }
 
   /** Guards against rejecting messages of a later version that has additional fields. */
@@ -145,6 +161,24 @@
     }
   }
 
+  /** Guards against taking the state of a version that does not tell its age for the newest one. */
+  @Test
+  void stateOfEarlierVersionsIsUnconfirmed() throws IOException {
+    FleetPollResult r =
+        new FleetPollResult(
+            1, 2, 3, 4, false, null, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
+            List.of(), 0);
+    byte[] current = PollCodec.encodeResult(r);
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      p.packArrayHeader(15);
+      // The header of 16 fields has three bytes, and the age of 0 has one.
+      p.writePayload(current, 3, current.length - 4);
+      FleetPollResult earlier = PollCodec.decodeResult(p.toByteArray());
+      assertEquals(FleetPollResult.UNCONFIRMED, earlier.stateAgeMillis());
+      assertEquals(3, earlier.version());
+    }
+  }
+
   /** Guards against impossible evidence, which would block a harmless part at every entry. */
   @ParameterizedTest
   @ValueSource(doubles = {-0.1, 1.1, Double.NaN, Double.NEGATIVE_INFINITY})
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -255,6 +255,16 @@
     return now < leaseHeldUntil();
   }
 
+  /**
+   * Returns the latest time at which this replica was certainly the only leader, in milliseconds;
+   * {@code Long.MIN_VALUE} if it is not the leader or has not applied the entries of earlier
+   * leaders. Its state machine contains every command that was acknowledged before that time.
+   */
+  public long confirmedAt() {
+    Replication r = replication;
+    return r == null ? Long.MIN_VALUE : r.confirmedAt(lastNow, applier.applied());
+  }
+
   /**
    * Returns committed entries, for processes that are not replicas.
    *
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -192,10 +192,15 @@
 
   /** Returns the end of the lease, see {@link org.ebonypond.consensus.RaftNode#leaseHeldUntil}. */
   public long leaseHeldUntil(long now, long applied) {
-    long contact = applied < firstIndex ? Long.MIN_VALUE : quorumContact(now);
+    long contact = confirmedAt(now, applied);
     return contact == Long.MIN_VALUE ? contact : contact + config.electionMinMillis() * 9 / 10;
   }
 
+  /** See {@link org.ebonypond.consensus.RaftNode#confirmedAt}. */
+  public long confirmedAt(long now, long applied) {
+    return applied < firstIndex ? Long.MIN_VALUE : quorumContact(now);
+  }
+
   /** Returns the latest time such that a quorum has answered a request sent then or later. */
   private long quorumContact(long now) {
     return quorumValue(now, false);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
@@ -29,6 +29,8 @@
  *     unless this replica is the sender's home
  * @param limits the limits that instances have named to any entry; empty unless this replica is the
  *     sender's home
+ * @param stateAgeMillis how long ago the replica's state was known to be the newest committed one,
+ *     in milliseconds; {@link #UNCONFIRMED} if it never was
  */
 public record FleetPollResult(
     long boot,
@@ -45,4 +47,8 @@
     List<String> replicas,
     @Nullable String leader,
     List<PartSuspicion> suspicions,
-    List<NamedLimit> limits) {}
+    List<NamedLimit> limits,
+    long stateAgeMillis) {
+  /** The age of a state that was never known to be the newest. */
+  public static final long UNCONFIRMED = Long.MAX_VALUE;
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -27,8 +27,11 @@
   private static final int POLL_FIELDS = 10;
   private static final int RESULT_FIELDS = 13;
 
-  /** The fields of a poll and of a result that the first version lacked. */
-  private static final int ADDED_FIELDS = 2;
+  /** The fields of a poll that the first version lacked. */
+  private static final int ADDED_POLL_FIELDS = 2;
+
+  /** The fields of a result that the first version lacked. */
+  private static final int ADDED_RESULT_FIELDS = 3;
 
   private static final int INSTANCE_FIELDS = 15;
   private static final int GROUP_FIELDS = 4;
@@ -46,7 +49,7 @@
   public static byte[] encodePoll(FleetPoll poll) {
     return pack(
         p -> {
-          p.packArrayHeader(POLL_FIELDS + ADDED_FIELDS);
+          p.packArrayHeader(POLL_FIELDS + ADDED_POLL_FIELDS);
           p.packString(poll.node());
           p.packString(poll.address());
           p.packLong(poll.version());
@@ -86,7 +89,7 @@
                   unpackList(u, PollCodec::unpackLoad),
                   unpackAdded(u, extra >= 1, PollCodec::unpackSuspicion),
                   unpackAdded(u, extra >= 2, PollCodec::unpackLimit));
-          u.skipValue(Math.max(0, extra - ADDED_FIELDS));
+          u.skipValue(Math.max(0, extra - ADDED_POLL_FIELDS));
           return poll;
         });
   }
@@ -95,7 +98,7 @@
   public static byte[] encodeResult(FleetPollResult r) {
     return pack(
         p -> {
-          p.packArrayHeader(RESULT_FIELDS + ADDED_FIELDS);
+          p.packArrayHeader(RESULT_FIELDS + ADDED_RESULT_FIELDS);
           p.packLong(r.boot());
           p.packLong(r.cursor());
           p.packLong(r.version());
@@ -111,6 +114,8 @@
           packText(p, r.leader());
           packList(p, r.suspicions(), PollCodec::packSuspicion);
           packList(p, r.limits(), PollCodec::packLimit);
+          // -1 is shorter on the wire than Long.MAX_VALUE.
+          p.packLong(r.stateAgeMillis() == FleetPollResult.UNCONFIRMED ? -1 : r.stateAgeMillis());
         });
   }
 
@@ -140,8 +145,9 @@
                   unpackList(u, MessageUnpacker::unpackString),
                   unpackText(u),
                   unpackAdded(u, extra >= 1, PollCodec::unpackSuspicion),
-                  unpackAdded(u, extra >= 2, PollCodec::unpackLimit));
-          u.skipValue(Math.max(0, extra - ADDED_FIELDS));
+                  unpackAdded(u, extra >= 2, PollCodec::unpackLimit),
+                  extra >= 3 ? unpackStateAge(u) : FleetPollResult.UNCONFIRMED);
+          u.skipValue(Math.max(0, extra - ADDED_RESULT_FIELDS));
           return r;
         });
   }
@@ -166,6 +172,11 @@
     return ServingCodec.decodeState(state);
   }
 
+  private static long unpackStateAge(MessageUnpacker u) throws IOException {
+    long age = u.unpackLong();
+    return age < 0 ? FleetPollResult.UNCONFIRMED : age;
+  }
+
   private static void packLoads(MessagePacker p, @Nullable List<InstanceLoad> loads)
       throws IOException {
     if (loads == null) {
