Refuse for good only by a configuration known to be the newest

Callers saw 404 or 401 for proper requests and did not repeat them: an entry answered from whatever configuration it held, whether it was late, had just started, or had been answered by a replica that was cut off.

An entry now says 404 or 401 only if its configuration was known to be the newest within half of the time that a change may take (config_apply_ms of the settings). Otherwise the request waits for the next answer that confirms or replaces the configuration, at most as long again, and is then refused with 503 and a time to come back, which is true: it has not run. With a recent confirmation, the normal case, nothing waits.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -48,6 +48,12 @@
   /** Retry-After of a refusal after failed attempts, in milliseconds. */
   private static final long RETRY_AFTER_MILLIS = 400;
 
+  /**
+   * The number of calls that may wait for the confirmation of the configuration; more than a second
+   * of all requests of an entry, and few enough to leave room for those that wait for instances.
+   */
+  private static final int MAX_UNCONFIRMED_CALLS = 200;
+
   /** Retry-After is at most the time left divided by this; callers do not retry after longer. */
   private static final int RETRY_AFTER_DIVISOR = 3;
 
@@ -122,24 +128,26 @@
 
   private void refuseUnconfigured() {
     long retryAfterMillis = Math.min(START_RETRY_AFTER_MILLIS, remaining() / RETRY_AFTER_DIVISOR);
-    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-configuration", retryAfterMillis);
+    String reason =
+        forwarder.view().config() == null ? "no-configuration" : "unconfirmed-configuration";
+    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
   }
 
   /** Resolves the route, the workspace and the service of the request, and dispatches it. */
   private void accept(ServingConfig config) {
     RouteRule r = config.route(head.host(), head.path());
     if (r == null) {
-      refuse(HttpResponseStatus.NOT_FOUND, "no-route", 0);
+      deny(HttpResponseStatus.NOT_FOUND, "no-route");
       return;
     }
-    route = r;
     if (config.requiresKey() && !r.anonymous()) {
       workspace = head.key() == null ? null : config.workspace(head.key());
       if (workspace == null) {
-        refuse(HttpResponseStatus.UNAUTHORIZED, "unknown-key", 0);
+        deny(HttpResponseStatus.UNAUTHORIZED, "unknown-key");
         return;
       }
     }
+    route = r;
     service = config.service(r.choose(forwarder.random().nextLong(Long.MAX_VALUE)));
     if (service == null) {
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-service", START_RETRY_AFTER_MILLIS);
@@ -156,6 +164,20 @@
     dispatch("first");
   }
 
+  /**
+   * Refuses the request for good if the configuration is known to be the newest one. Otherwise the
+   * refusal may be wrong, and callers do not repeat a request after it: the request waits until the
+   * configuration is confirmed or replaced, and is refused with a time to come back if neither
+   * happens.
+   */
+  private void deny(HttpResponseStatus status, String reason) {
+    if (forwarder.view().confirmedAt() >= receivedAt - forwarder.maxConfigAgeMillis()) {
+      refuse(status, reason, 0);
+    } else if (!waitInQueue(MAX_UNCONFIRMED_CALLS)) {
+      refuseUnconfigured();
+    }
+  }
+
   /** Sends the request to an instance, or queues or refuses it if none can take it. */
   private void dispatch(String cause) {
     dispatch(cause, true);
@@ -228,7 +250,12 @@
    */
   private long waitUntil() {
     long from = Math.max(receivedAt, forwarder.queue().configuredAt());
-    return Math.min(from + CallQueue.MAX_WAIT_MILLIS, deadlineAt - answerMillis());
+    boolean unconfirmed = route == null && forwarder.view().config() != null;
+    long maxWaitMillis =
+        unconfirmed
+            ? Math.min(forwarder.maxConfigAgeMillis(), CallQueue.MAX_WAIT_MILLIS)
+            : CallQueue.MAX_WAIT_MILLIS;
+    return Math.min(from + maxWaitMillis, deadlineAt - answerMillis());
   }
 
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -53,6 +53,7 @@
   private final TimerService timers;
   private final RandomGenerator random;
   private final ForwardMetrics metrics;
+  private final long maxConfigAgeMillis;
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
   private final BufferedAnswers<Attempt> bufferedAnswers = new BufferedAnswers<>();
@@ -75,6 +76,8 @@
    * @param random chooses among the services of a route
    * @param metrics counts the outcomes
    * @param heartbeatMillis the time between two heartbeats of an instance, in milliseconds
+   * @param maxConfigAgeMillis how long ago a configuration may have been the newest one, in
+   *     milliseconds, for a refusal that the caller takes as final
    */
   public Forwarder(
       FleetView view,
@@ -88,7 +91,8 @@
       TimerService timers,
       RandomGenerator random,
       ForwardMetrics metrics,
-      long heartbeatMillis) {
+      long heartbeatMillis,
+      long maxConfigAgeMillis) {
     this.view = view;
     this.pool = pool;
     this.dialect = dialect;
@@ -100,6 +104,7 @@
     this.timers = timers;
     this.random = random;
     this.metrics = metrics;
+    this.maxConfigAgeMillis = maxConfigAgeMillis;
     this.queue = new CallQueue(heartbeatMillis);
     timers.every(CHECK_INTERVAL_MILLIS, this::checkCalls);
   }
@@ -277,6 +282,10 @@
     return queue;
   }
 
+  long maxConfigAgeMillis() {
+    return maxConfigAgeMillis;
+  }
+
   FleetView view() {
     return view;
   }
