Refuse unknown names only while the view's lease holds

On the product's own interface a caller of an entry that was cut off got 404 for a new model or service and 403 for a new workspace, from a document of any age, and took it as final. The handlers read the request against the document first and asked for the lease on the view afterwards.

The document of a request now comes from EntryParts.currentDocument, which needs the lease: without it the caller gets 503 view-stale and a time to come back.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/EntryParts.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/EntryParts.java
@@ -2,6 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.ebonypond.admission.RetryBudget;
+import org.ebonypond.document.ServiceDocument;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.events.EventSink;
 import org.ebonypond.routing.RouterState;
 import org.ebonypond.server.control.ViewFollower;
@@ -27,4 +30,22 @@
     RouterState routing,
     RetryBudget budget,
     RequestTracker tracker,
-    MetricRegistry metrics) {}
+    MetricRegistry metrics) {
+  /**
+   * Returns the document that decides about a request.
+   *
+   * @throws EbonypondException {@code no-capacity} before the first document, or {@code view-stale}
+   *     if the document may have been replaced: a caller takes the refusal of an unknown model,
+   *     service or workspace as final
+   */
+  public ServiceDocument currentDocument() {
+    if (!follower.mayStart()) {
+      throw new EbonypondException(ErrorCode.VIEW_STALE);
+    }
+    ServiceDocument d = follower.view().document();
+    if (d == null) {
+      throw new EbonypondException(ErrorCode.NO_CAPACITY);
+    }
+    return d;
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CallerHeaders.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CallerHeaders.java
@@ -1,7 +1,6 @@
 package org.ebonypond.server.http;
 
 import java.util.UUID;
-import org.ebonypond.control.ControlView;
 import org.ebonypond.document.ServiceDocument;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
@@ -32,15 +31,11 @@
   /**
    * Parses and checks the headers.
    *
-   * @throws EbonypondException {@code no-capacity} before the first document, {@code
-   *     unknown-workspace} or {@code bad-request}
+   * @throws EbonypondException {@code no-capacity} before the first document, {@code view-stale},
+   *     {@code unknown-workspace} or {@code bad-request}
    */
   static CallerHeaders read(Headers h, EntryParts parts) {
-    ControlView view = parts.follower().view();
-    ServiceDocument d = view.document();
-    if (d == null) {
-      throw new EbonypondException(ErrorCode.NO_CAPACITY);
-    }
+    ServiceDocument d = parts.currentDocument();
     String workspace = h.get("Ebonypond-Workspace");
     if (workspace == null || d.workspace(workspace).isEmpty()) {
       throw new EbonypondException(ErrorCode.UNKNOWN_WORKSPACE, workspace == null ? "" : workspace);
