--- a/org.ebonypond/src/main/java/org/ebonypond/serving/RouteRule.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/RouteRule.java
@@ -48,7 +48,7 @@
    * @param draw a random number, not negative
    */
   public String choose(long draw) {
-    int total = services.stream().mapToInt(WeightedService::weight).sum();
+    long total = services.stream().mapToLong(WeightedService::weight).sum();
     if (services.size() == 1 || total <= 0) {
       return services.get(0).service();
     }
