Request a configuration that cannot be decoded only once

It now reports the version that it received; the one before stays in force, and since a newer one is known it refuses nothing for good. FleetViewTest shows both; receivedVersion did not exist before.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -1,11 +1,14 @@
 package org.ebonypond.server.fleet;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Map;
+import org.ebonypond.errors.EbonypondException;
+import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.serving.ClientLimits;
@@ -14,18 +17,30 @@
 import org.junit.jupiter.api.Test;
 
 class FleetViewTest {
-  private final FleetView view =
-      new FleetView(
-          content -> new ServingConfig(1, List.of(), Map.of(), List.of(), ClientLimits.DEFAULT));
+  private static final byte[] VALID = {1};
+  private static final byte[] INVALID = {2};
+
+  private final FleetView view = new FleetView(FleetViewTest::decode);
+
+  private static ServingConfig decode(byte[] content) {
+    if (content[0] == INVALID[0]) {
+      throw new EbonypondException(ErrorCode.DOCUMENT_BAD_VALUE, 1, "", "is invalid", "correct it");
+    }
+    return new ServingConfig(1, List.of(), Map.of(), List.of(), ClientLimits.DEFAULT);
+  }
 
   private void zones(long index, List<String> out, long now) {
+    state(1, VALID, index, out, now);
+  }
+
+  private void state(long version, byte[] content, long index, List<String> out, long now) {
     ServingState.Committed s =
-        new ServingState.Committed(1, new byte[1], index, out, true, 0, List.of());
+        new ServingState.Committed(version, content, index, out, true, 0, List.of());
     view.accept(
         "r",
         new FleetPollResult(
-            1, 1, 1, index, true, s, List.of(), List.of(), null, 1, 0, List.of(), null, List.of(),
-            List.of(), 0),
+            1, 1, version, index, true, s, List.of(), List.of(), null, 1, 0, List.of(), null,
+            List.of(), List.of(), 0),
         now,
         now);
   }
@@ -84,4 +99,22 @@
     assertFalse(view.isRecentlyRestored("a", 8_000));
     assertFalse(view.isRecentlyRestored("b", 5_000));
   }
+
+  /**
+   * Guards against an entry that requests the whole configuration with each poll because it cannot
+   * decode it, and against refusals for good by the one before.
+   */
+  @Test
+  void configurationThatCannotBeDecodedIsRequestedOnceAndConfirmsNothing() {
+    state(1, VALID, 0, List.of(), 1_000);
+    assertEquals(1_000, view.confirmedAt());
+    state(2, INVALID, 0, List.of(), 1_100);
+    assertEquals(1, view.version());
+    assertEquals(2, view.receivedVersion());
+    assertEquals(Long.MIN_VALUE, view.confirmedAt());
+    assertEquals(-1, view.configAgeMillis(1_100));
+    state(3, VALID, 0, List.of(), 1_200);
+    assertEquals(3, view.version());
+    assertEquals(1_200, view.confirmedAt());
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -38,6 +38,7 @@
   private final Map<String, FleetInstance> byId = new HashMap<>();
   private @Nullable ServingConfig config;
   private long version;
+  private long receivedVersion;
   private String configSource = "";
   private long zonesIndex = -1;
   private Set<String> zonesOut = Set.of();
@@ -85,7 +86,8 @@
   }
 
   private void accept(String replica, ServingState.Committed s, long ageMillis, long now) {
-    if (s.version() > version) {
+    if (s.version() > receivedVersion) {
+      receivedVersion = s.version();
       try {
         config = source.decode(s.document());
         version = s.version();
@@ -139,6 +141,14 @@
     return version;
   }
 
+  /**
+   * Returns the highest version that was received. If that configuration could not be decoded, the
+   * one in force is older; it is not requested again, since it would be the same.
+   */
+  public long receivedVersion() {
+    return receivedVersion;
+  }
+
   /** Returns the control replica that sent the configuration in force; empty if none is known. */
   public String configSource() {
     return configSource;
