Keep instances whose address an instance of an unknown service names

PROTOCOL.md: an entry with a service that isn't named "names no worker to use; the others hold".

Cause: two instances cannot listen on one address, so the table marks the one that started earlier as gone, and a gone instance stays so until its next start. The table did this for a record of any service, also for one that no configuration has, at the replicas as well as at the entries.

Evidence: InstanceTableTest.instanceOfAnUnknownServiceEndsNoInstanceAtItsAddress and FleetReplicaTest.instanceOfAnUnknownServiceEndsNoOther failed before with "expected: <READY> but was: <GONE>".

The table now knows which services the configuration has. A record of another service is kept, since a later configuration may add the service, but takes no address. Once the service is known, its next heartbeat takes the address.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -40,7 +40,7 @@
 
   private final EngineProfile engine;
   private final Random random;
-  private final InstanceTable table = new InstanceTable();
+  private final InstanceTable table = new InstanceTable(service -> true);
   private final Map<String, Engine> engines = new TreeMap<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -29,6 +29,7 @@
 import org.ebonypond.fleet.FleetPoll;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstancePhase;
+import org.ebonypond.fleet.InstanceUpdate;
 import org.ebonypond.fleet.OrderOutcome;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.junit.FakeFleet;
@@ -103,12 +104,17 @@
   }
 
   private static FleetInstance coldInstance(String id, long sequence) {
+    return instance(id, 1, sequence, SERVICE, "10.0.0.1:" + (1_000 + id.charAt(2)));
+  }
+
+  private static FleetInstance instance(
+      String id, long startMillis, long sequence, String service, String address) {
     return new FleetInstance(
         id,
-        1,
+        startMillis,
         sequence,
-        SERVICE,
-        "10.0.0.1:" + (1_000 + id.charAt(2)),
+        service,
+        address,
         "z",
         InstancePhase.READY,
         18,
@@ -185,6 +191,25 @@
     assertEquals(3, restored.crashes().size());
   }
 
+  /**
+   * Guards against an instance that gets no requests because another writer named its address and a
+   * service that the configuration does not have.
+   */
+  @Test
+  void instanceOfAnUnknownServiceEndsNoOther() throws Exception {
+    TestReplica s = start();
+    firstOrders(s);
+    FleetInstance sound = coldInstance("i-0", 0);
+    s.replica.heartbeat(instance("odd", 2, 1, "unknown", sound.address()));
+    List<InstancePhase> phases =
+        s.replica.instances().stream()
+            .map(InstanceUpdate::instance)
+            .filter(i -> i.id().equals("i-0"))
+            .map(FleetInstance::phase)
+            .toList();
+    assertEquals(List.of(InstancePhase.READY), phases);
+  }
+
   /** Guards against a poll with a malformed replica address that blocks further changes. */
   @Test
   void pollWithMalformedAddressDoesNotBlockChanges() throws Exception {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -34,7 +34,7 @@
    */
   @Test
   void instancesWithUnchangedHeartbeatsAreKept() {
-    InstanceTable table = new InstanceTable();
+    InstanceTable table = new InstanceTable(service -> true);
     long cursor = 0;
     for (long now = 0; now < 300_000; now += 1_000) {
       table.merge(PollNetwork.instance("i-1", now), 0, now);
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -204,7 +204,7 @@
       boot++;
       startedAt = timers.nowMillis();
       link = new Link(name);
-      table = new InstanceTable();
+      table = new InstanceTable(service -> true);
       loads = new EntryLoads();
       busyUntil = 0;
       ReplicaDirectory directory = new ReplicaDirectory(seeds);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -102,7 +102,7 @@
   private final ConfigSource source;
   private final OrderSender orders;
   private final ReplicaDirectory directory;
-  private final InstanceTable table = new InstanceTable();
+  private final InstanceTable table = new InstanceTable(this::isKnown);
   private final EntryLoads loads = new EntryLoads();
   private final ServingLog log;
   private final ProposalClient proposals;
@@ -519,6 +519,11 @@
     return c;
   }
 
+  private boolean isKnown(String service) {
+    ServingConfig c = config;
+    return c == null || c.services().containsKey(service);
+  }
+
   private static boolean noneGrouped(List<InstanceUpdate> all) {
     return all.stream()
         .map(InstanceUpdate::instance)
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -32,7 +32,7 @@
   private static final long COLD_REPORT_MILLIS = 3_000;
 
   private final ConfigSource source;
-  private final InstanceTable table = new InstanceTable();
+  private final InstanceTable table = new InstanceTable(this::isKnown);
   private final Map<String, FleetInstance> byId = new HashMap<>();
   private @Nullable ServingConfig config;
   private long version;
@@ -100,6 +100,11 @@
     }
   }
 
+  private boolean isKnown(String service) {
+    ServingConfig c = config;
+    return c == null || c.services().containsKey(service);
+  }
+
   private void updateIndex(long now) {
     table.prune(now);
     byId.clear();
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
@@ -11,15 +11,27 @@
 import org.junit.jupiter.api.Test;
 
 class InstanceTableTest {
-  private final InstanceTable table = new InstanceTable();
+  private static final String UNKNOWN_SERVICE = "unknown";
+
+  private final InstanceTable table = new InstanceTable(s -> !s.equals(UNKNOWN_SERVICE));
 
   private static FleetInstance heartbeat(
       String id, long startMillis, long sequence, String address, @Nullable GroupMembership group) {
+    return heartbeat(id, startMillis, sequence, "s", address, group);
+  }
+
+  private static FleetInstance heartbeat(
+      String id,
+      long startMillis,
+      long sequence,
+      String service,
+      String address,
+      @Nullable GroupMembership group) {
     return new FleetInstance(
         id,
         startMillis,
         sequence,
-        "s",
+        service,
         address,
         "z",
         InstancePhase.READY,
@@ -76,6 +88,18 @@
     assertEquals(InstancePhase.READY, phase("new"));
   }
 
+  /** Guards against an instance that gets no requests because another writer named its address. */
+  @Test
+  void instanceOfAnUnknownServiceEndsNoInstanceAtItsAddress() {
+    table.merge(heartbeat("i", 1, 5, "a:1", null), 0, 100);
+    table.merge(heartbeat("odd", 2, 1, UNKNOWN_SERVICE, "a:1", null), 0, 110);
+    assertEquals(InstancePhase.READY, phase("i"));
+    table.merge(heartbeat("i", 1, 6, "a:1", null), 0, 120);
+    assertEquals(InstancePhase.READY, phase("i"));
+    table.merge(heartbeat("next", 3, 1, "a:1", null), 0, 130);
+    assertEquals(InstancePhase.GONE, phase("i"));
+  }
+
   /** Guards against a warm instance that counts as cold after it has left its group. */
   @Test
   void modelOfTheLatestGroupIsKeptUntilRestart() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,10 +25,21 @@
    */
   private static final long REFRESH_MILLIS = EXPIRY_MILLIS / 3;
 
+  private final Predicate<String> knownService;
   private final Map<String, Row> rows = new HashMap<>();
   private final Map<String, String> idsByAddress = new HashMap<>();
   private long revision;
 
+  /**
+   * Creates an empty table.
+   *
+   * @param knownService whether the configuration has a service; an instance of any other one
+   *     receives no requests and does not end the instance that listens on its address
+   */
+  public InstanceTable(Predicate<String> knownService) {
+    this.knownService = knownService;
+  }
+
   /**
    * Merges a record.
    *
@@ -42,7 +54,8 @@
       return false;
     }
     FleetInstance record = withLastModel(instance, old);
-    Row sameAddress = rowAt(instance.address());
+    boolean known = knownService.test(instance.service());
+    Row sameAddress = known ? rowAt(instance.address()) : null;
     if (sameAddress != null && !sameAddress.instance.id().equals(instance.id())) {
       // Two instances cannot listen on the same address, so the one that started earlier has ended.
       if (sameAddress.instance.startMillis() > instance.startMillis()) {
@@ -51,7 +64,7 @@
         put(sameAddress, sameAddress.instance.gone(), sameAddress.lastSeen, true);
       }
     }
-    if (record.phase() != InstancePhase.GONE) {
+    if (known && record.phase() != InstancePhase.GONE) {
       idsByAddress.put(record.address(), record.id());
     }
     boolean changed = old == null || record.differsFrom(old.instance);
