Send the orders behind one that cannot be encoded

Cause: a planning round sends its orders one after the other, and an exception while one is encoded ended the round. The orders behind it were recorded as sent, so they came due again together with the odd one, which failed first again: as long as that instance sent heartbeats, the leader formed no group and repaired none. An identifier with a control character is enough, since Netty refuses it as the value of a header.

Evidence: FleetReplicaTest.orderThatCannotBeSentDoesNotHoldBackOthers failed before: no order to any other instance within 16 s, and each round ended with "malformed identifier i-0".

An order that cannot be sent now counts as unanswered and is logged with its reason. The planner then avoids its instance for a while, as it does for one that does not answer, which bounds the lines.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -210,6 +210,16 @@
     assertEquals(List.of(InstancePhase.READY), phases);
   }
 
+  /** Guards against a fleet without groups because the orders to one instance cannot be sent. */
+  @Test
+  void orderThatCannotBeSentDoesNotHoldBackOthers() throws Exception {
+    TestReplica s = start();
+    s.unreachable = "i-0";
+    firstOrders(s);
+    assertTrue(s.orders.stream().noneMatch(o -> o.instance().equals("i-0")));
+    assertTrue(!s.orders.isEmpty());
+  }
+
   /** Guards against a poll with a malformed replica address that blocks further changes. */
   @Test
   void pollWithMalformedAddressDoesNotBlockChanges() throws Exception {
@@ -246,6 +256,7 @@
         new PeerNetwork("replica", new HybridClock(System::currentTimeMillis), timers);
     final ExecutorService executor = Executors.newSingleThreadExecutor();
     final FleetReplica replica;
+    volatile String unreachable = "";
     private boolean closed;
 
     TestReplica() {
@@ -263,6 +274,9 @@
                   new ServingConfig(
                       1, List.of(), Map.of(SERVICE, service), List.of(), ClientLimits.DEFAULT),
               o -> {
+                if (o.instance().equals(unreachable)) {
+                  throw new IllegalArgumentException("malformed identifier " + o.instance());
+                }
                 orders.add(o);
                 return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
               },
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -25,6 +25,7 @@
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
+import org.ebonypond.fleet.OrderOutcome;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.fleet.WeightLoadLimiter;
@@ -532,8 +533,7 @@
 
   private void send(FleetPlanner planner, FleetOrder o) {
     long sentAt = timers.nowMillis();
-    orders
-        .send(o)
+    sendOrReport(o)
         .whenComplete(
             (outcome, failure) ->
                 executor.execute(
@@ -551,4 +551,18 @@
                       planner.answered(o, outcome, now);
                     }));
   }
+
+  /** Sends an order; one that cannot be encoded must not hold back those behind it. */
+  private CompletableFuture<OrderOutcome> sendOrReport(FleetOrder o) {
+    try {
+      return orders.send(o);
+    } catch (RuntimeException e) {
+      LOG.atWarn()
+          .addKeyValue("order", o.kind())
+          .addKeyValue("instance", o.instance())
+          .setCause(e)
+          .log("order cannot be sent");
+      return CompletableFuture.completedFuture(OrderOutcome.UNKNOWN);
+    }
+  }
 }
