Ignore epochs that no control leader assigned

Cause: a planner numbers new groups above every epoch that any instance reports. After a report of the next number overflowed to a negative one, which each instance refuses since it has seen a higher epoch: the leader formed no group again while the record was in the table. A merely large epoch would have been raised to all instances, for good.

Evidence: FleetPlannerTest.groupsFormAfterAnImpossibleEpochWasReported failed before with "42 instances serve" 10 s after the loss of one of 48: none of the freed instances came into a group.

Leaders number a group by its epoch, so a name and an epoch that differ do not come from one; such a group is treated like any other of unknown origin.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -134,6 +134,39 @@
     assertTrue(loaded >= 10, "only " + loaded + " hosts have loaded something");
   }
 
+  /** Guards against a fleet that forms no group again after one report of an impossible epoch. */
+  @Test
+  void groupsFormAfterAnImpossibleEpochWasReported() {
+    start();
+    GroupMembership odd = new GroupMembership("large.4.7", Long.MAX_VALUE, 0, MemberState.JOINING);
+    fleet
+        .table()
+        .merge(
+            new FleetInstance(
+                "odd",
+                1,
+                1,
+                "engines",
+                "10.9.9.9:1",
+                "z0",
+                InstancePhase.READY,
+                18,
+                0,
+                "d0",
+                List.of(),
+                List.of(),
+                odd,
+                ""),
+            0,
+            fleet.now());
+    fleet.crash(groupOf("large").get(3));
+    fleet.run(planner, 10_000, false);
+    assertTrue(fleet.serving("large") >= 7, "large " + fleet.serving("large"));
+    int instances = 4 * fleet.serving("large") + 2 * fleet.serving("small");
+    assertTrue(instances >= 46, instances + " instances serve");
+    assertEquals(List.of(), fleet.violations());
+  }
+
   /** Returns the members of a group that serves a model, head first. */
   private List<String> groupOf(String model) {
     String head = fleet.head(model);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupName.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupName.java
@@ -18,6 +18,15 @@
     return model + SEPARATOR + size + SEPARATOR + number;
   }
 
+  /**
+   * Returns the name of a group that a control leader formed, or null. Leaders number a group by
+   * its epoch; a higher epoch of another origin would raise those of all later groups.
+   */
+  static @Nullable GroupName of(GroupMembership g) {
+    GroupName name = parse(g.name());
+    return name != null && name.number() == g.epoch() ? name : null;
+  }
+
   /** Parses a name; returns null if it was not assigned by a control leader. */
   static @Nullable GroupName parse(String text) {
     int second = text.lastIndexOf('.');
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -84,7 +84,7 @@
       state.confirmedLeft.remove(i.id());
       return;
     }
-    GroupName parsedName = GroupName.parse(g.name());
+    GroupName parsedName = GroupName.of(g);
     if (g.rank() == 0) {
       state.heads.put(GroupView.key(g.name(), g.epoch()), i.id());
     }
