--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -26,6 +26,7 @@
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
 import org.ebonypond.fleet.NewestVersion;
+import org.ebonypond.fleet.OrderOutcome;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.fleet.WeightLoadLimiter;
@@ -103,7 +104,7 @@
   private final ConfigSource source;
   private final OrderSender orders;
   private final ReplicaDirectory directory;
-  private final InstanceTable table = new InstanceTable();
+  private final InstanceTable table = new InstanceTable(this::isKnown);
   private final EntryLoads loads = new EntryLoads();
   private final ServingLog log;
   private final ProposalClient proposals;
@@ -549,6 +550,11 @@
     return c;
   }
 
+  private boolean isKnown(String service) {
+    ServingConfig c = config;
+    return c == null || c.services().containsKey(service);
+  }
+
   private static boolean noneGrouped(List<InstanceUpdate> all) {
     return all.stream()
         .map(InstanceUpdate::instance)
@@ -557,8 +563,7 @@
 
   private void send(FleetPlanner planner, FleetOrder o) {
     long sentAt = timers.nowMillis();
-    orders
-        .send(o)
+    sendOrReport(o)
         .whenComplete(
             (outcome, failure) ->
                 executor.execute(
@@ -576,4 +581,18 @@
                       planner.answered(o, outcome, now);
                     }));
   }
+
+  /** Sends an order; one that cannot be encoded must not hold back those behind it. */
+  private CompletableFuture<OrderOutcome> sendOrReport(FleetOrder o) {
+    try {
+      return orders.send(o);
+    } catch (RuntimeException e) {
+      LOG.atWarn()
+          .addKeyValue("order", o.kind())
+          .addKeyValue("instance", o.instance())
+          .setCause(e)
+          .log("order cannot be sent");
+      return CompletableFuture.completedFuture(OrderOutcome.UNKNOWN);
+    }
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -34,7 +34,7 @@
 
   private final ConfigSource source;
   private final NewestVersion newestVersion = new NewestVersion();
-  private final InstanceTable table = new InstanceTable();
+  private final InstanceTable table = new InstanceTable(this::isKnown);
   private final Map<String, FleetInstance> byId = new HashMap<>();
   private @Nullable ServingConfig config;
   private long version;
@@ -117,6 +117,11 @@
     }
   }
 
+  private boolean isKnown(String service) {
+    ServingConfig c = config;
+    return c == null || c.services().containsKey(service);
+  }
+
   private void updateIndex(long now) {
     table.prune(now);
     byId.clear();
