Reject answer heads that are joined from two answers

Callers of requests that must not run twice got 503, 429, 421 or 400, or their request was sent to a second instance, while the first one ran it.

A backend server wrote an earlier refusal once more on a persistent connection, and the copy broke off in its head. The answer to the next request then continued that head: its status line became part of the reason phrase or of a header's value, and its headers, with the right request identifier, became those of the refusal. The same happened where the copy stood within the head of the answer. The identifier alone cannot tell such a head from a refusal of the present request.

A head whose reason phrase or a header of which contains a status line is now a malformed answer: the connection is closed, and the request may have run. Header names need no check, as the codec rejects those that are no tokens.

RepeatedRefusalTest plays each cut of seven refusals before an answer, and each refusal at each position within the head of an answer, on two instances; before the change all 14 of these cases failed ("503 for HTTP/1.1 503 S|HTTP/1.1 200 OK", and up to 20 requests a case sent twice). Its 56 cases of whole refusals, at eight positions around an answer, passed before and guard the check of the identifier.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -15,12 +15,15 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Pattern;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to a backend server that carries at most one request at a time. */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
   private static final String TIMEOUT = "timeout=";
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
 
   private final BackendPool pool;
   private final String instance;
@@ -168,7 +171,7 @@
 
     void read(Object message) {
       if (message instanceof HttpResponse r) {
-        if (r.decoderResult().isFailure()) {
+        if (r.decoderResult().isFailure() || isJoined(r)) {
           malformed();
           return;
         }
@@ -186,6 +189,22 @@
       }
     }
 
+    /**
+     * Returns whether a head contains the status line of another one: it broke off, and the next
+     * answer on the connection continues it.
+     */
+    private static boolean isJoined(HttpResponse r) {
+      if (STATUS_LINE.matcher(r.status().reasonPhrase()).find()) {
+        return true;
+      }
+      for (Map.Entry<String, String> h : r.headers()) {
+        if (STATUS_LINE.matcher(h.getValue()).find()) {
+          return true;
+        }
+      }
+      return false;
+    }
+
     private void readHead(HttpResponse r) {
       accepted = listener.head(r);
       if (accepted) {
