Do not forward a refusal that the backend server does not declare

Callers of requests that must not run twice got 408, 429 or 503 from an instance that had not declared that it did not run the request. To a caller each of these statuses means that the request was not run, so it sends it again; if the instance did run it, that is a second run.

Attempt forwarded each answer with the right identifier as it was. Such an answer to a request that is not idempotent now counts as possibly run: the caller gets 502, without the instance's signature. Idempotent requests are unchanged, since they may be repeated in any case.

undeclaredRefusalIsNotForwardedForCallThatMustNotRunTwice failed before for each of the three statuses ("HTTP/1.1 503 Service Unavailable" with the signature, where 502 was expected).

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -330,8 +330,12 @@
       return;
     }
     boolean unsignedSuccess = r.isSuccess() && !r.signed();
+    boolean undeclaredRefusal = r.impliesNotRun() && !owner.route().idempotent();
     boolean failed = r.status() >= 500 && owner.route().idempotent();
-    if (unsignedSuccess || answer.isStarted() || (failed && owner.canTryAnother())) {
+    if (unsignedSuccess
+        || undeclaredRefusal
+        || answer.isStarted()
+        || (failed && owner.canTryAnother())) {
       whole.release();
       stats.answeredFailure(now);
       forwarder.metrics().sendFailed(owner.kind(), "status-" + r.status());
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
@@ -24,4 +24,9 @@
   public boolean isSuccess() {
     return status >= 200 && status < 300;
   }
+
+  /** Returns whether a caller concludes from the status that its request was not run. */
+  public boolean impliesNotRun() {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+  }
 }
