Treat a success that is declared as not run as possibly run

A signed 200 with the right identifier that also carried the declaration "not run" was read as a refusal: the request went to a second instance, and its caller got 503, though the instance had an answer to it. Headers of two answers that a faulty backend server mixes up look like that.

Such an answer contradicts itself and proves neither. It now counts as possibly run: an idempotent request goes to another instance, any other gets 502.

successThatIsDeclaredAsNotRunMayHaveRun failed before with 503.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -324,22 +324,22 @@
       owner.onPossiblyRun("no-request-id");
       return;
     }
-    if (r.notRun()) {
+    if (r.notRun() && !r.isSuccess()) {
       whole.release();
       onRefused(r, now);
       return;
     }
-    boolean unsignedSuccess = r.isSuccess() && !r.signed();
+    boolean invalidSuccess = r.isSuccess() && (r.notRun() || !r.signed());
     boolean undeclaredRefusal = r.impliesNotRun() && !owner.route().idempotent();
     boolean failed = r.status() >= 500 && owner.route().idempotent();
-    if (unsignedSuccess
+    if (invalidSuccess
         || undeclaredRefusal
         || answer.isStarted()
         || (failed && owner.canTryAnother())) {
       whole.release();
       stats.answeredFailure(now);
       forwarder.metrics().sendFailed(owner.kind(), "status-" + r.status());
-      owner.onPossiblyRun(unsignedSuccess ? "unsigned" : "failed-" + r.status());
+      owner.onPossiblyRun(invalidSuccess ? "invalid-success" : "failed-" + r.status());
       return;
     }
     forwarder.metrics().firstOutput(owner.kind(), now - owner.receivedAt());
