Wait for the end of a read before a connection is used again

A request that the entry had read but not yet sent got 502 at once, although its instance was sound: an answer to the request before it and a repeated refusal without an identifier arrived in one read. The end of the answer returned the connection to the pool and completed its call, which sent the caller's next request on that connection; the refusal, already received, was then read as the answer to this request and stopped it. With an identifier the refusal was dropped.

An exchange now ends when the read in which its answer ended is complete. If other bytes of an answer followed, the connection is closed, and the next request is sent on another one. This costs nothing otherwise: the end of the read follows in the same turn of the event loop.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -31,6 +31,7 @@
   private final UnsolicitedByteLimiter unsolicited = new UnsolicitedByteLimiter();
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange current;
+  private @Nullable Exchange answered;
   private int requests;
   private boolean idle;
   private boolean broken;
@@ -112,8 +113,27 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    endAnswered();
+    ctx.fireChannelReadComplete();
+  }
+
+  /**
+   * Ends an exchange whose answer is complete. This waits for the end of the read: bytes behind the
+   * answer make the connection unusable for the next request.
+   */
+  private void endAnswered() {
+    Exchange x = answered;
+    answered = null;
+    if (x != null) {
+      x.end();
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    endAnswered();
     broken = true;
     pool.remove(instance, this);
     Exchange x = current;
@@ -126,6 +146,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     broken = true;
+    endAnswered();
     pool.remove(instance, this);
     Exchange x = current;
     current = null;
@@ -232,17 +253,21 @@
 
     private void finish() {
       ended = true;
-      ChannelFuture f = writeFuture;
-      boolean requestWritten = f != null && f.isSuccess();
-      // The connection is in an unknown state if the request body is not fully written or an answer
-      // to another request was received.
-      boolean reusable = keepAlive && requestWritten && !receivedForeignAnswer;
       current = null;
+      answered = this;
       ChannelHandlerContext ctx = context;
       if (ctx != null) {
         // The end of the answer may have been read together with the part that paused reading.
         ctx.channel().config().setAutoRead(true);
       }
+    }
+
+    private void end() {
+      ChannelFuture f = writeFuture;
+      boolean requestWritten = f != null && f.isSuccess();
+      // The connection is in an unknown state if the request body is not fully written or an answer
+      // to another request was received.
+      boolean reusable = keepAlive && requestWritten && !receivedForeignAnswer && !broken;
       if (reusable) {
         idle = true;
         idleSince = timers.nowMillis();
