Close a connection whose answer belongs to an unknown request

After a refusal without an identifier on a connection that had served other requests, the caller got 502, since the request may have run, but the connection went back to the pool. The next request on it waited until the instance had finished the one before, whose answer was then dropped as that to another request.

The attempt now ends at the head of such an answer, and its connection with it; the log names the instance. The instance notices that nobody waits for its answer, and the next request opens a connection.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -155,6 +155,10 @@
       owner.log().mismatchedAnswer(target.id(), r.requestId());
       return false;
     }
+    if (!isAnswerToThisRequest(r)) {
+      discardUnidentified();
+      return false;
+    }
     observeLimit(r);
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
@@ -317,13 +321,6 @@
     long now = timers.nowMillis();
     ByteBuf whole = body.retain();
     close();
-    if (!isAnswerToThisRequest(r)) {
-      whole.release();
-      stats.answeredFailure(now);
-      forwarder.metrics().sendFailed(owner.kind(), "no-request-id");
-      owner.onPossiblyRun("no-request-id");
-      return;
-    }
     if (r.notRun() && !r.isSuccess()) {
       whole.release();
       onRefused(r, now);
@@ -361,6 +358,18 @@
     return r.requestId() != null || (x != null && x.isFirstOnConnection());
   }
 
+  /**
+   * Ends the attempt with its connection, on which the answer to this request may still arrive and
+   * delay the next one.
+   */
+  private void discardUnidentified() {
+    owner.log().mismatchedAnswer(target.id(), null);
+    stop();
+    stats.answeredFailure(timers.nowMillis());
+    forwarder.metrics().sendFailed(owner.kind(), "no-request-id");
+    owner.onPossiblyRun("no-request-id");
+  }
+
   private void onRefused(BackendReply r, long now) {
     boolean full = r.status() == 503 && r.blockingInstance() == null;
     if (full) {
