Send each order on a connection of its own

A replica that leads the fleet took an instance's repeated answer to an earlier order for that to the present one: a "leave" that the instance had only just received counted as carried out (409 and 421 confirm it as 200 does), so the instance could be put into another group while its old one still served; a refused "join" or "open" could count as accepted.

Answers to orders carry no identifier, and orders went over the pooled persistent connections, so nothing told such an answer from the right one. An order now opens a connection and asks the backend server to close it; the pool does not use a connection again whose request said so. Orders are rare beside requests.

repeatedAnswerToAnEarlierOrderIsNotThatToTheNext failed before for each of the four answers (CONFLICT, ABSENT, FENCED and HOLDS in place of ACCEPTED).

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -234,7 +234,7 @@
         receivedForeignAnswer = true;
       }
       boolean framed = HttpUtil.isContentLengthSet(r) || HttpUtil.isTransferEncodingChunked(r);
-      keepAlive = HttpUtil.isKeepAlive(r) && framed;
+      keepAlive = HttpUtil.isKeepAlive(head) && HttpUtil.isKeepAlive(r) && framed;
       idleTimeoutMillis = BackendPool.idleTimeoutMillis(keepAliveTimeoutMillis(r));
     }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -65,7 +65,8 @@
    * @param instance the identifier of the instance; instances at the same address do not share
    *     connections
    * @param address the IP address and port of the instance
-   * @param head the request line and headers
+   * @param head the request line and headers; with {@code Connection: close} the connection is not
+   *     used again
    * @param body the body; its ownership passes to the pool
    * @param maxIdleMillis a connection that has been idle for longer is not used for this request,
    *     in milliseconds
