--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -155,6 +155,10 @@
       owner.log().mismatchedAnswer(target.id(), r.requestId());
       return false;
     }
+    if (!isAnswerToThisRequest(r)) {
+      discardUnidentified();
+      return false;
+    }
     observeLimit(r);
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
@@ -317,25 +321,22 @@
     long now = timers.nowMillis();
     ByteBuf whole = body.retain();
     close();
-    if (!isAnswerToThisRequest(r)) {
-      whole.release();
-      stats.answeredFailure(now);
-      forwarder.metrics().sendFailed(owner.kind(), "no-request-id");
-      owner.onPossiblyRun("no-request-id");
-      return;
-    }
-    if (r.notRun()) {
+    if (r.notRun() && !r.isSuccess()) {
       whole.release();
       onRefused(r, now);
       return;
     }
-    boolean unsignedSuccess = r.isSuccess() && !r.signed();
+    boolean invalidSuccess = r.isSuccess() && (r.notRun() || !r.signed());
+    boolean undeclaredRefusal = r.impliesNotRun() && !owner.route().idempotent();
     boolean failed = r.status() >= 500 && owner.route().idempotent();
-    if (unsignedSuccess || answer.isStarted() || (failed && owner.canTryAnother())) {
+    if (invalidSuccess
+        || undeclaredRefusal
+        || answer.isStarted()
+        || (failed && owner.canTryAnother())) {
       whole.release();
       stats.answeredFailure(now);
       forwarder.metrics().sendFailed(owner.kind(), "status-" + r.status());
-      owner.onPossiblyRun(unsignedSuccess ? "unsigned" : "failed-" + r.status());
+      owner.onPossiblyRun(invalidSuccess ? "invalid-success" : "failed-" + r.status());
       return;
     }
     forwarder.metrics().firstOutput(owner.kind(), now - owner.receivedAt());
@@ -357,6 +358,18 @@
     return r.requestId() != null || (x != null && x.isFirstOnConnection());
   }
 
+  /**
+   * Ends the attempt with its connection, on which the answer to this request may still arrive and
+   * delay the next one.
+   */
+  private void discardUnidentified() {
+    owner.log().mismatchedAnswer(target.id(), null);
+    stop();
+    stats.answeredFailure(timers.nowMillis());
+    forwarder.metrics().sendFailed(owner.kind(), "no-request-id");
+    owner.onPossiblyRun("no-request-id");
+  }
+
   private void onRefused(BackendReply r, long now) {
     boolean full = r.status() == 503 && r.blockingInstance() == null;
     if (full) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -15,12 +15,15 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Pattern;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to a backend server that carries at most one request at a time. */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
   private static final String TIMEOUT = "timeout=";
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
 
   private final BackendPool pool;
   private final String instance;
@@ -28,6 +31,7 @@
   private final UnsolicitedByteLimiter unsolicited = new UnsolicitedByteLimiter();
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange current;
+  private @Nullable Exchange answered;
   private int requests;
   private boolean idle;
   private boolean broken;
@@ -109,8 +113,27 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    endAnswered();
+    ctx.fireChannelReadComplete();
+  }
+
+  /**
+   * Ends an exchange whose answer is complete. This waits for the end of the read: bytes behind the
+   * answer make the connection unusable for the next request.
+   */
+  private void endAnswered() {
+    Exchange x = answered;
+    answered = null;
+    if (x != null) {
+      x.end();
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    endAnswered();
     broken = true;
     pool.remove(instance, this);
     Exchange x = current;
@@ -123,6 +146,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     broken = true;
+    endAnswered();
     pool.remove(instance, this);
     Exchange x = current;
     current = null;
@@ -168,7 +192,7 @@
 
     void read(Object message) {
       if (message instanceof HttpResponse r) {
-        if (r.decoderResult().isFailure()) {
+        if (r.decoderResult().isFailure() || isJoined(r)) {
           malformed();
           return;
         }
@@ -186,6 +210,22 @@
       }
     }
 
+    /**
+     * Returns whether a head contains the status line of another one: it broke off, and the next
+     * answer on the connection continues it.
+     */
+    private static boolean isJoined(HttpResponse r) {
+      if (STATUS_LINE.matcher(r.status().reasonPhrase()).find()) {
+        return true;
+      }
+      for (Map.Entry<String, String> h : r.headers()) {
+        if (STATUS_LINE.matcher(h.getValue()).find()) {
+          return true;
+        }
+      }
+      return false;
+    }
+
     private void readHead(HttpResponse r) {
       accepted = listener.head(r);
       if (accepted) {
@@ -194,7 +234,7 @@
         receivedForeignAnswer = true;
       }
       boolean framed = HttpUtil.isContentLengthSet(r) || HttpUtil.isTransferEncodingChunked(r);
-      keepAlive = HttpUtil.isKeepAlive(r) && framed;
+      keepAlive = HttpUtil.isKeepAlive(head) && HttpUtil.isKeepAlive(r) && framed;
       idleTimeoutMillis = BackendPool.idleTimeoutMillis(keepAliveTimeoutMillis(r));
     }
 
@@ -213,17 +253,21 @@
 
     private void finish() {
       ended = true;
-      ChannelFuture f = writeFuture;
-      boolean requestWritten = f != null && f.isSuccess();
-      // The connection is in an unknown state if the request body is not fully written or an answer
-      // to another request was received.
-      boolean reusable = keepAlive && requestWritten && !receivedForeignAnswer;
       current = null;
+      answered = this;
       ChannelHandlerContext ctx = context;
       if (ctx != null) {
         // The end of the answer may have been read together with the part that paused reading.
         ctx.channel().config().setAutoRead(true);
       }
+    }
+
+    private void end() {
+      ChannelFuture f = writeFuture;
+      boolean requestWritten = f != null && f.isSuccess();
+      // The connection is in an unknown state if the request body is not fully written or an answer
+      // to another request was received.
+      boolean reusable = keepAlive && requestWritten && !receivedForeignAnswer && !broken;
       if (reusable) {
         idle = true;
         idleSince = timers.nowMillis();
