Fail only the call to an engine with a malformed address

Cause: the client of the control interface built the URI before its future, so an address such as "a b" threw in the caller. The leader sends the reads and orders of a tick one after the other and lost all behind that one; the poller of cache events lost the groups behind it in each round.

Both now build the URI inside the call, whose failure is handled. The poller was changed by the same reading; it has no test of its own.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/CacheEventPoller.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/CacheEventPoller.java
@@ -67,14 +67,16 @@
 
   private void read(Target t) {
     long after = prefixes.lastSeq(t);
-    URI uri = URI.create("http://" + t.address() + "/control/cache-events?after=" + after);
     controller
         .fork()
         .onError(e -> LOG.debug("cache events of {} could not be read", t.instance(), e))
         .start(
             e ->
                 client
-                    .request(uri, s -> s.connectTimeout(TIMEOUT).readTimeout(TIMEOUT))
+                    .request(
+                        URI.create(
+                            "http://" + t.address() + "/control/cache-events?after=" + after),
+                        s -> s.connectTimeout(TIMEOUT).readTimeout(TIMEOUT))
                     .then(r -> onEvents(t, json.readTree(r.getBody().getText()))));
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineAdmin.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineAdmin.java
@@ -69,7 +69,6 @@
   private CompletableFuture<JsonNode> call(
       String address, String path, Action<? super RequestSpec> action) {
     CompletableFuture<JsonNode> out = new CompletableFuture<>();
-    URI uri = URI.create("http://" + address + path);
     controller
         .fork()
         .onError(out::completeExceptionally)
@@ -77,7 +76,8 @@
             e ->
                 client
                     .request(
-                        uri,
+                        // Here, a malformed address fails this call and not its caller.
+                        URI.create("http://" + address + path),
                         s -> {
                           s.connectTimeout(CONNECT_TIMEOUT).readTimeout(READ_TIMEOUT);
                           action.execute(s);
