Refuse announcements whose address is not host and port

An announcement with a port out of range, without a port or with anything else in its address was registered in the control log, from where every component took the address for requests that could not be sent.

Evidence: AnnounceHandlerTest.addressThatIsNotHostAndPortIsRefused failed before for each of its 11 addresses: "Expected EbonypondException to be thrown, but nothing was thrown".

Such an announcement now gets 400 and is not passed on to the leader.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ManualPeers.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ManualPeers.java
@@ -10,7 +10,7 @@
 import org.ebonypond.wire.MessagePackCodec;
 
 /** Three replicas, r0 to r2, that reply only when the test tells them to. */
-final class ManualPeers implements Peers {
+public final class ManualPeers implements Peers {
   static final List<ReplicaAddress> REPLICAS =
       List.of(replica("r0", 0), replica("r1", 1), replica("r2", 2));
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AnnounceHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AnnounceHandler.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.util.function.LongSupplier;
 import org.ebonypond.control.InstanceKind;
 import org.ebonypond.errors.EbonypondException;
@@ -19,6 +21,7 @@
 /** Handles {@code POST /platform/v1/announce}. */
 final class AnnounceHandler implements Handler {
   private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int MAX_PORT = 65_535;
 
   private final AnnouncementRelay relay;
   private final LongSupplier wallMillis;
@@ -48,7 +51,12 @@
             });
   }
 
-  private InstanceReport.Item read(JsonNode n) {
+  /**
+   * Reads an announcement.
+   *
+   * @throws EbonypondException {@code bad-request} if a field is missing or malformed
+   */
+  InstanceReport.Item read(JsonNode n) {
     boolean engine = required(n, "kind").equals("engine");
     final EngineStatus status = RatpackEngineAdmin.status(required(n, "status"));
     final String instance = required(n, "instance");
@@ -59,7 +67,7 @@
         new InstanceAnnouncement(
             instance,
             boot,
-            required(n, "address"),
+            address(n),
             required(n, "zone"),
             required(n, "domain"),
             engine ? InstanceKind.ENGINE : InstanceKind.SERVICE,
@@ -84,6 +92,22 @@
             load.path("tokens").asLong()));
   }
 
+  /** Returns the address, which is part of the URI of each order, read and request. */
+  private static String address(JsonNode n) {
+    String v = required(n, "address");
+    try {
+      URI uri = new URI("http://" + v);
+      boolean valid = uri.getHost() != null && uri.getPort() > 0 && uri.getPort() <= MAX_PORT;
+      if (valid && v.equals(uri.getHost() + ":" + uri.getPort())) {
+        return v;
+      }
+    } catch (URISyntaxException e) {
+      throw new EbonypondException(
+          e, ErrorCode.BAD_REQUEST, "\"address\" is not host:port: " + e.getReason());
+    }
+    throw new EbonypondException(ErrorCode.BAD_REQUEST, "\"address\" is not host:port");
+  }
+
   private static String required(JsonNode n, String key) {
     String v = n.path(key).asText("");
     if (v.isBlank() || v.equals("null")) {
