Keep periodic tasks after a stack overflow

No input is known that gets so deep: the parsers bound the nesting (JsonTest.rejectsDeepNestingWithAnError). But the timer services only caught exceptions, so one stack overflow would have ended the polls, the planning or the check of waiting calls of a process, without a line in its log.

Evidence: PeriodicTaskTest.stackOverflowDoesNotCancelPeriodicTask failed before with "expected: <true> but was: <false>"; failureDoesNotCancelPeriodicTask, the same for exceptions, passed before.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/timer/ScheduledTimerService.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/timer/ScheduledTimerService.java
@@ -44,11 +44,12 @@
   }
 
   static Runnable loggingFailures(Runnable task) {
-    // An uncaught exception would silently cancel a periodic task of the executor.
+    // An uncaught failure would silently cancel a periodic task of the executor. A stack overflow
+    // concerns one run only, unlike other errors.
     return () -> {
       try {
         task.run();
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | StackOverflowError e) {
         LOG.error("timer task failed", e);
       }
     };
