Ignore malformed addresses of replicas in answers to polls

One name of another form in an answer made each later round end with an exception before the replicas behind it were polled, until the process was restarted. The replicas check the addresses that they are told, so this needs a faulty or foreign process on the peer port.

Evidence: FleetPollerTest.malformedAddressOfReplicaDoesNotEndThePolls failed before with "IllegalArgument is not an address of the form IP:PORT".

--- /dev/null
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetPollerTest.java
@@ -0,0 +1,73 @@
+package org.ebonypond.server.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.fleet.PollCodec;
+import org.ebonypond.fleet.ReplicaPollPlan;
+import org.ebonypond.junit.ManualTimerService;
+import org.ebonypond.server.transport.FrameType;
+import org.ebonypond.server.transport.Peers;
+import org.junit.jupiter.api.Test;
+
+class FleetPollerTest {
+  private static final long PERIOD_MILLIS = 100;
+  private static final String REPLICA = "10.0.0.1:7000";
+
+  /** Answers each poll at once with the names of replicas. */
+  private static final class KnownReplicas implements Peers {
+    final List<InetSocketAddress> asked = new ArrayList<>();
+    private final byte[] answer;
+
+    KnownReplicas(List<String> names) {
+      answer =
+          PollCodec.encodeResult(
+              new FleetPollResult(
+                  1, 1, 1, 0, true, null, List.of(), List.of(), null, 1, 0, names, null, List.of(),
+                  List.of()));
+    }
+
+    @Override
+    public void send(InetSocketAddress to, FrameType type, String channel, byte[] payload) {
+      throw new UnsupportedOperationException("polls expect answers");
+    }
+
+    @Override
+    public CompletableFuture<byte[]> ask(
+        InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
+      asked.add(to);
+      return CompletableFuture.completedFuture(answer);
+    }
+  }
+
+  /** Guards against a process that polls no replica again after one answer named an odd address. */
+  @Test
+  void malformedAddressOfReplicaDoesNotEndThePolls() {
+    ManualTimerService timers = new ManualTimerService();
+    KnownReplicas peers = new KnownReplicas(List.of("", "-:1", REPLICA));
+    FleetPoller poller =
+        new FleetPoller(
+            "10.0.0.2:7000",
+            "10.0.0.2:7000",
+            peers,
+            timers,
+            new ReplicaDirectory(List.of(REPLICA)),
+            new ReplicaPollPlan("10.0.0.2:7000"),
+            Runnable::run,
+            PERIOD_MILLIS,
+            () -> 1,
+            () -> 0,
+            () -> 0,
+            List::of,
+            List::of,
+            List::of,
+            (name, result) -> {});
+    poller.start();
+    timers.advance(10 * PERIOD_MILLIS);
+    assertEquals(11, peers.asked.size());
+  }
+}
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
@@ -182,13 +182,26 @@
     lastAnswerMillis = now;
     directory.recordContact(name, now);
     plan.answered(name, r, requestBytes + bytes.length, now);
-    r.replicas().forEach(n -> directory.add(n, now));
+    r.replicas().forEach(n -> discover(name, n, now));
     if (planned.home()) {
       positions.put(name, new Position(r.boot(), r.cursor()));
     }
     results.accept(name, r);
   }
 
+  /** Adds a replica that another one reported, unless no poll could be sent to it. */
+  private void discover(String reporter, String name, long now) {
+    if (ReplicaDirectory.isAddress(name)) {
+      directory.add(name, now);
+    } else {
+      // Each answer may bring one, and lines of this level are dropped under load.
+      LOG.atInfo()
+          .addKeyValue("replica", reporter)
+          .addKeyValue("address", name)
+          .log("malformed address of a replica ignored");
+    }
+  }
+
   private static @Nullable FleetPollResult decode(String replica, byte[] bytes) {
     try {
       return PollCodec.decodeResult(bytes);
