--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.LongStream;
 import org.ebonypond.junit.FakeFleet;
 import org.ebonypond.junit.Seeds;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -138,27 +139,7 @@
   @Test
   void groupsFormAfterAnImpossibleEpochWasReported() {
     start();
-    GroupMembership odd = new GroupMembership("large.4.7", Long.MAX_VALUE, 0, MemberState.JOINING);
-    fleet
-        .table()
-        .merge(
-            new FleetInstance(
-                "odd",
-                1,
-                1,
-                "engines",
-                "10.9.9.9:1",
-                "z0",
-                InstancePhase.READY,
-                18,
-                0,
-                "d0",
-                List.of(),
-                List.of(),
-                odd,
-                ""),
-            0,
-            fleet.now());
+    report("odd", 1, new GroupMembership("large.4.7", Long.MAX_VALUE, 0, MemberState.JOINING));
     fleet.crash(groupOf("large").get(3));
     fleet.run(planner, 10_000, false);
     assertTrue(fleet.serving("large") >= 7, "large " + fleet.serving("large"));
@@ -167,6 +148,67 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /** Guards against a planning round that ends at a group that no leader formed. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void groupsServeWhileOthersReportOddOnes(long seed) {
+    start();
+    Random random = new Random(seed);
+    String[] names = {
+      "",
+      ".",
+      "large",
+      "large.4",
+      ".4.7",
+      "large..7",
+      "large.0.7",
+      "large.-1.7",
+      "other.4.7",
+      "large.2147483647.7",
+      "large.4.7",
+      "small.2.7",
+      "large.4.07",
+      "large.99999999999.7"
+    };
+    int[] ranks = {0, 1, 2, Integer.MAX_VALUE};
+    MemberState[] states = MemberState.values();
+    for (int i = 1; i <= 200; i++) {
+      GroupMembership odd =
+          new GroupMembership(
+              names[random.nextInt(names.length)],
+              random.nextInt(4) == 0 ? Long.MAX_VALUE : 7,
+              ranks[random.nextInt(ranks.length)],
+              states[random.nextInt(states.length)]);
+      report("odd-" + random.nextInt(8), i, random.nextInt(4) == 0 ? null : odd);
+      fleet.run(planner, 100, false);
+    }
+    // The odd instances count as usable ones, so some groups may be converted meanwhile.
+    fleet.run(planner, 20_000, false);
+    assertEquals(48, 4 * fleet.serving("large") + 2 * fleet.serving("small"));
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /** Adds the heartbeat of an instance that is not part of the fleet and answers no orders. */
+  private void report(String id, long sequence, @Nullable GroupMembership group) {
+    FleetInstance i =
+        new FleetInstance(
+            id,
+            1,
+            sequence,
+            "engines",
+            id + ":1",
+            "odd",
+            InstancePhase.READY,
+            18,
+            0,
+            "odd",
+            List.of("large"),
+            List.of("small"),
+            group,
+            "");
+    fleet.table().merge(i, 0, fleet.now());
+  }
+
   /** Returns the members of a group that serves a model, head first. */
   private List<String> groupOf(String model) {
     String head = fleet.head(model);
