Continue a stream only with an event stream

Callers found the text of an answer in the middle of their stream, or a stream that ended as complete after three of six events. Any signed 2xx answer on a stream route was taken for its continuation: a text or JSON body with a blank line went to the caller as an event, and an empty body, a 204 or a 206 ended the stream with a last chunk.

An answer now counts as a stream only if its status is 200 and its type is text/event-stream. Another one is handled like any answer that is no stream: forwarded whole if it is the first, and never written once the caller's answer has begun.

Before, 7 cases of ResumedStreamTest failed (streamEndsWholeOrBrokenOffWhateverTheNextInstanceAnswers: NO_CONTENT_OF_EVENT_STREAM_TYPE, PARTIAL_CONTENT, TEXT, TEXT_OF_EVENTS, JSON, WITHOUT_TYPE, EMPTY_TEXT), for example with "6\r\noops\n\n\r\n0" behind event 3.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -214,7 +214,7 @@
   }
 
   private boolean isStream(BackendReply r) {
-    return owner.route().kind() == CallKind.STREAM && r.isSuccess() && r.signed();
+    return owner.route().kind() == CallKind.STREAM && r.eventStream() && r.signed();
   }
 
   private void forwardEvents(ByteBuf bytes, long now) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
@@ -9,6 +9,7 @@
  * @param requestId the identifier of the request that it answers, or null if the header is missing
  * @param notRun whether the backend server declares that it did not run the request
  * @param signed whether it carries the header that marks the answer as a backend server's own
+ * @param eventStream whether the body is a stream of events
  * @param blockingInstance the instance because of which the request was not run, or null
  * @param acceptedPerSecond the requests a second that the instance accepts from all callers
  *     together; infinite if it names no limit, NaN if it names one that cannot be read
@@ -18,6 +19,7 @@
     @Nullable String requestId,
     boolean notRun,
     boolean signed,
+    boolean eventStream,
     @Nullable String blockingInstance,
     double acceptedPerSecond) {
   /** Returns whether the status is 2xx. */
