Do not forward text that is no event

Callers found the head of an error in the middle of their stream:

id: 3 data: e3

HTTP/1.1 500 Internal Server Error Content-Length: 5

The instance had written an error into its own answer after the stream had begun, or sent one as the body of an event stream. Any lines up to a blank one went to the caller as an event. A head behind the start of an event ("data: eHTTP/1.1 500 ...") became its data.

An event now must consist of lines "name: value" with names in lower case, end all its lines alike, and have at least one field that event streams define; other fields are kept, as the standard asks. Otherwise the answer fails like one that is cut: the events before it are forwarded, and the stream continues at another instance after the last of them, or is reset. A head whose status line stands inside an event is recognised by its line ends or by the case of its header names; an event that an instance cuts with a text of its own form remains unnoticed.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -218,17 +218,22 @@
   }
 
   private void forwardEvents(ByteBuf bytes, long now) {
-    int eventCount;
+    String problem = null;
     try {
-      eventCount = answer.feed(ByteBufUtil.getBytes(bytes));
+      answer.feed(ByteBufUtil.getBytes(bytes));
     } catch (EbonypondException e) {
-      discardAnswer("no-answer", String.valueOf(e.getMessage()));
-      return;
+      problem = String.valueOf(e.getMessage());
     }
-    if (eventCount == 0) {
-      // Bytes that complete no event do not count as progress.
-      return;
+    // Bytes that complete no event do not count as progress.
+    if (answer.completedEvents() > 0) {
+      writeEvents(answer.completedEvents(), now);
+    }
+    if (problem != null) {
+      discardAnswer("no-answer", problem);
     }
+  }
+
+  private void writeEvents(int eventCount, long now) {
     stats.progressed(now);
     startAnswer(now);
     if (lastEventAt > 0) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
@@ -64,13 +64,19 @@
   }
 
   /**
-   * Takes bytes of a stream; returns the number of events that they complete.
+   * Takes bytes of a stream.
    *
-   * @throws org.ebonypond.errors.EbonypondException if they are no valid events
+   * @throws org.ebonypond.errors.EbonypondException if they are no valid events; those before the
+   *     first invalid one count as completed
    */
-  int feed(byte[] bytes) {
+  void feed(byte[] bytes) {
     events.reset();
-    return splitter.feed(bytes, events);
+    splitter.feed(bytes, events);
+  }
+
+  /** Returns the number of events that the last bytes completed. */
+  int completedEvents() {
+    return splitter.events();
   }
 
   /** Writes the events that the last bytes completed. */
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventSplitterTest {
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -104,4 +105,43 @@
       s.feed(bytes(text), out);
     }
   }
+
+  /** Guards against an error's text, or an answer's head, that is forwarded as an event. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+        "Internal Server Error\n\n",
+        "{\"error\": 1}\n\n",
+        "<html>\n\n",
+        "error: oops\n\n",
+        "data\tx\n\n",
+        "id: 2\ndata: aHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+        "id: 2\ndata: aHTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n",
+        "id: 2\ndata: aHTTP/1.1 500 Error\r\n\r\n",
+        "id: 2\r\ndata: aHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+      })
+  void textThatIsNoEventFailsAfterTheEventsBeforeIt(String text) {
+    EventSplitter s = new EventSplitter("");
+    assertThrows(EbonypondException.class, () -> s.feed(bytes("id: 1\ndata: a\n\n" + text), out));
+    assertEquals("id: 1\ndata: a\n\n", forwarded());
+    assertEquals(1, s.events());
+    assertEquals("1", s.lastId());
+  }
+
+  /** Guards against a sound stream that is taken for an error. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "id: 1\ndata: a\n\n",
+        "id:1\r\ndata\r\ndata:\r\n\r\n",
+        "revision: 3\nid: 1\nevent: token\ndata: HTTP/1.1 500 Error\n\n",
+        ": HTTP/1.1 500\nretry: 100\n\nid: 1\r\n:\r\ndata: x\r\n\r\n",
+      })
+  void fieldsOfEventsAreForwarded(String text) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(bytes(text), out);
+    assertEquals(text, forwarded());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -3,14 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Set;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Splits the bytes of an event stream into complete events, so that an event that a backend server
- * did not finish is never forwarded. After a stream was resumed on another instance, events that
- * the caller already received are dropped.
+ * did not finish is never forwarded, and neither is text that is no event. After a stream was
+ * resumed on another instance, events that the caller already received are dropped.
  */
 public final class EventSplitter {
   /**
@@ -25,6 +26,9 @@
    */
   private static final int MAX_DROPPED_BYTES = 1 << 20;
 
+  /** The fields that event streams define; a server may add others, which are ignored. */
+  private static final Set<String> STANDARD_FIELDS = Set.of("id", "data", "event", "retry");
+
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
   private byte[] buffer = new byte[512];
@@ -34,6 +38,9 @@
   private int scanned;
   private int lineStart;
   private boolean hasField;
+  private boolean hasStandardField;
+  private boolean endsLinesWithReturn;
+  private int events;
   private int droppedBytes;
   private long lastId;
   private boolean hasId;
@@ -55,14 +62,24 @@
   /**
    * Processes bytes of the stream.
    *
-   * @param out receives the complete events that are new to the caller
+   * @param out receives the complete events that are new to the caller, also those before a failure
    * @return the number of events written to {@code out}
-   * @throws EbonypondException {@code upstream-failed} if an event is too large, or if the stream
-   *     contains too many events that the caller already received
+   * @throws EbonypondException {@code upstream-failed} if the bytes are no events, if an event is
+   *     too large, or if the stream contains too many events that the caller already received
    */
   public int feed(byte[] bytes, ByteArrayOutputStream out) {
+    events = 0;
     append(bytes);
-    int events = 0;
+    emitComplete(out);
+    return events;
+  }
+
+  /** Returns the number of events that the last call of {@link #feed} wrote, also if it failed. */
+  public int events() {
+    return events;
+  }
+
+  private void emitComplete(ByteArrayOutputStream out) {
     int eventStart = 0;
     while (scanned < length) {
       if (buffer[scanned] != '\n') {
@@ -72,11 +89,10 @@
       scanned++;
       boolean blank = isBlank(lineStart, scanned);
       if (!blank) {
-        hasField |= buffer[lineStart] != ':';
+        readLine(lineStart, scanned);
       } else if (hasField) {
-        events += emitIfNew(eventStart, scanned, out);
+        endEvent(eventStart, scanned, out);
         eventStart = scanned;
-        hasField = false;
       }
       lineStart = scanned;
     }
@@ -84,20 +100,70 @@
     length -= eventStart;
     scanned -= eventStart;
     lineStart -= eventStart;
-    return events;
   }
 
-  private int emitIfNew(int from, int end, ByteArrayOutputStream out) {
+  /**
+   * Reads a line that is not blank.
+   *
+   * @throws EbonypondException if it cannot be a line of an event; after a fault, a backend server
+   *     may send an error in the middle of a stream
+   */
+  private void readLine(int from, int end) {
+    if (buffer[from] == ':') {
+      return;
+    }
+    boolean endsWithReturn = endsWithReturn(end);
+    if (hasField && endsWithReturn != endsLinesWithReturn) {
+      throw failure("line ends change inside an event");
+    }
+    int textEnd = endsWithReturn ? end - 2 : end - 1;
+    int nameEnd = from;
+    while (nameEnd < textEnd && isNameChar(buffer[nameEnd])) {
+      nameEnd++;
+    }
+    String name = new String(buffer, from, nameEnd - from, StandardCharsets.US_ASCII);
+    boolean standard = STANDARD_FIELDS.contains(name);
+    boolean isField = nameEnd == textEnd ? standard : buffer[nameEnd] == ':';
+    if (!isField) {
+      throw failure("a line is no field of an event");
+    }
+    hasField = true;
+    hasStandardField |= standard;
+    endsLinesWithReturn = endsWithReturn;
+  }
+
+  private boolean endsWithReturn(int end) {
+    return end >= 2 && buffer[end - 2] == '\r';
+  }
+
+  /** Field names are in lower case, other than the header names of most servers. */
+  private static boolean isNameChar(byte c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+  }
+
+  private void endEvent(int from, int end, ByteArrayOutputStream out) {
+    if (!hasStandardField) {
+      throw failure("an event has no field that event streams define");
+    }
+    if (endsWithReturn(end) != endsLinesWithReturn) {
+      throw failure("line ends change inside an event");
+    }
+    hasField = false;
+    hasStandardField = false;
+    emitIfNew(from, end, out);
+  }
+
+  private void emitIfNew(int from, int end, ByteArrayOutputStream out) {
     if (recordIfNew(from, end)) {
       droppedBytes = 0;
       out.write(buffer, from, end - from);
-      return 1;
+      events++;
+      return;
     }
     droppedBytes += end - from;
     if (droppedBytes > MAX_DROPPED_BYTES) {
       throw failure("no new event in " + droppedBytes + " bytes");
     }
-    return 0;
   }
 
   private static EbonypondException failure(String what) {
@@ -116,15 +182,20 @@
    */
   public void finish(ByteArrayOutputStream out) {
     out.write(buffer, 0, lineStart);
-    dropPartialEvent();
+    clear();
   }
 
   /** Discards an unfinished event, before the stream continues on another instance. */
   public void dropPartialEvent() {
+    clear();
+  }
+
+  private void clear() {
     length = 0;
     scanned = 0;
     lineStart = 0;
     hasField = false;
+    hasStandardField = false;
   }
 
   /** Returns the identifier of the last complete event, or an empty string if there is none. */
