Continue a stream only with the events that follow

Callers got a stream that ended as complete although events were missing or did not belong to it. Only events with a number up to the last one were dropped from a continuation. Everything else was joined: a continuation from event 5 after event 3, events without a number, and one whose numbers fall, of which the late event was dropped.

If the events are numbered without a gap from 0 or 1, the first new one of the next instance must have the next number; streams that count otherwise need only rise. After a resumption each event with data needs a number, and the numbers of one instance must rise always. Otherwise the answer fails, and the caller's connection is reset unless another instance may be asked. An instance that ignores the position and starts again is still joined, with the events that the caller has left out.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -14,6 +14,7 @@
 import org.ebonypond.junit.Seeds;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -144,4 +145,61 @@
     s.feed(bytes(text), out);
     assertEquals(text, forwarded());
   }
+
+  /**
+   * Guards against a stream joined with another one of which events are missing or out of order.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "1 2, 4",
+    "1 2, 1 2 4",
+    "1 2, 3 x",
+    "1 2, x",
+    "1 2, 3 3",
+    "1 2, 3 2",
+    "1 2, 2 1 3",
+    "1, 3",
+    "0 1, 3"
+  })
+  void continuationThatDoesNotFitFails(String before, String after) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(events(before), out);
+    s.dropPartialEvent();
+    assertThrows(EbonypondException.class, () -> s.feed(events(after), out));
+  }
+
+  /** Guards against a stream that is broken off although its continuation fits. */
+  @ParameterizedTest
+  @CsvSource({
+    "1 2, 3 4 6",
+    "1 2, 1 2 3",
+    "5 10, 15 20",
+    "3 5, 4 7",
+    "1 3, 4",
+    "'', 7 8",
+    "'', x",
+    "r 1 r 2, r 3 r"
+  })
+  void continuationThatFitsIsForwarded(String before, String after) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(events(before), out);
+    s.dropPartialEvent();
+    assertTrue(s.feed(events(after), out) > 0);
+  }
+
+  /**
+   * Returns one event for each identifier; {@code x} is one without, {@code r} one that only sets
+   * the retry interval.
+   */
+  private static byte[] events(String ids) {
+    StringBuilder b = new StringBuilder();
+    for (String id : ids.isEmpty() ? new String[0] : ids.split(" ")) {
+      switch (id) {
+        case "x" -> b.append("data: a\n\n");
+        case "r" -> b.append("retry: 100\n\n");
+        default -> b.append("id: ").append(id).append("\ndata: a\n\n");
+      }
+    }
+    return bytes(b.toString());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -39,12 +39,20 @@
   private int lineStart;
   private boolean hasField;
   private boolean hasStandardField;
+  private boolean hasData;
   private boolean endsLinesWithReturn;
   private int events;
   private int droppedBytes;
   private long lastId;
   private boolean hasId;
   private String lastIdText;
+  // Whether the numbers of the events rise by one from 0 or 1.
+  private boolean consecutive = true;
+  private boolean hasEvent;
+  private boolean resumed;
+  // The number of the last event of the current instance, new or not.
+  private long lastIdOfInstance = Long.MIN_VALUE;
+  private boolean hasNewEventOfInstance;
 
   /**
    * Creates a splitter.
@@ -65,7 +73,8 @@
    * @param out receives the complete events that are new to the caller, also those before a failure
    * @return the number of events written to {@code out}
    * @throws EbonypondException {@code upstream-failed} if the bytes are no events, if an event is
-   *     too large, or if the stream contains too many events that the caller already received
+   *     too large, if its number shows that another one is missing, or if the stream contains too
+   *     many events that the caller already received
    */
   public int feed(byte[] bytes, ByteArrayOutputStream out) {
     events = 0;
@@ -129,6 +138,7 @@
     }
     hasField = true;
     hasStandardField |= standard;
+    hasData |= name.equals("data");
     endsLinesWithReturn = endsWithReturn;
   }
 
@@ -148,9 +158,10 @@
     if (endsWithReturn(end) != endsLinesWithReturn) {
       throw failure("line ends change inside an event");
     }
+    emitIfNew(from, end, out);
     hasField = false;
     hasStandardField = false;
-    emitIfNew(from, end, out);
+    hasData = false;
   }
 
   private void emitIfNew(int from, int end, ByteArrayOutputStream out) {
@@ -188,6 +199,10 @@
   /** Discards an unfinished event, before the stream continues on another instance. */
   public void dropPartialEvent() {
     clear();
+    droppedBytes = 0;
+    resumed = hasEvent;
+    lastIdOfInstance = Long.MIN_VALUE;
+    hasNewEventOfInstance = false;
   }
 
   private void clear() {
@@ -196,6 +211,7 @@
     lineStart = 0;
     hasField = false;
     hasStandardField = false;
+    hasData = false;
   }
 
   /** Returns the identifier of the last complete event, or an empty string if there is none. */
@@ -221,6 +237,25 @@
 
   /** Records the identifier of an event; returns false if the caller already received the event. */
   private boolean recordIfNew(int from, int end) {
+    String text = idText(from, end);
+    Long id = text == null ? null : parse(text);
+    if (text == null && !hasData) {
+      // Callers ignore such an event, apart from a retry interval that it may set.
+      return true;
+    }
+    if (text == null || id == null) {
+      if (resumed) {
+        throw failure("an event after a resumption has no number");
+      }
+      lastIdText = text == null ? lastIdText : text;
+      hasEvent = true;
+      return true;
+    }
+    return recordId(id, text);
+  }
+
+  /** Returns the identifier of an event, or null if it has none. */
+  private @Nullable String idText(int from, int end) {
     int line = from;
     while (line < end) {
       int next = line;
@@ -229,24 +264,31 @@
       }
       if (startsWithId(line, next)) {
         int start = line + ID.length;
-        String text = new String(buffer, start, next - start, StandardCharsets.UTF_8).trim();
-        return recordId(text);
+        return new String(buffer, start, next - start, StandardCharsets.UTF_8).trim();
       }
       line = next + 1;
     }
-    return true;
+    return null;
   }
 
-  private boolean recordId(String text) {
-    Long id = parse(text);
-    if (id != null && hasId && id <= lastId) {
+  private boolean recordId(long id, String text) {
+    if (id <= lastIdOfInstance) {
+      throw failure("event " + id + " after event " + lastIdOfInstance);
+    }
+    lastIdOfInstance = id;
+    if (hasId && id <= lastId) {
       return false;
     }
-    if (id != null) {
-      lastId = id;
-      hasId = true;
+    boolean next = hasId ? id == lastId + 1 : id <= 1;
+    if (resumed && consecutive && !next && !hasNewEventOfInstance) {
+      throw failure("resumed with event " + id + " after event " + lastId);
     }
+    consecutive &= next;
+    lastId = id;
+    hasId = true;
     lastIdText = text;
+    hasEvent = true;
+    hasNewEventOfInstance = true;
     return true;
   }
 
