Do not restart a stream whose events have no numbers

Callers got events twice: a stream whose events have no id, or one that is no number, broke off, and the next instance was asked without a position, or with one whose order is unknown, and ran from the start. What it sent was appended.

Such events cannot be told from those that the caller already received, so a stream with one of them is not resumed by the entry: the caller's connection is reset, and the caller decides.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
@@ -63,6 +63,11 @@
     call.start(head);
   }
 
+  /** Returns whether another instance can continue the stream. */
+  boolean isResumable() {
+    return splitter.isResumable();
+  }
+
   /**
    * Takes bytes of a stream.
    *
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -375,7 +375,9 @@
   }
 
   private boolean mayRunElsewhere() {
-    return possibleRuns + 1 < route().maxInstances() && remaining() > MIN_REMAINING_MILLIS;
+    return answer.isResumable()
+        && possibleRuns + 1 < route().maxInstances()
+        && remaining() > MIN_REMAINING_MILLIS;
   }
 
   private boolean tryRetry() {
@@ -413,6 +415,7 @@
     possibleRuns++;
     boolean retry =
         route().idempotent()
+            && answer.isResumable()
             && possibleRuns < route().maxInstances()
             && remaining() > MIN_REMAINING_MILLIS
             && !mayCrashInstances()
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -183,10 +183,20 @@
   void continuationThatFitsIsForwarded(String before, String after) {
     EventSplitter s = new EventSplitter("");
     s.feed(events(before), out);
+    assertTrue(s.isResumable());
     s.dropPartialEvent();
     assertTrue(s.feed(events(after), out) > 0);
   }
 
+  /** Guards against events that come twice, because those without a number cannot be compared. */
+  @ParameterizedTest
+  @ValueSource(strings = {"x", "1 2 x", "x 1"})
+  void streamWithAnEventWithoutNumberIsNotResumable(String ids) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(events(ids), out);
+    assertFalse(s.isResumable());
+  }
+
   /**
    * Returns one event for each identifier; {@code x} is one without, {@code r} one that only sets
    * the retry interval.
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -46,7 +46,8 @@
   private long lastId;
   private boolean hasId;
   private String lastIdText;
-  // Whether the numbers of the events rise by one from 0 or 1.
+  // Whether every event so far has a number, and whether these rise by one from 0 or 1.
+  private boolean numbered = true;
   private boolean consecutive = true;
   private boolean hasEvent;
   private boolean resumed;
@@ -214,6 +215,14 @@
     hasData = false;
   }
 
+  /**
+   * Returns whether another instance can continue the stream: events without a number cannot be
+   * told from those that the caller already received.
+   */
+  public boolean isResumable() {
+    return numbered;
+  }
+
   /** Returns the identifier of the last complete event, or an empty string if there is none. */
   public String lastId() {
     return lastIdText;
@@ -247,6 +256,7 @@
       if (resumed) {
         throw failure("an event after a resumption has no number");
       }
+      numbered = false;
       lastIdText = text == null ? lastIdText : text;
       hasEvent = true;
       return true;
