Do not break off a stream because a read is larger than an event

A sound stream failed with "event is larger than 65536 bytes" if the end of an event and more than 64 KiB of further events arrived in one read, as they do after a pause: the limit was applied to the bytes read rather than to the unfinished event. Bytes are now processed in steps, and the limit applies to what no step has completed.

EventSplitterTest.readThatIsLargerThanAnEventIsAccepted failed before.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -107,6 +107,19 @@
     }
   }
 
+  /** Guards against a broken stream, because a sound one arrives faster than it is read. */
+  @Test
+  void readThatIsLargerThanAnEventIsAccepted() {
+    StringBuilder text = new StringBuilder();
+    for (int i = 2; text.length() < 64 << 10; i++) {
+      text.append("id: ").append(i).append("\ndata: ").append("x".repeat(80)).append("\n\n");
+    }
+    EventSplitter s = new EventSplitter("");
+    s.feed(bytes("id: 1\nda"), out);
+    s.feed(bytes("ta: x\n\n" + text), out);
+    assertEquals("id: 1\ndata: x\n\n" + text, forwarded());
+  }
+
   /** Guards against an error's text, or an answer's head, that is forwarded as an event. */
   @ParameterizedTest
   @ValueSource(
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -26,6 +26,9 @@
    */
   private static final int MAX_DROPPED_BYTES = 1 << 20;
 
+  /** Bytes that are processed at once; a read may have more than the maximum of an event. */
+  private static final int STEP_BYTES = 4 << 10;
+
   /** The fields that event streams define; a server may add others, which are ignored. */
   private static final Set<String> STANDARD_FIELDS = Set.of("id", "data", "event", "retry");
 
@@ -79,8 +82,13 @@
    */
   public int feed(byte[] bytes, ByteArrayOutputStream out) {
     events = 0;
-    append(bytes);
-    emitComplete(out);
+    for (int at = 0; at < bytes.length; at += STEP_BYTES) {
+      append(bytes, at, Math.min(STEP_BYTES, bytes.length - at));
+      emitComplete(out);
+      if (length > MAX_EVENT_BYTES) {
+        throw failure("event is larger than " + MAX_EVENT_BYTES + " bytes");
+      }
+    }
     return events;
   }
 
@@ -228,15 +236,12 @@
     return lastIdText;
   }
 
-  private void append(byte[] bytes) {
-    if (length + bytes.length > buffer.length) {
-      if (length + bytes.length > MAX_EVENT_BYTES) {
-        throw failure("event is larger than " + MAX_EVENT_BYTES + " bytes");
-      }
-      buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + bytes.length));
+  private void append(byte[] bytes, int from, int count) {
+    if (length + count > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + count));
     }
-    System.arraycopy(bytes, 0, buffer, length, bytes.length);
-    length += bytes.length;
+    System.arraycopy(bytes, from, buffer, length, count);
+    length += count;
   }
 
   private boolean isBlank(int from, int end) {
