Stream to callers of HTTP/1.0 without chunks

A caller of HTTP/1.0 found the sizes of chunks among the events of its stream, and its connection stayed open after the end. Such a caller cannot read chunks (RFC 9112, section 6.1); the answer now has none and ends with the connection. A stream that breaks off must not look like that end, so wherever an answer that has begun is given up, also where its caller reads too slowly, the connection is reset.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -227,7 +227,19 @@
         .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
         .setCause(cause)
         .log("connection closed");
-    ctx.close();
+    Exchange e = current;
+    if (e != null && e.started) {
+      reset();
+    } else {
+      ctx.close();
+    }
+  }
+
+  /** Closes the connection such that the caller does not take the end for that of an answer. */
+  private void reset() {
+    SocketChannelConfig c = channel.config();
+    c.setSoLinger(0);
+    channel.close();
   }
 
   void closeIfIdle() {
@@ -255,6 +267,7 @@
     private @Nullable Runnable onClosed;
     private @Nullable Runnable onWritable;
     private boolean started;
+    private boolean endsWithConnection;
     private boolean done;
 
     Exchange(HttpRequest request, ByteBuf content) {
@@ -322,7 +335,9 @@
       }
       started = true;
       head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-      HttpUtil.setTransferEncodingChunked(head, true);
+      // A caller of HTTP/1.0 cannot read chunks; the end of the connection ends its answer.
+      endsWithConnection = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
+      HttpUtil.setTransferEncodingChunked(head, !endsWithConnection);
       setConnection(head);
       channel.writeAndFlush(head);
     }
@@ -339,7 +354,7 @@
         LOG.atInfo()
             .addKeyValue("peer", peer())
             .log("caller reads its answer too slowly; closing the connection");
-        channel.close();
+        reset();
       }
     }
 
@@ -371,9 +386,7 @@
     public void abort() {
       if (!done) {
         done = true;
-        SocketChannelConfig c = channel.config();
-        c.setSoLinger(0);
-        channel.close();
+        reset();
       }
     }
 
@@ -401,7 +414,9 @@
      * pipelined requests that it has read.
      */
     private boolean closesAfterAnswer() {
-      return !keepAlive || (draining.getAsBoolean() && waiting.isEmpty() && pendingRefusal == null);
+      return !keepAlive
+          || endsWithConnection
+          || (draining.getAsBoolean() && waiting.isEmpty() && pendingRefusal == null);
     }
 
     private void setConnection(HttpResponse r) {
