Take only an event stream for the answer of an engine

Callers of the product's own interface could find the text of another answer among the chunks of theirs. The client read every answer with a status under 400 as a stream of chunks: one of another type whose text looks like events, one with an encoding, a 206, and the answer to which a redirect led, at whatever address.

Redirects are not followed any more, as those of plain services are not, and an answer is read only if its status is 200, its type text/event-stream and its body not encoded. Another one counts as broken and its body is discarded. Error statuses were handled like this before.

EngineErrorTest failed in 7 of 16 cases before (301, 307, 206, types text/plain and application/json, no type, an encoding): "chunk" instead of BROKEN.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
@@ -3,6 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpUtil;
 import java.net.ConnectException;
 import java.net.URI;
 import java.time.Duration;
@@ -12,6 +15,7 @@
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 import ratpack.exec.ExecController;
+import ratpack.http.Headers;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.StreamedResponse;
 
@@ -27,6 +31,7 @@
   public static final String NOT_RUN = "Ebonypond-Not-Run";
 
   private static final String DONE = "[DONE]";
+  private static final int OK = 200;
   private static final int CONFLICT = 409;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int CLIENT_ERROR = 400;
@@ -105,6 +110,7 @@
                   spec.post()
                       .connectTimeout(CONNECT_TIMEOUT)
                       .readTimeout(Duration.ofMinutes(10))
+                      .redirects(0)
                       .headers(
                           h ->
                               h.set("Content-Type", "application/json")
@@ -131,9 +137,23 @@
         fail(FailureKind.OTHER_BOOT, "boot identity " + boot);
         return;
       }
+      if (status != OK || !isEventStream(r.getHeaders())) {
+        r.getBody().subscribe(new Discard());
+        fail(FailureKind.BROKEN, "no event stream, status " + status);
+        return;
+      }
       r.getBody().subscribe(this);
     }
 
+    /** Other text may look like events; with an encoding it is not what the engine sent. */
+    private boolean isEventStream(Headers h) {
+      String type = h.get(HttpHeaderNames.CONTENT_TYPE);
+      CharSequence mimeType = type == null ? null : HttpUtil.getMimeType(type);
+      return mimeType != null
+          && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(mimeType)
+          && h.get(HttpHeaderNames.CONTENT_ENCODING) == null;
+    }
+
     private void onErrorStatus(StreamedResponse r, int status) {
       boolean notRun = "true".equals(r.getHeaders().get(NOT_RUN));
       String boot = r.getHeaders().get(BOOT);
