Do not deliver an engine's error as a chunk

Engines report an error after the stream has begun as an event of it, with a JSON body of its own. Callers of the product's own interface found it among their chunks, under the number of the next chunk; the engine that continued then sent that chunk again, and it counted as a contradiction or a duplicate.

An event that has a type other than "message", or whose data is not an object with "choices" and without "error", now breaks the attempt: it is not delivered, and the next engine continues at its number. docs/design.md says how a stream ends that no engine completes.

CompletionCallTest.errorInPlaceOfChunkIsNotDelivered failed in all cases before ("wrong chunk at 1"), EngineErrorTest with "event: error". The other new test, answerThatNoEngineContinuesEndsAsFailed, passed before: the end of a stream has no "[DONE]" and no text of the engine's body.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/EngineErrorTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/EngineErrorTest.java
@@ -93,6 +93,8 @@
         "200 OK|Content-Encoding: br\\r\\n" + EVENTS + "|" + CHUNK + "|BROKEN",
         "200 OK|" + EVENTS + "|oops\\n\\n|BROKEN",
         "200 OK|" + EVENTS + "|data: {\"choices\":[]}\\n\\n|BROKEN",
+        "200 OK|" + EVENTS + "|event: error\\n" + CHUNK + "|BROKEN",
+        "200 OK|" + EVENTS + "|event: message\\n" + CHUNK + "|chunk {\"choices\":[]}",
       })
   void answerThatIsNoStreamOfChunksDeliversNone(
       String status, String headers, String body, String expected) throws Exception {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/SseParserTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/SseParserTest.java
@@ -13,7 +13,7 @@
 
 class SseParserTest {
   private static final String TEXT =
-      "id: 0\ndata: {\"a\":\"é\"}\n\n: comment\n"
+      "event: error\nid: 0\ndata: {\"a\":\"é\"}\n\n: comment\n"
           + "id: 1\r\ndata: b\r\ndata: c\r\n\r\ndata:d\n\nid: 9\n\n";
 
   /** Guards against events that are lost or corrupted because the input is split inside them. */
@@ -21,7 +21,9 @@
   void eventsDoNotDependOnTheSplitOfTheInput() {
     List<SseEvent> expected =
         List.of(
-            new SseEvent("0", "{\"a\":\"é\"}"), new SseEvent("1", "b\nc"), new SseEvent("1", "d"));
+            new SseEvent("error", "0", "{\"a\":\"é\"}"),
+            new SseEvent("", "1", "b\nc"),
+            new SseEvent("", "1", "d"));
     byte[] all = TEXT.getBytes(StandardCharsets.UTF_8);
     Random random = new Random(7);
     for (int run = 0; run < 200; run++) {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class CompletionCallTest {
   private static final long DEADLINE_MILLIS = 20_000;
@@ -79,6 +80,54 @@
     assertEquals(3, groups.engines.attempts.size());
   }
 
+  /** Guards against an error's text among the chunks of an answer that another engine began. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "oops",
+        "\"oops\"",
+        "[]",
+        "null",
+        "{\"error\": {\"message\": \"oops\"}}",
+        "{\"detail\": \"oops\"}",
+        "{\"choices\": [], \"error\": \"oops\"}"
+      })
+  void errorInPlaceOfChunkIsNotDelivered(String data) {
+    EntryFixture groups = new EntryFixture(3, 1, 1);
+    final Caller c = groups.call(DEADLINE_MILLIS);
+    groups.engines.last().chunk(0, false);
+    groups.engines.last().fail(FailureKind.BROKEN);
+    FakeAttempt second = groups.engines.last();
+    second.listener.onChunk(1, data);
+    assertTrue(second.stopped);
+    assertEquals(3, groups.engines.attempts.size());
+    assertEquals(1, groups.engines.last().request.resumeOffset());
+    groups.engines.last().chunk(1, true);
+    assertTrue(c.done);
+    assertEquals(2, c.chunks.size());
+    groups.assertIdle();
+  }
+
+  /** Guards against an answer that ends as complete although no engine could continue it. */
+  @ParameterizedTest
+  @EnumSource(
+      value = FailureKind.class,
+      names = {"NOT_RUN", "OTHER_BOOT", "BROKEN", "REJECTED"})
+  void answerThatNoEngineContinuesEndsAsFailed(FailureKind kind) {
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    entry.engines.last().chunk(0, false);
+    entry.engines.last().fail(FailureKind.BROKEN);
+    while (!c.ended()) {
+      entry.engines.last().fail(kind);
+      entry.timers.advance(100);
+    }
+    assertFalse(c.done);
+    assertEquals(Outcome.FAILED, problem(c).outcome());
+    assertEquals(1, c.chunks.size());
+    entry.assertIdle();
+  }
+
   /** Guards against events of a failed attempt that another thread delivers after its end. */
   @Test
   void ignoresEventsOfFailedAttemptsWhileWaitingForTheNext() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineClient.java
@@ -31,6 +31,10 @@
   public static final String NOT_RUN = "Ebonypond-Not-Run";
 
   private static final String DONE = "[DONE]";
+
+  /** The type of events without a type. */
+  private static final String MESSAGE = "message";
+
   private static final int OK = 200;
   private static final int CONFLICT = 409;
   private static final int TOO_MANY_REQUESTS = 429;
@@ -174,6 +178,10 @@
       if (ended.get()) {
         return;
       }
+      if (!e.type().isEmpty() && !e.type().equals(MESSAGE)) {
+        fail(FailureKind.BROKEN, "an event of another type than that of chunks");
+        return;
+      }
       if (e.data().equals(DONE)) {
         if (ended.compareAndSet(false, true)) {
           listener.onDone();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/SseParser.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/SseParser.java
@@ -16,6 +16,7 @@
   private final Consumer<SseEvent> sink;
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final StringBuilder data = new StringBuilder();
+  private String type = "";
   private String id = "";
   private boolean hasData;
   private int bytesSinceEvent;
@@ -73,6 +74,7 @@
     String value = colon < 0 ? "" : text.substring(colon + 1);
     value = value.startsWith(" ") ? value.substring(1) : value;
     switch (field) {
+      case "event" -> type = value;
       case "id" -> id = value;
       case "data" -> {
         if (hasData) {
@@ -90,8 +92,9 @@
   private void endEvent() {
     if (hasData) {
       bytesSinceEvent = 0;
-      sink.accept(new SseEvent(id, data.toString()));
+      sink.accept(new SseEvent(type, id, data.toString()));
     }
+    type = "";
     data.setLength(0);
     hasData = false;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -237,9 +238,15 @@
     if (ended || number != runningAttempt) {
       return;
     }
-    boolean last = isLast(json);
+    JsonNode n = parse(json);
+    if (!isChunk(n)) {
+      stopEngine();
+      retry(number, FailureKind.BROKEN, "event " + offset + " is no chunk of an answer");
+      return;
+    }
     ChunkResult p =
-        assembler.add(new Chunk(request.id(), number, offset - request.firstOffset(), json, last));
+        assembler.add(
+            new Chunk(request.id(), number, offset - request.firstOffset(), json, isLast(n)));
     switch (p.kind()) {
       case DELIVERED -> delivered(p);
       case NO_ROOM, CONTRADICTION -> {
@@ -453,15 +460,23 @@
     return parts.events().emit(code, "request/" + request.id(), causes, fields);
   }
 
-  private static boolean isLast(String json) {
+  private static JsonNode parse(String json) {
     try {
-      JsonNode reason = JSON.readTree(json).path("choices").path(0).path("finish_reason");
-      return reason.isTextual();
+      return JSON.readTree(json);
     } catch (JsonProcessingException e) {
-      return false;
+      return MissingNode.getInstance();
     }
   }
 
+  /** Returns whether a node is a chunk; an engine may report an error in its place. */
+  private static boolean isChunk(JsonNode n) {
+    return n.path("choices").isArray() && !n.hasNonNull("error");
+  }
+
+  private static boolean isLast(JsonNode chunk) {
+    return chunk.path("choices").path(0).path("finish_reason").isTextual();
+  }
+
   private final class AttemptListener implements EngineListener {
     private final int number;
 
