--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -402,7 +402,9 @@
   }
 
   private boolean mayRunElsewhere() {
-    return possibleRuns + 1 < route().maxInstances() && remaining() > MIN_REMAINING_MILLIS;
+    return answer.isResumable()
+        && possibleRuns + 1 < route().maxInstances()
+        && remaining() > MIN_REMAINING_MILLIS;
   }
 
   private boolean tryRetry() {
@@ -440,6 +442,7 @@
     possibleRuns++;
     boolean retry =
         route().idempotent()
+            && answer.isResumable()
             && possibleRuns < route().maxInstances()
             && remaining() > MIN_REMAINING_MILLIS
             && !mayCrashInstances()
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -14,7 +14,9 @@
 import org.ebonypond.junit.Seeds;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventSplitterTest {
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -104,4 +106,123 @@
       s.feed(bytes(text), out);
     }
   }
+
+  /** Guards against a broken stream, because a sound one arrives faster than it is read. */
+  @Test
+  void readThatIsLargerThanAnEventIsAccepted() {
+    StringBuilder text = new StringBuilder();
+    for (int i = 2; text.length() < 64 << 10; i++) {
+      text.append("id: ").append(i).append("\ndata: ").append("x".repeat(80)).append("\n\n");
+    }
+    EventSplitter s = new EventSplitter("");
+    s.feed(bytes("id: 1\nda"), out);
+    s.feed(bytes("ta: x\n\n" + text), out);
+    assertEquals("id: 1\ndata: x\n\n" + text, forwarded());
+  }
+
+  /** Guards against an error's text, or an answer's head, that is forwarded as an event. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+        "Internal Server Error\n\n",
+        "{\"error\": 1}\n\n",
+        "<html>\n\n",
+        "error: oops\n\n",
+        "data\tx\n\n",
+        "id: 2\ndata: aHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+        "id: 2\ndata: aHTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n",
+        "id: 2\ndata: aHTTP/1.1 500 Error\r\n\r\n",
+        "id: 2\r\ndata: aHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+      })
+  void textThatIsNoEventFailsAfterTheEventsBeforeIt(String text) {
+    EventSplitter s = new EventSplitter("");
+    assertThrows(EbonypondException.class, () -> s.feed(bytes("id: 1\ndata: a\n\n" + text), out));
+    assertEquals("id: 1\ndata: a\n\n", forwarded());
+    assertEquals(1, s.events());
+    assertEquals("1", s.lastId());
+  }
+
+  /** Guards against a sound stream that is taken for an error. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "id: 1\ndata: a\n\n",
+        "id:1\r\ndata\r\ndata:\r\n\r\n",
+        "revision: 3\nid: 1\nevent: token\ndata: HTTP/1.1 500 Error\n\n",
+        ": HTTP/1.1 500\nretry: 100\n\nid: 1\r\n:\r\ndata: x\r\n\r\n",
+      })
+  void fieldsOfEventsAreForwarded(String text) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(bytes(text), out);
+    assertEquals(text, forwarded());
+  }
+
+  /**
+   * Guards against a stream joined with another one of which events are missing or out of order.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "1 2, 4",
+    "1 2, 1 2 4",
+    "1 2, 3 x",
+    "1 2, x",
+    "1 2, 3 3",
+    "1 2, 3 2",
+    "1 2, 2 1 3",
+    "1, 3",
+    "0 1, 3"
+  })
+  void continuationThatDoesNotFitFails(String before, String after) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(events(before), out);
+    s.dropPartialEvent();
+    assertThrows(EbonypondException.class, () -> s.feed(events(after), out));
+  }
+
+  /** Guards against a stream that is broken off although its continuation fits. */
+  @ParameterizedTest
+  @CsvSource({
+    "1 2, 3 4 6",
+    "1 2, 1 2 3",
+    "5 10, 15 20",
+    "3 5, 4 7",
+    "1 3, 4",
+    "'', 7 8",
+    "'', x",
+    "r 1 r 2, r 3 r"
+  })
+  void continuationThatFitsIsForwarded(String before, String after) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(events(before), out);
+    assertTrue(s.isResumable());
+    s.dropPartialEvent();
+    assertTrue(s.feed(events(after), out) > 0);
+  }
+
+  /** Guards against events that come twice, because those without a number cannot be compared. */
+  @ParameterizedTest
+  @ValueSource(strings = {"x", "1 2 x", "x 1"})
+  void streamWithAnEventWithoutNumberIsNotResumable(String ids) {
+    EventSplitter s = new EventSplitter("");
+    s.feed(events(ids), out);
+    assertFalse(s.isResumable());
+  }
+
+  /**
+   * Returns one event for each identifier; {@code x} is one without, {@code r} one that only sets
+   * the retry interval.
+   */
+  private static byte[] events(String ids) {
+    StringBuilder b = new StringBuilder();
+    for (String id : ids.isEmpty() ? new String[0] : ids.split(" ")) {
+      switch (id) {
+        case "x" -> b.append("data: a\n\n");
+        case "r" -> b.append("retry: 100\n\n");
+        default -> b.append("id: ").append(id).append("\ndata: a\n\n");
+      }
+    }
+    return bytes(b.toString());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -3,14 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Set;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Splits the bytes of an event stream into complete events, so that an event that a backend server
- * did not finish is never forwarded. After a stream was resumed on another instance, events that
- * the caller already received are dropped.
+ * did not finish is never forwarded, and neither is text that is no event. After a stream was
+ * resumed on another instance, events that the caller already received are dropped.
  */
 public final class EventSplitter {
   /**
@@ -25,6 +26,12 @@
    */
   private static final int MAX_DROPPED_BYTES = 1 << 20;
 
+  /** Bytes that are processed at once; a read may have more than the maximum of an event. */
+  private static final int STEP_BYTES = 4 << 10;
+
+  /** The fields that event streams define; a server may add others, which are ignored. */
+  private static final Set<String> STANDARD_FIELDS = Set.of("id", "data", "event", "retry");
+
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
   private byte[] buffer = new byte[512];
@@ -34,10 +41,22 @@
   private int scanned;
   private int lineStart;
   private boolean hasField;
+  private boolean hasStandardField;
+  private boolean hasData;
+  private boolean endsLinesWithReturn;
+  private int events;
   private int droppedBytes;
   private long lastId;
   private boolean hasId;
   private String lastIdText;
+  // Whether every event so far has a number, and whether these rise by one from 0 or 1.
+  private boolean numbered = true;
+  private boolean consecutive = true;
+  private boolean hasEvent;
+  private boolean resumed;
+  // The number of the last event of the current instance, new or not.
+  private long lastIdOfInstance = Long.MIN_VALUE;
+  private boolean hasNewEventOfInstance;
 
   /**
    * Creates a splitter.
@@ -55,14 +74,30 @@
   /**
    * Processes bytes of the stream.
    *
-   * @param out receives the complete events that are new to the caller
+   * @param out receives the complete events that are new to the caller, also those before a failure
    * @return the number of events written to {@code out}
-   * @throws EbonypondException {@code upstream-failed} if an event is too large, or if the stream
-   *     contains too many events that the caller already received
+   * @throws EbonypondException {@code upstream-failed} if the bytes are no events, if an event is
+   *     too large, if its number shows that another one is missing, or if the stream contains too
+   *     many events that the caller already received
    */
   public int feed(byte[] bytes, ByteArrayOutputStream out) {
-    append(bytes);
-    int events = 0;
+    events = 0;
+    for (int at = 0; at < bytes.length; at += STEP_BYTES) {
+      append(bytes, at, Math.min(STEP_BYTES, bytes.length - at));
+      emitComplete(out);
+      if (length > MAX_EVENT_BYTES) {
+        throw failure("event is larger than " + MAX_EVENT_BYTES + " bytes");
+      }
+    }
+    return events;
+  }
+
+  /** Returns the number of events that the last call of {@link #feed} wrote, also if it failed. */
+  public int events() {
+    return events;
+  }
+
+  private void emitComplete(ByteArrayOutputStream out) {
     int eventStart = 0;
     while (scanned < length) {
       if (buffer[scanned] != '\n') {
@@ -72,11 +107,10 @@
       scanned++;
       boolean blank = isBlank(lineStart, scanned);
       if (!blank) {
-        hasField |= buffer[lineStart] != ':';
+        readLine(lineStart, scanned);
       } else if (hasField) {
-        events += emitIfNew(eventStart, scanned, out);
+        endEvent(eventStart, scanned, out);
         eventStart = scanned;
-        hasField = false;
       }
       lineStart = scanned;
     }
@@ -84,20 +118,72 @@
     length -= eventStart;
     scanned -= eventStart;
     lineStart -= eventStart;
-    return events;
   }
 
-  private int emitIfNew(int from, int end, ByteArrayOutputStream out) {
+  /**
+   * Reads a line that is not blank.
+   *
+   * @throws EbonypondException if it cannot be a line of an event; after a fault, a backend server
+   *     may send an error in the middle of a stream
+   */
+  private void readLine(int from, int end) {
+    if (buffer[from] == ':') {
+      return;
+    }
+    boolean endsWithReturn = endsWithReturn(end);
+    if (hasField && endsWithReturn != endsLinesWithReturn) {
+      throw failure("line ends change inside an event");
+    }
+    int textEnd = endsWithReturn ? end - 2 : end - 1;
+    int nameEnd = from;
+    while (nameEnd < textEnd && isNameChar(buffer[nameEnd])) {
+      nameEnd++;
+    }
+    String name = new String(buffer, from, nameEnd - from, StandardCharsets.US_ASCII);
+    boolean standard = STANDARD_FIELDS.contains(name);
+    boolean isField = nameEnd == textEnd ? standard : buffer[nameEnd] == ':';
+    if (!isField) {
+      throw failure("a line is no field of an event");
+    }
+    hasField = true;
+    hasStandardField |= standard;
+    hasData |= name.equals("data");
+    endsLinesWithReturn = endsWithReturn;
+  }
+
+  private boolean endsWithReturn(int end) {
+    return end >= 2 && buffer[end - 2] == '\r';
+  }
+
+  /** Field names are in lower case, other than the header names of most servers. */
+  private static boolean isNameChar(byte c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+  }
+
+  private void endEvent(int from, int end, ByteArrayOutputStream out) {
+    if (!hasStandardField) {
+      throw failure("an event has no field that event streams define");
+    }
+    if (endsWithReturn(end) != endsLinesWithReturn) {
+      throw failure("line ends change inside an event");
+    }
+    emitIfNew(from, end, out);
+    hasField = false;
+    hasStandardField = false;
+    hasData = false;
+  }
+
+  private void emitIfNew(int from, int end, ByteArrayOutputStream out) {
     if (recordIfNew(from, end)) {
       droppedBytes = 0;
       out.write(buffer, from, end - from);
-      return 1;
+      events++;
+      return;
     }
     droppedBytes += end - from;
     if (droppedBytes > MAX_DROPPED_BYTES) {
       throw failure("no new event in " + droppedBytes + " bytes");
     }
-    return 0;
   }
 
   private static EbonypondException failure(String what) {
@@ -116,15 +202,33 @@
    */
   public void finish(ByteArrayOutputStream out) {
     out.write(buffer, 0, lineStart);
-    dropPartialEvent();
+    clear();
   }
 
   /** Discards an unfinished event, before the stream continues on another instance. */
   public void dropPartialEvent() {
+    clear();
+    droppedBytes = 0;
+    resumed = hasEvent;
+    lastIdOfInstance = Long.MIN_VALUE;
+    hasNewEventOfInstance = false;
+  }
+
+  private void clear() {
     length = 0;
     scanned = 0;
     lineStart = 0;
     hasField = false;
+    hasStandardField = false;
+    hasData = false;
+  }
+
+  /**
+   * Returns whether another instance can continue the stream: events without a number cannot be
+   * told from those that the caller already received.
+   */
+  public boolean isResumable() {
+    return numbered;
   }
 
   /** Returns the identifier of the last complete event, or an empty string if there is none. */
@@ -132,15 +236,12 @@
     return lastIdText;
   }
 
-  private void append(byte[] bytes) {
-    if (length + bytes.length > buffer.length) {
-      if (length + bytes.length > MAX_EVENT_BYTES) {
-        throw failure("event is larger than " + MAX_EVENT_BYTES + " bytes");
-      }
-      buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + bytes.length));
+  private void append(byte[] bytes, int from, int count) {
+    if (length + count > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + count));
     }
-    System.arraycopy(bytes, 0, buffer, length, bytes.length);
-    length += bytes.length;
+    System.arraycopy(bytes, from, buffer, length, count);
+    length += count;
   }
 
   private boolean isBlank(int from, int end) {
@@ -150,6 +251,26 @@
 
   /** Records the identifier of an event; returns false if the caller already received the event. */
   private boolean recordIfNew(int from, int end) {
+    String text = idText(from, end);
+    Long id = text == null ? null : parse(text);
+    if (text == null && !hasData) {
+      // Callers ignore such an event, apart from a retry interval that it may set.
+      return true;
+    }
+    if (text == null || id == null) {
+      if (resumed) {
+        throw failure("an event after a resumption has no number");
+      }
+      numbered = false;
+      lastIdText = text == null ? lastIdText : text;
+      hasEvent = true;
+      return true;
+    }
+    return recordId(id, text);
+  }
+
+  /** Returns the identifier of an event, or null if it has none. */
+  private @Nullable String idText(int from, int end) {
     int line = from;
     while (line < end) {
       int next = line;
@@ -158,24 +279,31 @@
       }
       if (startsWithId(line, next)) {
         int start = line + ID.length;
-        String text = new String(buffer, start, next - start, StandardCharsets.UTF_8).trim();
-        return recordId(text);
+        return new String(buffer, start, next - start, StandardCharsets.UTF_8).trim();
       }
       line = next + 1;
     }
-    return true;
+    return null;
   }
 
-  private boolean recordId(String text) {
-    Long id = parse(text);
-    if (id != null && hasId && id <= lastId) {
+  private boolean recordId(long id, String text) {
+    if (id <= lastIdOfInstance) {
+      throw failure("event " + id + " after event " + lastIdOfInstance);
+    }
+    lastIdOfInstance = id;
+    if (hasId && id <= lastId) {
       return false;
     }
-    if (id != null) {
-      lastId = id;
-      hasId = true;
+    boolean next = hasId ? id == lastId + 1 : id <= 1;
+    if (resumed && consecutive && !next && !hasNewEventOfInstance) {
+      throw failure("resumed with event " + id + " after event " + lastId);
     }
+    consecutive &= next;
+    lastId = id;
+    hasId = true;
     lastIdText = text;
+    hasEvent = true;
+    hasNewEventOfInstance = true;
     return true;
   }
 
