--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -133,8 +133,8 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    endAnswered();
     broken = true;
+    endAnswered();
     pool.remove(instance, this);
     Exchange x = current;
     current = null;
@@ -215,17 +215,22 @@
      * answer on the connection continues it.
      */
     private static boolean isJoined(HttpResponse r) {
-      if (STATUS_LINE.matcher(r.status().reasonPhrase()).find()) {
+      if (containsStatusLine(r.status().reasonPhrase())) {
         return true;
       }
       for (Map.Entry<String, String> h : r.headers()) {
-        if (STATUS_LINE.matcher(h.getValue()).find()) {
+        if (containsStatusLine(h.getValue())) {
           return true;
         }
       }
       return false;
     }
 
+    private static boolean containsStatusLine(String text) {
+      // Few texts contain the prefix, and finding it is cheaper than matching the pattern.
+      return text.contains("HTTP/1.") && STATUS_LINE.matcher(text).find();
+    }
+
     private void readHead(HttpResponse r) {
       accepted = listener.head(r);
       if (accepted) {
