Open a connection for each call of a plain service

Callers of idempotent calls of plain services (GET under /services) were told "not run" for calls that the service ran, and then got the answers to the calls of others. A service wrote an earlier refusal once more on a persistent connection of the entry's pool; it was taken for the answer to the next call. The true answer followed and was taken for that to the call after it, and so on: each later call on the connection got the answer to the one before. Answers of plain services have no identifier, and the HTTP client of the pool keeps a connection with such bytes.

Keyed calls and completions were not affected: their connections carry one request each. Idempotent calls now do the same; the client refuses to be built with a pool that reuses connections.

In UnframedEngineTest the calls of plain services use a client without a pool as well, since no other is left.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/UnframedEngineTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/UnframedEngineTest.java
@@ -36,17 +36,22 @@
   private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket server;
   private HttpClient http;
+  private HttpClient unpooled;
 
   @BeforeEach
   void start() throws Exception {
     server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
-    http =
-        HttpClient.of(
-            c ->
-                c.execController(controller)
-                    .poolSize(4)
-                    .connectTimeout(Duration.ofSeconds(1))
-                    .idleTimeout(Duration.ofSeconds(5)));
+    http = client(4);
+    unpooled = client(0);
+  }
+
+  private HttpClient client(int poolSize) throws Exception {
+    return HttpClient.of(
+        c ->
+            c.execController(controller)
+                .poolSize(poolSize)
+                .connectTimeout(Duration.ofSeconds(1))
+                .idleTimeout(Duration.ofSeconds(5)));
   }
 
   @AfterEach
@@ -133,7 +138,7 @@
   }
 
   private StoredAnswer call() throws Exception {
-    return new RatpackServiceClient(controller, http, http)
+    return new RatpackServiceClient(controller, unpooled)
         .call(
             new ServiceRequest(
                 "r",
@@ -143,8 +148,7 @@
                 "/x",
                 List.of(),
                 new byte[0],
-                5_000,
-                true))
+                5_000))
         .get(20, TimeUnit.SECONDS);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -178,7 +178,7 @@
         new EntryHandlers(
             parts,
             new RatpackEngineClient(controller, unpooled),
-            new RatpackServiceClient(controller, pooled, unpooled),
+            new RatpackServiceClient(controller, unpooled),
             new RetryPolicy(budget, rates),
             ledger,
             relay,
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackServiceClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackServiceClient.java
@@ -31,27 +31,28 @@
           "content-length");
 
   private final ExecController controller;
-  private final HttpClient pooled;
-  private final HttpClient unpooled;
+  private final HttpClient client;
 
   /**
    * Creates a client.
    *
    * @param controller runs the HTTP calls
-   * @param pooled reuses connections, for idempotent calls
-   * @param unpooled opens a connection for each call, so that a lost one cannot have been closed
-   *     before the request was sent
+   * @param client opens a connection for each call, so that a lost one cannot have been closed
+   *     before the request was sent, and no late answer to an earlier call can arrive on it
+   * @throws IllegalArgumentException if the client reuses connections: answers of plain services
+   *     have no identifier
    */
-  public RatpackServiceClient(ExecController controller, HttpClient pooled, HttpClient unpooled) {
+  public RatpackServiceClient(ExecController controller, HttpClient client) {
+    if (client.getPoolSize() > 0) {
+      throw new IllegalArgumentException("the client reuses connections");
+    }
     this.controller = controller;
-    this.pooled = pooled;
-    this.unpooled = unpooled;
+    this.client = client;
   }
 
   @Override
   public CompletableFuture<StoredAnswer> call(ServiceRequest r) {
     CompletableFuture<StoredAnswer> out = new CompletableFuture<>();
-    HttpClient client = r.idempotent() ? pooled : unpooled;
     controller
         .fork()
         .onError(t -> fail(out, RatpackEngineClient.kindOf(t), String.valueOf(t)))
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/ServiceRequest.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/ServiceRequest.java
@@ -14,8 +14,6 @@
  * @param headers the caller's headers that are forwarded
  * @param body the body
  * @param timeoutMillis how long to wait for the answer, in milliseconds
- * @param idempotent whether the call may run twice, so that a pooled connection may be used: if one
- *     is lost, it is unknown whether the request had been read
  */
 public record ServiceRequest(
     String requestId,
@@ -25,8 +23,7 @@
     String path,
     List<AnswerHeader> headers,
     byte[] body,
-    long timeoutMillis,
-    boolean idempotent) {
+    long timeoutMillis) {
   /** Copies the list of headers. */
   public ServiceRequest {
     headers = List.copyOf(headers);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ServiceDispatch.java
@@ -139,8 +139,7 @@
                 request.path(),
                 request.headers(),
                 request.body(),
-                Math.max(1, untilMillis - parts.timers().nowMillis()),
-                request.idempotent()))
+                Math.max(1, untilMillis - parts.timers().nowMillis())))
         .whenComplete((answer, failure) -> ended(a, r, answer, failure, cause, result));
   }
 
