Attribute no refusal to a request behind an answer to another one

A caller whose request must not run twice got 503 while the instance ran it, if a new connection carried an answer to another request first and a refusal without an identifier behind it. A refusal without an identifier counts as that of the first request on a connection, since there is no other to which it could belong; an answer to another request disproves this assumption.

Such a connection no longer vouches for answers without an identifier.

newConnectionWithAnAnswerToAnotherRequestProvesNothing failed before with 503.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -314,7 +314,7 @@
 
     @Override
     public boolean isFirstOnConnection() {
-      return first;
+      return first && !receivedForeignAnswer;
     }
 
     @Override
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendExchange.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendExchange.java
@@ -6,8 +6,8 @@
   void cancel();
 
   /**
-   * Returns whether no other request was sent on the connection before, so that every answer on it
-   * belongs to this request.
+   * Returns whether no other request was sent on the connection before and no answer to another one
+   * arrived on it, so that every answer on it belongs to this request.
    */
   boolean isFirstOnConnection();
 
