--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetPollerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetPollerTest.java
@@ -27,8 +27,22 @@
       answer =
           PollCodec.encodeResult(
               new FleetPollResult(
-                  1, 1, 1, 0, true, null, List.of(), List.of(), null, 1, 0, names, null, List.of(),
-                  List.of()));
+                  1,
+                  1,
+                  1,
+                  0,
+                  true,
+                  null,
+                  List.of(),
+                  List.of(),
+                  null,
+                  1,
+                  0,
+                  names,
+                  null,
+                  List.of(),
+                  List.of(),
+                  FleetPollResult.UNCONFIRMED));
     }
 
     @Override
@@ -65,7 +79,7 @@
             List::of,
             List::of,
             List::of,
-            (name, result) -> {});
+            (name, result, sentAt) -> {});
     poller.start();
     timers.advance(10 * PERIOD_MILLIS);
     assertEquals(11, peers.asked.size());
