Confirm a version until a newer one was known

Found by the review: a replica that had heard of a version and not applied it yet confirmed nothing, although its own version had been the newest a moment before. With more than about eight changes a second that is nearly always, and its entries would refuse nothing for good and let requests wait.

Entries stay strict: with a newer version known they wait for it.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -95,7 +95,8 @@
         LOG.atInfo()
             .addKeyValue("version", version)
             .addKeyValue("replica", replica)
-            .addKeyValue("confirmed_ms_ago", ageMillis)
+            .addKeyValue(
+                "confirmed_ms_ago", ageMillis == FleetPollResult.UNCONFIRMED ? -1 : ageMillis)
             .log("configuration in force");
       } catch (EbonypondException e) {
         // It was validated before it was committed, but another release may have done that.
@@ -174,7 +175,7 @@
    * known.
    */
   public long confirmedAt() {
-    return newestVersion.confirmedAt(version);
+    return newestVersion.isOutdated(version) ? Long.MIN_VALUE : newestVersion.confirmedAt(version);
   }
 
   /** Returns the log index of the zones out of service; -1 if they are not known. */
