Request a configuration again after a passing failure

Found by the review: a version counted as received before it was decoded, so an error other than that of its content, such as a lack of memory, would have left the entry on the version before until the next change. It counts once it is in force or cannot be decoded. By reading; no test plays such an error.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -87,10 +87,10 @@
 
   private void accept(String replica, ServingState.Committed s, long ageMillis, long now) {
     if (s.version() > receivedVersion) {
-      receivedVersion = s.version();
       try {
         config = source.decode(s.document());
         version = s.version();
+        receivedVersion = s.version();
         configSource = replica;
         LOG.atInfo()
             .addKeyValue("version", version)
@@ -99,6 +99,7 @@
                 "confirmed_ms_ago", ageMillis == FleetPollResult.UNCONFIRMED ? -1 : ageMillis)
             .log("configuration in force");
       } catch (EbonypondException e) {
+        receivedVersion = s.version();
         // It was validated before it was committed, but another release may have done that.
         LOG.atError()
             .addKeyValue("version", s.version())
