Test the way of a configuration's age, and read it from one log

A log that is opened again between two reads could pair the status of the old one with the older state of the new one; both are read through one reference.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetPollerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetPollerTest.java
@@ -12,6 +12,7 @@
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 class FleetPollerTest {
@@ -23,6 +24,9 @@
     final List<InetSocketAddress> asked = new ArrayList<>();
     private final byte[] answer;
 
+    /** Answers all polls if it is not null. */
+    @Nullable CompletableFuture<byte[]> delayed;
+
     KnownReplicas(List<String> names) {
       answer =
           PollCodec.encodeResult(
@@ -54,34 +58,54 @@
     public CompletableFuture<byte[]> ask(
         InetSocketAddress to, FrameType type, String channel, byte[] payload, long timeoutMillis) {
       asked.add(to);
-      return CompletableFuture.completedFuture(answer);
+      return delayed == null ? CompletableFuture.completedFuture(answer) : delayed;
     }
   }
 
+  private static FleetPoller poller(
+      ManualTimerService timers, KnownReplicas peers, PollListener listener) {
+    return new FleetPoller(
+        "10.0.0.2:7000",
+        "10.0.0.2:7000",
+        peers,
+        timers,
+        new ReplicaDirectory(List.of(REPLICA)),
+        new ReplicaPollPlan("10.0.0.2:7000"),
+        Runnable::run,
+        PERIOD_MILLIS,
+        () -> 1,
+        () -> 0,
+        () -> 0,
+        List::of,
+        List::of,
+        List::of,
+        listener);
+  }
+
   /** Guards against a process that polls no replica again after one answer named an odd address. */
   @Test
   void malformedAddressOfReplicaDoesNotEndThePolls() {
     ManualTimerService timers = new ManualTimerService();
     KnownReplicas peers = new KnownReplicas(List.of("", "-:1", REPLICA));
-    FleetPoller poller =
-        new FleetPoller(
-            "10.0.0.2:7000",
-            "10.0.0.2:7000",
-            peers,
-            timers,
-            new ReplicaDirectory(List.of(REPLICA)),
-            new ReplicaPollPlan("10.0.0.2:7000"),
-            Runnable::run,
-            PERIOD_MILLIS,
-            () -> 1,
-            () -> 0,
-            () -> 0,
-            List::of,
-            List::of,
-            List::of,
-            (name, result, sentAt) -> {});
+    FleetPoller poller = poller(timers, peers, (name, result, sentAt) -> {});
     poller.start();
     timers.advance(10 * PERIOD_MILLIS);
     assertEquals(11, peers.asked.size());
   }
+
+  /** Guards against an answer that was delayed and makes what it says look newer than it is. */
+  @Test
+  void answerIsDatedFromThePollAndNotFromItsArrival() {
+    ManualTimerService timers = new ManualTimerService();
+    KnownReplicas peers = new KnownReplicas(List.of(REPLICA));
+    peers.delayed = new CompletableFuture<>();
+    List<Long> sentAt = new ArrayList<>();
+    FleetPoller poller = poller(timers, peers, (name, result, at) -> sentAt.add(at));
+    timers.advance(1_000);
+    final long start = timers.nowMillis();
+    poller.start();
+    timers.advance(700);
+    peers.delayed.complete(peers.answer);
+    assertEquals(List.of(start), sentAt);
+  }
 }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -191,6 +191,23 @@
     assertEquals(3, restored.crashes().size());
   }
 
+  /**
+   * Guards against a replica that has just started and lets entries refuse requests for good by a
+   * configuration that it has from its disk only.
+   */
+  @Test
+  void restartedReplicaConfirmsItsConfigurationOnlyAsLeader() throws Exception {
+    TestReplica s = start();
+    await(() -> poll(s, "entry", List.of()).stateAgeMillis() < 1_000);
+    s.close();
+    TestReplica restarted = new TestReplica(false);
+    replicas.add(restarted);
+    long age = poll(restarted, "entry", List.of()).stateAgeMillis();
+    assertEquals(FleetPollResult.UNCONFIRMED, age);
+    restarted.replica.start();
+    await(() -> poll(restarted, "entry", List.of()).stateAgeMillis() < 1_000);
+  }
+
   /**
    * Guards against an instance that gets no requests because another writer named its address and a
    * service that the configuration does not have.
@@ -260,6 +277,11 @@
     private boolean closed;
 
     TestReplica() {
+      this(true);
+    }
+
+    /** Creates a replica that has not rejoined the log yet if {@code started} is false. */
+    TestReplica(boolean started) {
       String name = "127.0.0.1:" + port;
       ServiceProfile service = new ServiceProfile(SERVICE, 10, 0, 0, FakeFleet.twoModels());
       replica =
@@ -286,7 +308,9 @@
                 throw new IllegalStateException(failure);
               });
       replica.register();
-      replica.start();
+      if (started) {
+        replica.start();
+      }
       network.listen(address);
     }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -490,10 +490,9 @@
 
   /** Returns the applied state, which the leader of the log knows to be the newest by itself. */
   private ConfirmedState confirmed() {
-    // The state is read after the status, so that it contains what the status tells.
-    long leaderAt = log.status().confirmedAt();
-    ServingState.Committed s = log.current();
-    newestVersion.record(s.version(), leaderAt);
+    ConfirmedState own = log.leaderState();
+    ServingState.Committed s = own.state();
+    newestVersion.record(s.version(), own.confirmedAt());
     return new ConfirmedState(s, newestVersion.confirmedAt(s.version()));
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
@@ -89,6 +89,16 @@
     return openLog.state.current();
   }
 
+  /**
+   * Returns the applied state, and until when this replica knows by itself that it is the newest.
+   */
+  ConfirmedState leaderState() {
+    // Read the field once, see appliedAt; the state may only be newer than the status.
+    OpenLog o = openLog;
+    long confirmedAt = o.driver.status().confirmedAt();
+    return new ConfirmedState(o.state.current(), confirmedAt);
+  }
+
   /** Returns the applied state if it includes all entries up to an index, or null. */
   ServingState.@Nullable Committed appliedAt(long index) {
     // Read the field once: the log may be reopened at any time, with an older state.
