Keep planning groups if a configuration cannot be decoded

Found by the review: a configuration that an earlier release had accepted and this one refuses would have ended each planning round of the leader with an exception. The one before is used, and the error is logged once.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -118,6 +118,7 @@
   private boolean observationInFlight;
   private List<String> restoredQuarantine = List.of();
   private long loggedVersion;
+  private long decodedVersion;
   private int lastEntryCount;
   private long entryCountSince;
   private long loopCheckedAt;
@@ -542,9 +543,18 @@
   private @Nullable ServingConfig current() {
     ServingState.Committed s = log.current();
     ServingConfig c = config;
-    if (s.version() > 0 && (c == null || c.version() != s.version())) {
-      c = source.decode(s.document());
-      config = c;
+    if (s.version() > 0 && s.version() != decodedVersion) {
+      decodedVersion = s.version();
+      try {
+        c = source.decode(s.document());
+        config = c;
+      } catch (EbonypondException e) {
+        // It was validated before it was committed, but another release may have done that.
+        LOG.atError()
+            .addKeyValue("version", s.version())
+            .setCause(e)
+            .log("configuration cannot be decoded");
+      }
     }
     return c;
   }
