Keep calls without a route apart from those that wait for slots

Found by the review: calls that wait for the confirmation of the configuration counted against the few places of calls that wait for a free slot, so callers with wrong paths could get others refused while the log has no leader.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
@@ -1,6 +1,7 @@
 package org.ebonypond.server.forward;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import org.ebonypond.forward.WaitingOrder;
 
@@ -24,11 +25,19 @@
    */
   private static final long MAX_BODY_BYTES = 24 << 20;
 
+  /** More than the requests of an entry in the time that such a call may wait. */
+  private static final int MAX_UNCONFIRMED_CALLS = 200;
+
+  /** The bodies of a few large requests; most requests have some KB. */
+  private static final long MAX_UNCONFIRMED_BYTES = 8 << 20;
+
   /** Every live instance reports at least once within two heartbeat intervals. */
   private static final int DISCOVERY_HEARTBEATS = 2;
 
   private final long discoveryMillis;
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
+  private final Set<ForwardCall> unconfirmed = new LinkedHashSet<>();
+  private long unconfirmedBytes;
   private long bodyBytes;
   private long configuredSince = Long.MAX_VALUE;
 
@@ -57,7 +66,26 @@
     return true;
   }
 
+  /**
+   * Adds a call that waits for the confirmation of the configuration. Such calls have room of their
+   * own: callers without a route must not take the places of those that wait for instances.
+   *
+   * @return whether it was added
+   */
+  boolean addUnconfirmed(ForwardCall c) {
+    if (unconfirmed.size() >= MAX_UNCONFIRMED_CALLS
+        || unconfirmedBytes + c.bodyBytes() > MAX_UNCONFIRMED_BYTES
+        || !unconfirmed.add(c)) {
+      return false;
+    }
+    unconfirmedBytes += c.bodyBytes();
+    return true;
+  }
+
   void remove(ForwardCall c) {
+    if (unconfirmed.remove(c)) {
+      unconfirmedBytes -= c.bodyBytes();
+    }
     if (calls.remove(c)) {
       bodyBytes -= c.bodyBytes();
     }
@@ -87,6 +115,7 @@
 
   /** Dispatches the queued calls again. */
   void redispatch(long now) {
+    List.copyOf(unconfirmed).forEach(ForwardCall::redispatch);
     WaitingOrder.sorted(calls, now).forEach(ForwardCall::redispatch);
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.EngineCost;
@@ -48,12 +49,6 @@
   /** Retry-After of a refusal after failed attempts, in milliseconds. */
   private static final long RETRY_AFTER_MILLIS = 400;
 
-  /**
-   * The number of calls that may wait for the confirmation of the configuration; more than a second
-   * of all requests of an entry, and few enough to leave room for those that wait for instances.
-   */
-  private static final int MAX_UNCONFIRMED_CALLS = 200;
-
   /** Retry-After is at most the time left divided by this; callers do not retry after longer. */
   private static final int RETRY_AFTER_DIVISOR = 3;
 
@@ -173,7 +168,7 @@
   private void deny(HttpResponseStatus status, String reason) {
     if (forwarder.view().confirmedAt() >= receivedAt - forwarder.maxConfigAgeMillis()) {
       refuse(status, reason, 0);
-    } else if (!waitInQueue(MAX_UNCONFIRMED_CALLS)) {
+    } else if (!waitForConfirmation()) {
       refuseUnconfigured();
     }
   }
@@ -231,11 +226,18 @@
    */
   private boolean waitInQueue(int capacity) {
     long now = timers.nowMillis();
-    if (waitLimit != null) {
-      return true;
-    }
+    return waitLimit != null || startWait(now, () -> forwarder.queue().add(this, capacity, now));
+  }
+
+  /** Queues the call until the configuration is confirmed or replaced; returns whether it waits. */
+  private boolean waitForConfirmation() {
+    return waitLimit != null
+        || startWait(timers.nowMillis(), () -> forwarder.queue().addUnconfirmed(this));
+  }
+
+  private boolean startWait(long now, BooleanSupplier queue) {
     long waitUntil = answer.isStarted() ? now + RESUME_WAIT_MILLIS : waitUntil();
-    if (waitUntil <= now || !forwarder.queue().add(this, capacity, now)) {
+    if (waitUntil <= now || !queue.getAsBoolean()) {
       return false;
     }
     log.waits(sendCause, waitUntil - now);
