Refuse requests over limits for good only if the limits are the newest

The limit of headers was also fixed when a connection was opened, and stayed for as long as it lived.

A request over the limits now gets 503 and a time to come back unless the configuration is known to be the newest. Heads are read up to 64 KB and judged by the limit in force. Such refusals have a log line.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -26,8 +26,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
@@ -44,12 +44,18 @@
   /** Number of pipelined requests that may wait before reading from the caller pauses. */
   private static final int MAX_PIPELINED = 8;
 
+  /** The colon and the space between the name and the value of a header. */
+  private static final int HEADER_SEPARATOR_BYTES = 2;
+
+  /** Retry-After of a request over limits that may have been replaced; several polls. */
+  private static final int RETRY_AFTER_SECONDS = 1;
+
   /** A caller is disconnected if more answer bytes than this wait in the outbound buffer. */
   private static final int MAX_PENDING_WRITE_BYTES = 4 << 20;
 
   private final SocketChannel channel;
   private final HttpService service;
-  private final Supplier<ClientLimits> limits;
+  private final LimitSource limits;
   private final TimerService timers;
   private final BooleanSupplier draining;
   private final Deque<Exchange> waiting = new ArrayDeque<>();
@@ -66,7 +72,7 @@
   HttpConnection(
       SocketChannel channel,
       HttpService service,
-      Supplier<ClientLimits> limits,
+      LimitSource limits,
       TimerService timers,
       BooleanSupplier draining) {
     this.channel = channel;
@@ -97,11 +103,13 @@
 
   private void beginRequest(HttpRequest r) {
     Throwable failure = r.decoderResult().cause();
+    if (failure instanceof TooLongFrameException
+        || headerBytes(r) > limits.limits().maxHeaderBytes()) {
+      refuseTooLarge(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+      return;
+    }
     if (failure != null) {
-      refuse(
-          failure instanceof TooLongFrameException
-              ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-              : HttpResponseStatus.BAD_REQUEST);
+      refuse(HttpResponseStatus.BAD_REQUEST);
       return;
     }
     boolean conflictingLengths =
@@ -113,8 +121,8 @@
       refuse(HttpResponseStatus.BAD_REQUEST);
       return;
     }
-    if (HttpUtil.getContentLength(r, 0L) > limits.get().maxBodyBytes()) {
-      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    if (HttpUtil.getContentLength(r, 0L) > limits.limits().maxBodyBytes()) {
+      refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
     if (HttpUtil.is100ContinueExpected(r)) {
@@ -135,8 +143,8 @@
       refuse(HttpResponseStatus.BAD_REQUEST);
       return;
     }
-    if (b.readableBytes() + c.content().readableBytes() > limits.get().maxBodyBytes()) {
-      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    if (b.readableBytes() + c.content().readableBytes() > limits.limits().maxBodyBytes()) {
+      refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
     b.writeBytes(c.content());
@@ -171,6 +179,30 @@
     }
   }
 
+  /**
+   * Returns the size of the header lines; the limit may have changed since the connection opened.
+   */
+  private static long headerBytes(HttpRequest r) {
+    long size = 0;
+    for (Map.Entry<String, String> h : r.headers()) {
+      size += h.getKey().length() + HEADER_SEPARATOR_BYTES + h.getValue().length();
+    }
+    return size;
+  }
+
+  private void refuseTooLarge(HttpResponseStatus status) {
+    boolean isFinal = limits.areFinal();
+    ClientLimits l = limits.limits();
+    LOG.atInfo()
+        .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
+        .addKeyValue("status", status.code())
+        .addKeyValue("max_header_bytes", l.maxHeaderBytes())
+        .addKeyValue("max_body_bytes", l.maxBodyBytes())
+        .addKeyValue("confirmed", isFinal)
+        .log("request over the limits");
+    refuse(isFinal ? status : HttpResponseStatus.SERVICE_UNAVAILABLE);
+  }
+
   /** Rejects a request that cannot be read and closes the connection, after the pending answers. */
   private void refuse(HttpResponseStatus status) {
     refused = true;
@@ -186,6 +218,9 @@
     FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     r.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      r.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+    }
     channel.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -11,7 +11,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.ebonypond.server.transport.TcpListener;
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.time.TimerService;
@@ -19,13 +18,18 @@
 
 /** Accepts HTTP/1.1 connections on one address. All of them share one event loop. */
 public final class HttpListener implements AutoCloseable {
-  private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+  /**
+   * Bytes of a request's head that are read at most, even if the limit in force is lower: it may
+   * change while a connection is open. The heads of a thousand connections fit into the heap.
+   */
+  private static final int MAX_HEADER_BYTES = 64 << 10;
+
   private static final long SWEEP_MILLIS = 500;
 
   private final EventLoopGroup loop;
   private final TimerService timers;
   private final HttpService service;
-  private final Supplier<ClientLimits> limits;
+  private final LimitSource limits;
   private final Set<HttpConnection> connections = new LinkedHashSet<>();
   private @Nullable Channel channel;
   private boolean draining;
@@ -39,10 +43,7 @@
    * @param limits supplies the limits on callers that are in force
    */
   public HttpListener(
-      EventLoopGroup loop,
-      TimerService timers,
-      HttpService service,
-      Supplier<ClientLimits> limits) {
+      EventLoopGroup loop, TimerService timers, HttpService service, LimitSource limits) {
     this.loop = loop;
     this.timers = timers;
     this.service = service;
@@ -94,11 +95,11 @@
   }
 
   private void accept(SocketChannel c) {
-    ClientLimits l = limits.get();
+    ClientLimits l = limits.limits();
     HttpDecoderConfig config =
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(Math.max(MAX_REQUEST_LINE_BYTES, l.maxHeaderBytes()))
-            .setMaxHeaderSize(l.maxHeaderBytes());
+            .setMaxInitialLineLength(Math.max(MAX_HEADER_BYTES, l.maxHeaderBytes()))
+            .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, l.maxHeaderBytes()));
     HttpConnection h = new HttpConnection(c, service, limits, timers, () -> draining);
     c.pipeline().addLast(new HttpServerCodec(config)).addLast(h);
     connections.add(h);
@@ -106,7 +107,7 @@
   }
 
   private void closeExpired() {
-    ClientLimits l = limits.get();
+    ClientLimits l = limits.limits();
     long now = timers.nowMillis();
     for (HttpConnection c : new ArrayList<>(connections)) {
       c.closeIfExpired(l, now);
