Let a confirmed call compete for a place like any other

Found when the change was read again: a call that had waited for the confirmation kept its wait, and so its turn before others, when it then needed a free slot.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallQueue.java
@@ -6,12 +6,12 @@
 import org.ebonypond.forward.WaitingOrder;
 
 /**
- * Queue of calls that cannot be sent yet. Some arrived before this process knew any instance: after
- * its start, a process receives the configuration and the instances within seconds. Others have
- * missed their latency target already and yield the free slots to calls that can still meet it.
- * Refusing them instead would use up the caller's only retry. The calls are dispatched again, in
- * the order of {@link WaitingOrder}, whenever the view of the fleet changes and a few times a
- * second. Confined to one event loop.
+ * Queue of calls that cannot be sent or refused yet. Some arrived before this process knew any
+ * instance: after its start, a process receives the configuration and the instances within seconds.
+ * Others have missed their latency target already and yield the free slots to calls that can still
+ * meet it. Refusing them instead would use up the caller's only retry. The calls are dispatched
+ * again, in the order of {@link WaitingOrder}, whenever the view of the fleet changes and a few
+ * times a second. Confined to one event loop.
  */
 final class CallQueue {
   /** Longest wait of a call, in milliseconds; if capacity is missing for longer, it is refused. */
@@ -82,6 +82,10 @@
     return true;
   }
 
+  boolean isUnconfirmed(ForwardCall c) {
+    return unconfirmed.contains(c);
+  }
+
   void remove(ForwardCall c) {
     if (unconfirmed.remove(c)) {
       unconfirmedBytes -= c.bodyBytes();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -142,6 +142,10 @@
         return;
       }
     }
+    if (forwarder.queue().isUnconfirmed(this)) {
+      // From here on it may need a place among the calls that wait for instances.
+      stopWaiting();
+    }
     route = r;
     service = config.service(r.choose(forwarder.random().nextLong(Long.MAX_VALUE)));
     if (service == null) {
@@ -235,6 +239,11 @@
         || startWait(timers.nowMillis(), () -> forwarder.queue().addUnconfirmed(this));
   }
 
+  /**
+   * Queues the call if there is time to wait.
+   *
+   * @param queue adds the call to a queue; returns whether there was room
+   */
   private boolean startWait(long now, BooleanSupplier queue) {
     long waitUntil = answer.isStarted() ? now + RESUME_WAIT_MILLIS : waitUntil();
     if (waitUntil <= now || !queue.getAsBoolean()) {
