--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/FakeReplica.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/FakeReplica.java
@@ -170,6 +170,15 @@
     disk.crash(tornWrites);
   }
 
+  /** Ends the process, but not the system whose cache holds its unsynced writes. */
+  void stopProcess(RandomGenerator r) {
+    node = null;
+    storage = null;
+    frozen = false;
+    interruptSync(r);
+    disk.allowSyncs();
+  }
+
   /** Interrupts the sync in progress after a random number of its file syncs. */
   private void interruptSync(@Nullable RandomGenerator tornWrites) {
     Runnable interrupted = runningSync;
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryDisk.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryDisk.java
@@ -2,16 +2,26 @@
 
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.ebonypond.consensus.Disk;
 import org.jspecify.annotations.Nullable;
 
-/** An in-memory disk that loses unsynced data when its process crashes. */
+/**
+ * An in-memory disk that loses unsynced data in a loss of power ({@link #crash}). A process that is
+ * only killed leaves them readable, and still not durable, for the next one that opens the disk.
+ */
 public final class MemoryDisk implements Disk {
   private final Map<String, FileContent> files = new TreeMap<>();
+
+  /** The durable versions of replaced files, while the folder has not been synced. */
+  private final Map<String, Optional<FileContent>> replaced = new HashMap<>();
+
+  private boolean interruptsReplacement;
   private boolean failsSyncs;
   private int syncsBeforeFailure = Integer.MAX_VALUE;
   private int syncs;
@@ -42,6 +52,14 @@
     version++;
   }
 
+  @Override
+  public void syncFolder() throws IOException {
+    failIfRequested();
+    replaced.clear();
+    syncs++;
+    version++;
+  }
+
   @Override
   public void replace(String file, byte[] content) throws IOException {
     failIfRequested();
@@ -49,7 +67,13 @@
     c.append(content);
     c.synced = c.length;
     c.durable = true;
-    files.put(file, c);
+    FileContent old = files.put(file, c);
+    if (interruptsReplacement) {
+      interruptsReplacement = false;
+      replaced.putIfAbsent(file, Optional.ofNullable(old));
+      throw new IOException("interrupted before the folder was synced, as requested by the test");
+    }
+    replaced.clear();
     syncs++;
     version++;
   }
@@ -94,6 +118,11 @@
     syncsBeforeFailure = count;
   }
 
+  /** Makes the next replacement fail when the new file is visible and not durable yet. */
+  public void interruptNextReplacement() {
+    interruptsReplacement = true;
+  }
+
   /** Makes syncs succeed again. */
   public void allowSyncs() {
     failsSyncs = false;
@@ -108,19 +137,27 @@
   /** Returns a disk with the content that would survive a crash now. */
   public MemoryDisk durableCopy() {
     MemoryDisk copy = new MemoryDisk();
-    files.forEach(
-        (name, c) -> {
-          if (c.durable) {
-            FileContent d = new FileContent();
-            d.append(Arrays.copyOf(c.bytes, c.synced));
-            d.synced = c.synced;
-            d.durable = true;
-            copy.files.put(name, d);
-          }
-        });
+    durableNames()
+        .forEach(
+            (name, c) -> {
+              if (c.durable) {
+                FileContent d = new FileContent();
+                d.append(Arrays.copyOf(c.bytes, c.synced));
+                d.synced = c.synced;
+                d.durable = true;
+                copy.files.put(name, d);
+              }
+            });
     return copy;
   }
 
+  private Map<String, FileContent> durableNames() {
+    Map<String, FileContent> out = new TreeMap<>(files);
+    replaced.forEach(
+        (name, old) -> old.ifPresentOrElse(c -> out.put(name, c), () -> out.remove(name)));
+    return out;
+  }
+
   /** Returns the number of successful syncs and replacements. */
   public int syncs() {
     return syncs;
@@ -135,6 +172,10 @@
   public void crash(@Nullable RandomGenerator random) {
     allowSyncs();
     version++;
+    Map<String, FileContent> surviving = durableNames();
+    files.clear();
+    files.putAll(surviving);
+    replaced.clear();
     for (FileContent c : files.values()) {
       int unsynced = c.length - c.synced;
       int kept = random == null || unsynced == 0 ? 0 : random.nextInt(unsynced + 1);
@@ -158,6 +199,7 @@
     allowSyncs();
     version++;
     files.clear();
+    replaced.clear();
   }
 
   private void failIfRequested() throws IOException {
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
@@ -34,6 +34,7 @@
   private final Map<Long, ProposalResult> results = new HashMap<>();
   private long now;
   private long nextProposal = 1;
+  private boolean endsProcessesOnFailedSyncs;
 
   /**
    * Creates a cluster with empty disks in which no process runs yet.
@@ -137,13 +138,27 @@
     }
   }
 
-  /** Kills the process of a replica; unsynced data is lost. */
+  /**
+   * Kills the process of a replica without a loss of power: the next process finds what was written
+   * and not synced.
+   */
+  public void killProcess(String name) {
+    replica(name).stopProcess(random);
+    network.drop(name);
+  }
+
+  /** Lets some failed syncs end only the process; otherwise each one is a loss of power. */
+  public void endProcessesOnFailedSyncs() {
+    endsProcessesOnFailedSyncs = true;
+  }
+
+  /** Takes the power of a replica; unsynced data is lost. */
   public void kill(String name) {
     replica(name).stop(null);
     network.drop(name);
   }
 
-  /** Kills the process of a replica during a write: some of the unsynced bytes may survive. */
+  /** Takes the power of a replica during a write: some of the unsynced bytes may survive. */
   public void killWhileWriting(String name) {
     replica(name).stop(random);
     network.drop(name);
@@ -291,7 +306,7 @@
     }
   }
 
-  /** Runs an action of a process and kills the process if its storage fails. */
+  /** Runs an action of a process; if its storage fails, the process ends or loses its power. */
   private void run(FakeReplica r, Runnable action) {
     if (!r.isUp()) {
       return;
@@ -302,7 +317,11 @@
       if (e.code() != ErrorCode.STORAGE_FAILED) {
         throw e;
       }
-      killWhileWriting(r.name());
+      if (endsProcessesOnFailedSyncs && random.nextBoolean()) {
+        killProcess(r.name());
+      } else {
+        killWhileWriting(r.name());
+      }
     }
   }
 
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RandomRaftRun.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RandomRaftRun.java
@@ -6,8 +6,8 @@
 
 /**
  * A long run of a cluster under random faults, reproducible from its seed. The main method runs
- * many seeds: {@code RandomRaftRun <first seed> <number of seeds> [slow]}; with {@code slow}, syncs
- * take time.
+ * many seeds: {@code RandomRaftRun <first seed> <number of seeds> [slow] [kills]}; with {@code
+ * slow}, syncs take time, and with {@code kills}, processes also end without a loss of power.
  */
 public final class RandomRaftRun {
   private static final int FAULT_MILLIS = 60_000;
@@ -18,6 +18,7 @@
   private final RaftCluster cluster;
   private final List<String> names;
   private final boolean slowDisks;
+  private final boolean killsProcesses;
   private @Nullable String wipedReplica;
   private long proposals;
 
@@ -26,13 +27,19 @@
    *
    * @param seed the seed of every random choice, including the size of the cluster
    * @param slowDisks whether syncs take time, in single stalls and in long slow phases
+   * @param killsProcesses whether processes also end without a loss of power, so that the next one
+   *     finds writes that are not durable
    */
-  public RandomRaftRun(long seed, boolean slowDisks) {
+  public RandomRaftRun(long seed, boolean slowDisks, boolean killsProcesses) {
     this.slowDisks = slowDisks;
+    this.killsProcesses = killsProcesses;
     random = new Random(seed);
     int size = random.nextInt(4) == 0 ? 5 : 3;
     cluster = new RaftCluster(random.nextLong(), size, 20 + random.nextInt(80));
     names = cluster.replicas().stream().map(FakeReplica::name).toList();
+    if (killsProcesses) {
+      cluster.endProcessesOnFailedSyncs();
+    }
   }
 
   /**
@@ -81,7 +88,7 @@
 
   private void injectFault() {
     String name = randomName();
-    switch (random.nextInt(14)) {
+    switch (random.nextInt(killsProcesses ? 15 : 14)) {
       case 0 -> cluster.kill(name);
       case 1 -> cluster.killWhileWriting(name);
       case 2 -> failSyncs(name);
@@ -95,7 +102,15 @@
       case 10 -> endFaults();
       case 11 -> cluster.network().heal();
       case 12 -> names.forEach(cluster::unfreeze);
-      default -> cluster.startAll();
+      case 13 -> cluster.startAll();
+      default -> killProcess(name);
+    }
+  }
+
+  private void killProcess(String name) {
+    cluster.killProcess(name);
+    if (random.nextBoolean()) {
+      cluster.start(name);
     }
   }
 
@@ -166,12 +181,14 @@
   public static void main(String[] args) {
     long first = Long.parseLong(args[0]);
     long count = Long.parseLong(args[1]);
-    boolean slow = args.length > 2 && args[2].equals("slow");
+    List<String> modes = List.of(args).subList(2, args.length);
+    boolean slow = modes.contains("slow");
+    boolean kills = modes.contains("kills");
     long failed = 0;
     long acknowledged = 0;
     for (long seed = first; seed < first + count; seed++) {
       try {
-        acknowledged += new RandomRaftRun(seed, slow).run().checker().acknowledgedIndex();
+        acknowledged += new RandomRaftRun(seed, slow, kills).run().checker().acknowledgedIndex();
       } catch (RuntimeException | AssertionError e) {
         failed++;
         System.out.println("seed " + seed + ": " + e);
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/WrappedDisk.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/WrappedDisk.java
@@ -33,6 +33,11 @@
     disk.sync(file);
   }
 
+  @Override
+  public void syncFolder() throws IOException {
+    disk.syncFolder();
+  }
+
   @Override
   public void replace(String file, byte[] content) throws IOException {
     disk.replace(file, content);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
@@ -81,11 +81,16 @@
   public void sync(String file) throws IOException {
     open(file).force(false);
     if (created) {
-      syncFolder(folder);
+      syncFolder();
       created = false;
     }
   }
 
+  @Override
+  public void syncFolder() throws IOException {
+    syncFolder(folder);
+  }
+
   @Override
   public void replace(String file, byte[] content) throws IOException {
     Path temporary = folder.resolve(file + TEMPORARY);
@@ -94,7 +99,7 @@
       c.force(true);
     }
     Files.move(temporary, folder.resolve(file), StandardCopyOption.ATOMIC_MOVE);
-    syncFolder(folder);
+    syncFolder();
   }
 
   @Override
@@ -105,7 +110,7 @@
       writeAll(c, content);
       c.force(false);
       if (isNew) {
-        syncFolder(folder);
+        syncFolder();
       }
     } catch (IOException e) {
       LOG.atInfo().addKeyValue("file", file).setCause(e).log("best-effort write failed");
@@ -127,7 +132,7 @@
       closeChannel();
     }
     Files.delete(folder.resolve(file));
-    syncFolder(folder);
+    syncFolder();
   }
 
   @Override
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/DiskLogStorageTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/DiskLogStorageTest.java
@@ -124,6 +124,48 @@
     assertEquals(2, again.lastIndex());
   }
 
+  /**
+   * Guards against entries that a new process finds, acknowledges, and loses with the power,
+   * because the process before was killed between writing and syncing them.
+   */
+  @Test
+  void entriesFoundAfterKillSurviveLossOfPower() {
+    DiskLogStorage s = open();
+    write(s, 1, 1, 1);
+    disk.failSyncs();
+    s.append(List.of(entry(2, 1)));
+    assertThrows(EbonypondException.class, s::sync);
+    disk.allowSyncs();
+    assertEquals(2, open().lastIndex(), "after the kill");
+    disk.crash(null);
+    assertEquals(2, open().lastIndex(), "after the loss of power");
+  }
+
+  /**
+   * Guards against a vote that a new process finds and loses with the power: it would vote twice.
+   */
+  @Test
+  void voteFoundAfterKillSurvivesLossOfPower() {
+    DiskLogStorage s = open();
+    s.saveHardState(new HardState(3, "x"));
+    disk.interruptNextReplacement();
+    assertThrows(EbonypondException.class, s::sync);
+    assertEquals(new HardState(3, "x"), open().hardState(), "after the kill");
+    disk.crash(null);
+    assertEquals(new HardState(3, "x"), open().hardState(), "after the loss of power");
+  }
+
+  /** Guards against a log that is opened although what it holds cannot be made durable. */
+  @Test
+  void logOpensOnlyOnceItsContentIsDurable() {
+    write(open(), 1, 2, 1);
+    disk.failSyncs();
+    EbonypondException e = assertThrows(EbonypondException.class, this::open);
+    assertEquals(ErrorCode.STORAGE_FAILED, e.code());
+    disk.allowSyncs();
+    assertEquals(2, open().lastIndex());
+  }
+
   /** Guards against truncated entries that reappear after a restart. */
   @Test
   void truncationSurvivesRestart() {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RandomRaftRunTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RandomRaftRunTest.java
@@ -14,13 +14,30 @@
   @ParameterizedTest
   @ValueSource(longs = {2, 5, 12, 287, 1457})
   void groupStaysSafeAndRecovers(long seed) {
-    assertTrue(new RandomRaftRun(seed, false).run().checker().acknowledgedIndex() > 0);
+    assertTrue(new RandomRaftRun(seed, false, false).run().checker().acknowledgedIndex() > 0);
   }
 
   /** Guards against messages that depend on state that a slow disk has not stored yet. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5})
   void groupWithSlowDisksStaysSafeAndRecovers(long seed) {
-    assertTrue(new RandomRaftRun(seed, true).run().checker().acknowledgedIndex() > 0);
+    assertTrue(new RandomRaftRun(seed, true, false).run().checker().acknowledgedIndex() > 0);
+  }
+
+  /**
+   * Guards against relying on what a killed process wrote and did not sync; each seed failed when
+   * opening a log did not sync it.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {5, 22, 29})
+  void groupStaysSafeWhenProcessesAreKilled(long seed) {
+    assertTrue(new RandomRaftRun(seed, false, true).run().checker().acknowledgedIndex() > 0);
+  }
+
+  /** Guards against the same with slow disks, where processes end during a sync. */
+  @ParameterizedTest
+  @ValueSource(longs = {3, 4, 12})
+  void groupWithSlowDisksStaysSafeWhenProcessesAreKilled(long seed) {
+    assertTrue(new RandomRaftRun(seed, true, true).run().checker().acknowledgedIndex() > 0);
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/Disk.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/Disk.java
@@ -20,6 +20,12 @@
   /** Makes the content of a file and its directory entry durable. */
   void sync(String file) throws IOException;
 
+  /**
+   * Makes the creation, replacement and deletion of all files up to now durable, including those by
+   * an earlier process.
+   */
+  void syncFolder() throws IOException;
+
   /** Replaces the content of a file atomically and durably. */
   void replace(String file, byte[] content) throws IOException;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/DiskLogStorage.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/DiskLogStorage.java
@@ -70,6 +70,10 @@
       snapshot = files.readSnapshot();
       committedHint = files.readCommittedHint();
       log = new SegmentedLog(disk, "replica/" + replica, events, segmentBytes, snapshot);
+      // A process that was killed, or whose sync failed, may have left changes that can be read but
+      // do not survive a loss of power. The reader takes everything that it finds for durable.
+      log.syncLast();
+      disk.syncFolder();
     } catch (IOException e) {
       throw new EbonypondException(e, ErrorCode.STORAGE_FAILED, String.valueOf(e.getMessage()));
     }
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/SegmentedLog.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/SegmentedLog.java
@@ -210,6 +210,13 @@
     segments.merge(segments.lastKey(), last, Math::max);
   }
 
+  /** Syncs the last segment; all earlier ones were synced before it was started. */
+  public void syncLast() throws IOException {
+    if (!segments.isEmpty()) {
+      disk.sync(name(segments.lastKey()));
+    }
+  }
+
   /** Deletes the segments whose entries are all no longer needed. */
   public void deleteSegments(LogChanges changes) throws IOException {
     long index = changes.dropBefore();
