--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -94,6 +94,12 @@
   /** The interval at which the delay of the event loop is measured. */
   private static final long LOOP_CHECK_MILLIS = 100;
 
+  /**
+   * A delay of the event loop that is logged when it ends, in milliseconds: longer ones hold up
+   * more than one heartbeat of the log.
+   */
+  private static final long LOOP_BUSY_MILLIS = 2 * LOG_HEARTBEAT_MILLIS;
+
   /** Spreads the bits of the start time over those of the hash of a name. */
   private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
 
@@ -254,6 +260,9 @@
     loopCheckedAt = now;
     maxLoopDelayMillis = Math.max(maxLoopDelayMillis, delay);
     metrics.loopDelay(delay);
+    if (delay >= LOOP_BUSY_MILLIS) {
+      LOG.atInfo().addKeyValue("delay_ms", delay).log("the event loop was busy");
+    }
   }
 
   private void logLoad() {
@@ -545,9 +554,14 @@
     ServingConfig c = config;
     if (s.version() > 0 && s.version() != decodedVersion) {
       decodedVersion = s.version();
+      long startedNanos = System.nanoTime();
       try {
         c = source.decode(s.document());
         config = c;
+        LOG.atInfo()
+            .addKeyValue("version", s.version())
+            .addKeyValue("took_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos))
+            .log("configuration decoded");
       } catch (EbonypondException e) {
         // It was validated before it was committed, but another release may have done that.
         LOG.atError()
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.FleetPollResult;
@@ -87,6 +88,7 @@
 
   private void accept(String replica, ServingState.Committed s, long ageMillis, long now) {
     if (s.version() > receivedVersion) {
+      long startedNanos = System.nanoTime();
       try {
         config = source.decode(s.document());
         version = s.version();
@@ -95,6 +97,8 @@
         LOG.atInfo()
             .addKeyValue("version", version)
             .addKeyValue("replica", replica)
+            .addKeyValue(
+                "decode_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos))
             .addKeyValue(
                 "confirmed_ms_ago", ageMillis == FleetPollResult.UNCONFIRMED ? -1 : ageMillis)
             .log("configuration in force");
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -472,10 +472,21 @@
     if (!m.to().equals(identity)) {
       return;
     }
-    boolean refused =
-        m.term() < ballot.term()
-            || hasLeaderContact(now)
-            || !log.isCoveredBy(m.lastIndex(), m.lastTerm());
+    String refusal = refusal(now, m);
+    boolean refused = !refusal.isEmpty();
+    if (refused) {
+      emit(
+          EventCode.VOTE_REFUSED,
+          Map.of(
+              "candidate",
+              name,
+              "term",
+              String.valueOf(m.term()),
+              "pre_vote",
+              String.valueOf(m.preVote()),
+              "reason",
+              refusal));
+    }
     if (m.preVote()) {
       boolean granted = !refused && m.term() > ballot.term();
       long term = granted ? m.term() : ballot.term();
@@ -495,6 +506,19 @@
     send(name, new RaftMessage.VoteReply(ballot.term(), identity, false, granted));
   }
 
+  /** Returns why a vote must be refused, or an empty text. */
+  private String refusal(long now, RaftMessage.VoteRequest m) {
+    if (m.term() < ballot.term()) {
+      return "term " + ballot.term() + " is later";
+    }
+    if (hasLeaderContact(now)) {
+      return "a leader may hold its lease";
+    }
+    return log.isCoveredBy(m.lastIndex(), m.lastTerm())
+        ? ""
+        : "the log ends at " + m.lastIndex() + ", this one at " + log.lastIndex();
+  }
+
   /**
    * Postpones this replica's election after it granted a pre-vote. Otherwise two replicas often ask
    * for votes in the same term and neither wins: with message delays of 100 ms, elections failed
