--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -62,6 +62,7 @@
   private final AtomicLong sentBytes = new AtomicLong();
   private final AtomicLong receivedBytes = new AtomicLong();
   private final EventLoopGroup loops;
+  private volatile @Nullable Channel listener;
 
   /**
    * Creates a network without connections.
@@ -99,7 +100,7 @@
    * @throws EbonypondException {@code settings-invalid} if the address cannot be bound
    */
   public void listen(InetSocketAddress address) {
-    TcpListener.bind(loops, address, initializer(), "peer");
+    listener = TcpListener.bind(loops, address, initializer(), "peer");
   }
 
   @Override
@@ -164,8 +165,13 @@
     return receivedBytes.get();
   }
 
+  /** Closes all connections; the local address is free when this returns. */
   @Override
   public void close() {
+    Channel l = listener;
+    if (l != null && !l.eventLoop().inEventLoop()) {
+      l.close().awaitUninterruptibly();
+    }
     loops.shutdownGracefully();
   }
 
