--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ElectionTimeTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ElectionTimeTest.java
@@ -29,6 +29,35 @@
     assertTrue(times[RUNS - 1] < LEDGER_TIMEOUT_MILLIS, describe(times));
   }
 
+  /**
+   * Guards against elections that no candidate wins because it gives up before the votes of slow
+   * replicas arrive: after all replicas had lost power, there was no leader for 12 s.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {300, 600, 1_200})
+  void leaderIsElectedAmongSlowReplicas(int maxDelayMillis) {
+    long[] times = new long[RUNS];
+    for (int seed = 0; seed < RUNS; seed++) {
+      times[seed] = firstLeaderMillis(seed, maxDelayMillis);
+    }
+    Arrays.sort(times);
+    // Four attempts, each with two exchanges of messages.
+    assertTrue(times[RUNS - 1] < 16L * maxDelayMillis, describe(times));
+  }
+
+  private static long firstLeaderMillis(int seed, int maxDelayMillis) {
+    RaftCluster c = new RaftCluster(seed, 5, 1_000);
+    c.startAll();
+    c.awaitLeader();
+    c.commit("before");
+    c.replicas().forEach(r -> c.kill(r.name()));
+    c.network().setFaults(maxDelayMillis, 0, 0);
+    c.startAll();
+    long start = c.now();
+    c.await(200_000, () -> c.replicas().stream().anyMatch(r -> r.node().role() == RaftRole.LEADER));
+    return c.now() - start;
+  }
+
   private static long replacementMillis(int seed, int maxDelayMillis) {
     RaftCluster c = new RaftCluster(seed, 3, 1_000);
     c.network().setFaults(maxDelayMillis, 0, 0);
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -309,6 +309,9 @@
     if (!timer.isDue(now)) {
       return;
     }
+    if (role == RaftRole.CANDIDATE) {
+      timer.onElectionLost();
+    }
     if (config.leaderLease() || leader.everKnown()) {
       timer.reset(now);
     } else {
@@ -356,7 +359,7 @@
     ballot.startTerm();
     leader.clear();
     become(RaftRole.CANDIDATE);
-    timer.reset(now);
+    timer.resetForCandidate(now);
     ballot.resetVotes();
     ballot.requestVotes(false, this::send);
     if (ballot.isWon()) {
@@ -366,6 +369,7 @@
 
   private void becomeLeader(long now) {
     leader.set(ballot.term(), config.self(), identity);
+    timer.onElectionWon();
     log.append(ballot.term(), EntryType.NOOP, NO_DATA);
     log.membership().members().keySet().forEach(this::addPeer);
     replication = new Replication(config, peers, log, ballot.term(), this::send, now);
@@ -557,7 +561,7 @@
     outbox.release(ballot.term());
     if (role == RaftRole.CANDIDATE) {
       // The vote requests had to wait for the sync of the term, so the timeout starts now.
-      timer.reset(now);
+      timer.resetForCandidate(now);
     }
   }
 
