--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -409,9 +409,22 @@
       log.discover(p.address());
     }
     metrics.pollAnswered(!p.address().isEmpty(), System.nanoTime() - startedNanos, answer.length);
-    return CompletableFuture.completedFuture(answer);
+    return answer;
   }
 
+    return CompletableFuture.supplyAsync(() -> answerPoll(f), executor)
+        .whenComplete(
+            (answer, failure) -> {
+              if (failure != null) {
+                LOG.atError()
+                    .addKeyValue("peer", f.from())
+                    .setCause(failure)
+                    .log("poll could not be answered");
+              }
+            });
+  }
+
+  private byte[] answerPoll(Frame f) {
   /** Records the number of entries in the log once it has been stable for a while. */
   private void recordEntries(long now) {
     int count = loads.entries(now);
