--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -473,7 +473,7 @@
 
   private void merge(String replica, FleetPollResult r, long sentAt) {
     long now = timers.nowMillis();
-    newestVersion.record(r, sentAt);
+    recordNewest(r.version(), newestVersion.record(r, sentAt));
     r.instances().forEach(u -> table.merge(u.instance(), u.ageMillis(), now));
     r.unchanged().forEach(i -> table.confirm(i, now));
     directory.names(now).forEach(log::discover);
@@ -529,10 +529,19 @@
   private ConfirmedState confirmed() {
     ConfirmedState own = log.leaderState();
     ServingState.Committed s = own.state();
-    newestVersion.record(s.version(), own.confirmedAt());
+    recordNewest(s.version(), newestVersion.record(s.version(), own.confirmedAt()));
     return new ConfirmedState(s, newestVersion.confirmedAt(s.version()));
   }
 
+  private void recordNewest(long version, boolean consistent) {
+    if (!consistent) {
+      LOG.atWarn()
+          .addKeyValue("version", version)
+          .addKeyValue("known", newestVersion.version())
+          .log("an older configuration is reported as the newest");
+    }
+  }
+
   /** Logs a configuration that this replica has applied, so that its way can be followed. */
   private void logConfiguration(long now) {
     ConfirmedState s = confirmed();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -62,7 +62,13 @@
     if (r.state() != null) {
       accept(replica, r.state(), r.stateAgeMillis(), now);
     }
-    newestVersion.record(r, sentAt);
+    if (!newestVersion.record(r, sentAt)) {
+      LOG.atWarn()
+          .addKeyValue("replica", replica)
+          .addKeyValue("version", r.version())
+          .addKeyValue("known", newestVersion.version())
+          .log("an older configuration is reported as the newest");
+    }
     for (InstanceUpdate u : r.instances()) {
       FleetInstance i = u.instance();
       if (table.merge(i, u.ageMillis(), now)) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/NewestVersion.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/NewestVersion.java
@@ -7,7 +7,9 @@
  * The newest version of the configuration at some times, as a process knows it. The leader of the
  * log knows it by itself; other processes learn it from answers to their polls. An answer tells how
  * old its knowledge is, and the time of the poll, not that of the answer, is the time on the clock
- * of the receiver: an answer that was delayed does not look newer than it is. Not thread-safe.
+ * of the receiver: an answer that was delayed does not look newer than it is. Versions only rise,
+ * so an older version than a recorded one is never confirmed, even if a leader whose log has lost
+ * entries reports it as the newest. Not thread-safe.
  */
 public final class NewestVersion {
   /**
@@ -16,6 +18,9 @@
    */
   private static final int MAX_VERSIONS = 32;
 
+  /** The longest time until a poll is answered or given up, in milliseconds. */
+  private static final long MAX_ANSWER_MILLIS = 9_000;
+
   /** The latest time at which each version was known to be the newest; both rise. */
   private final TreeMap<Long, Long> times = new TreeMap<>();
 
@@ -24,24 +29,32 @@
    *
    * @param known the newest version at that time
    * @param time the time in milliseconds; {@code Long.MIN_VALUE} if the process does not know
+   * @return false if a newer version was known so long before that answers which overtook each
+   *     other cannot be the reason: the log has lost a version
    */
-  public void record(long known, long time) {
+  public boolean record(long known, long time) {
     if (time == Long.MIN_VALUE || (!times.isEmpty() && time <= times.lastEntry().getValue())) {
-      return;
+      return true;
+    }
+    if (isOutdated(known)) {
+      return time - times.lastEntry().getValue() <= MAX_ANSWER_MILLIS;
     }
-    // A log that was opened again may be behind what this process has recorded.
-    times.tailMap(known, true).clear();
     times.put(known, time);
     if (times.size() > MAX_VERSIONS) {
       times.pollFirstEntry();
     }
+    return true;
   }
 
-  /** Records an answer to a poll that was sent at a time, in milliseconds. */
-  public void record(FleetPollResult r, long sentAt) {
-    if (r.stateAgeMillis() != FleetPollResult.UNCONFIRMED) {
-      record(r.version(), sentAt - r.stateAgeMillis());
-    }
+  /** Records an answer to a poll that was sent at a time, see {@link #record(long, long)}. */
+  public boolean record(FleetPollResult r, long sentAt) {
+    return r.stateAgeMillis() == FleetPollResult.UNCONFIRMED
+        || record(r.version(), sentAt - r.stateAgeMillis());
+  }
+
+  /** Returns the newest known version; 0 if none is known. */
+  public long version() {
+    return times.isEmpty() ? 0 : times.lastKey();
   }
 
   /** Returns whether a newer version than the given one is known. */
