--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -41,6 +41,8 @@
   private long version;
   private long receivedVersion;
   private String configSource = "";
+  private long replacedVersion;
+  private long replacedAt;
   private long zonesIndex = -1;
   private Set<String> zonesOut = Set.of();
   private final Map<String, Long> restoredAt = new HashMap<>();
@@ -69,6 +71,7 @@
           .addKeyValue("known", newestVersion.version())
           .log("an older configuration is reported as the newest");
     }
+    noteReplacement(now);
     for (InstanceUpdate u : r.instances()) {
       FleetInstance i = u.instance();
       if (table.merge(i, u.ageMillis(), now)) {
@@ -129,6 +132,16 @@
     }
   }
 
+  private void noteReplacement(long now) {
+    // A version that cannot be decoded is held as well: an older one is then served on purpose.
+    if (!newestVersion.isOutdated(receivedVersion)) {
+      replacedVersion = 0;
+    } else if (replacedVersion != receivedVersion) {
+      replacedVersion = receivedVersion;
+      replacedAt = now;
+    }
+  }
+
   private boolean isKnown(String service) {
     ServingConfig c = config;
     return c == null || c.services().containsKey(service);
@@ -189,6 +202,14 @@
     return newestVersion.isOutdated(version) ? Long.MIN_VALUE : newestVersion.confirmedAt(version);
   }
 
+  /**
+   * Returns for how long this process has known that a newer configuration than its own is
+   * committed, in milliseconds; 0 if none is known.
+   */
+  public long replacedMillis(long now) {
+    return replacedVersion == 0 ? 0 : now - replacedAt;
+  }
+
   /** Returns the log index of the zones out of service; -1 if they are not known. */
   public long zonesIndex() {
     return zonesIndex;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -123,13 +123,30 @@
 
   private void refuseUnconfigured() {
     long retryAfterMillis = Math.min(START_RETRY_AFTER_MILLIS, remaining() / RETRY_AFTER_DIVISOR);
-    String reason =
-        forwarder.view().config() == null ? "no-configuration" : "unconfirmed-configuration";
+    String reason = "unconfirmed-configuration";
+    if (forwarder.view().config() == null) {
+      reason = "no-configuration";
+    } else if (isReplaced()) {
+      reason = "replaced-configuration";
+    }
     refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
   }
 
+  /** Returns whether this process lacks a change that it has known of for too long. */
+  private boolean isReplaced() {
+    return forwarder.view().replacedMillis(timers.nowMillis())
+        >= forwarder.configAges().replacedMillis();
+  }
+
   /** Resolves the route, the workspace and the service of the request, and dispatches it. */
   private void accept(ServingConfig config) {
+    if (isReplaced()) {
+      // A later version may have taken the route or the key away.
+      if (!waitForConfirmation()) {
+        refuseUnconfigured();
+      }
+      return;
+    }
     RouteRule r = config.route(head.host(), head.path());
     if (r == null) {
       deny(HttpResponseStatus.NOT_FOUND, "no-route");
@@ -170,7 +187,7 @@
    * happens.
    */
   private void deny(HttpResponseStatus status, String reason) {
-    if (forwarder.view().confirmedAt() >= receivedAt - forwarder.maxConfigAgeMillis()) {
+    if (forwarder.view().confirmedAt() >= receivedAt - forwarder.configAges().confirmedMillis()) {
       refuse(status, reason, 0);
     } else if (!waitForConfirmation()) {
       refuseUnconfigured();
@@ -264,7 +281,7 @@
     boolean unconfirmed = route == null && forwarder.view().config() != null;
     long maxWaitMillis =
         unconfirmed
-            ? Math.min(forwarder.maxConfigAgeMillis(), CallQueue.MAX_WAIT_MILLIS)
+            ? Math.min(forwarder.configAges().confirmedMillis(), CallQueue.MAX_WAIT_MILLIS)
             : CallQueue.MAX_WAIT_MILLIS;
     return Math.min(from + maxWaitMillis, deadlineAt - answerMillis());
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -53,7 +53,7 @@
   private final TimerService timers;
   private final RandomGenerator random;
   private final ForwardMetrics metrics;
-  private final long maxConfigAgeMillis;
+  private final ConfigAgeLimits configAges;
   private final Map<String, InstanceStats> stats = new HashMap<>();
   private final Set<ForwardCall> calls = new LinkedHashSet<>();
   private final BufferedAnswers<Attempt> bufferedAnswers = new BufferedAnswers<>();
@@ -76,8 +76,7 @@
    * @param random chooses among the services of a route
    * @param metrics counts the outcomes
    * @param heartbeatMillis the time between two heartbeats of an instance, in milliseconds
-   * @param maxConfigAgeMillis how long ago a configuration may have been the newest one, in
-   *     milliseconds, for a refusal that the caller takes as final
+   * @param configAges what may be done by a configuration that may be an old one
    */
   public Forwarder(
       FleetView view,
@@ -92,7 +91,7 @@
       RandomGenerator random,
       ForwardMetrics metrics,
       long heartbeatMillis,
-      long maxConfigAgeMillis) {
+      ConfigAgeLimits configAges) {
     this.view = view;
     this.pool = pool;
     this.dialect = dialect;
@@ -104,7 +103,7 @@
     this.timers = timers;
     this.random = random;
     this.metrics = metrics;
-    this.maxConfigAgeMillis = maxConfigAgeMillis;
+    this.configAges = configAges;
     this.queue = new CallQueue(heartbeatMillis);
     timers.every(CHECK_INTERVAL_MILLIS, this::checkCalls);
   }
@@ -282,8 +281,8 @@
     return queue;
   }
 
-  long maxConfigAgeMillis() {
-    return maxConfigAgeMillis;
+  ConfigAgeLimits configAges() {
+    return configAges;
   }
 
   FleetView view() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ViewLimits.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ViewLimits.java
@@ -9,20 +9,19 @@
 public final class ViewLimits implements LimitSource {
   private final FleetView view;
   private final TimerService timers;
-  private final long maxConfigAgeMillis;
+  private final ConfigAgeLimits configAges;
 
   /**
    * Creates the limits.
    *
    * @param view the entry's view of the fleet
    * @param timers provides the clock
-   * @param maxConfigAgeMillis how long ago a configuration may have been the newest one, in
-   *     milliseconds, for a refusal that the caller takes as final
+   * @param configAges what may be done by a configuration that may be an old one
    */
-  public ViewLimits(FleetView view, TimerService timers, long maxConfigAgeMillis) {
+  public ViewLimits(FleetView view, TimerService timers, ConfigAgeLimits configAges) {
     this.view = view;
     this.timers = timers;
-    this.maxConfigAgeMillis = maxConfigAgeMillis;
+    this.configAges = configAges;
   }
 
   @Override
@@ -32,6 +31,6 @@
 
   @Override
   public boolean areFinal() {
-    return view.confirmedAt() >= timers.nowMillis() - maxConfigAgeMillis;
+    return view.confirmedAt() >= timers.nowMillis() - configAges.confirmedMillis();
   }
 }
