--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -204,6 +204,10 @@
     if (refuseIfQuarantined()) {
       return;
     }
+    if (!answer.isStarted() && timers.nowMillis() + answerMillis() > forwarder.stopsAt()) {
+      giveUp("stopping", STOPPING_RETRY_AFTER_MILLIS);
+      return;
+    }
     TargetSelector.Selection selection = choose();
     if (selection.target() != null) {
       send(selection, cause);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -60,6 +60,7 @@
   private final CallQueue queue;
   private long received;
   private boolean refusing;
+  private long stopsAt = Long.MAX_VALUE;
 
   /**
    * Creates a forwarder.
@@ -219,6 +220,22 @@
     refusing = true;
   }
 
+  /**
+   * Sends nothing from now on that is not expected to be answered when the process stops. What
+   * waits, or is to be sent again, is refused in time for another entry.
+   *
+   * @param at when calls in flight are ended, in milliseconds
+   */
+  public void stopAt(long at) {
+    stopsAt = at;
+    queue.redispatch(timers.nowMillis());
+  }
+
+  /** Returns when calls in flight are ended, in milliseconds; {@code Long.MAX_VALUE} if never. */
+  long stopsAt() {
+    return stopsAt;
+  }
+
   boolean isRefusing() {
     return refusing;
   }
