--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
@@ -31,10 +31,20 @@
   private RaftNode node = start(0);
 
   private RaftNode start(long now) {
+    return start(now, RaftConfig.standard("b", NAMES));
+  }
+
+  private RaftNode startWithoutLeases(long now) {
+    return start(
+        now,
+        new RaftConfig(
+            "b", NAMES, 100, 500, 1_000, 10_000, 1_000, 1 << 20, 1 << 20, 3, 3_000, false));
+  }
+
+  private RaftNode start(long now, RaftConfig config) {
     LogStorage s = new DiskLogStorage(disk, "b", new Random(1), EventSink.NONE, 10_000);
     HashingStateMachine machine = new HashingStateMachine(new SafetyChecker());
-    return new RaftNode(
-        RaftConfig.standard("b", NAMES), s, machine, new Random(1), EventSink.NONE, now);
+    return new RaftNode(config, s, machine, new Random(1), EventSink.NONE, now);
   }
 
   private static LogEntry command(long index, long term) {
@@ -72,6 +82,22 @@
     return now;
   }
 
+  /**
+   * Guards against a leader that steps down before its busy followers can answer: after a loss of
+   * power, elections on small processors repeated for seconds.
+   */
+  @Test
+  void leaderWithoutLeaseWaitsForBusyFollowers() {
+    node = startWithoutLeases(0);
+    append(1_000, 1, 0, 0, membershipEntry());
+    long elected = elect();
+    node.tick(elected + 1_999);
+    assertTrue(node.isLeader());
+    assertFalse(node.mayLead(elected + 1_999));
+    node.tick(elected + 2_000);
+    assertFalse(node.isLeader());
+  }
+
   /** Guards against a second leader while the first holds its lease. */
   @Test
   void noVoteWithinAnElectionTimeoutOfLeaderContact() {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftConfig.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftConfig.java
@@ -10,8 +10,8 @@
  * @param replicas the names of the replicas that form the first membership; a replica that joins
  *     later is not among them
  * @param heartbeatMillis the time between two heartbeats of a leader, in milliseconds
- * @param electionMinMillis the minimum election timeout, in milliseconds; a leader that has had no
- *     contact with a quorum for this long steps down
+ * @param electionMinMillis the minimum election timeout, in milliseconds; a leader with a lease
+ *     that has had no contact with a quorum for this long steps down
  * @param electionMaxMillis the maximum election timeout, in milliseconds
  * @param compactAfter the number of applied entries after which a snapshot replaces them
  * @param keepEntries the number of entries before a snapshot that stay readable
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -20,6 +20,13 @@
   /** Maximum number of entries by which a learner may lag to be admitted as a voter. */
   private static final long ADMISSION_LAG = 100;
 
+  /**
+   * The number of minimum election timeouts without a quorum after which a leader without a lease
+   * steps down. It neither confirms nor commits anything meanwhile, and a leader that steps down
+   * because its followers are busy only causes an election, which makes them busier.
+   */
+  private static final long LEASELESS_QUORUM_TIMEOUTS = 4;
+
   private final RaftConfig config;
   private final RaftLog log;
   private final long term;
@@ -185,9 +192,13 @@
     }
   }
 
-  /** Returns whether no quorum has replied for the minimum election timeout. */
+  /** Returns whether no quorum has replied for so long that this leader must step down. */
   public boolean hasLostQuorum(long now) {
-    return now - Math.max(termStart, quorumContact(now)) >= config.electionMinMillis();
+    long timeout =
+        config.leaderLease()
+            ? config.electionMinMillis()
+            : LEASELESS_QUORUM_TIMEOUTS * config.electionMinMillis();
+    return now - Math.max(termStart, quorumContact(now)) >= timeout;
   }
 
   /** Returns the end of the lease, see {@link org.ebonypond.consensus.RaftNode#leaseHeldUntil}. */
