--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
@@ -98,6 +98,31 @@
     assertFalse(node.isLeader());
   }
 
+  /** Returns when the next pre-vote is requested, in milliseconds. */
+  private long nextPreVote(long from) {
+    for (long t = from; t < from + 2_000; t += 10) {
+      node.tick(t);
+      if (!node.flush(t).messages().isEmpty()) {
+        return t;
+      }
+    }
+    throw new AssertionError("no pre-vote within 2 s");
+  }
+
+  /** Guards against pre-votes that pile up at a peer that is slow to answer them. */
+  @Test
+  void preVoteIsRepeatedAfterTheElectionTimeoutOnceAnyPeerHasAnswered() {
+    node = startWithoutLeases(0);
+    append(1_000, 1, 0, 0, membershipEntry());
+    node = startWithoutLeases(10_000);
+    long first = nextPreVote(10_000);
+    assertTrue(first - 10_000 < 500, "the peers may be starting as well");
+    node.receive(first, "c", new RaftMessage.VoteReply(1, "idc", true, false));
+    long second = nextPreVote(first + 10);
+    long third = nextPreVote(second + 10);
+    assertTrue(third - second >= 500, third - second + " ms");
+  }
+
   /** Guards against a second leader while the first holds its lease. */
   @Test
   void noVoteWithinAnElectionTimeoutOfLeaderContact() {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -54,6 +54,7 @@
   private @Nullable Replication replication;
   private @Nullable RuntimeException failure;
   private long lastNow;
+  private boolean heardFromPeer;
   private List<RoleChange> roleChanges = new ArrayList<>();
   private @Nullable RoleChange lastChange;
 
@@ -108,6 +109,7 @@
     if (!peers.contains(fromName) && log.membership().identityOf(fromName).isEmpty()) {
       return;
     }
+    heardFromPeer = true;
     guarded(now, () -> onMessage(now, fromName, message));
   }
 
@@ -312,10 +314,11 @@
     if (role == RaftRole.CANDIDATE) {
       timer.onElectionLost();
     }
-    if (config.leaderLease() || leader.everKnown()) {
+    if (config.leaderLease() || heardFromPeer) {
       timer.reset(now);
     } else {
-      // The other replicas may be starting as well.
+      // The other replicas may be starting as well, and messages to them are lost until they
+      // listen.
       timer.resetSoon(now);
     }
     if (!log.isHardStateDurable()) {
