--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ServingLogTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ServingLogTest.java
@@ -23,6 +23,7 @@
 import org.ebonypond.serving.ServingCodec;
 import org.ebonypond.serving.ServingCommand;
 import org.ebonypond.serving.ServingState;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 class ServingLogTest {
@@ -32,15 +33,20 @@
   private final ManualTimerService timers = new ManualTimerService();
   private final MemoryDisk disk = new MemoryDisk();
   private final List<Throwable> fatal = new ArrayList<>();
-  private final List<LogStorage> opened = new ArrayList<>();
   private final ServingLog log =
       new ServingLog(
           this::open, this::node, (channel, to, m) -> {}, timers, Runnable::run, fatal::add);
 
+  private @Nullable RuntimeException openFailure;
+  private int openAttempts;
+
   private LogStorage open() {
-    LogStorage s = new DiskLogStorage(disk, NAME, new Random(1), EventSink.NONE, SEGMENT_BYTES);
-    opened.add(s);
-    return s;
+    openAttempts++;
+    RuntimeException failure = openFailure;
+    if (failure != null) {
+      throw failure;
+    }
+    return new DiskLogStorage(disk, NAME, new Random(1), EventSink.NONE, SEGMENT_BYTES);
   }
 
   private RaftNode node(LogStorage storage, ServingState state) {
@@ -91,7 +97,7 @@
       timers.advance(10);
       log.runOnce();
     }
-    assertTrue(opened.size() > 2, "opened " + opened.size() + " times");
+    assertTrue(openAttempts > 2, "opened " + openAttempts + " times");
     disk.allowSyncs();
     awaitLeadership();
     awaitInstalled(12);
@@ -99,6 +105,38 @@
     assertEquals(List.of(), fatal);
   }
 
+  /** Guards against a replica that runs on without a log, because opening it again has failed. */
+  @Test
+  void unexpectedFailureToOpenTheLogAgainIsFatal() {
+    awaitLeadership();
+    awaitInstalled(5);
+    disk.failSyncs();
+    CompletableFuture<ProposalResult> failedInstall = install(9);
+    await(failedInstall::isDone);
+    openFailure = new IllegalStateException("as requested by the test");
+    timers.advance(1_000);
+    assertEquals(List.of(openFailure), fatal);
+  }
+
+  /** Guards against changes that stay unanswered after a disk was full again and again. */
+  @Test
+  void logRecoversFromEachOfManyFullDisks() {
+    awaitLeadership();
+    for (int i = 1; i <= 20; i++) {
+      awaitInstalled(10 * i);
+      disk.failSyncsAfter(i % 4);
+      for (int n = 1; n <= 3; n++) {
+        CompletableFuture<ProposalResult> failedInstall = install(10 * i + n);
+        await(failedInstall::isDone);
+      }
+      disk.allowSyncs();
+      awaitLeadership();
+    }
+    awaitInstalled(1_000);
+    assertEquals(1_000, log.current().version());
+    assertEquals(List.of(), fatal);
+  }
+
   /** Guards against an acknowledged configuration that is lost when the log is reopened. */
   @Test
   void acknowledgedStateSurvivesFailedWrites() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
@@ -161,7 +161,8 @@
     openLog.close();
     try {
       openLog = open();
-    } catch (EbonypondException e) {
+    } catch (RuntimeException e) {
+      // Nothing else would open the log again.
       failed(e);
       return;
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
@@ -64,6 +64,9 @@
           .filter(n -> !n.equals(LOCK) && !n.endsWith(TEMPORARY))
           .sorted()
           .toList();
+    } catch (UncheckedIOException e) {
+      // The stream of names is read lazily.
+      throw e.getCause();
     }
   }
 
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ClusterFailureTest.java
@@ -16,6 +16,8 @@
 import org.ebonypond.junit.consensus.FakeReplica;
 import org.ebonypond.junit.consensus.RaftCluster;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ClusterFailureTest {
   private static final List<String> NAMES = List.of("a", "b", "c");
@@ -423,4 +425,44 @@
         .filter(e -> group.replica(e.getKey()).node().identity().equals(e.getValue()))
         .count();
   }
+
+  /**
+   * Guards against changes that are refused or stay unanswered long after the disks of all replicas
+   * were full one after another.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+  void changesAreAcknowledgedAfterAllDisksWereFullInTurn(long seed) {
+    RaftCluster c = new RaftCluster(seed, 5, 40);
+    c.startAll();
+    c.endProcessesOnFailedSyncs();
+    c.commit("first");
+    for (FakeReplica r : c.replicas()) {
+      for (int i = 0; i < 25; i++) {
+        // The end of a process makes its disk work again.
+        r.disk().failSyncs();
+        FakeReplica leader = c.leader();
+        if (leader != null) {
+          c.propose(leader.name(), "while the disk of " + r.name() + " is full");
+        }
+        c.advance(100);
+        tryStart(c, r.name());
+      }
+      r.disk().allowSyncs();
+      c.startAll();
+      c.advance(2_000);
+    }
+    c.commit("last");
+    c.awaitConverged();
+    c.checkLogs();
+  }
+
+  /** Starts a process that ends at once if its disk is full. */
+  private static void tryStart(RaftCluster c, String name) {
+    try {
+      c.start(name);
+    } catch (EbonypondException e) {
+      assertEquals(ErrorCode.STORAGE_FAILED, e.code());
+    }
+  }
 }
