--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
@@ -34,6 +34,12 @@
     return start(now, RaftConfig.standard("b", NAMES));
   }
 
+  private RaftNode start(long now, RaftConfig config) {
+    LogStorage s = new DiskLogStorage(disk, "b", new Random(1), EventSink.NONE, 10_000);
+    HashingStateMachine machine = new HashingStateMachine(new SafetyChecker());
+    return new RaftNode(config, s, machine, new Random(1), EventSink.NONE, now);
+  }
+
   private RaftNode startWithoutLeases(long now) {
     return start(
         now,
@@ -41,12 +47,6 @@
             "b", NAMES, 100, 500, 1_000, 10_000, 1_000, 1 << 20, 1 << 20, 3, 3_000, false));
   }
 
-  private RaftNode start(long now, RaftConfig config) {
-    LogStorage s = new DiskLogStorage(disk, "b", new Random(1), EventSink.NONE, 10_000);
-    HashingStateMachine machine = new HashingStateMachine(new SafetyChecker());
-    return new RaftNode(config, s, machine, new Random(1), EventSink.NONE, now);
-  }
-
   private static LogEntry command(long index, long term) {
     return new LogEntry(index, term, EntryType.COMMAND, new byte[] {1});
   }
