--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -48,6 +48,8 @@
   /** The status of another instance at the address, whose limit is not that of the target. */
   private static final int MISDIRECTED = 421;
 
+  private static final int UNAVAILABLE = 503;
+
   private final ForwardCall owner;
   private final Forwarder forwarder;
   private final TimerService timers;
@@ -160,6 +162,7 @@
       return false;
     }
     observeLimit(r);
+    observeNotices(r);
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
     endsWithConnection = !HttpUtil.isContentLengthSet(h) && !HttpUtil.isTransferEncodingChunked(h);
@@ -178,6 +181,19 @@
     }
   }
 
+  /** Records what the instance says of itself, unless the answer may be that of another one. */
+  private void observeNotices(BackendReply r) {
+    if (r.requestId() == null || r.status() == MISDIRECTED) {
+      return;
+    }
+    if (r.leaving()) {
+      forwarder.observeLeaving(target);
+    }
+    if (r.status() == UNAVAILABLE && r.notRun() && r.retryAfterMillis() > 0) {
+      forwarder.observePause(target, r.retryAfterMillis());
+    }
+  }
+
   @Override
   public void content(ByteBuf bytes) {
     BackendReply r = reply;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
@@ -13,6 +13,9 @@
  * @param blockingInstance the instance because of which the request was not run, or null
  * @param acceptedPerSecond the requests a second that the instance accepts from all callers
  *     together; infinite if it names no limit, NaN if it names one that cannot be read
+ * @param leaving whether the instance says that it is leaving
+ * @param retryAfterMillis the time after which the instance wants to be asked again, in
+ *     milliseconds; 0 if it names none
  */
 public record BackendReply(
     int status,
@@ -21,7 +24,9 @@
     boolean signed,
     boolean eventStream,
     @Nullable String blockingInstance,
-    double acceptedPerSecond) {
+    double acceptedPerSecond,
+    boolean leaving,
+    long retryAfterMillis) {
   /** Returns whether the status is 2xx. */
   public boolean isSuccess() {
     return status >= 200 && status < 300;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -17,6 +17,7 @@
 import org.ebonypond.fleet.NamedLimits;
 import org.ebonypond.forward.ArrivalGuard;
 import org.ebonypond.forward.EntryTurns;
+import org.ebonypond.forward.InstanceNotices;
 import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.RetryAllowance;
 import org.ebonypond.forward.TargetSelector;
@@ -35,6 +36,12 @@
 public final class Forwarder implements HttpService {
   private static final Logger LOG = LoggerFactory.getLogger(Forwarder.class);
 
+  /**
+   * The longest pause that an instance can ask for, in milliseconds: an hour, so that a malformed
+   * value does not keep an instance without requests for good.
+   */
+  private static final long MAX_PAUSE_MILLIS = 3_600_000;
+
   /** Interval of the check for stalled calls, in milliseconds. */
   private static final long CHECK_INTERVAL_MILLIS = 40;
 
@@ -59,6 +66,7 @@
   private final BufferedAnswers<Attempt> bufferedAnswers = new BufferedAnswers<>();
   private final CallQueue queue;
   private long received;
+  private final InstanceNotices notices = new InstanceNotices();
   private boolean refusing;
   private long stopsAt = Long.MAX_VALUE;
 
@@ -178,6 +186,25 @@
     }
   }
 
+  /** Records that an instance is leaving. */
+  void observeLeaving(FleetInstance i) {
+    if (notices.leaves(i.id(), i.startMillis())) {
+      LOG.atInfo().addKeyValue("instance", i.id()).log("instance says that it is leaving");
+    }
+  }
+
+  /** Records that an instance wants no requests for a time, in milliseconds. */
+  void observePause(FleetInstance i, long millis) {
+    long now = timers.nowMillis();
+    long pauseMillis = Math.min(millis, MAX_PAUSE_MILLIS);
+    if (notices.pauses(i.id(), i.startMillis(), now + pauseMillis, now)) {
+      LOG.atInfo()
+          .addKeyValue("instance", i.id())
+          .addKeyValue("pause_ms", pauseMillis)
+          .log("instance asks for a pause");
+    }
+  }
+
   private static void logLimit(String instance, double perSecond, long ageMillis) {
     LOG.atInfo()
         .addKeyValue("instance", instance)
@@ -257,6 +284,7 @@
       boolean eligible =
           i.service().equals(service.name())
               && i.phase() == InstancePhase.READY
+              && !notices.isLeaving(i.id(), i.startMillis())
               && !view.isOut(i.zone())
               && (service.engine() == null
                   || (i.servesGroup() && (model == null || i.models().contains(model))));
@@ -271,7 +299,9 @@
         InstanceStats s = stats(i.id());
         s.onGroupEpoch(i.group() == null ? 0 : i.group().epoch());
         double accepted = limits.perSecond(i.id(), i.startMillis());
-        boolean limited = !turns.isTurn(i.id(), accepted, entries, now);
+        boolean limited =
+            notices.isPaused(i.id(), i.startMillis(), now)
+                || !turns.isTurn(i.id(), accepted, entries, now);
         out.add(new TargetSelector.Candidate(i, s, view.loadOfOthers(i.id()), limited));
       }
     }
@@ -342,6 +372,7 @@
     long now = timers.nowMillis();
     guard.prune(now);
     turns.retain(id -> view.instance(id) != null);
+    notices.retain(id -> view.instance(id) != null);
     for (ForwardCall c : List.copyOf(calls)) {
       c.checkProgress(now);
     }
