--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/RepeatedAnswerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/RepeatedAnswerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.EventLoop;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -17,6 +18,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import org.ebonypond.ledger.StoredAnswer;
+import org.ebonypond.server.http1.BackendPool;
+import org.ebonypond.server.timer.EventLoopTimerService;
+import org.ebonypond.time.TimerService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -142,7 +146,7 @@
 
   private String callOutcome(String method, String id) throws Exception {
     CompletableFuture<StoredAnswer> answer =
-        new RatpackServiceClient(controller, http)
+        serviceClient()
             .call(
                 new ServiceRequest(
                     id, address(), "b", method, "/x", List.of(), new byte[0], 5_000));
@@ -199,4 +203,10 @@
             });
     return outcome.get(20, TimeUnit.SECONDS);
   }
+
+  private ServiceClient serviceClient() {
+    EventLoop loop = controller.getEventLoopGroup().next();
+    TimerService timers = new EventLoopTimerService(loop);
+    return new HttpServiceClient(loop, new BackendPool(loop, timers, 1_000), timers, 1 << 20);
+  }
 }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/UnframedEngineTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/UnframedEngineTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -14,7 +15,11 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.ebonypond.ledger.StoredAnswer;
+import org.ebonypond.server.http1.BackendPool;
+import org.ebonypond.server.timer.EventLoopTimerService;
+import org.ebonypond.time.TimerService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -36,13 +41,11 @@
   private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket server;
   private HttpClient http;
-  private HttpClient unpooled;
 
   @BeforeEach
   void start() throws Exception {
     server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
     http = client(4);
-    unpooled = client(0);
   }
 
   private HttpClient client(int poolSize) throws Exception {
@@ -62,6 +65,10 @@
 
   /** Answers one request on each connection and ends it, by a reset if asked to. */
   private void serve(String answer, boolean reset) {
+    serve(() -> answer, reset);
+  }
+
+  private void serve(Supplier<String> answer, boolean reset) {
     Thread t =
         new Thread(
             () -> {
@@ -71,7 +78,7 @@
                     connections.incrementAndGet();
                     s.getInputStream().read(new byte[4_096]);
                     OutputStream out = s.getOutputStream();
-                    out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    out.write(answer.get().getBytes(StandardCharsets.ISO_8859_1));
                     out.flush();
                     if (reset) {
                       // The client reads what was written before the reset discards it.
@@ -138,7 +145,7 @@
   }
 
   private StoredAnswer call() throws Exception {
-    return new RatpackServiceClient(controller, unpooled)
+    return serviceClient()
         .call(
             new ServiceRequest(
                 "r",
@@ -175,4 +182,47 @@
     }
     assertEquals("BROKEN", outcome);
   }
+
+  private String callOutcome() throws Exception {
+    try {
+      return "status " + call().status();
+    } catch (ExecutionException e) {
+      return ((BackendFailure) e.getCause()).kind().name();
+    }
+  }
+
+  /** Guards against an empty success for an answer whose head broke off. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"Content-Length: 9\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n", "\r\n"})
+  void answerWhoseHeadBreaksOffIsNotComplete(String framing) throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nEbonypond-Boot: b\r\n" + framing;
+    serveGrowingPartsOf(head);
+    for (int bytes = 1; bytes < head.length(); bytes++) {
+      assertEquals("BROKEN", callOutcome(), bytes + " bytes");
+    }
+  }
+
+  /** Guards against a complete stream without any chunk for a head that broke off. */
+  @ParameterizedTest
+  @ValueSource(strings = {"Transfer-Encoding: chunked\r\n\r\n", "\r\n"})
+  void streamWhoseHeadBreaksOffIsNotComplete(String framing) throws Exception {
+    String head =
+        "HTTP/1.1 200 OK\r\nEbonypond-Boot: b\r\nContent-Type: text/event-stream\r\n" + framing;
+    serveGrowingPartsOf(head);
+    for (int bytes = 1; bytes < head.length(); bytes++) {
+      assertEquals("BROKEN 0", streamOutcome(), bytes + " bytes");
+    }
+  }
+
+  /** Answers on each connection with one byte more than on the one before, and closes it. */
+  private void serveGrowingPartsOf(String head) {
+    serve(() -> head.substring(0, connections.get()), false);
+  }
+
+  private ServiceClient serviceClient() {
+    EventLoop loop = controller.getEventLoopGroup().next();
+    TimerService timers = new EventLoopTimerService(loop);
+    return new HttpServiceClient(loop, new BackendPool(loop, timers, 1_000), timers, 1 << 20);
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -37,9 +38,10 @@
 import org.ebonypond.routing.RoutingPolicy;
 import org.ebonypond.routing.RoutingTable;
 import org.ebonypond.server.backend.CacheEventPoller;
+import org.ebonypond.server.backend.HttpServiceClient;
 import org.ebonypond.server.backend.RatpackEngineAdmin;
 import org.ebonypond.server.backend.RatpackEngineClient;
-import org.ebonypond.server.backend.RatpackServiceClient;
+import org.ebonypond.server.backend.ServiceClient;
 import org.ebonypond.server.control.AnnouncementRelay;
 import org.ebonypond.server.control.ControlLeader;
 import org.ebonypond.server.control.EntryInfo;
@@ -57,6 +59,7 @@
 import org.ebonypond.server.entry.ShareClient;
 import org.ebonypond.server.events.EventLog;
 import org.ebonypond.server.http.EntryHandlers;
+import org.ebonypond.server.http1.BackendPool;
 import org.ebonypond.server.replica.ReplicaService;
 import org.ebonypond.server.settings.DaemonSettings;
 import org.ebonypond.server.timer.ScheduledTimerService;
@@ -78,6 +81,10 @@
   private static final int EVENT_CAPACITY = 20_000;
   private static final int MAX_BODY_BYTES = 16 << 20;
   private static final int IO_THREADS = 4;
+
+  /** Backend servers are a few milliseconds away; a slower attempt has lost its packets. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
   private static final int POOLED_CONNECTIONS = 64;
   private static final long ROUTER_TICK_MILLIS = 1_000;
   private static final long RELEASE_CALLS_TIMEOUT_MILLIS = 10_000;
@@ -178,7 +185,7 @@
         new EntryHandlers(
             parts,
             new RatpackEngineClient(controller, unpooled),
-            new RatpackServiceClient(controller, unpooled),
+            serviceClient(controller.getEventLoopGroup().next()),
             new RetryPolicy(budget, rates),
             ledger,
             relay,
@@ -269,6 +276,11 @@
     }
   }
 
+  private ServiceClient serviceClient(EventLoop loop) {
+    BackendPool pool = new BackendPool(loop, timers, CONNECT_TIMEOUT_MILLIS);
+    return new HttpServiceClient(loop, pool, timers, MAX_BODY_BYTES);
+  }
+
   private static HttpClient client(ExecController controller, int poolSize) {
     try {
       return HttpClient.of(
@@ -276,7 +288,7 @@
               c.execController(controller)
                   .poolSize(poolSize)
                   .maxContentLength(MAX_BODY_BYTES)
-                  .connectTimeout(Duration.ofSeconds(1)));
+                  .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS)));
     } catch (Exception e) {
       throw new IllegalStateException("the HTTP client could not be created", e);
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/storage/FileDisk.java
@@ -52,7 +52,7 @@
     }
     Path parent = folder.toAbsolutePath().getParent();
     if (parent != null) {
-      syncFolder(parent);
+      syncDirectory(parent);
     }
   }
 
@@ -91,7 +91,7 @@
 
   @Override
   public void syncFolder() throws IOException {
-    syncFolder(folder);
+    syncDirectory(folder);
   }
 
   @Override
@@ -179,7 +179,7 @@
     }
   }
 
-  private static void syncFolder(Path path) throws IOException {
+  private static void syncDirectory(Path path) throws IOException {
     try (FileChannel c = FileChannel.open(path, READ)) {
       c.force(true);
     }
