--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -244,7 +244,7 @@
    * configuration.
    */
   @Test
-  void pollsAreAnsweredWhileAConfigurationIsDecoded() throws Exception {
+  void pollsAreAnsweredWhileConfigurationIsDecoded() throws Exception {
     TestReplica s = start();
     await(() -> s.decodings.get() == 1);
     s.decoding.acquire();
