--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -41,6 +41,7 @@
   private long version;
   private long receivedVersion;
   private String configSource = "";
+  private long firstConfigAt;
   private long replacedVersion;
   private long replacedAt;
   private long zonesIndex = -1;
@@ -99,7 +100,11 @@
     if (s.version() > receivedVersion) {
       long startedNanos = System.nanoTime();
       try {
-        config = source.decode(s.document());
+        ServingConfig decoded = source.decode(s.document());
+        if (config == null) {
+          firstConfigAt = now;
+        }
+        config = decoded;
         version = s.version();
         receivedVersion = s.version();
         configSource = replica;
@@ -210,6 +215,15 @@
     return replacedVersion == 0 ? 0 : now - replacedAt;
   }
 
+  /**
+   * Returns for how long this process has had a configuration although no replica has told it yet
+   * which version is the newest, in milliseconds; 0 once one has. A replica that has just started
+   * or is cut off sends what it has on its disk, of any age.
+   */
+  public long neverConfirmedMillis(long now) {
+    return config == null || newestVersion.version() > 0 ? 0 : now - firstConfigAt;
+  }
+
   /** Returns the log index of the zones out of service; -1 if they are not known. */
   public long zonesIndex() {
     return zonesIndex;
