--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -20,7 +21,9 @@
 import java.net.SocketException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.junit.ByteMutator;
@@ -107,6 +110,74 @@
     }
   }
 
+  /** Forwards connections to an address and counts them. */
+  private static void forward(ServerSocket from, InetSocketAddress to, AtomicInteger connections) {
+    startDaemon(
+        () -> {
+          while (true) {
+            Socket in = from.accept();
+            connections.incrementAndGet();
+            Socket out = new Socket(to.getAddress(), to.getPort());
+            startDaemon(() -> in.getInputStream().transferTo(out.getOutputStream()));
+            startDaemon(() -> out.getInputStream().transferTo(in.getOutputStream()));
+          }
+        });
+  }
+
+  private interface Task {
+    void run() throws IOException;
+  }
+
+  private static void startDaemon(Task task) {
+    Thread t =
+        new Thread(
+            () -> {
+              try {
+                task.run();
+              } catch (IOException e) {
+                // The socket was closed at the end of the test.
+                return;
+              }
+            });
+    t.setDaemon(true);
+    t.start();
+  }
+
+  /**
+   * Guards against closing the connection to a replica that is slow to answer a poll, and losing
+   * the messages of the log on it.
+   */
+  @Test
+  void connectionOfBusyPeerIsKept() throws Exception {
+    InetSocketAddress at = freeAddress();
+    AtomicInteger connections = new AtomicInteger();
+    try (PeerNetwork peer = network("peer");
+        ServerSocket proxy = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+      Semaphore received = new Semaphore(0);
+      peer.handle(
+          FrameType.PROPOSE,
+          f -> {
+            received.release();
+            return new CompletableFuture<>();
+          });
+      peer.listen(at);
+      forward(proxy, at, connections);
+      InetSocketAddress via = (InetSocketAddress) proxy.getLocalSocketAddress();
+      for (int i = 0; i < 3; i++) {
+        final long before = client.receivedBytes();
+        final CompletableFuture<byte[]> answer = ask(via);
+        assertTrue(received.tryAcquire(5, TimeUnit.SECONDS), "request " + i + " was lost");
+        timers.advance(500);
+        for (int n = 0; n < 500 && client.receivedBytes() == before; n++) {
+          TimeUnit.MILLISECONDS.sleep(10);
+        }
+        timers.advance(500);
+        assertThrows(CompletionException.class, answer::join);
+      }
+      assertEquals(1, connections.get());
+    }
+  }
+
   /**
    * Guards against a large answer that never arrives because its connection is closed at the
    * timeout and the next request transfers it again from the start.
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameType.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameType.java
@@ -22,5 +22,7 @@
   /** The answer of a process that failed to handle the frame. */
   FAILURE,
   /** Requests changes of the serving fleet from a control replica. */
-  FLEET_POLL
+  FLEET_POLL,
+  /** Requests an empty answer from the event loop of the peer, whatever else it has to do. */
+  PING
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -42,6 +42,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(PeerNetwork.class);
   private static final int MAX_FRAME_BYTES = 16 << 20;
   private static final int LENGTH_BYTES = 4;
+  private static final byte[] NO_PAYLOAD = {};
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   /** Number of times that a timeout is extended while bytes of the answer keep arriving. */
@@ -115,6 +116,7 @@
     PendingRequest request = new PendingRequest(to, timers.nowMillis(), timeoutMillis);
     pendingRequests.put(correlation, request);
     request.timeout = timers.after(timeoutMillis, () -> onTimeout(correlation, request));
+    request.ping = timers.after(timeoutMillis / 2, () -> pingIfSilent(to, request.sentAt));
     ChannelFuture f = write(to, frame(type, channel, correlation, payload));
     f.addListener(
         done -> {
@@ -199,16 +201,28 @@
     return p;
   }
 
+  /**
+   * Pings a peer that has sent no frame on a connection since a request was sent: it may be busy
+   * with the request or others while the connection is sound.
+   */
+  private void pingIfSilent(InetSocketAddress to, long sentAt) {
+    ChannelFuture f = outgoing.get(to);
+    if (f != null && isSilent(f, sentAt)) {
+      writeTo(f.channel(), frame(FrameType.PING, "", 0, NO_PAYLOAD));
+    }
+  }
+
+  private static boolean isSilent(ChannelFuture f, long sentAt) {
+    return f.isDone() && lastReceivedMillis(f, LAST_FRAME) < sentAt;
+  }
+
   /**
    * Closes a connection on which no frame arrived since a request was sent; the next frame opens a
    * new one. A connection can stop delivering without a reset while new connections work.
    */
   private void closeIfSilent(InetSocketAddress to, long sentAt) {
     ChannelFuture f = outgoing.get(to);
-    if (f == null) {
-      return;
-    }
-    if (f.isDone() && lastReceivedMillis(f, LAST_FRAME) < sentAt) {
+    if (f != null && isSilent(f, sentAt)) {
       LOG.atInfo().addKeyValue("peer", to).log("silent connection closed");
       f.channel().close();
     }
@@ -259,7 +273,7 @@
   private void fail(long correlation, String reason) {
     PendingRequest request = pendingRequests.remove(correlation);
     if (request != null) {
-      request.cancelTimeout();
+      request.cancelTimers();
       request.answer.completeExceptionally(
           new EbonypondException(new RuntimeException(reason), ErrorCode.NO_QUORUM));
     }
@@ -271,6 +285,10 @@
       onAnswer(f);
       return;
     }
+    if (f.type() == FrameType.PING) {
+      c.writeAndFlush(frame(FrameType.ANSWER, "", 0, NO_PAYLOAD));
+      return;
+    }
     FrameHandler h = handlers.get(f.type());
     CompletableFuture<byte[]> result =
         h == null
@@ -298,7 +316,7 @@
     }
     PendingRequest request = pendingRequests.remove(f.correlation());
     if (request != null) {
-      request.cancelTimeout();
+      request.cancelTimers();
       request.answer.complete(f.payload());
     }
   }
@@ -309,6 +327,7 @@
     final long sentAt;
     final long timeoutMillis;
     private TimerService.@Nullable Subscription timeout;
+    private TimerService.@Nullable Subscription ping;
     private int extensions;
 
     PendingRequest(InetSocketAddress to, long sentAt, long timeoutMillis) {
@@ -317,10 +336,14 @@
       this.timeoutMillis = timeoutMillis;
     }
 
-    void cancelTimeout() {
-      TimerService.Subscription t = timeout;
-      if (t != null) {
-        t.cancel();
+    void cancelTimers() {
+      cancel(timeout);
+      cancel(ping);
+    }
+
+    private static void cancel(TimerService.@Nullable Subscription s) {
+      if (s != null) {
+        s.cancel();
       }
     }
   }
