--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -126,7 +126,7 @@
     String reason = "unconfirmed-configuration";
     if (forwarder.view().config() == null) {
       reason = "no-configuration";
-    } else if (isReplaced() || isOfUnknownAge()) {
+    } else if (isReplaced()) {
       reason = "replaced-configuration";
     }
     refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
