Reserve a share of the log for lines on what a process believes

Operators who followed a refusal back to the configuration that had decided it did not always find the line that says since when that configuration was in force. All lines below a warning share one limit per second and one queue, so lines on single requests and instances can push out the few that they are read against.

Such a line takes from the common limit first and from a reserved one after that, 50 a second, and may wait in 100 places of the queue that other lines do not take. The line on dropped lines counts them by kind.

The tests failed before:

stateLinesAreWrittenBeyondTheRateOfOtherLines: warning {"message":"log lines dropped","count":2} ==> expected: <true> stateLinesWaitBeyondTheQueueOfOtherLines: first, warning 0 to 49, {"message":"log lines dropped","count":51} ==> expected: <true>

stateLinesAreBoundedAndCountedApart shows that the reserved share has an end as well.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -32,6 +32,7 @@
 import org.ebonypond.fleet.WeightLoadLimiter;
 import org.ebonypond.server.control.ProposalClient;
 import org.ebonypond.server.control.ProposalReply;
+import org.ebonypond.server.logging.LogMarkers;
 import org.ebonypond.server.replica.ReplicaStatus;
 import org.ebonypond.server.storage.FileLogStorage;
 import org.ebonypond.server.transport.Frame;
@@ -549,6 +550,7 @@
     if (version != loggedVersion) {
       loggedVersion = version;
       LOG.atInfo()
+          .addMarker(LogMarkers.STATE)
           .addKeyValue("version", version)
           .addKeyValue("applied", status().appliedIndex())
           .addKeyValue(
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -12,6 +12,7 @@
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
 import org.ebonypond.fleet.NewestVersion;
+import org.ebonypond.server.logging.LogMarkers;
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.serving.ServingConfig;
 import org.ebonypond.serving.ServingState;
@@ -109,6 +110,7 @@
         receivedVersion = s.version();
         configSource = replica;
         LOG.atInfo()
+            .addMarker(LogMarkers.STATE)
             .addKeyValue("version", version)
             .addKeyValue("replica", replica)
             .addKeyValue(
@@ -131,6 +133,7 @@
       zonesOut.stream().filter(z -> !s.zonesOut().contains(z)).forEach(z -> restoredAt.put(z, now));
       zonesOut = Set.copyOf(s.zonesOut());
       LOG.atInfo()
+          .addMarker(LogMarkers.STATE)
           .addKeyValue("zones_out", zonesOut)
           .addKeyValue("index", zonesIndex)
           .log("zones out of service");
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
@@ -11,6 +11,7 @@
 import org.ebonypond.consensus.RoleChange;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.server.logging.LogMarkers;
 import org.ebonypond.server.replica.RaftTransport;
 import org.ebonypond.server.replica.ReplicaDriver;
 import org.ebonypond.server.replica.ReplicaListener;
@@ -178,6 +179,7 @@
     @Override
     public void roleChanged(RoleChange c) {
       LOG.atInfo()
+          .addMarker(LogMarkers.STATE)
           .addKeyValue("role", c.role())
           .addKeyValue("term", c.term())
           .addKeyValue("leader", String.valueOf(c.leader()))
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
@@ -1,20 +1,22 @@
 package org.ebonypond.server.logging;
 
-import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.UnsynchronizedAppenderBase;
 import ch.qos.logback.core.encoder.Encoder;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
  * Writes log lines on a thread of its own and never blocks the caller. Lines are dropped if the
  * reader stalls or if more lines are logged in a second than the rate limit allows; the number of
- * dropped lines is logged as soon as there is room. Warnings and errors are exempt from the limit.
+ * dropped lines of each kind is logged as soon as there is room. Warnings and errors are exempt
+ * from the rate limit. Lines marked as {@linkplain LogMarkers#STATE state} have a share of both
+ * limits that no other line takes.
  */
 public final class BoundedAppender extends UnsynchronizedAppenderBase<ILoggingEvent> {
   private static final long BATCH_MILLIS = 100;
@@ -22,26 +24,25 @@
 
   private final Encoder<ILoggingEvent> encoder;
   private final OutputStream out;
-  private final int linesPerSecond;
+  private final LogLimits limits;
+  private final LineBudget budget;
+  private final LineBudget stateBudget;
   private final ArrayBlockingQueue<ILoggingEvent> queue;
-  private final AtomicLong dropped = new AtomicLong();
-  private final AtomicLong currentSecond = new AtomicLong();
-  private final AtomicLong linesInSecond = new AtomicLong();
+  private final AtomicLongArray dropped = new AtomicLongArray(LineKind.values().length);
 
   /**
    * Creates an appender.
    *
    * @param encoder encodes each event as one line
    * @param out receives the lines
-   * @param linesPerSecond the maximum number of lines below WARN per second
-   * @param queueCapacity the number of lines that may wait to be written
    */
-  public BoundedAppender(
-      Encoder<ILoggingEvent> encoder, OutputStream out, int linesPerSecond, int queueCapacity) {
+  public BoundedAppender(Encoder<ILoggingEvent> encoder, OutputStream out, LogLimits limits) {
     this.encoder = encoder;
     this.out = out;
-    this.linesPerSecond = linesPerSecond;
-    this.queue = new ArrayBlockingQueue<>(queueCapacity);
+    this.limits = limits;
+    this.budget = new LineBudget(limits.linesPerSecond());
+    this.stateBudget = new LineBudget(limits.stateLinesPerSecond());
+    this.queue = new ArrayBlockingQueue<>(limits.queuedLines() + limits.queuedStateLines());
   }
 
   @Override
@@ -54,27 +55,37 @@
 
   /** Returns the number of lines dropped since the last report. */
   public long dropped() {
-    return dropped.get();
+    long sum = 0;
+    for (LineKind k : LineKind.values()) {
+      sum += dropped.get(k.ordinal());
+    }
+    return sum;
   }
 
   @Override
   protected void append(ILoggingEvent e) {
-    if (!e.getLevel().isGreaterOrEqual(Level.WARN) && !isWithinRate()) {
-      dropped.incrementAndGet();
+    LineKind k = LineKind.of(e);
+    if (!isWithinRate(k) || !hasRoom(k)) {
+      dropped.incrementAndGet(k.ordinal());
       return;
     }
     e.prepareForDeferredProcessing();
     if (!queue.offer(e)) {
-      dropped.incrementAndGet();
+      dropped.incrementAndGet(k.ordinal());
     }
   }
 
-  private boolean isWithinRate() {
-    long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
-    if (currentSecond.getAndSet(now) != now) {
-      linesInSecond.set(0);
+  private boolean isWithinRate(LineKind k) {
+    if (k == LineKind.WARNING) {
+      return true;
     }
-    return linesInSecond.incrementAndGet() <= linesPerSecond;
+    long now = System.nanoTime();
+    return budget.take(now) || (k == LineKind.STATE && stateBudget.take(now));
+  }
+
+  /** Threads that log at the same time may take a few of the places that are left free here. */
+  private boolean hasRoom(LineKind k) {
+    return k == LineKind.STATE || queue.remainingCapacity() > limits.queuedStateLines();
   }
 
   private void run() {
@@ -99,12 +110,20 @@
       long remaining = deadline - System.nanoTime();
       e = b.size() >= BATCH_BYTES ? null : queue.poll(Math.max(0, remaining), TimeUnit.NANOSECONDS);
     }
-    long unreported = dropped.getAndSet(0);
-    if (unreported > 0) {
-      b.writeBytes(
-          ("{\"message\":\"log lines dropped\",\"count\":" + unreported + "}\n").getBytes());
-    }
+    b.writeBytes(reportOfDropped().getBytes(StandardCharsets.UTF_8));
     out.write(b.toByteArray());
     out.flush();
   }
+
+  /** Returns the line on what was dropped since the last such line; empty if nothing was. */
+  private String reportOfDropped() {
+    long sum = 0;
+    StringBuilder byKind = new StringBuilder();
+    for (LineKind k : LineKind.values()) {
+      long n = dropped.getAndSet(k.ordinal(), 0);
+      sum += n;
+      byKind.append(",\"").append(k.label()).append("\":").append(n);
+    }
+    return sum == 0 ? "" : "{\"message\":\"log lines dropped\",\"count\":" + sum + byKind + "}\n";
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLog.java
@@ -10,8 +10,14 @@
   /** About six lines per request of an entry at three times its usual load. */
   private static final int LINES_PER_SECOND = 400;
 
+  /** The version applied and the answer to the operator for each of 25 changes per second. */
+  private static final int STATE_LINES_PER_SECOND = 50;
+
   private static final int QUEUED_LINES = 2_000;
 
+  /** The state lines of two seconds. */
+  private static final int QUEUED_STATE_LINES = 100;
+
   private JsonLog() {}
 
   /** Configures a logger context that has no appenders yet. */
@@ -26,7 +32,9 @@
     e.setWithArguments(false);
     e.setWithMarkers(false);
     e.start();
-    BoundedAppender a = new BoundedAppender(e, System.out, LINES_PER_SECOND, QUEUED_LINES);
+    LogLimits limits =
+        new LogLimits(LINES_PER_SECOND, STATE_LINES_PER_SECOND, QUEUED_LINES, QUEUED_STATE_LINES);
+    BoundedAppender a = new BoundedAppender(e, System.out, limits);
     a.setContext(c);
     a.start();
     Logger root = c.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
