Number the lines of a process

Whoever collects the log could not tell a line that was lost on the way from one that was never logged, nor how many there were: three entries had no line on a version that their refusals named, and no line said that lines had been dropped.

Each line has the number that Logback gives its event, dropped lines included. A gap without a line "log lines dropped" was lost outside of the process.

JsonLogTest.linesAreNumberedInOrder failed before: the line {"timestamp":...,"level":"INFO","loggerName":"test","message":"first",...} has no sequenceNumber.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/JsonLog.java
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.core.spi.BasicSequenceNumberGenerator;
 
 /** Configures logging of JSON lines to standard output. */
 public final class JsonLog {
@@ -22,11 +23,13 @@
 
   /** Configures a logger context that has no appenders yet. */
   public static void configure(LoggerContext c) {
+    // Tells a line that was lost on the way to the reader from one that was never logged.
+    c.setSequenceNumberGenerator(new BasicSequenceNumberGenerator());
     JsonEncoder e = new JsonEncoder();
     e.setContext(c);
     e.setWithContext(false);
     e.setWithMDC(false);
-    e.setWithSequenceNumber(false);
+    e.setWithSequenceNumber(true);
     e.setWithNanoseconds(false);
     e.setWithThreadName(false);
     e.setWithArguments(false);
