Do not forward a refusal without a backend server's signature

Callers saw: a final 3xx or 4xx without a signature (404, "stamp none", body whole) although their request was proper. They do not repeat it.

Cause: an answer of 2xx had to be signed to be forwarded, one of 3xx or 4xx did not. The address of an instance that is gone may pass to another program, and something in front of an instance may answer for it. Its "no such path" became the answer to the caller, as if the configuration had no route. Such an answer is also recorded as "request answered", so a search for refusals of the entry does not show it.

The answer is now treated like an unsigned success: it does not tell whether the request ran, so a request that may be repeated is sent to another instance, and any other ends with 502. A signed refusal is forwarded as before.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -349,14 +349,20 @@
     }
     boolean invalidSuccess = r.isSuccess() && (r.notRun() || !r.signed());
     boolean undeclaredRefusal = r.impliesNotRun() && !owner.route().idempotent();
+    // The address may have passed to another program, which knows nothing of this request.
+    boolean unsignedRefusal = r.isFinalRefusal() && !r.signed();
     boolean failed = r.status() >= 500 && owner.route().idempotent();
     if (invalidSuccess
         || undeclaredRefusal
+        || unsignedRefusal
         || answer.isStarted()
         || (failed && owner.canTryAnother())) {
       whole.release();
       stats.answeredFailure(now);
       forwarder.metrics().sendFailed(owner.kind(), "status-" + r.status());
+      if (unsignedRefusal) {
+        logFailure(true, "status " + r.status() + " without a signature");
+      }
       owner.onPossiblyRun(invalidSuccess ? "invalid-success" : "failed-" + r.status());
       return;
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/BackendReply.java
@@ -32,6 +32,11 @@
     return status >= 200 && status < 300;
   }
 
+  /** Returns whether a caller concludes from the status that its request is wrong. */
+  public boolean isFinalRefusal() {
+    return status >= 300 && status < 500 && !impliesNotRun();
+  }
+
   /** Returns whether a caller concludes from the status that its request was not run. */
   public boolean impliesNotRun() {
     return status == 408 || status == 421 || status == 429 || status == 503;
