Call engines with the bounded HTTP client of the forwarding path

Interim heads, chunk extensions and trailers without end left the connection open for good. One interim head (100, 103) of a sound engine ended its call with "no event stream, status 102". A completion whose head broke off within the framing of a chunked answer got no outcome for 10 minutes. Orders to engines, reads of their state and polls of cache events had the same client.

The cause is Ratpack's HTTP client: it bounds the body that it collects, but neither the head nor the framing of a body, takes the first head for the answer, and does not report the end of some connections.

BackendHttpClient sends all calls to backend servers through BackendPool, which has these limits: completions (PooledEngineClient), orders and state (HttpEngineAdmin), cache events, cancellations and service calls. Each client of the daemon has an event loop of its own. Ratpack's HTTP client is not used any more.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/EngineErrorTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/EngineErrorTest.java
@@ -7,7 +7,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -15,9 +14,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import ratpack.exec.ExecController;
-import ratpack.exec.internal.DefaultExecController;
-import ratpack.http.client.HttpClient;
 
 /** Answers of an engine that are no stream of chunks, while a caller waits for the next chunk. */
 class EngineErrorTest {
@@ -28,22 +24,18 @@
 
   private static final String EVENTS = "Content-Type: text/event-stream\\r\\n";
 
-  private final ExecController controller = new DefaultExecController(1);
+  private final BackendLoop loop = new BackendLoop();
   private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket server;
-  private HttpClient http;
 
   @BeforeEach
   void start() throws Exception {
     server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
-    http =
-        HttpClient.of(
-            c -> c.execController(controller).poolSize(4).connectTimeout(Duration.ofSeconds(1)));
   }
 
   @AfterEach
   void stop() throws IOException {
-    controller.close();
+    loop.close();
     server.close();
   }
 
@@ -106,7 +98,7 @@
             + "\r\n"
             + unescape(body));
     CompletableFuture<String> outcome = new CompletableFuture<>();
-    new RatpackEngineClient(controller, http)
+    loop.engines()
         .start(
             new EngineRequest("r", "127.0.0.1:" + server.getLocalPort(), "b", "{}", OFFSET, 5),
             new EngineListener() {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/RatpackEngineAdminTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/HttpEngineAdminTest.java
@@ -7,25 +7,15 @@
 import java.util.concurrent.TimeUnit;
 import org.ebonypond.group.EngineState;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import ratpack.exec.ExecController;
-import ratpack.exec.internal.DefaultExecController;
-import ratpack.http.client.HttpClient;
 
-class RatpackEngineAdminTest {
-  private final ExecController controller = new DefaultExecController(1);
-  private RatpackEngineAdmin admin;
-
-  @BeforeEach
-  void create() throws Exception {
-    admin = new RatpackEngineAdmin(controller, HttpClient.of(c -> c.execController(controller)));
-  }
+class HttpEngineAdminTest {
+  private final BackendLoop loop = new BackendLoop();
 
   @AfterEach
   void stop() {
-    controller.close();
+    loop.close();
   }
 
   /**
@@ -43,7 +33,7 @@
         "127.0.0.1:99999999999"
       })
   void malformedAddressFailsOnlyItsOwnCall(String address) {
-    CompletableFuture<EngineState> state = admin.readState(address);
+    CompletableFuture<EngineState> state = loop.admin().readState(address);
     assertThrows(ExecutionException.class, () -> state.get(5, TimeUnit.SECONDS));
   }
 }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/RepeatedAnswerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/RepeatedAnswerTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.netty.channel.EventLoop;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -10,7 +9,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -18,17 +16,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import org.ebonypond.ledger.StoredAnswer;
-import org.ebonypond.server.http1.BackendPool;
-import org.ebonypond.server.timer.EventLoopTimerService;
-import org.ebonypond.time.TimerService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import ratpack.exec.ExecController;
-import ratpack.exec.internal.DefaultExecController;
-import ratpack.http.client.HttpClient;
 
 /**
  * Tests the clients of the product's own interface against a backend server that writes its first
@@ -38,27 +30,18 @@
   private static final String REFUSAL =
       "HTTP/1.1 503 Busy\r\nEbonypond-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
 
-  private final ExecController controller = new DefaultExecController(1);
+  private final BackendLoop loop = new BackendLoop();
   private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket server;
-  private HttpClient http;
 
   @BeforeEach
   void start() throws Exception {
     server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
-    // As in the daemon, a connection is opened for each request.
-    http =
-        HttpClient.of(
-            c ->
-                c.execController(controller)
-                    .poolSize(0)
-                    .connectTimeout(Duration.ofSeconds(1))
-                    .idleTimeout(Duration.ofSeconds(5)));
   }
 
   @AfterEach
   void stop() throws IOException {
-    controller.close();
+    loop.close();
     server.close();
   }
 
@@ -146,7 +129,7 @@
 
   private String callOutcome(String method, String id) throws Exception {
     CompletableFuture<StoredAnswer> answer =
-        serviceClient()
+        loop.services()
             .call(
                 new ServiceRequest(
                     id, address(), "b", method, "/x", List.of(), new byte[0], 5_000));
@@ -184,7 +167,7 @@
 
   private String streamOutcome(String id) throws Exception {
     CompletableFuture<String> outcome = new CompletableFuture<>();
-    new RatpackEngineClient(controller, http)
+    loop.engines()
         .start(
             new EngineRequest(id, address(), "b", "{}", 0, 5),
             new EngineListener() {
@@ -203,10 +186,4 @@
             });
     return outcome.get(20, TimeUnit.SECONDS);
   }
-
-  private ServiceClient serviceClient() {
-    EventLoop loop = controller.getEventLoopGroup().next();
-    TimerService timers = new EventLoopTimerService(loop);
-    return new HttpServiceClient(loop, new BackendPool(loop, timers, 1_000), timers, 1 << 20);
-  }
 }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/UnframedEngineTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/UnframedEngineTest.java
@@ -2,14 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -17,18 +15,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.ebonypond.ledger.StoredAnswer;
-import org.ebonypond.server.http1.BackendPool;
-import org.ebonypond.server.timer.EventLoopTimerService;
-import org.ebonypond.time.TimerService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import ratpack.exec.ExecController;
-import ratpack.exec.internal.DefaultExecController;
-import ratpack.http.client.HttpClient;
 
 /**
  * Tests the clients of the product's own interface against answers that have neither a length nor
@@ -37,29 +29,18 @@
 class UnframedEngineTest {
   private static final String CHUNK = "id: 0\\ndata: {}\\n\\n";
 
-  private final ExecController controller = new DefaultExecController(1);
+  private final BackendLoop loop = new BackendLoop();
   private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket server;
-  private HttpClient http;
 
   @BeforeEach
   void start() throws Exception {
     server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
-    http = client(4);
-  }
-
-  private HttpClient client(int poolSize) throws Exception {
-    return HttpClient.of(
-        c ->
-            c.execController(controller)
-                .poolSize(poolSize)
-                .connectTimeout(Duration.ofSeconds(1))
-                .idleTimeout(Duration.ofSeconds(5)));
   }
 
   @AfterEach
   void stop() throws IOException {
-    controller.close();
+    loop.close();
     server.close();
   }
 
@@ -99,7 +80,7 @@
   private String streamOutcome() throws Exception {
     CompletableFuture<String> outcome = new CompletableFuture<>();
     AtomicInteger chunks = new AtomicInteger();
-    new RatpackEngineClient(controller, http)
+    loop.engines()
         .start(
             new EngineRequest("r", "127.0.0.1:" + server.getLocalPort(), "b", "{}", 0, 5),
             new EngineListener() {
@@ -145,7 +126,7 @@
   }
 
   private StoredAnswer call() throws Exception {
-    return serviceClient()
+    return loop.services()
         .call(
             new ServiceRequest(
                 "r",
@@ -219,10 +200,4 @@
   private void serveGrowingPartsOf(String head) {
     serve(() -> head.substring(0, connections.get()), false);
   }
-
-  private ServiceClient serviceClient() {
-    EventLoop loop = controller.getEventLoopGroup().next();
-    TimerService timers = new EventLoopTimerService(loop);
-    return new HttpServiceClient(loop, new BackendPool(loop, timers, 1_000), timers, 1 << 20);
-  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -3,9 +3,10 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,11 +38,11 @@
 import org.ebonypond.routing.RouterState;
 import org.ebonypond.routing.RoutingPolicy;
 import org.ebonypond.routing.RoutingTable;
+import org.ebonypond.server.backend.BackendHttpClient;
 import org.ebonypond.server.backend.CacheEventPoller;
+import org.ebonypond.server.backend.HttpEngineAdmin;
 import org.ebonypond.server.backend.HttpServiceClient;
-import org.ebonypond.server.backend.RatpackEngineAdmin;
-import org.ebonypond.server.backend.RatpackEngineClient;
-import org.ebonypond.server.backend.ServiceClient;
+import org.ebonypond.server.backend.PooledEngineClient;
 import org.ebonypond.server.control.AnnouncementRelay;
 import org.ebonypond.server.control.ControlLeader;
 import org.ebonypond.server.control.EntryInfo;
@@ -70,9 +71,6 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import ratpack.exec.ExecController;
-import ratpack.exec.internal.DefaultExecController;
-import ratpack.http.client.HttpClient;
 import ratpack.server.RatpackServer;
 
 /** A daemon: an entry, and also a control replica if its settings name a data folder. */
@@ -85,7 +83,9 @@
   /** Backend servers are a few milliseconds away; a slower attempt has lost its packets. */
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
-  private static final int POOLED_CONNECTIONS = 64;
+  /** One for each client of backend servers: completions, service calls and control. */
+  private static final int BACKEND_THREADS = 3;
+
   private static final long ROUTER_TICK_MILLIS = 1_000;
   private static final long RELEASE_CALLS_TIMEOUT_MILLIS = 10_000;
 
@@ -97,6 +97,9 @@
   private final ExecutorService leaderThread =
       Executors.newSingleThreadExecutor(daemonThreads("control-leader"));
   private final TimerService timers = new ScheduledTimerService(timerThreads);
+  private final EventLoopGroup backendLoops =
+      new NioEventLoopGroup(BACKEND_THREADS, daemonThreads("backend"));
+  private final BackendHttpClient controlClient = backendClient();
   private final HybridClock clock = new HybridClock(System::currentTimeMillis);
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final EventLog events;
@@ -155,9 +158,6 @@
   public void start() {
     follower.onView(this::onControlView);
     follower.onDigest(this::onLeaderDigest);
-    ExecController controller = new DefaultExecController(IO_THREADS);
-    final HttpClient pooled = client(controller, POOLED_CONNECTIONS);
-    HttpClient unpooled = client(controller, 0);
     ProposalClient proposals = new ProposalClient(network, timers, settings.replicas());
     LedgerClient ledger =
         new LedgerClient(proposals, network, settings.replicas(), settings.ledgerShards());
@@ -166,7 +166,7 @@
             settings.node(), holder.incarnation(), System::currentTimeMillis, ledger);
     incarnation = ownIncarnation;
     if (settings.isReplica()) {
-      startReplica(controller, unpooled, ledger);
+      startReplica(ledger);
     }
     network.listen(settings.peer());
     follower.start();
@@ -176,7 +176,7 @@
     AnnouncementRelay relay =
         new AnnouncementRelay(network, timers, settings.replicas(), follower::leader);
     relay.start();
-    new CacheEventPoller(controller, pooled, timers, router, routing.prefixes()).start();
+    new CacheEventPoller(controlClient, timers, router, routing.prefixes()).start();
     ownIncarnation.announce();
     EntryParts parts =
         new EntryParts(timers, events, follower, gate, routing, budget, tracker, metrics);
@@ -184,8 +184,8 @@
     startHttp(
         new EntryHandlers(
             parts,
-            new RatpackEngineClient(controller, unpooled),
-            serviceClient(controller.getEventLoopGroup().next()),
+            new PooledEngineClient(backendClient()),
+            new HttpServiceClient(backendClient(), MAX_BODY_BYTES),
             new RetryPolicy(budget, rates),
             ledger,
             relay,
@@ -229,7 +229,7 @@
     return file;
   }
 
-  private void startReplica(ExecController controller, HttpClient client, LedgerClient ledger) {
+  private void startReplica(LedgerClient ledger) {
     ReplicaService r =
         new ReplicaService(
             settings, network, timers, events, new SecureRandom(), this::stopOnFailure);
@@ -240,7 +240,7 @@
             r,
             timers,
             leaderThread,
-            new RatpackEngineAdmin(controller, client),
+            new HttpEngineAdmin(controlClient),
             PluginRegistry.load(PlacementPolicy.class).get(settings.placementPolicy()),
             events,
             directory,
@@ -276,22 +276,11 @@
     }
   }
 
-  private ServiceClient serviceClient(EventLoop loop) {
+  /** Returns a client with an event loop and connections of its own. */
+  private BackendHttpClient backendClient() {
+    EventLoop loop = backendLoops.next();
     BackendPool pool = new BackendPool(loop, timers, CONNECT_TIMEOUT_MILLIS);
-    return new HttpServiceClient(loop, pool, timers, MAX_BODY_BYTES);
-  }
-
-  private static HttpClient client(ExecController controller, int poolSize) {
-    try {
-      return HttpClient.of(
-          c ->
-              c.execController(controller)
-                  .poolSize(poolSize)
-                  .maxContentLength(MAX_BODY_BYTES)
-                  .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS)));
-    } catch (Exception e) {
-      throw new IllegalStateException("the HTTP client could not be created", e);
-    }
+    return new BackendHttpClient(loop, pool, timers);
   }
 
   private void onControlView(ControlView view) {
@@ -381,6 +370,7 @@
               }
               network.close();
               timerThreads.shutdown();
+              backendLoops.shutdownGracefully();
               leaderThread.shutdown();
               TraceFile t = trace;
               if (t != null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/CacheEventPoller.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/CacheEventPoller.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.net.URI;
-import java.time.Duration;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.ebonypond.routing.CacheEvent;
@@ -14,8 +16,6 @@
 import org.ebonypond.time.TimerService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import ratpack.exec.ExecController;
-import ratpack.http.client.HttpClient;
 
 /**
  * Polls the prefix cache events of the engines that this entry prefers. The events are only hints
@@ -24,12 +24,17 @@
 public final class CacheEventPoller {
   private static final Logger LOG = LoggerFactory.getLogger(CacheEventPoller.class);
   private static final long POLL_MILLIS = 500;
-  private static final Duration TIMEOUT = Duration.ofMillis(400);
+
+  /** Less than the interval, so that polls of an engine do not overlap; in milliseconds. */
+  private static final long TIMEOUT_MILLIS = 400;
+
+  /** Some 50,000 events of 80 bytes, in bytes; a larger answer fails the poll. */
+  private static final int MAX_ANSWER_BYTES = 4 << 20;
+
   private static final int HEX_RADIX = 16;
 
   private final ObjectMapper json = new ObjectMapper();
-  private final ExecController controller;
-  private final HttpClient client;
+  private final BackendHttpClient client;
   private final TimerService timers;
   private final Router router;
   private final PrefixIndex prefixes;
@@ -37,19 +42,13 @@
   /**
    * Creates a poller.
    *
-   * @param controller runs the HTTP calls
-   * @param client the HTTP client
+   * @param client sends the polls
    * @param timers schedules the polls
    * @param router receives the events
    * @param prefixes holds the sequence number of the last event read from each engine
    */
   public CacheEventPoller(
-      ExecController controller,
-      HttpClient client,
-      TimerService timers,
-      Router router,
-      PrefixIndex prefixes) {
-    this.controller = controller;
+      BackendHttpClient client, TimerService timers, Router router, PrefixIndex prefixes) {
     this.client = client;
     this.timers = timers;
     this.router = router;
@@ -67,17 +66,24 @@
 
   private void read(Target t) {
     long after = prefixes.lastSeq(t);
-    controller
-        .fork()
-        .onError(e -> LOG.debug("cache events of {} could not be read", t.instance(), e))
-        .start(
-            e ->
-                client
-                    .request(
-                        URI.create(
-                            "http://" + t.address() + "/control/cache-events?after=" + after),
-                        s -> s.connectTimeout(TIMEOUT).readTimeout(TIMEOUT))
-                    .then(r -> onEvents(t, json.readTree(r.getBody().getText()))));
+    String path = "/control/cache-events?after=" + after;
+    HttpRequest head = BackendHttpClient.request(HttpMethod.GET.name(), t.address(), path);
+    client
+        .call(t.address(), head, new byte[0], TIMEOUT_MILLIS, MAX_ANSWER_BYTES)
+        .thenAccept(a -> onAnswer(t, a))
+        .exceptionally(
+            e -> {
+              LOG.debug("cache events of {} could not be read", t.instance(), e);
+              return null;
+            });
+  }
+
+  private void onAnswer(Target t, BackendAnswer a) {
+    try {
+      onEvents(t, json.readTree(a.body()));
+    } catch (IOException e) {
+      throw new UncheckedIOException("the answer of the engine is not JSON", e);
+    }
   }
 
   private void onEvents(Target t, JsonNode n) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/RatpackEngineAdmin.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/HttpEngineAdmin.java
@@ -4,8 +4,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.net.URI;
-import java.time.Duration;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -15,36 +18,32 @@
 import org.ebonypond.group.EngineOrder;
 import org.ebonypond.group.EngineState;
 import org.ebonypond.group.EngineStatus;
-import ratpack.exec.ExecController;
-import ratpack.func.Action;
-import ratpack.http.client.HttpClient;
-import ratpack.http.client.RequestSpec;
 
 /** Implementation of {@link EngineAdmin} over HTTP. */
-public final class RatpackEngineAdmin implements EngineAdmin {
-  // The sum of the two timeouts is below the order timeout of 2 s.
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-  private static final Duration READ_TIMEOUT = Duration.ofMillis(1_400);
+public final class HttpEngineAdmin implements EngineAdmin {
+  /** Below the order timeout of 2 s, in milliseconds; includes the time to connect. */
+  private static final long TIMEOUT_MILLIS = 1_900;
+
+  /** The state of an engine names the members of one group and takes less than 1 KiB for each. */
+  private static final int MAX_ANSWER_BYTES = 1 << 20;
+
   private static final int OK = 200;
 
   private final ObjectMapper json = new ObjectMapper();
-  private final ExecController controller;
-  private final HttpClient client;
+  private final BackendHttpClient client;
 
   /**
    * Creates a client.
    *
-   * @param controller runs the HTTP calls
-   * @param client the HTTP client
+   * @param client sends the requests
    */
-  public RatpackEngineAdmin(ExecController controller, HttpClient client) {
-    this.controller = controller;
+  public HttpEngineAdmin(BackendHttpClient client) {
     this.client = client;
   }
 
   @Override
   public CompletableFuture<EngineState> readState(String address) {
-    return call(address, "/control/state", s -> s.get()).thenApply(RatpackEngineAdmin::state);
+    return call(HttpMethod.GET, address, "/control/state", "").thenApply(HttpEngineAdmin::state);
   }
 
   @Override
@@ -58,40 +57,34 @@
     n.put("group", order.group());
     n.put("rank", order.rank());
     n.set("members", json.valueToTree(order.members()));
-    String body = n.toString();
-    return call(
-            address,
-            "/control/orders",
-            s -> s.post().body(b -> b.type("application/json").text(body)))
-        .thenApply(r -> null);
+    return call(HttpMethod.POST, address, "/control/orders", n.toString()).thenApply(r -> null);
   }
 
   private CompletableFuture<JsonNode> call(
-      String address, String path, Action<? super RequestSpec> action) {
-    CompletableFuture<JsonNode> out = new CompletableFuture<>();
-    controller
-        .fork()
-        .onError(out::completeExceptionally)
-        .start(
-            e ->
-                client
-                    .request(
-                        // Here, a malformed address fails this call and not its caller.
-                        URI.create("http://" + address + path),
-                        s -> {
-                          s.connectTimeout(CONNECT_TIMEOUT).readTimeout(READ_TIMEOUT);
-                          action.execute(s);
-                        })
-                    .then(
-                        r -> {
-                          if (r.getStatusCode() == OK) {
-                            out.complete(parse(r.getBody().getText()));
-                          } else {
-                            out.completeExceptionally(
-                                failed(path + " returned status " + r.getStatusCode()));
-                          }
-                        }));
-    return out;
+      HttpMethod method, String address, String path, String body) {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    HttpRequest head;
+    try {
+      head = BackendHttpClient.request(method.name(), address, path);
+    } catch (IllegalArgumentException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+    // An order must not be lost with a connection that the engine has just closed.
+    head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (bytes.length > 0) {
+      head.headers()
+          .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+          .set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    }
+    return client
+        .call(address, head, bytes, TIMEOUT_MILLIS, MAX_ANSWER_BYTES)
+        .thenApply(
+            a -> {
+              if (a.status() != OK) {
+                throw failed(path + " returned status " + a.status());
+              }
+              return parse(new String(a.body(), StandardCharsets.UTF_8));
+            });
   }
 
   private JsonNode parse(String text) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AnnounceHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/AnnounceHandler.java
@@ -11,7 +11,7 @@
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.group.EngineStatus;
 import org.ebonypond.group.InstanceAnnouncement;
-import org.ebonypond.server.backend.RatpackEngineAdmin;
+import org.ebonypond.server.backend.HttpEngineAdmin;
 import org.ebonypond.server.control.AnnouncementRelay;
 import org.ebonypond.server.control.InstanceReport;
 import org.ebonypond.server.control.ReportedLoad;
@@ -58,7 +58,7 @@
    */
   InstanceReport.Item read(JsonNode n) {
     boolean engine = required(n, "kind").equals("engine");
-    final EngineStatus status = RatpackEngineAdmin.status(required(n, "status"));
+    final EngineStatus status = HttpEngineAdmin.status(required(n, "status"));
     final String instance = required(n, "instance");
     final String boot = required(n, "boot");
     JsonNode load = n.path("load");
