Tell callers to come back if the limit of headers was raised meanwhile

Callers saw: a final 431 for a request that the newest configuration allows, on a connection that was opened before the limit on headers was raised above 64 KiB.

Cause: the limit of a connection's decoder is fixed when the connection is accepted, at 64 KiB or the limit of that moment. A longer head was refused for good if the limits in force were known to be the newest, although they were not the ones that had decided. Headers in trailers that are too long got 400.

If the limit in force is above that of the decoder, the request is now refused with 503 and the connection closed; it was not run, and a new connection accepts it. Trailers are treated like headers.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -56,6 +56,7 @@
   private final SocketChannel channel;
   private final HttpService service;
   private final LimitSource limits;
+  private final int decodedHeaderBytes;
   private final TimerService timers;
   private final BooleanSupplier draining;
   private final Deque<Exchange> waiting = new ArrayDeque<>();
@@ -69,15 +70,23 @@
 
   private long lastActive;
 
+  /**
+   * Creates a connection.
+   *
+   * @param limits supplies the limits in force, which may change while the connection is open
+   * @param decodedHeaderBytes the limit of this connection's decoder, which does not change
+   */
   HttpConnection(
       SocketChannel channel,
       HttpService service,
       LimitSource limits,
+      int decodedHeaderBytes,
       TimerService timers,
       BooleanSupplier draining) {
     this.channel = channel;
     this.service = service;
     this.limits = limits;
+    this.decodedHeaderBytes = decodedHeaderBytes;
     this.timers = timers;
     this.draining = draining;
     this.lastActive = timers.nowMillis();
@@ -103,13 +112,12 @@
 
   private void beginRequest(HttpRequest r) {
     Throwable failure = r.decoderResult().cause();
-    if (failure instanceof TooLongFrameException
-        || headerBytes(r) > limits.limits().maxHeaderBytes()) {
-      refuseTooLarge(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+    if (failure != null) {
+      refuseUndecoded(failure);
       return;
     }
-    if (failure != null) {
-      refuse(HttpResponseStatus.BAD_REQUEST);
+    if (headerBytes(r) > limits.limits().maxHeaderBytes()) {
+      refuseTooLarge(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, limits.areFinal());
       return;
     }
     boolean conflictingLengths =
@@ -122,7 +130,7 @@
       return;
     }
     if (HttpUtil.getContentLength(r, 0L) > limits.limits().maxBodyBytes()) {
-      refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, limits.areFinal());
       return;
     }
     if (HttpUtil.is100ContinueExpected(r)) {
@@ -140,11 +148,11 @@
       return;
     }
     if (c.decoderResult().isFailure()) {
-      refuse(HttpResponseStatus.BAD_REQUEST);
+      refuseUndecoded(c.decoderResult().cause());
       return;
     }
     if (b.readableBytes() + c.content().readableBytes() > limits.limits().maxBodyBytes()) {
-      refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, limits.areFinal());
       return;
     }
     b.writeBytes(c.content());
@@ -190,15 +198,25 @@
     return size;
   }
 
-  private void refuseTooLarge(HttpResponseStatus status) {
-    boolean isFinal = limits.areFinal();
+  private void refuseUndecoded(Throwable failure) {
+    if (failure instanceof TooLongFrameException) {
+      // If the limit was raised since, a new connection accepts the request.
+      boolean raised = decodedHeaderBytes < limits.limits().maxHeaderBytes();
+      refuseTooLarge(
+          HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, !raised && limits.areFinal());
+    } else {
+      refuse(HttpResponseStatus.BAD_REQUEST);
+    }
+  }
+
+  private void refuseTooLarge(HttpResponseStatus status, boolean isFinal) {
     ClientLimits l = limits.limits();
     LOG.atInfo()
         .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
         .addKeyValue("status", status.code())
         .addKeyValue("max_header_bytes", l.maxHeaderBytes())
         .addKeyValue("max_body_bytes", l.maxBodyBytes())
-        .addKeyValue("confirmed", isFinal)
+        .addKeyValue("final", isFinal)
         .log("request over the limits");
     refuse(isFinal ? status : HttpResponseStatus.SERVICE_UNAVAILABLE);
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -95,12 +95,13 @@
   }
 
   private void accept(SocketChannel c) {
-    ClientLimits l = limits.limits();
+    int maxHeaderBytes = Math.max(MAX_HEADER_BYTES, limits.limits().maxHeaderBytes());
     HttpDecoderConfig config =
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(Math.max(MAX_HEADER_BYTES, l.maxHeaderBytes()))
-            .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, l.maxHeaderBytes()));
-    HttpConnection h = new HttpConnection(c, service, limits, timers, () -> draining);
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setMaxHeaderSize(maxHeaderBytes);
+    HttpConnection h =
+        new HttpConnection(c, service, limits, maxHeaderBytes, timers, () -> draining);
     c.pipeline().addLast(new HttpServerCodec(config)).addLast(h);
     connections.add(h);
     c.closeFuture().addListener(f -> connections.remove(h));
