Refuse nothing for good by default limits

Callers saw: a final 413 or 431 by an entry that had no configuration yet.

Cause: a replica that is up to date and has no configuration tells version 0 as the newest one. The default limits, by which an entry without a configuration decides, then counted as those of the newest configuration.

Evidence: UnconfirmedLimitsTest.defaultLimitsRefuseNothingForGood, before: HTTP/1.1 413 Request Entity Too Large Only before the first configuration of a deployment.

Limits are now final only if they are those of a configuration.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ViewLimits.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ViewLimits.java
@@ -31,6 +31,8 @@
 
   @Override
   public boolean areFinal() {
-    return view.confirmedAt() >= timers.nowMillis() - configAges.confirmedMillis();
+    // The newest version may be that there is none yet; the default limits are final for nobody.
+    return view.config() != null
+        && view.confirmedAt() >= timers.nowMillis() - configAges.confirmedMillis();
   }
 }
