Write bursts of log lines as whole lines in short writes

The appender wrote all lines of 100 ms, up to 32 KB, in one write.

Each write now ends with a whole line and has at most the 4096 bytes that POSIX guarantees to write to a pipe in one piece. A longer line is written alone.

BoundedAppenderTest.burstIsWrittenAsWholeLinesInShortWrites failed before: "a write of 18037 bytes".

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/logging/BoundedAppenderTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/logging/BoundedAppenderTest.java
@@ -13,6 +13,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -23,6 +25,9 @@
   private static final int STATE_LINES_PER_SECOND = 5;
   private static final int QUEUED_STATE_LINES = 10;
 
+  /** POSIX writes as many bytes to a pipe at once, or none of them. */
+  private static final int PIPE_BUFFER_BYTES = 4096;
+
   private final LoggerContext context = new LoggerContext();
 
   private static final class PlainEncoder extends EncoderBase<ILoggingEvent> {
@@ -173,4 +178,35 @@
     String lines = out.written.toString(StandardCharsets.UTF_8);
     assertTrue(lines.contains("\"count\":8,\"state\":7,\"warning\":1,\"other\":0"), lines);
   }
+
+  /** Guards against lines of a burst that are lost where the reader keeps a part of a long write. */
+  @Test
+  @Timeout(10)
+  void burstIsWrittenAsWholeLinesInShortWrites() {
+    List<String> writes = new CopyOnWriteArrayList<>();
+    OutputStream out =
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            throw new IllegalStateException("lines are written one byte at a time");
+          }
+
+          @Override
+          public void write(byte[] b, int off, int len) {
+            writes.add(new String(b, off, len, StandardCharsets.UTF_8));
+          }
+        };
+    BoundedAppender a = appender(out, Integer.MAX_VALUE);
+    for (int i = 0; i < QUEUE_CAPACITY - 1; i++) {
+      log(a, Level.INFO, "instance changed " + "x".repeat(350));
+    }
+    log(a, Level.INFO, "last");
+    while (!String.join("", writes).contains("last")) {
+      Thread.onSpinWait();
+    }
+    for (String w : writes) {
+      assertTrue(w.length() <= PIPE_BUFFER_BYTES, "a write of " + w.length() + " bytes");
+      assertTrue(w.endsWith("\n"), w);
+    }
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
@@ -20,7 +20,9 @@
  */
 public final class BoundedAppender extends UnsynchronizedAppenderBase<ILoggingEvent> {
   private static final long BATCH_MILLIS = 100;
-  private static final int BATCH_BYTES = 32 << 10;
+
+  /** POSIX writes at least as many bytes to a pipe at once; a longer write may arrive in parts. */
+  private static final int WRITE_BYTES = 4096;
 
   private final Encoder<ILoggingEvent> encoder;
   private final OutputStream out;
@@ -106,13 +108,28 @@
     ILoggingEvent e = first;
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BATCH_MILLIS);
     while (e != null) {
-      b.writeBytes(encoder.encode(e));
+      add(b, encoder.encode(e));
       long remaining = deadline - System.nanoTime();
-      e = b.size() >= BATCH_BYTES ? null : queue.poll(Math.max(0, remaining), TimeUnit.NANOSECONDS);
+      e = remaining > 0 ? queue.poll(remaining, TimeUnit.NANOSECONDS) : null;
+    }
+    add(b, reportOfDropped().getBytes(StandardCharsets.UTF_8));
+    flush(b);
+  }
+
+  /** Adds a line, after the lines before it were written if it would exceed one write. */
+  private void add(ByteArrayOutputStream b, byte[] line) throws IOException {
+    if (b.size() + line.length > WRITE_BYTES) {
+      flush(b);
+    }
+    b.writeBytes(line);
+  }
+
+  private void flush(ByteArrayOutputStream b) throws IOException {
+    if (b.size() > 0) {
+      out.write(b.toByteArray());
+      out.flush();
+      b.reset();
     }
-    b.writeBytes(reportOfDropped().getBytes(StandardCharsets.UTF_8));
-    out.write(b.toByteArray());
-    out.flush();
   }
 
   /** Returns the line on what was dropped since the last such line; empty if nothing was. */
