Void confirmations of the configuration from before a suspension

A machine may be suspended for seconds, and the steady clock does not count that time. A former leader that wakes up then told a version as the newest "78 ms ago", a follower passed such an age on, and an entry trusted its own confirmation, although another leader had committed newer versions meanwhile. Callers could get 404 or 401 for proper requests, for good, by a configuration that was seconds too old.

Cause: the age of a confirmation is counted on the steady clock only. Polls and callers' requests that arrive during the suspension wait in sockets and are read before any message of the new leader.

SuspensionDetector compares the time of day with the steady clock. NewestVersion looks at it before it tells until when a version was the newest; what was known at or before the time of the look that noticed the suspension confirms nothing. As every request of the log and every poll is stamped before it is sent, only those that were sent after the thaw confirm again. Known versions are kept, so that an older one is never confirmed.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -35,6 +35,7 @@
 import org.ebonypond.fleet.OrderOutcome;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.junit.FakeFleet;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.quarantine.PartSuspicion;
 import org.ebonypond.server.timer.ScheduledTimerService;
 import org.ebonypond.server.transport.FrameType;
@@ -316,6 +317,7 @@
                   name, List.of(name), folder, 1, HEARTBEAT_MILLIS, STALL_MILLIS, 5_000),
               network,
               timers,
+              new FakeWallClock(timers).newDetector(),
               executor,
               Runnable::run,
               new ConfigLoader(
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetViewTest.java
@@ -11,6 +11,8 @@
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.InstanceTable;
+import org.ebonypond.junit.FakeWallClock;
+import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.serving.ServingConfig;
 import org.ebonypond.serving.ServingState;
@@ -20,7 +22,9 @@
   private static final byte[] VALID = {1};
   private static final byte[] INVALID = {2};
 
-  private final FleetView view = new FleetView(FleetViewTest::decode);
+  private final FleetView view =
+      new FleetView(
+          FleetViewTest::decode, new FakeWallClock(new ManualTimerService()).newDetector());
 
   private static ServingConfig decode(byte[] content) {
     if (content[0] == INVALID[0]) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -43,6 +43,7 @@
 import org.ebonypond.serving.ServingCommand;
 import org.ebonypond.serving.ServingConfig;
 import org.ebonypond.serving.ServingState;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -125,7 +126,7 @@
   private final PollHandler pollHandler;
   private final FleetPoller poller;
   private final ReplicaMetrics metrics;
-  private final NewestVersion newestVersion = new NewestVersion();
+  private final NewestVersion newestVersion;
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
@@ -147,6 +148,7 @@
    * @param settings the settings
    * @param network sends and receives the messages between processes
    * @param timers the clock and timers
+   * @param suspensions detects the suspensions of this process
    * @param executor a single thread that runs everything except the log
    * @param opener runs the blocking reopening of the log after a failed write
    * @param loader decodes the configuration
@@ -161,6 +163,7 @@
       FleetReplicaSettings settings,
       PeerNetwork network,
       TimerService timers,
+      SuspensionDetector suspensions,
       Executor executor,
       Executor opener,
       ConfigLoader loader,
@@ -172,6 +175,7 @@
     this.metrics = metrics;
     this.network = network;
     this.timers = timers;
+    this.newestVersion = new NewestVersion(suspensions);
     this.executor = executor;
     this.loader = loader;
     this.orders = orders;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -16,6 +16,7 @@
 import org.ebonypond.serving.ClientLimits;
 import org.ebonypond.serving.ServingConfig;
 import org.ebonypond.serving.ServingState;
+import org.ebonypond.time.SuspensionDetector;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,7 +36,7 @@
   private static final long COLD_REPORT_MILLIS = 3_000;
 
   private final ConfigSource source;
-  private final NewestVersion newestVersion = new NewestVersion();
+  private final NewestVersion newestVersion;
   private final InstanceTable table = new InstanceTable(this::isKnown);
   private final Map<String, FleetInstance> byId = new HashMap<>();
   private @Nullable ServingConfig config;
@@ -51,9 +52,16 @@
   private Map<String, InstanceLoad> loadsOfOthers = Map.of();
   private int entries = 1;
 
-  /** Creates an empty view. */
-  public FleetView(ConfigSource source) {
+  /**
+   * Creates an empty view.
+   *
+   * @param source decodes the configuration
+   * @param suspensions detects the suspensions of this process, by the clock of the times that are
+   *     passed in
+   */
+  public FleetView(ConfigSource source, SuspensionDetector suspensions) {
     this.source = source;
+    this.newestVersion = new NewestVersion(suspensions);
   }
 
   /**
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/NewestVersionTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/NewestVersionTest.java
@@ -5,10 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import org.ebonypond.junit.FakeWallClock;
+import org.ebonypond.junit.ManualTimerService;
 import org.junit.jupiter.api.Test;
 
 class NewestVersionTest {
-  private final NewestVersion newest = new NewestVersion();
+  private final ManualTimerService timers = new ManualTimerService();
+  private final FakeWallClock wallClock = new FakeWallClock(timers);
+  private final NewestVersion newest = new NewestVersion(wallClock.newDetector());
 
   private static FleetPollResult answer(long version, long stateAgeMillis) {
     return new FleetPollResult(
@@ -97,6 +101,25 @@
     assertEquals(1_200, newest.confirmedAt(9));
   }
 
+  /**
+   * Guards against requests that are refused for good by a version that was replaced while the
+   * process was suspended, also after late answers to earlier polls.
+   */
+  @Test
+  void nothingFromBeforeSuspensionIsConfirmed() {
+    timers.advance(1_000);
+    newest.record(answer(8, 0), 900);
+    wallClock.suspend(5_000);
+    assertEquals(Long.MIN_VALUE, newest.confirmedAt(8));
+    newest.record(answer(8, 0), 1_000);
+    assertEquals(Long.MIN_VALUE, newest.confirmedAt(8));
+    newest.record(answer(7, 0), 1_001);
+    assertEquals(Long.MIN_VALUE, newest.confirmedAt(7));
+    assertTrue(newest.isOutdated(7));
+    newest.record(answer(8, 0), 1_001);
+    assertEquals(1_001, newest.confirmedAt(8));
+  }
+
   /** Guards against a log that has lost a version unnoticed, and against alarms without a loss. */
   @Test
   void lossOfVersionIsToldFromAnswersThatOvertakeEachOther() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/NewestVersion.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/NewestVersion.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import org.ebonypond.time.SuspensionDetector;
 
 /**
  * The newest version of the configuration at some times, as a process knows it. The leader of the
@@ -9,7 +10,8 @@
  * old its knowledge is, and the time of the poll, not that of the answer, is the time on the clock
  * of the receiver: an answer that was delayed does not look newer than it is. Versions only rise,
  * so an older version than a recorded one is never confirmed, even if a leader whose log has lost
- * entries reports it as the newest. Not thread-safe.
+ * entries reports it as the newest. What was known before a suspension of the process confirms
+ * nothing, since the process cannot tell how old it is. Not thread-safe.
  */
 public final class NewestVersion {
   /**
@@ -24,6 +26,17 @@
   /** The latest time at which each version was known to be the newest; both rise. */
   private final TreeMap<Long, Long> times = new TreeMap<>();
 
+  private final SuspensionDetector suspensions;
+
+  /**
+   * Creates an object without knowledge.
+   *
+   * @param suspensions detects the suspensions of this process, by the clock of the recorded times
+   */
+  public NewestVersion(SuspensionDetector suspensions) {
+    this.suspensions = suspensions;
+  }
+
   /**
    * Records what a process knows.
    *
@@ -64,10 +77,10 @@
 
   /**
    * Returns the latest time at which no newer version than the given one existed, in milliseconds;
-   * {@code Long.MIN_VALUE} if none is known.
+   * {@code Long.MIN_VALUE} if none is known, or none since the process was suspended.
    */
   public long confirmedAt(long held) {
     Map.Entry<Long, Long> e = times.floorEntry(held);
-    return e == null ? Long.MIN_VALUE : e.getValue();
+    return e == null || e.getValue() <= suspensions.resumedAt() ? Long.MIN_VALUE : e.getValue();
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/time/package-info.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/time/package-info.java
@@ -1,4 +1,4 @@
-/** The timer service and the hybrid logical clock. */
+/** The timer service, the hybrid logical clock, and the detection of suspensions. */
 @NullMarked
 package org.ebonypond.time;
 
