Deny leadership to a replica that was suspended until a majority answers

A leader's lease is counted on the steady clock, which stands still while its machine is suspended. After the thaw such a leader still held its lease: it answered reads of the ledger and of the control view from its old state, granted shares, sent orders and planned groups, until a message of its successor arrived. Callers could be told of an outdated phase of their request.

Cause: the lease held by the steady clock; the comment that a frozen leader steps down by its first tick is true only if the clock counted the freeze.

The driver looks for a suspension whenever it tells its status, and a status that was confirmed before the thaw neither leads nor confirms. All users of the lease read the status immediately before they act. The log itself does not change: a leader that only sees a step of the time of day keeps its term and leads again after the next answered heartbeat.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LocalGroup.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/LocalGroup.java
@@ -18,6 +18,7 @@
 import org.ebonypond.server.replica.RaftTransport;
 import org.ebonypond.server.replica.ReplicaDriver;
 import org.ebonypond.server.replica.ReplicaListener;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 
 /**
@@ -49,8 +50,10 @@
               new Random(name.hashCode()),
               EventSink.NONE,
               nowMillis());
+      SuspensionDetector suspensions =
+          new SuspensionDetector(this, System::currentTimeMillis, suspendedMillis -> {});
       RaftTransport transport = (channel, to, payload) -> drivers.get(to).receive(name, payload);
-      drivers.put(name, new ReplicaDriver("bench", node, transport, this, this));
+      drivers.put(name, new ReplicaDriver("bench", node, transport, this, suspensions, this));
     }
     drivers.values().forEach(ReplicaDriver::start);
   }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ControlLeaderTraceTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ControlLeaderTraceTest.java
@@ -37,6 +37,7 @@
 import org.ebonypond.group.ScoredPolicy;
 import org.ebonypond.junit.FakeEngine;
 import org.ebonypond.junit.FakeEngineFleet;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.server.backend.EngineAdmin;
 import org.ebonypond.server.replica.ReplicaService;
 import org.ebonypond.server.settings.DaemonSettings;
@@ -175,7 +176,14 @@
     try (PeerNetwork network = new PeerNetwork("n", clock, timers);
         TraceFile trace = TraceFile.start(file, header, 1 << 20);
         ReplicaService replica =
-            new ReplicaService(settings, network, timers, EventSink.NONE, new Random(1), e -> {})) {
+            new ReplicaService(
+                settings,
+                network,
+                timers,
+                new FakeWallClock(timers).newDetector(),
+                EventSink.NONE,
+                new Random(1),
+                e -> {})) {
       ControlLeader leader =
           new ControlLeader(
               replica,
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ServingLogTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/ServingLogTest.java
@@ -18,6 +18,7 @@
 import org.ebonypond.consensus.RaftNode;
 import org.ebonypond.consensus.RaftRole;
 import org.ebonypond.events.EventSink;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.junit.consensus.MemoryDisk;
 import org.ebonypond.serving.ServingCodec;
@@ -35,7 +36,13 @@
   private final List<Throwable> fatal = new ArrayList<>();
   private final ServingLog log =
       new ServingLog(
-          this::open, this::node, (channel, to, m) -> {}, timers, Runnable::run, fatal::add);
+          this::open,
+          this::node,
+          (channel, to, m) -> {},
+          timers,
+          new FakeWallClock(timers).newDetector(),
+          Runnable::run,
+          fatal::add);
 
   private @Nullable RuntimeException openFailure;
   private int openAttempts;
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/replica/ReplicaDriverTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/replica/ReplicaDriverTest.java
@@ -27,6 +27,7 @@
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.events.EventSink;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.junit.consensus.HashingStateMachine;
 import org.ebonypond.junit.consensus.MemoryDisk;
@@ -40,6 +41,7 @@
   @TempDir Path folder;
 
   private final ManualTimerService timers = new ManualTimerService();
+  private final FakeWallClock wallClock = new FakeWallClock(timers);
   private final SafetyChecker checker = new SafetyChecker();
   private final Map<String, ReplicaDriver> drivers = new TreeMap<>();
   private final Map<String, HashingStateMachine> machines = new TreeMap<>();
@@ -69,7 +71,8 @@
     RaftNode node =
         new RaftNode(config, storage, machine, new Random(3), EventSink.NONE, timers.nowMillis());
     RaftTransport transport = (channel, to, payload) -> drivers.get(to).receive(name, payload);
-    drivers.put(name, new ReplicaDriver("control", node, transport, timers, this));
+    drivers.put(
+        name, new ReplicaDriver("control", node, transport, timers, wallClock.newDetector(), this));
   }
 
   private void await(BooleanSupplier condition) {
@@ -149,6 +152,27 @@
     assertEquals(ErrorCode.NOT_LEADER, proposal.join().failure());
   }
 
+  /**
+   * Guards against a former leader that was suspended, serves reads of its old state and acts as
+   * the leader until it hears of its successor.
+   */
+  @Test
+  void suspendedLeaderServesNoReadBeforeItHearsFromMajority() {
+    startCluster("a", "b", "c");
+    ReplicaDriver leader = awaitLeader();
+    wallClock.suspend(5_000);
+    assertFalse(leader.status().mayLead(timers.nowMillis()));
+    CompletableFuture<Long> read = leader.read(() -> 1L);
+    leader.runOnce();
+    CompletionException e = assertThrows(CompletionException.class, read::join);
+    assertEquals(
+        ErrorCode.NOT_LEADER, assertInstanceOf(EbonypondException.class, e.getCause()).code());
+    await(() -> leader.status().mayLead(timers.nowMillis()));
+    CompletableFuture<Long> later = leader.read(() -> 1L);
+    leader.runOnce();
+    assertEquals(1L, later.join());
+  }
+
   /** Guards against callers that wait forever or get a result when the storage fails. */
   @Test
   void failedStorageEndsAllProposalsAndStopsTheReplica() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -61,11 +61,13 @@
 import org.ebonypond.server.events.EventLog;
 import org.ebonypond.server.http.EntryHandlers;
 import org.ebonypond.server.http1.BackendPool;
+import org.ebonypond.server.logging.SuspensionLog;
 import org.ebonypond.server.replica.ReplicaService;
 import org.ebonypond.server.settings.DaemonSettings;
 import org.ebonypond.server.timer.ScheduledTimerService;
 import org.ebonypond.server.transport.PeerNetwork;
 import org.ebonypond.time.HybridClock;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.trace.TraceHeader;
 import org.jspecify.annotations.Nullable;
@@ -100,6 +102,8 @@
   private final EventLoopGroup backendLoops =
       new NioEventLoopGroup(BACKEND_THREADS, daemonThreads("backend"));
   private final BackendHttpClient controlClient = backendClient();
+  private final SuspensionDetector suspensions =
+      new SuspensionDetector(timers, System::currentTimeMillis, new SuspensionLog());
   private final HybridClock clock = new HybridClock(System::currentTimeMillis);
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final EventLog events;
@@ -172,6 +176,7 @@
     follower.start();
     shares.start();
     gate.start();
+    timers.every(SuspensionDetector.LOOK_MILLIS, suspensions::resumedAt);
     timers.every(ROUTER_TICK_MILLIS, () -> router.tick(timers.nowMillis()));
     AnnouncementRelay relay =
         new AnnouncementRelay(network, timers, settings.replicas(), follower::leader);
@@ -232,7 +237,13 @@
   private void startReplica(LedgerClient ledger) {
     ReplicaService r =
         new ReplicaService(
-            settings, network, timers, events, new SecureRandom(), this::stopOnFailure);
+            settings,
+            network,
+            timers,
+            suspensions,
+            events,
+            new SecureRandom(),
+            this::stopOnFailure);
     LeaderDirectory directory = new LeaderDirectory(timers);
     r.digests(directory::onPoll);
     ControlLeader leader =
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -192,6 +192,7 @@
                 new RaftNode(raftConfig(), storage, state, random, events, timers.nowMillis()),
             this::sendLog,
             timers,
+            suspensions,
             opener,
             fatal);
     this.proposals =
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ServingLog.java
@@ -17,6 +17,7 @@
 import org.ebonypond.server.replica.ReplicaListener;
 import org.ebonypond.server.replica.ReplicaStatus;
 import org.ebonypond.serving.ServingState;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -40,6 +41,7 @@
   private final BiFunction<LogStorage, ServingState, RaftNode> nodeFactory;
   private final RaftTransport transport;
   private final TimerService timers;
+  private final SuspensionDetector suspensions;
   private final Executor opener;
   private final Consumer<Throwable> fatal;
   private volatile OpenLog openLog;
@@ -53,6 +55,7 @@
    * @param nodeFactory creates the replica on a storage
    * @param transport sends messages to the other replicas
    * @param timers the clock and timers
+   * @param suspensions detects the suspensions of this process
    * @param opener runs the blocking reopening of the storage
    * @param fatal called when the log is corrupt and the process must exit
    * @throws EbonypondException {@code log-corrupt}, {@code identity-mismatch} or {@code
@@ -63,12 +66,14 @@
       BiFunction<LogStorage, ServingState, RaftNode> nodeFactory,
       RaftTransport transport,
       TimerService timers,
+      SuspensionDetector suspensions,
       Executor opener,
       Consumer<Throwable> fatal) {
     this.storageFactory = storageFactory;
     this.nodeFactory = nodeFactory;
     this.transport = transport;
     this.timers = timers;
+    this.suspensions = suspensions;
     this.opener = opener;
     this.fatal = fatal;
     this.openLog = open();
@@ -137,7 +142,8 @@
     LogStorage s = storageFactory.get();
     ServingState state = new ServingState();
     ReplicaDriver d =
-        new ReplicaDriver(CHANNEL, nodeFactory.apply(s, state), transport, timers, new Listener());
+        new ReplicaDriver(
+            CHANNEL, nodeFactory.apply(s, state), transport, timers, suspensions, new Listener());
     return new OpenLog(s, state, d);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
@@ -21,6 +21,7 @@
 import org.ebonypond.consensus.RaftOutput;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 
 /**
@@ -37,6 +38,7 @@
   private final RaftNode node;
   private final RaftTransport transport;
   private final TimerService timers;
+  private final SuspensionDetector suspensions;
   private final ReplicaListener listener;
   private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
   private final Map<Long, CompletableFuture<ProposalResult>> proposals = new HashMap<>();
@@ -58,17 +60,20 @@
    * Creates a driver; its thread is started by {@link #start()}.
    *
    * @param channel the name of the replicated log, for example {@code control}
+   * @param suspensions detects the suspensions of this process
    */
   public ReplicaDriver(
       String channel,
       RaftNode node,
       RaftTransport transport,
       TimerService timers,
+      SuspensionDetector suspensions,
       ReplicaListener listener) {
     this.channel = channel;
     this.node = node;
     this.transport = transport;
     this.timers = timers;
+    this.suspensions = suspensions;
     this.listener = listener;
     this.status = ReplicaStatus.of(node);
     this.thread = new Thread(this::run, "raft-" + channel);
@@ -81,9 +86,12 @@
     thread.start();
   }
 
-  /** Returns the status after the last round. */
+  /**
+   * Returns the status after the last round. If the process was suspended, the replica does not
+   * lead before a majority has answered a request that it sent afterwards.
+   */
   public ReplicaStatus status() {
-    return status;
+    return status.after(suspensions.resumedAt());
   }
 
   /**
@@ -275,7 +283,7 @@
   }
 
   private <T> void finishRead(CompletableFuture<T> future, Supplier<T> reader) {
-    if (node.mayLead(timers.nowMillis())) {
+    if (status().mayLead(timers.nowMillis())) {
       finish(future, reader);
       return;
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaService.java
@@ -37,6 +37,7 @@
 import org.ebonypond.server.transport.Frame;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
@@ -51,6 +52,7 @@
   private final DaemonSettings settings;
   private final PeerNetwork network;
   private final TimerService timers;
+  private final SuspensionDetector suspensions;
   private final EventSink events;
   private final RandomGenerator random;
   private final Consumer<Throwable> fatal;
@@ -68,6 +70,7 @@
    * @param settings the daemon's settings, with a data folder
    * @param network sends the messages of the logs
    * @param timers provides the time
+   * @param suspensions detects the suspensions of this process
    * @param events receives the events of the logs
    * @param random the source of identities and election timeouts
    * @param fatal called when a log has failed; the process must then end
@@ -78,12 +81,14 @@
       DaemonSettings settings,
       PeerNetwork network,
       TimerService timers,
+      SuspensionDetector suspensions,
       EventSink events,
       RandomGenerator random,
       Consumer<Throwable> fatal) {
     this.settings = settings;
     this.network = network;
     this.timers = timers;
+    this.suspensions = suspensions;
     this.events = events;
     this.random = random;
     this.fatal = fatal;
@@ -156,7 +161,8 @@
             fatal.accept(cause);
           }
         };
-    drivers.put(channel, new ReplicaDriver(channel, node, this::send, timers, listener));
+    drivers.put(
+        channel, new ReplicaDriver(channel, node, this::send, timers, suspensions, listener));
   }
 
   private void controlRoleChanged(RoleChange change) {
@@ -200,7 +206,7 @@
     CommittedEntries committed = n.entriesAfter(p.appliedIndex(), MAX_ENTRIES_PER_POLL);
     // Every replica records every entry, so that a new leader knows all of them immediately.
     LeaderDigest known = digests.apply(p);
-    @Nullable LeaderDigest digest = n.mayLead(timers.nowMillis()) ? known : null;
+    @Nullable LeaderDigest digest = control().status().mayLead(timers.nowMillis()) ? known : null;
     return new ViewPollResult(
         n.isVoter(),
         n.membership().members(),
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
@@ -42,6 +42,29 @@
         n.confirmedAt());
   }
 
+  /**
+   * Returns the status of a process that was suspended.
+   *
+   * @param resumedAt the time from which on the replica knows whether it leads, see {@link
+   *     org.ebonypond.time.SuspensionDetector}
+   */
+  ReplicaStatus after(long resumedAt) {
+    return confirmedAt > resumedAt ? this : unconfirmed();
+  }
+
+  private ReplicaStatus unconfirmed() {
+    return new ReplicaStatus(
+        role,
+        term,
+        leader,
+        voter,
+        lastDurableIndex,
+        commitIndex,
+        appliedIndex,
+        Long.MIN_VALUE,
+        Long.MIN_VALUE);
+  }
+
   /** Returns the status after the replica has stopped: it neither leads nor votes. */
   ReplicaStatus ended() {
     return new ReplicaStatus(
