Let the view lease of an entry lapse with a suspension

An entry may start new work for 3 s after its view was confirmed. The comment that a process which was suspended detects this was not true.

A poll from before the suspension does not renew the lease any more, and a lease from before it has lapsed. The first poll after the thaw renews it.

The test failed with the check left out:

ViewFollowerTest.leaseLapsesWithSuspension expected: <false> but was: <true>

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/ViewRows.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/report/ViewRows.java
@@ -14,6 +14,7 @@
 import org.ebonypond.server.timer.ScheduledTimerService;
 import org.ebonypond.server.transport.PeerNetwork;
 import org.ebonypond.time.HybridClock;
+import org.ebonypond.time.SuspensionDetector;
 
 /**
  * Measures the time from the operator's request until a document is in force at every follower, and
@@ -83,8 +84,11 @@
     String name = "follower-" + i;
     PeerNetwork network = new PeerNetwork(name, new HybridClock(System::currentTimeMillis), timers);
     EntryInfo self = new EntryInfo(name, "zone-" + i % 3, "127.0.0.1:1", false, 1);
+    SuspensionDetector suspensions =
+        new SuspensionDetector(timers, System::currentTimeMillis, suspendedMillis -> {});
     ViewFollower f =
-        new ViewFollower(network, timers, EventSink.NONE, cluster.replicas(), () -> self, List::of);
+        new ViewFollower(
+            network, timers, suspensions, EventSink.NONE, cluster.replicas(), () -> self, List::of);
     f.onView(v -> versionInForce.put(name, v.document() == null ? 0 : v.document().version()));
     f.start();
     return network;
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ViewFollowerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ViewFollowerTest.java
@@ -17,6 +17,7 @@
 import org.ebonypond.control.InstanceKind;
 import org.ebonypond.events.EventCode;
 import org.ebonypond.events.EventSink;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.junit.consensus.RecordingEvents;
 import org.ebonypond.wire.MessagePackCodec;
@@ -27,12 +28,14 @@
   private static final Map<String, String> VOTERS = Map.of("r0", "i0", "r1", "i1", "r2", "i2");
 
   private final ManualTimerService timers = new ManualTimerService();
+  private final FakeWallClock wallClock = new FakeWallClock(timers);
   private final ManualPeers peers = new ManualPeers();
   private final RecordingEvents events = new RecordingEvents();
   private final ViewFollower follower =
       new ViewFollower(
           peers,
           timers,
+          wallClock.newDetector(),
           events,
           ManualPeers.REPLICAS,
           () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1),
@@ -99,6 +102,30 @@
     assertEquals(8, instances());
   }
 
+  /**
+   * Guards against new work by a view from before a suspension: an availability zone that was taken
+   * out of service meanwhile would receive requests.
+   */
+  @Test
+  void leaseLapsesWithSuspension() {
+    timers.advance(1_000);
+    follower.poll();
+    request(0).reply(result(true, 1, entries(1, 1, 1)));
+    request(1).reply(result(true, 1, entries(1, 1, 1)));
+    assertTrue(follower.mayStart());
+    follower.poll();
+    wallClock.suspend(5_000);
+    assertFalse(follower.mayStart());
+    request(3).reply(result(true, 1, entries(1, 1, 1)));
+    request(4).reply(result(true, 1, entries(1, 1, 1)));
+    assertFalse(follower.mayStart(), "replies to a poll from before the suspension");
+    timers.advance(1);
+    follower.poll();
+    request(6).reply(result(true, 1, entries(1, 1, 1)));
+    request(7).reply(result(true, 1, entries(1, 1, 1)));
+    assertTrue(follower.mayStart());
+  }
+
   /** Guards against a lease that learners, old polls or a single voter renew on a stale view. */
   @Test
   void holdsTheLeaseOnlyWithAnAppliedMajorityOfVoters() {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
@@ -28,6 +28,7 @@
 import org.ebonypond.document.ServiceSpec;
 import org.ebonypond.document.WorkspaceSpec;
 import org.ebonypond.events.EventSink;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.routing.LeastOutstandingPolicy;
 import org.ebonypond.routing.Router;
@@ -76,6 +77,7 @@
         new ViewFollower(
             peers,
             timers,
+            new FakeWallClock(timers).newDetector(),
             EventSink.NONE,
             FakePeers.REPLICAS,
             () -> new EntryInfo("e1", "z", "127.0.0.1:1", true, 1),
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -136,7 +136,13 @@
     this.network = new PeerNetwork(settings.node(), clock, timers);
     this.follower =
         new ViewFollower(
-            network, timers, events, settings.replicas(), this::entryInfo, this::polledInstances);
+            network,
+            timers,
+            suspensions,
+            events,
+            settings.replicas(),
+            this::entryInfo,
+            this::polledInstances);
     this.tracker =
         new RequestTracker(timers, settings.drainNoticeMillis(), this::performShutdownAction);
     this.shares =
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ViewFollower.java
@@ -21,6 +21,7 @@
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
@@ -46,6 +47,7 @@
 
   private final Peers network;
   private final TimerService timers;
+  private final SuspensionDetector suspensions;
   private final EventSink events;
   private final List<ReplicaAddress> replicas;
   private final Supplier<EntryInfo> self;
@@ -67,6 +69,7 @@
    *
    * @param network sends the polls
    * @param timers schedules the polls
+   * @param suspensions detects the suspensions of this process
    * @param events receives the changes of the lease
    * @param replicas every control replica
    * @param self describes this entry to the replicas
@@ -75,12 +78,14 @@
   public ViewFollower(
       Peers network,
       TimerService timers,
+      SuspensionDetector suspensions,
       EventSink events,
       List<ReplicaAddress> replicas,
       Supplier<EntryInfo> self,
       Supplier<List<String>> loadsOf) {
     this.network = network;
     this.timers = timers;
+    this.suspensions = suspensions;
     this.events = events;
     this.replicas = List.copyOf(replicas);
     this.self = self;
@@ -120,6 +125,7 @@
 
   /** Returns whether the lease allows new work at the current time. */
   public synchronized boolean mayStart() {
+    lease.onResumed(suspensions.resumedAt());
     return lease.mayStart(timers.nowMillis());
   }
 
@@ -258,7 +264,7 @@
   }
 
   private void reportLease() {
-    boolean held = lease.mayStart(timers.nowMillis());
+    boolean held = mayStart();
     if (held != leaseHeld) {
       leaseHeld = held;
       events.emit(
--- a/org.ebonypond/src/main/java/org/ebonypond/lease/ViewLease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/lease/ViewLease.java
@@ -29,6 +29,7 @@
   private long nextPoll = 1;
   private long applied;
   private long freshAsOf = Long.MIN_VALUE;
+  private long resumedAt = Long.MIN_VALUE;
 
   /** The replies to one poll. */
   private static final class Poll {
@@ -112,11 +113,22 @@
   }
 
   /**
-   * Returns whether new requests may start. The caller must read the time immediately before, so
-   * that a process that was suspended detects that its lease has lapsed.
+   * Records that the process was suspended, for a time that its clock does not count: polls that
+   * were sent before do not renew the lease, and it has lapsed unless a later one did.
+   *
+   * @param millis when the process noticed it, see {@link
+   *     org.ebonypond.time.SuspensionDetector#resumedAt}
+   */
+  public void onResumed(long millis) {
+    resumedAt = millis;
+  }
+
+  /**
+   * Returns whether new requests may start. The caller must read the time, and report a suspension
+   * with {@link #onResumed}, immediately before.
    */
   public boolean mayStart(long nowMillis) {
-    return freshAsOf != Long.MIN_VALUE && nowMillis - freshAsOf < LEASE_MILLIS;
+    return freshAsOf > resumedAt && nowMillis - freshAsOf < LEASE_MILLIS;
   }
 
   private void renew() {
