Let shares of starting backend servers lapse with a suspension

An entry counts the 3 s of a share on the steady clock, which stands still while its machine is suspended. The leader had granted the slots to other entries by then, and after the thaw the entry started requests under its old share as well: a starting backend server could receive more than its ceiling (invariant 3).

A share counts only if its request was sent after the last suspension.

The test failed with the check left out:

ShareClientTest.sharesLapseWithSuspension expected: <false> but was: <true>

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ShareClientTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/ShareClientTest.java
@@ -18,6 +18,7 @@
 import org.ebonypond.document.ServiceDocument;
 import org.ebonypond.document.ServiceSpec;
 import org.ebonypond.junit.FakeColdServer;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.junit.Faults;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.junit.Seeds;
@@ -39,6 +40,7 @@
 
   private final Random random = new Random(1);
   private final ManualTimerService timers = new ManualTimerService();
+  private final FakeWallClock wallClock = new FakeWallClock(timers);
   private final Faults faults = new Faults(timers, random);
   private final FakeColdServer server =
       new FakeColdServer(
@@ -69,6 +71,7 @@
             new HolderId("e" + clients.size(), 1),
             peers,
             timers,
+            wallClock.newDetector(),
             FakePeers.REPLICAS,
             () -> "r1",
             () -> {});
@@ -153,6 +156,27 @@
     assertTrue(c.tryAcquire(target, 0));
   }
 
+  /**
+   * Guards against requests under a share that has lapsed while the entry was suspended, and that
+   * the leader has granted to other entries since.
+   */
+  @Test
+  void sharesLapseWithSuspension() {
+    leader.addTarget(server.target(), server.ramp(), true);
+    ShareClient c = client();
+    c.tryAcquire(target, 0);
+    timers.advance(100);
+    assertTrue(c.tryAcquire(target, 0));
+    c.release(target, 0);
+    wallClock.suspend(5_000);
+    assertFalse(c.tryAcquire(target, 0));
+    timers.advance(50);
+    // A request of the millisecond of the look may have been sent before the suspension.
+    assertFalse(c.tryAcquire(target, 0));
+    timers.advance(100);
+    assertTrue(c.tryAcquire(target, 0));
+  }
+
   @Test
   void restartInvalidatesTheSharesOfThePreviousBoot() {
     leader.addTarget(server.target(), server.ramp(), true);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -147,7 +147,13 @@
         new RequestTracker(timers, settings.drainNoticeMillis(), this::performShutdownAction);
     this.shares =
         new ShareClient(
-            holder, network, timers, settings.replicas(), follower::leader, this::onGrant);
+            holder,
+            network,
+            timers,
+            suspensions,
+            settings.replicas(),
+            follower::leader,
+            this::onGrant);
     this.router =
         new Router(
             RouterSettings.of(settings.node(), settings.zone()),
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/ShareClient.java
@@ -22,6 +22,7 @@
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
@@ -41,6 +42,7 @@
 
   private final Peers network;
   private final TimerService timers;
+  private final SuspensionDetector suspensions;
   private final List<ReplicaAddress> replicas;
   private final Supplier<@Nullable String> leader;
   private final ShareHolder holder;
@@ -60,6 +62,7 @@
    * @param id identifies this process as a holder
    * @param network sends the requests
    * @param timers schedules the renewals
+   * @param suspensions detects the suspensions of this process
    * @param replicas all control replicas
    * @param leader supplies the name of the presumed leader, or null if none is known
    * @param onGrant called after each grant, because waiting requests may start now
@@ -68,12 +71,14 @@
       HolderId id,
       Peers network,
       TimerService timers,
+      SuspensionDetector suspensions,
       List<ReplicaAddress> replicas,
       Supplier<@Nullable String> leader,
       Runnable onGrant) {
     this.holder = new ShareHolder(id);
     this.network = network;
     this.timers = timers;
+    this.suspensions = suspensions;
     this.replicas = List.copyOf(replicas);
     this.leader = leader;
     this.onGrant = onGrant;
@@ -123,6 +128,7 @@
   @Override
   public synchronized boolean tryAcquire(Target target, long nowMillis) {
     ShareTarget t = ShareTargets.of(target);
+    holder.onResumed(suspensions.resumedAt());
     // Reads the clock again: the share may have expired while this thread waited for the lock.
     if (holder.tryStart(t, timers.nowMillis())) {
       return true;
@@ -183,6 +189,7 @@
         return CompletableFuture.failedFuture(new IllegalStateException("no leader is known"));
       }
       lastRequestMillis = timers.nowMillis();
+      holder.onResumed(suspensions.resumedAt());
       ShareRequest r = holder.request(lastRequestMillis);
       payload = MessagePackCodec.encode(r);
       // Demand is counted from zero after each request.
--- a/org.ebonypond/src/main/java/org/ebonypond/lease/ShareHolder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/lease/ShareHolder.java
@@ -36,6 +36,7 @@
   private long sequence;
   private long ack;
   private long term;
+  private long resumedAt = Long.MIN_VALUE;
 
   /** The state of one target. */
   private static final class TargetState {
@@ -46,7 +47,7 @@
     private long lostMillis = Long.MIN_VALUE;
     private long ended;
     private int granted;
-    private long validUntil = Long.MIN_VALUE;
+    private long grantRequestedAt = Long.MIN_VALUE;
     private boolean warm;
 
     TargetState(ShareTarget target, long ended) {
@@ -127,7 +128,7 @@
     List<ShareRequest.Item> items = new ArrayList<>();
     for (TargetState s : targets.values()) {
       int wanted = s.inUse() + s.demand;
-      boolean held = s.granted > 0 && nowMillis < s.validUntil;
+      boolean held = s.granted > 0 && isValid(s, nowMillis);
       if (wanted > 0 || (held && !s.warm)) {
         items.add(new ShareRequest.Item(s.target, wanted, s.inFlight, s.lost, s.ended));
       }
@@ -157,12 +158,23 @@
       int granted = i == null ? 0 : i.slots();
       shrank |= granted < s.granted;
       s.granted = granted;
-      s.validUntil = sentMillis + ShareAllocator.LEASE_MILLIS;
+      s.grantRequestedAt = sentMillis;
       s.warm |= i != null && i.warm();
     }
     return shrank;
   }
 
+  /**
+   * Records that the process was suspended, for a time that its clock does not count: shares that
+   * were requested before have lapsed.
+   *
+   * @param millis when the process noticed it, see {@link
+   *     org.ebonypond.time.SuspensionDetector#resumedAt}
+   */
+  public void onResumed(long millis) {
+    resumedAt = millis;
+  }
+
   /**
    * Starts a request if the target is warm or a slot of an unlapsed share is free.
    *
@@ -239,7 +251,7 @@
     if (s.warm) {
       return Integer.MAX_VALUE;
     }
-    return nowMillis < s.validUntil ? Math.max(0, s.granted - s.inUse()) : 0;
+    return isValid(s, nowMillis) ? Math.max(0, s.granted - s.inUse()) : 0;
   }
 
   private void end(TargetState s) {
@@ -252,8 +264,13 @@
     totalEnded++;
   }
 
-  private static boolean hasSlot(TargetState s, long nowMillis) {
-    return nowMillis < s.validUntil && s.inUse() < s.granted;
+  private boolean hasSlot(TargetState s, long nowMillis) {
+    return isValid(s, nowMillis) && s.inUse() < s.granted;
+  }
+
+  private boolean isValid(TargetState s, long nowMillis) {
+    return s.grantRequestedAt > resumedAt
+        && nowMillis - s.grantRequestedAt < ShareAllocator.LEASE_MILLIS;
   }
 
   private boolean isCurrent(ShareTarget target) {
