Count a suspension in the time that a replaced configuration is served

An entry serves by a configuration for config_apply_ms after it has learned that a newer one is committed, or after its first one if no replica has confirmed any.

What began before a suspension now counts as overdue: the request waits for the newer configuration, which the next poll brings, and gets 503 if it does not come.

The test failed with the check left out:

UnconfirmedConfigTest.replacedConfigurationIsNotServedAfterSuspension (503 expected) HTTP/1.1 200 OK

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -36,6 +36,7 @@
   private static final long COLD_REPORT_MILLIS = 3_000;
 
   private final ConfigSource source;
+  private final SuspensionDetector suspensions;
   private final NewestVersion newestVersion;
   private final InstanceTable table = new InstanceTable(this::isKnown);
   private final Map<String, FleetInstance> byId = new HashMap<>();
@@ -61,6 +62,7 @@
    */
   public FleetView(ConfigSource source, SuspensionDetector suspensions) {
     this.source = source;
+    this.suspensions = suspensions;
     this.newestVersion = new NewestVersion(suspensions);
   }
 
@@ -220,19 +222,25 @@
 
   /**
    * Returns for how long this process has known that a newer configuration than its own is
-   * committed, in milliseconds; 0 if none is known.
+   * committed, in milliseconds; 0 if none is known; {@code Long.MAX_VALUE} if it was suspended
+   * since.
    */
   public long replacedMillis(long now) {
-    return replacedVersion == 0 ? 0 : now - replacedAt;
+    return replacedVersion == 0 ? 0 : millisSince(replacedAt, now);
   }
 
   /**
    * Returns for how long this process has had a configuration although no replica has told it yet
    * which version is the newest, in milliseconds; 0 once one has. A replica that has just started
-   * or is cut off sends what it has on its disk, of any age.
+   * or is cut off sends what it has on its disk, of any age. {@code Long.MAX_VALUE} if this process
+   * was suspended since it has its first configuration.
    */
   public long neverConfirmedMillis(long now) {
-    return config == null || newestVersion.version() > 0 ? 0 : now - firstConfigAt;
+    return config == null || newestVersion.version() > 0 ? 0 : millisSince(firstConfigAt, now);
+  }
+
+  private long millisSince(long time, long now) {
+    return time > suspensions.resumedAt() ? now - time : Long.MAX_VALUE;
   }
 
   /** Returns the log index of the zones out of service; -1 if they are not known. */
