Drop announcements that an entry held while it was suspended

An entry collects the announcements of backend servers for up to 200 ms and adds that time to their ages, by the steady clock. If its machine was suspended meanwhile, the leader took a load of seconds ago for a recent one. It could conclude that the requests of a lapsed share have ended, and grant their slots again while they still ran: a starting backend server could receive more than its ceiling (invariant 3).

Announcements that were collected before the suspension are dropped. Backend servers announce themselves again every 500 ms.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ManualPeers.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ManualPeers.java
@@ -15,6 +15,7 @@
       List.of(replica("r0", 0), replica("r1", 1), replica("r2", 2));
 
   final List<Request> requests = new ArrayList<>();
+  final List<byte[]> sent = new ArrayList<>();
 
   private static ReplicaAddress replica(String name, int port) {
     return new ReplicaAddress(name, new InetSocketAddress("127.0.0.1", port));
@@ -25,7 +26,9 @@
   }
 
   @Override
-  public void send(InetSocketAddress to, FrameType type, String channel, byte[] payload) {}
+  public void send(InetSocketAddress to, FrameType type, String channel, byte[] payload) {
+    sent.add(payload);
+  }
 
   @Override
   public CompletableFuture<byte[]> ask(
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http/AnnounceHandlerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http/AnnounceHandlerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
+import org.ebonypond.junit.FakeWallClock;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.server.control.AnnouncementRelay;
 import org.ebonypond.server.control.InstanceReport;
@@ -24,9 +25,15 @@
        "load": {"measuredAt": 990, "active": 2, "waiting": 1, "tokens": 70}}
       """;
 
+  private final ManualTimerService timers = new ManualTimerService();
   private final AnnounceHandler handler =
       new AnnounceHandler(
-          new AnnouncementRelay(new ManualPeers(), new ManualTimerService(), List.of(), () -> null),
+          new AnnouncementRelay(
+              new ManualPeers(),
+              timers,
+              new FakeWallClock(timers).newDetector(),
+              List.of(),
+              () -> null),
           () -> 1_000);
 
   private InstanceReport.Item read(String address) throws IOException {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -191,7 +191,7 @@
     timers.every(SuspensionDetector.LOOK_MILLIS, suspensions::resumedAt);
     timers.every(ROUTER_TICK_MILLIS, () -> router.tick(timers.nowMillis()));
     AnnouncementRelay relay =
-        new AnnouncementRelay(network, timers, settings.replicas(), follower::leader);
+        new AnnouncementRelay(network, timers, suspensions, settings.replicas(), follower::leader);
     relay.start();
     new CacheEventPoller(controlClient, timers, router, routing.prefixes()).start();
     ownIncarnation.announce();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/AnnouncementRelay.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/AnnouncementRelay.java
@@ -9,19 +9,22 @@
 import org.ebonypond.server.settings.ReplicaAddress;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
+import org.ebonypond.time.SuspensionDetector;
 import org.ebonypond.time.TimerService;
 import org.ebonypond.wire.MessagePackCodec;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Forwards announcements to the control leader in batches. While the leader is unknown, they are
- * sent to every replica, because any of them may already be the leader. Thread-safe.
+ * sent to every replica, because any of them may already be the leader. Announcements from before a
+ * suspension of this process are dropped, because their ages are not known. Thread-safe.
  */
 public final class AnnouncementRelay {
   private static final long FLUSH_MILLIS = 200;
 
   private final Peers network;
   private final TimerService timers;
+  private final SuspensionDetector suspensions;
   private final List<ReplicaAddress> replicas;
   private final Supplier<@Nullable String> leader;
   private final Map<String, Waiting> waiting = new LinkedHashMap<>();
@@ -31,16 +34,19 @@
    *
    * @param network sends the reports
    * @param timers schedules the flushes
+   * @param suspensions detects the suspensions of this process
    * @param replicas every control replica
    * @param leader returns the name of the presumed leader, or null
    */
   public AnnouncementRelay(
       Peers network,
       TimerService timers,
+      SuspensionDetector suspensions,
       List<ReplicaAddress> replicas,
       Supplier<@Nullable String> leader) {
     this.network = network;
     this.timers = timers;
+    this.suspensions = suspensions;
     this.replicas = List.copyOf(replicas);
     this.leader = leader;
   }
@@ -59,6 +65,8 @@
     List<InstanceReport.Item> items = new ArrayList<>();
     long now = timers.nowMillis();
     synchronized (this) {
+      long resumedAt = suspensions.resumedAt();
+      waiting.values().removeIf(w -> w.since <= resumedAt);
       for (Waiting w : waiting.values()) {
         ReportedLoad load = w.item.load().olderBy(now - w.since);
         items.add(new InstanceReport.Item(w.item.announcement(), load));
