Reserve log capacity for the line on a suspension

The line tells why ages in later lines start anew, and a thaw comes with a burst of lines on requests that waited in sockets, so it could be dropped by the limit. It has the marker of lines on what a process believes now.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/SuspensionLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/SuspensionLog.java
@@ -10,6 +10,9 @@
 
   @Override
   public void resumed(long suspendedMillis) {
-    LOG.atInfo().addKeyValue("suspended_ms", suspendedMillis).log("process was suspended");
+    LOG.atInfo()
+        .addMarker(LogMarkers.STATE)
+        .addKeyValue("suspended_ms", suspendedMillis)
+        .log("process was suspended");
   }
 }
