Accept a length that is given twice

Callers saw: a final 400 for a request with the same Content-Length twice, which proxies in front of an entry can produce (RFC 9110, section 8.6).

Evidence: OddRequestTest.otherFormOfRequestIsServed, before, for "Content-Length: 0" twice and "Content-Length: 0, 0": HTTP/1.1 400 Bad Request.

The decoder now joins equal lengths. Lengths that differ, or beside a transfer encoding, are refused as before (HttpFuzzTest. ambiguousLengthsAreRejected).

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -99,7 +99,9 @@
     HttpDecoderConfig config =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(maxHeaderBytes)
-            .setMaxHeaderSize(maxHeaderBytes);
+            .setMaxHeaderSize(maxHeaderBytes)
+            // Lengths that differ are still refused.
+            .setAllowDuplicateContentLengths(true);
     HttpConnection h =
         new HttpConnection(c, service, limits, maxHeaderBytes, timers, () -> draining);
     c.pipeline().addLast(new HttpServerCodec(config)).addLast(h);
