Disconnect callers of completions that read too slowly

A streamed completion was kept for its caller without a limit: an engine that sends faster than the caller reads, or without end, filled the memory of the entry, and the requests of all others ended with it.

AnswerStream held back everything that the caller had not requested. It now closes the caller's connection and cancels the call once more than 4 MiB are waiting, as the forwarding path does; both use CallerBacklog.MAX_BYTES.

A sink may now give up its call while a chunk is delivered; with the last chunk this would have failed on the missing reservation.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -51,6 +51,17 @@
     entry.assertIdle();
   }
 
+  /** Guards against a failure at the last chunk of a caller that reads too slowly. */
+  @Test
+  void callerMayBeGivenUpAtTheLastChunk() {
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    c.onChunk = c::disconnect;
+    entry.engines.last().chunk(0, true);
+    assertFalse(c.ended());
+    assertTrue(entry.engines.last().stopped);
+    entry.assertIdle();
+  }
+
   /** Guards against one request that ends every group of its model, one after the other. */
   @Test
   void requestThatMayHaveCrashedTwoGroupsIsNotSentToAnother() {
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/EntryFixture.java
@@ -231,6 +231,7 @@
     final List<String> chunks = new ArrayList<>();
     @Nullable Problem problem;
     @Nullable RuntimeException failure;
+    Runnable onChunk = () -> {};
     Runnable onEnd = () -> {};
     boolean done;
     @Nullable CompletionCall call;
@@ -257,6 +258,7 @@
       assertEquals(firstOffset + chunks.size(), offset, "gap or repetition");
       assertTrue(json.contains("\"t" + offset + "\""), "wrong chunk at " + offset);
       chunks.add(json);
+      onChunk.run();
     }
 
     @Override
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -272,6 +272,10 @@
     for (Chunk c : p.deliver()) {
       sink.chunk(c.offset() + request.firstOffset(), c.data());
     }
+    if (ended) {
+      // The sink gave up the call.
+      return;
+    }
     if (assembler.isComplete()) {
       completed();
       return;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CompletionHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http/CompletionHandler.java
@@ -75,7 +75,8 @@
   private void sendStream(Context ctx, CompletionRequest r) {
     StreamSink sink = new StreamSink();
     CompletionCall call = new CompletionCall(parts, engines, r, sink);
-    sink.stream = new AnswerStream(call::callerDisconnected);
+    sink.stream =
+        new AnswerStream(ctx.getDirectChannelAccess().getChannel(), call::callerDisconnected);
     Promise.<StreamStart>async(
             downstream -> {
               sink.start = downstream;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -50,9 +50,6 @@
   /** Retry-After of a request over limits that may have been replaced; several polls. */
   private static final int RETRY_AFTER_SECONDS = 1;
 
-  /** A caller is disconnected if more answer bytes than this wait in the outbound buffer. */
-  private static final int MAX_PENDING_WRITE_BYTES = 4 << 20;
-
   private final SocketChannel channel;
   private final HttpService service;
   private final LimitSource limits;
@@ -403,7 +400,7 @@
       }
       channel.writeAndFlush(new DefaultHttpContent(bytes));
       if (channel.unsafe().outboundBuffer() != null
-          && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_PENDING_WRITE_BYTES) {
+          && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > CallerBacklog.MAX_BYTES) {
         LOG.atInfo()
             .addKeyValue("peer", peer())
             .log("caller reads its answer too slowly; closing the connection");
