Write log lines on a process's state at once

Lines waited up to 100 ms for others to be written with them, so the log lost what it was needed for most.

A line marked as state now ends the batch. There are few of them, so the batches of other lines stay long.

BoundedAppenderTest.stateLinesDoNotWaitForTheEndOfTheBatch failed before: expected [first, before change answered, after], but was [first, before change answered after].

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/logging/BoundedAppenderTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/logging/BoundedAppenderTest.java
@@ -82,6 +82,7 @@
     final CountDownLatch stalled = new CountDownLatch(1);
     final CountDownLatch release = new CountDownLatch(1);
     final ByteArrayOutputStream written = new ByteArrayOutputStream();
+    final List<String> writes = new CopyOnWriteArrayList<>();
 
     @Override
     public void write(int b) {
@@ -96,6 +97,7 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
+      writes.add(new String(b, off, len, StandardCharsets.UTF_8));
       written.write(b, off, len);
     }
   }
@@ -179,34 +181,41 @@
     assertTrue(lines.contains("\"count\":8,\"state\":7,\"warning\":1,\"other\":0"), lines);
   }
 
-  /** Guards against lines of a burst that are lost where the reader keeps a part of a long write. */
+  /**
+   * Guards against lines of a burst that are lost where the reader keeps a part of a long write.
+   */
   @Test
   @Timeout(10)
   void burstIsWrittenAsWholeLinesInShortWrites() {
-    List<String> writes = new CopyOnWriteArrayList<>();
-    OutputStream out =
-        new OutputStream() {
-          @Override
-          public void write(int b) {
-            throw new IllegalStateException("lines are written one byte at a time");
-          }
-
-          @Override
-          public void write(byte[] b, int off, int len) {
-            writes.add(new String(b, off, len, StandardCharsets.UTF_8));
-          }
-        };
+    StalledStream out = new StalledStream();
+    out.release.countDown();
     BoundedAppender a = appender(out, Integer.MAX_VALUE);
     for (int i = 0; i < QUEUE_CAPACITY - 1; i++) {
       log(a, Level.INFO, "instance changed " + "x".repeat(350));
     }
     log(a, Level.INFO, "last");
-    while (!String.join("", writes).contains("last")) {
-      Thread.onSpinWait();
-    }
-    for (String w : writes) {
+    awaitLine(out.written, "last");
+    for (String w : out.writes) {
       assertTrue(w.length() <= PIPE_BUFFER_BYTES, "a write of " + w.length() + " bytes");
       assertTrue(w.endsWith("\n"), w);
     }
   }
+
+  /**
+   * Guards against an acknowledged change that no line names, because the machine then lost power.
+   */
+  @Test
+  @Timeout(10)
+  void stateLinesDoNotWaitForTheEndOfTheBatch() throws Exception {
+    StalledStream out = new StalledStream();
+    BoundedAppender a = appender(out, Integer.MAX_VALUE);
+    log(a, Level.INFO, "first");
+    assertTrue(out.stalled.await(5, TimeUnit.SECONDS));
+    log(a, Level.INFO, "before");
+    logState(a, "change answered");
+    log(a, Level.INFO, "after");
+    out.release.countDown();
+    awaitLine(out.written, "after");
+    assertEquals(List.of("first\n", "before\nchange answered\n", "after\n"), out.writes);
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/BoundedAppender.java
@@ -109,7 +109,8 @@
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BATCH_MILLIS);
     while (e != null) {
       add(b, encoder.encode(e));
-      long remaining = deadline - System.nanoTime();
+      // A machine that loses power after an acknowledgement must not lose the line on it.
+      long remaining = LineKind.of(e) == LineKind.STATE ? 0 : deadline - System.nanoTime();
       e = remaining > 0 ? queue.poll(remaining, TimeUnit.NANOSECONDS) : null;
     }
     add(b, reportOfDropped().getBytes(StandardCharsets.UTF_8));
