Look for suspensions once per second

Each process compared its clocks every 100 ms, beside the look before each decision. The timer only keeps the slow correction of the time of day from adding up to a suspension: 0.05% of a second is 0.5 ms, of 40 ms that count. A timer that fires less often wakes idle entries less often. Not measured on its own.

--- a/org.ebonypond/src/main/java/org/ebonypond/time/SuspensionDetector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/time/SuspensionDetector.java
@@ -24,7 +24,7 @@
    * The interval at which a process should look at least, in milliseconds, so that the slow
    * correction of the time of day, at most 0.05%, does not add up to a suspension.
    */
-  public static final long LOOK_MILLIS = 100;
+  public static final long LOOK_MILLIS = 1_000;
 
   /** The number of further readings before a difference counts as a suspension. */
   private static final int CONFIRMING_READINGS = 2;
