Judge the silence of a peer by the delays that it has shown

Callers got 503 for as long as no configuration was confirmed: after a loss of all power, replicas with 0.075 of a processor kept closing the connections between them, and with them lost votes and entries of the log.

Cause: a connection was closed when its peer had sent nothing for one timeout of a request (900 ms), whatever it had taken before, and the new one was judged by the same limit from before its opening on. A peer that is slow was treated like a connection that is dead.

A connection that is dead works again when it is replaced. So the limit now doubles with each connection that was closed, follows the delays that were observed, and counts from the opening; it stays below the 4 s after which processes count as in touch. A fast peer's dead connection is still replaced after one timeout.

Evidence: PeerNetworkTest.connectionsOfSlowPeerAreNotReplacedAgainAndAgain failed before with "8 connections in 8 s".

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
@@ -178,6 +178,48 @@
     }
   }
 
+  /** Counts the requests on a connection; a ping has no payload and is not counted. */
+  private static void countFrames(Socket s, Semaphore requests) throws IOException {
+    DataInputStream in = new DataInputStream(s.getInputStream());
+    while (true) {
+      byte[] frame = in.readNBytes(in.readInt());
+      if (frame[frame.length - 1] == PING[PING.length - 1]) {
+        requests.release();
+      }
+    }
+  }
+
+  /**
+   * Guards against replacing the connection to a slow peer again and again, and losing the votes on
+   * it: no leader was elected for 10 s after all replicas had lost power.
+   */
+  @Test
+  void connectionsOfSlowPeerAreNotReplacedAgainAndAgain() throws Exception {
+    AtomicInteger connections = new AtomicInteger();
+    Semaphore received = new Semaphore(0);
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+      startDaemon(
+          () -> {
+            while (true) {
+              Socket s = server.accept();
+              connections.incrementAndGet();
+              startDaemon(() -> countFrames(s, received));
+            }
+          });
+      InetSocketAddress at = (InetSocketAddress) server.getLocalSocketAddress();
+      for (int i = 0; i < 8; i++) {
+        final CompletableFuture<byte[]> answer = ask(at);
+        assertTrue(received.tryAcquire(5, TimeUnit.SECONDS), "request " + i + " was lost");
+        timers.advance(1_000);
+        assertThrows(CompletionException.class, answer::join);
+        // Only then is a connection that was closed known to be closed.
+        TimeUnit.MILLISECONDS.sleep(100);
+      }
+      assertTrue(connections.get() <= 4, connections.get() + " connections in 8 s");
+      assertTrue(connections.get() >= 2, "a dead connection is replaced");
+    }
+  }
+
   /**
    * Guards against a large answer that never arrives because its connection is closed at the
    * timeout and the next request transfers it again from the start.
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -58,6 +58,7 @@
   private final TimerService timers;
   private final Map<FrameType, FrameHandler> handlers = new ConcurrentHashMap<>();
   private final Map<InetSocketAddress, ChannelFuture> outgoing = new ConcurrentHashMap<>();
+  private final Map<InetSocketAddress, SilenceLimit> silences = new ConcurrentHashMap<>();
   private final Map<Long, PendingRequest> pendingRequests = new ConcurrentHashMap<>();
   private final AtomicLong nextCorrelation = new AtomicLong(1);
   private final AtomicLong sentBytes = new AtomicLong();
@@ -117,6 +118,7 @@
     pendingRequests.put(correlation, request);
     request.timeout = timers.after(timeoutMillis, () -> onTimeout(correlation, request));
     request.ping = timers.after(timeoutMillis / 2, () -> pingIfSilent(to, request.sentAt));
+    silences.computeIfAbsent(to, a -> new SilenceLimit()).requestSent(request.sentAt);
     ChannelFuture f = write(to, frame(type, channel, correlation, payload));
     f.addListener(
         done -> {
@@ -139,7 +141,7 @@
       return;
     }
     fail(correlation, "timeout of " + request.timeoutMillis + " ms");
-    closeIfSilent(request.to, request.sentAt);
+    closeIfSilent(request);
   }
 
   private boolean isFrameArriving(PendingRequest request, long now) {
@@ -216,14 +218,15 @@
     return f.isDone() && lastReceivedMillis(f, LAST_FRAME) < sentAt;
   }
 
-  /**
-   * Closes a connection on which no frame arrived since a request was sent; the next frame opens a
-   * new one. A connection can stop delivering without a reset while new connections work.
-   */
-  private void closeIfSilent(InetSocketAddress to, long sentAt) {
-    ChannelFuture f = outgoing.get(to);
-    if (f != null && isSilent(f, sentAt)) {
-      LOG.atInfo().addKeyValue("peer", to).log("silent connection closed");
+  /** Closes a connection that is silent for too long; the next frame opens a new one. */
+  private void closeIfSilent(PendingRequest request) {
+    ChannelFuture f = outgoing.get(request.to);
+    SilenceLimit silence = silences.get(request.to);
+    if (f != null
+        && silence != null
+        && isSilent(f, request.sentAt)
+        && silence.expire(timers.nowMillis(), request.timeoutMillis)) {
+      LOG.atInfo().addKeyValue("peer", request.to).log("silent connection closed");
       f.channel().close();
     }
   }
@@ -247,6 +250,13 @@
                 new WriteBufferWaterMark(WRITE_BUFFER_BYTES / 2, WRITE_BUFFER_BYTES))
             .handler(initializer())
             .connect(to);
+    f.addListener(
+        done -> {
+          SilenceLimit silence = silences.get(to);
+          if (done.isSuccess() && silence != null) {
+            silence.opened(timers.nowMillis());
+          }
+        });
     return f;
   }
 
@@ -362,7 +372,12 @@
   private final class Receiver extends SimpleChannelInboundHandler<Frame> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Frame f) {
-      ctx.channel().attr(LAST_FRAME).set(timers.nowMillis());
+      long now = timers.nowMillis();
+      ctx.channel().attr(LAST_FRAME).set(now);
+      SilenceLimit silence = silences.get(ctx.channel().remoteAddress());
+      if (silence != null) {
+        silence.frameArrived(now);
+      }
       try {
         onFrame(ctx.channel(), f);
       } catch (RuntimeException e) {
