Log dropped answers of a connection once and with their number

A backend server that writes answers to other requests without end made an entry write a warning for each: 4,377 lines for one connection. Warnings are exempt from the bound of the log, so that such a server could fill it, and each line cost the event loop.

An attempt now logs the first dropped answer and, at its end, the number of all. The connection stays open after the first one: a late answer to an earlier request is often followed by the right one, and UnsolicitedByteLimiter bounds the rest.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -61,6 +61,10 @@
   private final boolean late;
   private final ByteBuf body;
   private int pendingPrefillTokens;
+
+  /** The number of answers to other requests; a server may write them without end. */
+  private int dropped;
+
   private boolean closed;
   private boolean paused;
   private boolean endsWithConnection;
@@ -137,6 +141,9 @@
       return false;
     }
     closed = true;
+    if (dropped > 1) {
+      owner.log().mismatchedAnswers(target.id(), dropped);
+    }
     stats.ended(pendingPrefillTokens, late);
     pendingPrefillTokens = 0;
     forwarder.bufferedAnswers().remove(this);
@@ -154,7 +161,10 @@
     boolean matches =
         r.requestId() == null ? !r.isSuccess() : r.requestId().equals(owner.head().id());
     if (!matches) {
-      owner.log().mismatchedAnswer(target.id(), r.requestId());
+      dropped++;
+      if (dropped == 1) {
+        owner.log().mismatchedAnswer(target.id(), r.requestId());
+      }
       return false;
     }
     if (!isAnswerToThisRequest(r)) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -95,6 +95,19 @@
         .log("answer to another request dropped");
   }
 
+  /**
+   * Logs the number of answers to other requests on one connection.
+   *
+   * @param dropped the number, with the one that was logged on its own
+   */
+  void mismatchedAnswers(String instance, int dropped) {
+    LOG.atWarn()
+        .addKeyValue("request", id)
+        .addKeyValue("instance", instance)
+        .addKeyValue("dropped", dropped)
+        .log("answers to other requests dropped");
+  }
+
   void backendRefused(String instance, BackendReply r) {
     event()
         .addKeyValue("instance", instance)
