Test endless answers with the heap of deployed processes

The build ran the tests of endless answers with a heap of 1 GB, ten times that of a deployed entry, so that an answer that is kept could go unnoticed.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/EndlessEngineTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/EndlessEngineTest.java
@@ -23,6 +23,7 @@
 import org.ebonypond.group.EngineState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -30,6 +31,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the engine client against engines whose answers never end. */
+@Tag("deployed-heap")
 class EndlessEngineTest {
   private static final long MAX_BYTES = 24 << 20;
   private static final String CHUNKED =
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http/AnswerStreamTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http/AnswerStreamTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
@@ -27,6 +28,7 @@
 import ratpack.stream.Streams;
 
 /** Answers that are produced faster than their caller reads them. */
+@Tag("deployed-heap")
 class AnswerStreamTest {
   private static final String TEXT = "x".repeat(1_024);
 
