Take blocked prompt parts from the log only as leader

Callers saw: requests refused for good (400) because of a prompt part that had been released since, at every entry, and each such request renewed the block.

Cause: a replica that starts took the blocked parts of the state on its disk for evidence of this moment, before it knew whether that state is the newest one, and told all entries.

Evidence: FleetReplicaTest.restartedReplicaBlocksPromptPartsOnlyAsLeader, before, 28 ms after the restored part: unconfirmed: [PartSuspicion[part=2989, idleMillis=28, crashes=[...], begun=0, blocked=true]] expected: <true> but was: <false>

Only a replica that leads the log and knows that its state is the newest one now takes over the parts; the others learn them from it with their polls. It records the parts in the log only after that, so that a new leader does not release what it has not read yet. Cost: after a loss of all processes parts are blocked from the first leader on, not from the first start.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -174,6 +174,18 @@
   @Test
   void blockedPromptPartsOutliveTheLossOfAllProcesses() throws Exception {
     TestReplica s = start();
+    blockPart(s);
+    s.close();
+    TestReplica restarted = start();
+    await(() -> !poll(restarted, "other", List.of()).suspicions().isEmpty());
+    PartSuspicion restored = poll(restarted, "other", List.of()).suspicions().get(0);
+    assertEquals(0xBAD, restored.part());
+    assertTrue(restored.blocked());
+    assertEquals(3, restored.crashes().size());
+  }
+
+  /** Has an entry report a blocked part until it is in the log. */
+  private static void blockPart(TestReplica s) throws InterruptedException {
     List<PartSuspicion.Crash> crashes =
         List.of(
             new PartSuspicion.Crash(1, 0, 0.02),
@@ -185,13 +197,27 @@
           poll(s, "entry", blocked);
           return s.replica.applied().quarantine().size() == 1;
         });
+  }
+
+  /**
+   * Guards against entries that refuse requests for good by prompt parts that were released: a
+   * replica that has just started has old ones on its disk, and would block them again everywhere.
+   */
+  @Test
+  void restartedReplicaBlocksPromptPartsOnlyAsLeader() throws Exception {
+    TestReplica s = start();
+    blockPart(s);
     s.close();
-    TestReplica restarted = start();
-    await(() -> !poll(restarted, "other", List.of()).suspicions().isEmpty());
-    PartSuspicion restored = poll(restarted, "other", List.of()).suspicions().get(0);
-    assertEquals(0xBAD, restored.part());
-    assertTrue(restored.blocked());
-    assertEquals(3, restored.crashes().size());
+    TestReplica restarted = new TestReplica();
+    replicas.add(restarted);
+    await(
+        () -> {
+          FleetPollResult r = poll(restarted, "entry", List.of());
+          boolean confirmed = r.stateAgeMillis() != FleetPollResult.UNCONFIRMED;
+          assertTrue(confirmed || r.suspicions().isEmpty(), "unconfirmed: " + r.suspicions());
+          return confirmed && !r.suspicions().isEmpty();
+        });
+    assertEquals(1, restarted.replica.applied().quarantine().size());
   }
 
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -461,7 +461,11 @@
     }
   }
 
-  /** Takes over the blocked prompt parts of the log when they have changed. */
+  /**
+   * Takes over the blocked prompt parts of the log when they have changed. Only a leader that knows
+   * the newest state does: others learn them from it, and a replica that has just started may hold
+   * parts that were released since.
+   */
   private void restoreQuarantine(long now) {
     List<String> parts = log.current().quarantine();
     if (parts.equals(restoredQuarantine)) {
@@ -488,7 +492,10 @@
   private void plan() {
     long now = timers.nowMillis();
     table.prune(now);
-    restoreQuarantine(now);
+    boolean holdsNewestState = log.leaderState().confirmedAt() != Long.MIN_VALUE;
+    if (holdsNewestState) {
+      restoreQuarantine(now);
+    }
     logConfiguration(now);
     ReplicaStatus s = log.status();
     boolean leads = s.role() == RaftRole.LEADER && s.mayLead(now);
@@ -500,7 +507,10 @@
       return;
     }
     recordEntries(now);
-    recordQuarantine(now);
+    if (holdsNewestState) {
+      // Before, what the log has blocked is unknown here and would be released.
+      recordQuarantine(now);
+    }
     List<InstanceUpdate> all = table.all(now);
     for (ServiceProfile p : c.services().values()) {
       if (p.engine() != null) {
