Keep the term of a control leader that waits for its majority

Operators saw: after a step of the time of day forward by 40 ms or more, the control leader could start its term again. It then grants no shares of starting backend servers for 4.15 s, while entries' shares lapse after 3 s, and forgets announcements, loads and orders that are under way.

Cause: a suspension, and a step that looks like one, leaves the leader unconfirmed until its majority has answered, tens of milliseconds. The tick of ControlLeader took that for the end of the term.

The term is ended now only if the replica is no longer the leader or leads another term. An unconfirmed leader skips ticks, and shares are still granted only while it may lead. As no other replica led meanwhile, what the leader knows stays valid; its clock may have stood still, which makes it wait longer.

ControlLeaderTraceTest.leaderGoesOnInItsTermAfterStepsOfTheTimeOfDay failed before: of five steps, three restarted term 1 expected: <1> but was: <7> (lines term-started and term-ended)

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ControlLeaderTraceTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/control/ControlLeaderTraceTest.java
@@ -81,6 +81,7 @@
   private final ScheduledExecutorService threads = Executors.newScheduledThreadPool(2);
   private final ExecutorService leaderThread = Executors.newSingleThreadExecutor();
   private final TimerService timers = new ScheduledTimerService(threads);
+  private final FakeWallClock wallClock = new FakeWallClock(timers);
   private final FakeEngineFleet fleet = new FakeEngineFleet();
 
   private DaemonSettings settings() throws IOException {
@@ -166,8 +167,20 @@
     return g.state() == GroupState.READY;
   }
 
-  /** Runs a leader until a group has lost a member and has been repaired. */
-  private ControlView run(Path file) throws IOException, InterruptedException {
+  /** Steps the time of day forward several times. */
+  private void stepTimeOfDay() throws InterruptedException {
+    for (int i = 0; i < 5; i++) {
+      wallClock.suspend(2_000);
+      Thread.sleep(250);
+    }
+  }
+
+  /**
+   * Runs a leader until a group has lost a member and has been repaired.
+   *
+   * @param steps whether the time of day is stepped after the group was formed
+   */
+  private ControlView run(Path file, boolean steps) throws IOException, InterruptedException {
     DaemonSettings settings = settings();
     TraceHeader header =
         new TraceHeader(
@@ -180,7 +193,7 @@
                 settings,
                 network,
                 timers,
-                new FakeWallClock(timers).newDetector(),
+                wallClock.newDetector(),
                 EventSink.NONE,
                 new Random(1),
                 e -> {})) {
@@ -208,6 +221,9 @@
       }
       ControlView before = await(replica, ControlLeaderTraceTest::isReady);
       GroupRecord formed = before.groups().values().iterator().next();
+      if (steps) {
+        stepTimeOfDay();
+      }
       synchronized (fleet) {
         fleet.get(formed.members().get(1).instance()).stop();
       }
@@ -239,7 +255,7 @@
     Logger log = (Logger) LoggerFactory.getLogger(ControlLeader.class);
     log.setLevel(Level.DEBUG);
     log.addAppender(appender);
-    final ControlView last = run(file);
+    final ControlView last = run(file, false);
     log.detachAppender(appender);
     Trace trace = TraceReader.read(Files.readString(file));
     TraceOutcome outcome = TraceReplay.run(trace, 0);
@@ -254,4 +270,21 @@
     assertTrue(
         outcome.longestDetectionMillis() >= 2_000, () -> outcome.longestDetectionMillis() + " ms");
   }
+
+  /**
+   * Guards against a leader that starts its term again after a step of the time of day, and grants
+   * no shares of starting backend servers for seconds.
+   */
+  @Test
+  void leaderGoesOnInItsTermAfterStepsOfTheTimeOfDay() throws IOException, InterruptedException {
+    fleet.addZone("a", 1, 3, "batcher", true, 500);
+    Path file = folder.resolve("leader.trace");
+    run(file, true);
+    List<String> terms =
+        Files.readString(file)
+            .lines()
+            .filter(l -> l.contains("term-started") || l.contains("term-ended"))
+            .toList();
+    assertEquals(1, terms.size(), terms.toString());
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/control/ControlLeader.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.ebonypond.consensus.ProposalResult;
+import org.ebonypond.consensus.RaftRole;
 import org.ebonypond.control.ControlCommand;
 import org.ebonypond.control.ControlResult;
 import org.ebonypond.control.ControlView;
@@ -113,11 +114,12 @@
   private void tick() {
     ReplicaStatus status = replica.control().status();
     if (!status.mayLead(timers.nowMillis())) {
-      if (term >= 0) {
-        trace.record(new TraceRecord.TermEnded(timers.nowMillis()));
+      // A leader that is only unconfirmed, as after a suspension, either goes on or hears of its
+      // successor.
+      boolean unconfirmed = status.role() == RaftRole.LEADER && status.term() == term;
+      if (!unconfirmed) {
+        endTerm();
       }
-      term = -1;
-      shares.ended();
       return;
     }
     if (stepRunning) {
@@ -129,6 +131,14 @@
         .whenCompleteAsync((v, failure) -> loggingFailures(() -> step(status, v)).run(), executor);
   }
 
+  private void endTerm() {
+    if (term >= 0) {
+      trace.record(new TraceRecord.TermEnded(timers.nowMillis()));
+    }
+    term = -1;
+    shares.ended();
+  }
+
   private void step(ReplicaStatus status, @Nullable LeaderView read) {
     stepRunning = false;
     ReplicaStatus current = replica.control().status();
