Bound the answers that the command-line tool reads

A body without end from one faulty entry was read into the memory of the tool until it failed, and a body that stopped arriving held the tool for good, although other entries would have answered.

The timeout of the Java client's requests ends with the head of the answer, and its body handler for text has no limit. LimitedText fails above 32 MiB, and the body gets as long as the head did. The attempt then counts as failed, and the next entry is asked.

Heads, empty lines, interim heads, chunk extensions and trailers without end already ended the attempt; the Java client then stops reading and keeps the connection until the tool exits.

--- a/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/EntryClient.java
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/EntryClient.java
@@ -8,9 +8,14 @@
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.jspecify.annotations.Nullable;
 
 /** Sends a request to the entries in order until one of them gives a final answer. */
@@ -19,6 +24,9 @@
   private static final int MAX_ROUNDS = 3;
   private static final long ROUND_DELAY_MILLIS = 500;
 
+  /** An entry keeps 20,000 events of less than 1 KiB; other answers are smaller. In bytes. */
+  private static final int MAX_ANSWER_BYTES = 32 << 20;
+
   private final List<String> entries;
   private final Duration timeout;
   private final PrintStream err;
@@ -173,10 +181,22 @@
   }
 
   private Answer send(String entry, HttpRequest request) throws IOException {
+    CompletableFuture<HttpResponse<String>> answer =
+        http.sendAsync(request, head -> new LimitedText(MAX_ANSWER_BYTES));
     try {
-      HttpResponse<String> r = http.send(request, HttpResponse.BodyHandlers.ofString());
+      // The timeout of a request ends with the head of its answer; its body gets as long again.
+      HttpResponse<String> r = answer.get(2 * timeout.toMillis(), TimeUnit.MILLISECONDS);
       return new Answer(entry, r.statusCode(), r.body());
+    } catch (ExecutionException e) {
+      if (e.getCause() instanceof IOException failure) {
+        throw failure;
+      }
+      throw new IOException(e.getCause());
+    } catch (TimeoutException e) {
+      answer.cancel(true);
+      throw new HttpTimeoutException("the answer does not end");
     } catch (InterruptedException e) {
+      answer.cancel(true);
       Thread.currentThread().interrupt();
       throw new IOException("interrupted", e);
     }
