Ask again for votes that a candidate has not got

After a loss of all power, replicas on slow processors had no leader for seconds: a vote that was lost with its connection was missed until the candidate's timeout ended, which is doubled up to eight times for slow voters.

A candidate now repeats its request, to those that have not voted for it, after each maximum election timeout. Voters answer it again without another sync, since they have voted for it.

Evidence: RaftNodeTest.candidateAsksThoseAgainThatHaveNotAnswered failed before with "[] ==> expected: <2> but was: <0>".

--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/RaftNodeTest.java
@@ -109,6 +109,41 @@
     throw new AssertionError("no pre-vote within 2 s");
   }
 
+  /**
+   * Guards against a candidate that waits for a lost vote until its doubled timeout ends: replicas
+   * on slow processors had no leader for seconds after each connection that was replaced.
+   */
+  @Test
+  void candidateAsksThoseAgainThatHaveNotAnswered() {
+    node = startWithoutLeases(0);
+    append(1_000, 1, 0, 0, membershipEntry());
+    long now = 2_000;
+    for (int term = 2; term <= 4; term++) {
+      node.tick(now);
+      node.flush(now);
+      node.receive(now, "c", new RaftMessage.VoteReply(term, "idc", true, true));
+      node.flush(now);
+      assertEquals(RaftRole.CANDIDATE, node.role());
+      now = term == 4 ? now : now + 4_000;
+      node.tick(now);
+      node.flush(now);
+    }
+    // The candidate of term 4 has lost two elections, so it waits for at least 2,000 ms.
+    node.tick(now + 1_001);
+    List<RaftMessage> repeated = requests(now + 1_001);
+    assertEquals(2, repeated.size(), repeated.toString());
+    node.tick(now + 1_100);
+    assertEquals(List.of(), requests(now + 1_100));
+  }
+
+  /** Returns the requests for votes of the current term that are sent at a time. */
+  private List<RaftMessage> requests(long now) {
+    return node.flush(now).messages().stream()
+        .map(RaftOutput.Outbound::message)
+        .filter(m -> m instanceof RaftMessage.VoteRequest r && !r.preVote() && r.term() == 4)
+        .toList();
+  }
+
   /** Guards against pre-votes that pile up at a peer that is slow to answer them. */
   @Test
   void preVoteIsRepeatedAfterTheElectionTimeoutOnceAnyPeerHasAnswered() {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/RaftNode.java
@@ -309,6 +309,10 @@
       return;
     }
     if (!timer.isDue(now)) {
+      if (role == RaftRole.CANDIDATE && timer.isRepeatDue(now)) {
+        timer.resetRepeat(now);
+        ballot.requestVotes(false, this::send);
+      }
       return;
     }
     if (role == RaftRole.CANDIDATE) {
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Ballot.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Ballot.java
@@ -56,7 +56,7 @@
   }
 
   /**
-   * Requests votes from the voters of the current membership.
+   * Requests votes from the voters of the current membership that have not given theirs.
    *
    * @param preVote whether this only asks whether they would be granted in the next term
    * @param out receives each message with the name of its receiver
@@ -68,7 +68,7 @@
         .members()
         .forEach(
             (name, to) -> {
-              if (!to.equals(identity)) {
+              if (!votes.contains(to)) {
                 out.accept(
                     name,
                     new RaftMessage.VoteRequest(
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/ElectionTimer.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/ElectionTimer.java
@@ -13,6 +13,7 @@
   private long deadline;
   private long lastContact;
   private int lostElections;
+  private long repeatAt;
 
   /**
    * Starts the timer.
@@ -43,6 +44,17 @@
         now
             + random.nextLong(
                 factor * config.electionMinMillis(), factor * config.electionMaxMillis());
+    resetRepeat(now);
+  }
+
+  /** Starts the time after which a candidate asks those again that have not answered. */
+  public void resetRepeat(long now) {
+    repeatAt = now + config.electionMaxMillis();
+  }
+
+  /** Returns whether a candidate should ask those again that have not answered. */
+  public boolean isRepeatDue(long now) {
+    return now >= repeatAt;
   }
 
   /** Records that a candidate's timeout has expired before it won. */
