Send fewer heartbeats to replicas that are too busy to answer

Callers got 503 meanwhile.

Cause: a leader sends eight heartbeats a second to each replica, whether answered or not. On a processor that is too slow they fill the queues of the replicas, and their answers that of the leader; entries wait behind them, and are sent again after two heartbeats. Control work delays its own recovery.

A replica that has answered nothing for half of the minimum election timeout now gets one heartbeat in that time, and entries are repeated with it only. That still prevents its election. Leaders with a lease need every heartbeat and send all of them.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryNetwork.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/MemoryNetwork.java
@@ -62,14 +62,25 @@
 
   /** Removes and returns the messages that are due at any of the receivers. */
   public List<Message> due(long now, Set<String> receivers) {
+    return due(now, receivers, false);
+  }
+
+  /**
+   * Removes and returns the messages that are due at any of the receivers.
+   *
+   * @param single whether each receiver takes its first message only
+   */
+  List<Message> due(long now, Set<String> receivers, boolean single) {
     List<Message> arrived = new ArrayList<>();
     List<Message> waiting = new ArrayList<>();
+    Set<String> taken = new HashSet<>();
     while (!queue.isEmpty() && queue.peek().due <= now) {
       Message m = queue.remove();
       if (isCut(m.from, m.to)) {
         continue;
       }
-      (receivers.contains(m.to) ? arrived : waiting).add(m);
+      boolean takes = receivers.contains(m.to) && (taken.add(m.to) || !single);
+      (takes ? arrived : waiting).add(m);
     }
     queue.addAll(waiting);
     return arrived;
--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/consensus/RaftCluster.java
@@ -27,6 +27,7 @@
   private final Random random;
   private final List<String> initialNames;
   private final int targetVoters;
+  private final boolean leaderLease;
   private final SafetyChecker checker = new SafetyChecker();
   private final MemoryNetwork network;
   private final Map<String, FakeReplica> replicas = new TreeMap<>();
@@ -35,6 +36,8 @@
   private long now;
   private long nextProposal = 1;
   private boolean endsProcessesOnFailedSyncs;
+  private int messageMillis;
+  private final Map<String, Long> busyUntil = new HashMap<>();
 
   /**
    * Creates a cluster with empty disks in which no process runs yet.
@@ -53,7 +56,13 @@
    * @param targetVoters the number of voters up to which joining replicas become voters
    */
   public RaftCluster(long seed, int size, int compactAfter, int targetVoters) {
+    this(seed, size, compactAfter, targetVoters, true);
+  }
+
+  private RaftCluster(
+      long seed, int size, int compactAfter, int targetVoters, boolean leaderLease) {
     this.targetVoters = targetVoters;
+    this.leaderLease = leaderLease;
     random = new Random(seed);
     network = new MemoryNetwork(new Random(random.nextLong()));
     List<String> names = new ArrayList<>();
@@ -67,6 +76,11 @@
     }
   }
 
+  /** Creates a cluster whose leaders have no leases, as those of the serving log. */
+  public static RaftCluster withoutLeases(long seed, int size, int compactAfter) {
+    return new RaftCluster(seed, size, compactAfter, size, false);
+  }
+
   /** Returns the checker of all replicas. */
   public SafetyChecker checker() {
     return checker;
@@ -121,7 +135,7 @@
         64,
         targetVoters,
         REPLACE_AFTER_MILLIS,
-        true);
+        leaderLease);
   }
 
   /** Starts every replica that is down. */
@@ -147,6 +161,16 @@
     network.drop(name);
   }
 
+  /**
+   * Makes each replica handle one message at a time, as on a processor that is too slow; it does
+   * nothing else meanwhile.
+   *
+   * @param millis the mean time that a message takes, in milliseconds; 0 for none
+   */
+  public void slowProcessors(int millis) {
+    messageMillis = millis;
+  }
+
   /** Lets some failed syncs end only the process; otherwise each one is a loss of power. */
   public void endProcessesOnFailedSyncs() {
     endsProcessesOnFailedSyncs = true;
@@ -279,7 +303,9 @@
   private void step() {
     now++;
     List<FakeReplica> running =
-        replicas.values().stream().filter(r -> r.isUp() && !r.isFrozen()).toList();
+        replicas.values().stream()
+            .filter(r -> r.isUp() && !r.isFrozen() && !isBusy(r.name()))
+            .toList();
     for (FakeReplica r : running) {
       run(r, () -> r.node().tick(r.localTime(now)));
     }
@@ -290,16 +316,24 @@
     checkLeaders();
   }
 
+  private boolean isBusy(String name) {
+    return now < busyUntil.getOrDefault(name, Long.MIN_VALUE);
+  }
+
   private void deliver() {
     List<MemoryNetwork.Message> due =
         network.due(
             now,
             replicas.values().stream()
-                .filter(r -> !r.isFrozen())
+                .filter(r -> !r.isFrozen() && !isBusy(r.name()))
                 .map(FakeReplica::name)
-                .collect(Collectors.toSet()));
+                .collect(Collectors.toSet()),
+            messageMillis > 0);
     for (MemoryNetwork.Message m : due) {
       FakeReplica r = replica(m.to());
+      if (messageMillis > 0) {
+        busyUntil.put(r.name(), now + 1 + random.nextInt(2 * messageMillis));
+      }
       run(
           r,
           () -> r.node().receive(r.localTime(now), m.from(), RaftCodec.decodeMessage(m.payload())));
--- a/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ElectionTimeTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/consensus/ElectionTimeTest.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import org.ebonypond.junit.consensus.FakeReplica;
 import org.ebonypond.junit.consensus.RaftCluster;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -14,6 +15,12 @@
   /** Time without a reachable leader after which an entry answers outcome-unknown. */
   private static final long LEDGER_TIMEOUT_MILLIS = 3_000;
 
+  /**
+   * Time in which a change that was acknowledged right before a loss of power must be in force: the
+   * 4 s after which processes count as in touch again, and the platform's 2.5 s for a change.
+   */
+  private static final long IN_FORCE_MILLIS = 6_500;
+
   /**
    * Guards against elections that fail repeatedly because two replicas request votes at the same
    * time. The message delay models a busy machine or slow disks.
@@ -45,6 +52,44 @@
     assertTrue(times[RUNS - 1] < 16L * maxDelayMillis, describe(times));
   }
 
+  /**
+   * Guards against a leader whose heartbeats fill the queues of replicas on processors that are too
+   * slow, so that its first entries wait behind them.
+   */
+  @Test
+  void changesAreCommittedOnSlowProcessors() {
+    long[] times = new long[RUNS];
+    for (int seed = 0; seed < RUNS; seed++) {
+      times[seed] = thirdChangeMillis(seed);
+    }
+    Arrays.sort(times);
+    assertTrue(times[RUNS - 1] < IN_FORCE_MILLIS, describe(times));
+  }
+
+  /** Returns when the third change is committed after a start on 60 ms for each message. */
+  private static long thirdChangeMillis(int seed) {
+    RaftCluster c = RaftCluster.withoutLeases(seed, 5, 1_000);
+    c.startAll();
+    c.awaitLeader();
+    c.commit("before");
+    c.replicas().forEach(r -> c.kill(r.name()));
+    c.slowProcessors(60);
+    c.startAll();
+    long start = c.now();
+    for (int i = 0; i < 3; i++) {
+      c.await(60_000, () -> c.replicas().stream().anyMatch(ElectionTimeTest::confirms));
+      FakeReplica l = c.replicas().stream().filter(ElectionTimeTest::confirms).findAny().get();
+      long change = c.propose(l.name(), "change " + i);
+      c.await(60_000, () -> c.result(change) != null);
+    }
+    return c.now() - start;
+  }
+
+  /** Returns whether a replica leads and has committed an entry of its term. */
+  private static boolean confirms(FakeReplica r) {
+    return r.node().role() == RaftRole.LEADER && r.node().confirmedAt() != Long.MIN_VALUE;
+  }
+
   private static long firstLeaderMillis(int seed, int maxDelayMillis) {
     RaftCluster c = new RaftCluster(seed, 5, 1_000);
     c.startAll();
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Progress.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Progress.java
@@ -23,6 +23,9 @@
   /** The latest send time of a request that the replica has answered. */
   long ackedSentAt = Long.MIN_VALUE;
 
+  /** The time of the last heartbeat, or {@code Long.MIN_VALUE}. */
+  long heartbeatAt = Long.MIN_VALUE;
+
   /** The snapshot that is being sent, or null. */
   @Nullable Snapshot snapshot;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/consensus/internal/Replication.java
@@ -66,7 +66,7 @@
     peers.putIfAbsent(name, new Progress(identity, log.lastIndex() + 1));
   }
 
-  /** Sends a heartbeat to every replica if it is due. */
+  /** Sends a heartbeat to every replica if it is due; a slow one gets fewer. */
   public void heartbeat(long now, long commit) {
     if (now < nextHeartbeat) {
       return;
@@ -74,6 +74,10 @@
     nextHeartbeat = now + config.heartbeatMillis();
     peers.forEach(
         (name, p) -> {
+          if (!isHeartbeatDue(p, now)) {
+            return;
+          }
+          p.heartbeatAt = now;
           if (p.inFlightIndex >= 0 && now - p.inFlightSince >= 2 * config.heartbeatMillis()) {
             p.inFlightIndex = -1;
           }
@@ -81,6 +85,20 @@
         });
   }
 
+  /**
+   * Returns whether to send a heartbeat now. A replica that is too busy to answer gets one each
+   * half of the election timeout, which still prevents its election: more would wait in its queue,
+   * and their answers in the queue of this one, before the entries. A lease needs all of them.
+   */
+  private boolean isHeartbeatDue(Progress p, long now) {
+    long pause = config.electionMinMillis() / 2;
+    boolean answers = p.ackedSentAt != Long.MIN_VALUE && now - p.ackedSentAt < pause;
+    return config.leaderLease()
+        || answers
+        || p.heartbeatAt == Long.MIN_VALUE
+        || now - p.heartbeatAt >= pause;
+  }
+
   /** Sends new entries to every replica that has acknowledged the previous ones. */
   public void sendEntries(long now, long commit) {
     peers.forEach((name, p) -> send(name, p, now, commit, false));
