Add up suspensions that are too short to be detected alone

Each look took the difference of the clocks that it had read as the one to compare the next look with. So suspensions of up to 39 ms each were never noticed, however many there were within one lease, whose reserve is 50 ms. A thread that lost the processor for up to 39 ms between its two readings hid as much of the next suspension.

The expected difference now rises by itself only as fast as the time of day may be corrected, 1 ms a second; a smaller difference is taken over at once.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/time/SuspensionDetectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/time/SuspensionDetectorTest.java
@@ -71,4 +71,25 @@
     lead += SuspensionDetector.MIN_SUSPENSION_MILLIS;
     assertEquals(0, detector.resumedAt());
   }
+
+  /** Guards against a suspension that is hidden by a thread that waited during the look before. */
+  @Test
+  void suspensionAfterShortWaitForTheProcessorIsDetected() {
+    preemptedMillis = SuspensionDetector.MIN_SUSPENSION_MILLIS - 1;
+    assertEquals(Long.MIN_VALUE, detector.resumedAt());
+    long thawedAt = timers.nowMillis();
+    lead += SuspensionDetector.MIN_SUSPENSION_MILLIS;
+    assertEquals(thawedAt, detector.resumedAt());
+  }
+
+  /** Guards against short suspensions that together use up the reserve of a lease. */
+  @Test
+  void shortSuspensionsAddUp() {
+    for (int i = 0; i < 4; i++) {
+      timers.advance(100);
+      lead += 15;
+      detector.resumedAt();
+    }
+    assertEquals(300, detector.resumedAt());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/time/SuspensionDetector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/time/SuspensionDetector.java
@@ -20,11 +20,14 @@
    */
   public static final long MIN_SUSPENSION_MILLIS = 40;
 
+  /** The interval at which a process should look at least, in milliseconds. */
+  public static final long LOOK_MILLIS = 1_000;
+
   /**
-   * The interval at which a process should look at least, in milliseconds, so that the slow
-   * correction of the time of day, at most 0.05%, does not add up to a suspension.
+   * The time in which the time of day may gain 1 ms on the steady clock without a suspension, in
+   * milliseconds; it is corrected by at most 0.05%.
    */
-  public static final long LOOK_MILLIS = 1_000;
+  private static final long MILLIS_PER_CORRECTION = 1_000;
 
   /** The number of further readings before a difference counts as a suspension. */
   private static final int CONFIRMING_READINGS = 2;
@@ -32,7 +35,8 @@
   private final TimerService timers;
   private final LongSupplier wallMillis;
   private final Listener listener;
-  private long lastLead;
+  private long expectedLead;
+  private long expectedAt;
   private long resumedAt = Long.MIN_VALUE;
 
   /** Receives each suspension once. */
@@ -57,8 +61,8 @@
     this.timers = timers;
     this.wallMillis = wallMillis;
     this.listener = listener;
-    long steady = timers.nowMillis();
-    this.lastLead = wallMillis.getAsLong() - steady;
+    this.expectedAt = timers.nowMillis();
+    this.expectedLead = wallMillis.getAsLong() - expectedAt;
   }
 
   /**
@@ -76,8 +80,8 @@
       lead = Math.min(lead, wallMillis.getAsLong() - steady);
     }
     boolean suspended = isSuspension(lead);
-    long suspendedMillis = lead - lastLead;
-    lastLead = lead;
+    long suspendedMillis = lead - expectedLead;
+    expect(lead, steady, suspended);
     if (suspended) {
       resumedAt = steady;
       listener.resumed(suspendedMillis);
@@ -85,7 +89,14 @@
     return resumedAt;
   }
 
+  /** Updates the expected lead. A smaller rise is kept, so that short suspensions add up. */
+  private void expect(long lead, long steady, boolean suspended) {
+    long corrections = (steady - expectedAt) / MILLIS_PER_CORRECTION;
+    expectedAt += corrections * MILLIS_PER_CORRECTION;
+    expectedLead = suspended ? lead : Math.min(lead, expectedLead + corrections);
+  }
+
   private boolean isSuspension(long lead) {
-    return lead - lastLead >= MIN_SUSPENSION_MILLIS;
+    return lead - expectedLead >= MIN_SUSPENSION_MILLIS;
   }
 }
