Name the engine client after its protocol, and warnings before state lines

PooledEngineClient opened a connection for each attempt, and its siblings are called HttpEngineAdmin and HttpServiceClient. ReplicaStatus.after did not say after what. A warning that is marked as state would have been limited like a state line; none is today.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/BackendLoop.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/backend/BackendLoop.java
@@ -22,7 +22,7 @@
   }
 
   EngineClient engines() {
-    return new PooledEngineClient(http);
+    return new HttpEngineClient(http);
   }
 
   EngineAdmin admin() {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/Daemon.java
@@ -41,8 +41,8 @@
 import org.ebonypond.server.backend.BackendHttpClient;
 import org.ebonypond.server.backend.CacheEventPoller;
 import org.ebonypond.server.backend.HttpEngineAdmin;
+import org.ebonypond.server.backend.HttpEngineClient;
 import org.ebonypond.server.backend.HttpServiceClient;
-import org.ebonypond.server.backend.PooledEngineClient;
 import org.ebonypond.server.control.AnnouncementRelay;
 import org.ebonypond.server.control.ControlLeader;
 import org.ebonypond.server.control.EntryInfo;
@@ -201,7 +201,7 @@
     startHttp(
         new EntryHandlers(
             parts,
-            new PooledEngineClient(backendClient()),
+            new HttpEngineClient(backendClient()),
             new HttpServiceClient(backendClient(), MAX_BODY_BYTES),
             new RetryPolicy(budget, rates),
             ledger,
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/PooledEngineClient.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/backend/HttpEngineClient.java
@@ -22,8 +22,8 @@
  * Implementation of {@link EngineClient} over HTTP with server-sent events. Each attempt opens a
  * connection, because the answers of engines have no identifier.
  */
-public final class PooledEngineClient implements EngineClient {
-  private static final Logger LOG = LoggerFactory.getLogger(PooledEngineClient.class);
+public final class HttpEngineClient implements EngineClient {
+  private static final Logger LOG = LoggerFactory.getLogger(HttpEngineClient.class);
   private static final String DONE = "[DONE]";
 
   /** The type of events without a type. */
@@ -57,7 +57,7 @@
    *
    * @param client sends the requests
    */
-  public PooledEngineClient(BackendHttpClient client) {
+  public HttpEngineClient(BackendHttpClient client) {
     this.client = client;
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/LineKind.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/logging/LineKind.java
@@ -26,10 +26,10 @@
   }
 
   static LineKind of(ILoggingEvent e) {
-    List<Marker> markers = e.getMarkerList();
-    if (markers != null && markers.contains(LogMarkers.STATE)) {
-      return STATE;
+    if (e.getLevel().isGreaterOrEqual(Level.WARN)) {
+      return WARNING;
     }
-    return e.getLevel().isGreaterOrEqual(Level.WARN) ? WARNING : OTHER;
+    List<Marker> markers = e.getMarkerList();
+    return markers != null && markers.contains(LogMarkers.STATE) ? STATE : OTHER;
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaDriver.java
@@ -91,7 +91,7 @@
    * lead before a majority has answered a request that it sent afterwards.
    */
   public ReplicaStatus status() {
-    return status.after(suspensions.resumedAt());
+    return status.afterSuspension(suspensions.resumedAt());
   }
 
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/replica/ReplicaStatus.java
@@ -48,7 +48,7 @@
    * @param resumedAt the time from which on the replica knows whether it leads, see {@link
    *     org.ebonypond.time.SuspensionDetector}
    */
-  ReplicaStatus after(long resumedAt) {
+  ReplicaStatus afterSuspension(long resumedAt) {
     return confirmedAt > resumedAt ? this : unconfirmed();
   }
 
