Log requests that the listener cannot read

Callers that sent a malformed head, two lengths or two hosts got a final 400 that left no line in the log, so it could not be told afterwards whether a proper request had been refused.

OddRequestTest.requestThatCannotBeReadIsLogged failed before in all three cases: expected: <[malformed request]> but was: <[]>

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -121,9 +121,13 @@
         r.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1
             || (r.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 && r.headers().contains(HttpHeaderNames.TRANSFER_ENCODING));
-    if (conflictingLengths || r.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
+    if (conflictingLengths) {
       // Request smuggling: a second length could hide another request inside the body.
-      refuse(HttpResponseStatus.BAD_REQUEST);
+      refuseMalformed("conflicting lengths");
+      return;
+    }
+    if (r.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
+      refuseMalformed("more than one host");
       return;
     }
     if (HttpUtil.getContentLength(r, 0L) > limits.limits().maxBodyBytes()) {
@@ -202,10 +206,19 @@
       refuseTooLarge(
           HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, !raised && limits.areFinal());
     } else {
-      refuse(HttpResponseStatus.BAD_REQUEST);
+      refuseMalformed(String.valueOf(failure.getMessage()));
     }
   }
 
+  private void refuseMalformed(String reason) {
+    LOG.atInfo()
+        .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
+        .addKeyValue("status", HttpResponseStatus.BAD_REQUEST.code())
+        .addKeyValue("reason", reason)
+        .log("malformed request");
+    refuse(HttpResponseStatus.BAD_REQUEST);
+  }
+
   private void refuseTooLarge(HttpResponseStatus status, boolean isFinal) {
     ClientLimits l = limits.limits();
     LOG.atInfo()
