--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -44,6 +44,7 @@
   private long version;
   private long receivedVersion;
   private String configSource = "";
+  private long firstConfigAt;
   private long replacedVersion;
   private long replacedAt;
   private long zonesIndex = -1;
@@ -111,6 +112,9 @@
       long startedNanos = System.nanoTime();
       try {
         ServingConfig decoded = source.decode(s.document());
+        if (config == null) {
+          firstConfigAt = now;
+        }
         config = decoded;
         version = s.version();
         receivedVersion = s.version();
@@ -226,12 +230,13 @@
   }
 
   /**
-   * Returns whether this process has a configuration, but no replica has told it yet which version
-   * is the newest. A replica that has just started or is cut off sends what it has on its disk, of
-   * any age.
+   * Returns for how long this process has had a configuration although no replica has told it yet
+   * which version is the newest, in milliseconds; 0 once one has. A replica that has just started
+   * or is cut off sends what it has on its disk, of any age. {@code Long.MAX_VALUE} if this process
+   * was suspended since it has its first configuration.
    */
-  public boolean isOfUnknownAge() {
-    return config != null && newestVersion.version() == 0;
+  public long neverConfirmedMillis(long now) {
+    return config == null || newestVersion.version() > 0 ? 0 : millisSince(firstConfigAt, now);
   }
 
   private long millisSince(long time, long now) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ConfigAgeLimits.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ConfigAgeLimits.java
@@ -7,7 +7,8 @@
  *     that the caller takes as final, in milliseconds; a request may wait as long for a
  *     confirmation
  * @param replacedMillis how long an entry may serve by a configuration after it has learned that a
- *     newer one is committed, in milliseconds
+ *     newer one is committed, or that no replica has confirmed since the entry started, in
+ *     milliseconds
  */
 public record ConfigAgeLimits(long confirmedMillis, long replacedMillis) {
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -138,9 +138,15 @@
         >= forwarder.configAges().replacedMillis();
   }
 
+  /** Returns whether this process has waited too long for the first word on its configuration. */
+  private boolean isOfUnknownAge() {
+    return forwarder.view().neverConfirmedMillis(timers.nowMillis())
+        >= forwarder.configAges().replacedMillis();
+  }
+
   /** Resolves the route, the workspace and the service of the request, and dispatches it. */
   private void accept(ServingConfig config) {
-    if (isReplaced() || forwarder.view().isOfUnknownAge()) {
+    if (isReplaced() || isOfUnknownAge()) {
       // A later version may have taken the route or the key away.
       if (!waitForConfirmation()) {
         refuseUnconfigured();
