Give zone orders no effect once their caller has given them up

A zone command had nothing that told an old copy from a new order. It now names the index of the last zone command that was committed while its caller waited, and has no effect if another one was applied since.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ManualTimerService.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/ManualTimerService.java
@@ -55,6 +55,16 @@
     now = end;
   }
 
+  /**
+   * Advances the time during a pause of the process: tasks that become due run late, when the time
+   * advances next.
+   *
+   * @param millis the duration of the pause, in milliseconds
+   */
+  public void jump(long millis) {
+    now += millis;
+  }
+
   private Subscription add(long delay, long period, Runnable body) {
     Task t = new Task(now + Math.max(0, delay), nextOrder++, period, body);
     tasks.add(t);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.ebonypond.consensus.RaftConfig;
@@ -311,9 +312,30 @@
     return commit(ServingCommand.Install.of(version, content)).thenAccept(r -> {});
   }
 
-  /** Takes an availability zone out of service or returns it to service. */
-  public CompletableFuture<Void> setZone(String zone, boolean out) {
-    return commit(new ServingCommand.SetZone(zone, out)).thenAccept(r -> {});
+  /**
+   * Takes an availability zone out of service or returns it to service, unless the caller has given
+   * the order up: it may then have been replaced by a newer one, through another replica.
+   *
+   * @param callerWaits whether the caller certainly still waits; called on any thread
+   * @return completes when the order is committed; fails with {@code no-quorum} if no majority
+   *     confirms it, and with {@code order-abandoned} if it has no effect because the caller may
+   *     have given it up
+   */
+  public CompletableFuture<Void> setZone(String zone, boolean out, BooleanSupplier callerWaits) {
+    return read()
+        .thenComposeAsync(
+            s -> {
+              if (!callerWaits.getAsBoolean()) {
+                throw new EbonypondException(ErrorCode.ORDER_ABANDONED);
+              }
+              return commit(new ServingCommand.SetZone(zone, out, s.zonesIndex()));
+            },
+            executor)
+        .thenCompose(
+            r ->
+                ServingState.isSuperseded(r.result())
+                    ? setZone(zone, out, callerWaits)
+                    : CompletableFuture.completedFuture(null));
   }
 
   /**
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingCodecTest.java
@@ -20,6 +20,8 @@
     List<ServingCommand> commands =
         List.of(
             new ServingCommand.SetZone("z", true),
+            new ServingCommand.SetZone("z", false, 0),
+            new ServingCommand.SetZone("z", true, 7),
             new ServingCommand.BeginTraffic(),
             new ServingCommand.NoteEntries(7),
             new ServingCommand.Quarantine(List.of("b:2:3")),
@@ -35,6 +37,14 @@
     assertArrayEquals(new byte[] {3}, install.content());
   }
 
+  /** Guards against an upgrade after which the zone orders in the log have no effect. */
+  @Test
+  void readsZoneOrderOfTheVersionBefore() {
+    byte[] before =
+        new FieldWriter().text("type", "zone").text("zone", "z").flag("out", true).toByteArray();
+    assertEquals(new ServingCommand.SetZone("z", true), ServingCodec.decodeCommand(before));
+  }
+
   @Test
   void stateIsTheSameAfterTransport() {
     assertStateEquals(ServingCodec.decodeState(ServingCodec.encodeState(STATE)));
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
@@ -13,8 +13,8 @@
   private final ServingState state = new ServingState();
   private long index;
 
-  private void apply(ServingCommand c) {
-    state.apply(++index, ServingCodec.encodeCommand(c));
+  private byte[] apply(ServingCommand c) {
+    return state.apply(++index, ServingCodec.encodeCommand(c));
   }
 
   private static byte[] content(String s) {
@@ -47,6 +47,32 @@
     assertEquals(List.of("a"), state.current().zonesOut());
   }
 
+  /**
+   * Guards against a zone order that was delayed on its way to the log and undoes what was
+   * acknowledged since.
+   */
+  @Test
+  void zoneOrderHasNoEffectAfterAnotherOne() {
+    apply(new ServingCommand.SetZone("a", true, 0));
+    long seen = state.current().zonesIndex();
+    assertFalse(ServingState.isSuperseded(apply(new ServingCommand.SetZone("a", false, seen))));
+    assertTrue(ServingState.isSuperseded(apply(new ServingCommand.SetZone("a", true, seen))));
+    assertEquals(List.of(), state.current().zonesOut());
+  }
+
+  /**
+   * Guards against a delayed order that undoes one that was acknowledged although it changed
+   * nothing.
+   */
+  @Test
+  void zoneOrderThatChangesNothingSupersedesEarlierOnes() {
+    apply(new ServingCommand.SetZone("a", true, 0));
+    long seen = state.current().zonesIndex();
+    apply(new ServingCommand.SetZone("a", true, seen));
+    assertTrue(ServingState.isSuperseded(apply(new ServingCommand.SetZone("a", false, seen))));
+    assertEquals(List.of("a"), state.current().zonesOut());
+  }
+
   /** Guards against a later command that resets the traffic flag. */
   @Test
   void trafficFlagIsKept() {
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCodec.java
@@ -13,6 +13,7 @@
   private static final String TYPE = "type";
   private static final String INSTALL = "install";
   private static final String ZONE = "zone";
+  private static final String BASIS = "basis";
   private static final String TRAFFIC = "traffic";
   private static final String ENTRIES = "entries";
   private static final String QUARANTINE = "quarantine";
@@ -27,6 +28,9 @@
       w.text(TYPE, INSTALL).number("version", i.version()).bytes("content", i.content());
     } else if (c instanceof ServingCommand.SetZone z) {
       w.text(TYPE, ZONE).text("zone", z.zone()).flag("out", z.out());
+      if (z.basis() != ServingCommand.SetZone.ANY_BASIS) {
+        w.number(BASIS, z.basis());
+      }
     } else if (c instanceof ServingCommand.BeginTraffic) {
       w.text(TYPE, TRAFFIC);
     } else if (c instanceof ServingCommand.NoteEntries n) {
@@ -52,7 +56,11 @@
     String type = r.text(TYPE);
     return switch (type) {
       case INSTALL -> new ServingCommand.Install(r.number("version"), r.bytes("content"));
-      case ZONE -> new ServingCommand.SetZone(r.text("zone"), r.flag("out"));
+      case ZONE ->
+          new ServingCommand.SetZone(
+              r.text("zone"),
+              r.flag("out"),
+              r.has(BASIS) ? r.number(BASIS) : ServingCommand.SetZone.ANY_BASIS);
       case TRAFFIC -> new ServingCommand.BeginTraffic();
       case ENTRIES -> new ServingCommand.NoteEntries(r.smallNumber("entries"));
       case QUARANTINE -> new ServingCommand.Quarantine(r.texts("parts"));
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
@@ -19,12 +19,24 @@
   }
 
   /**
-   * Takes an availability zone out of service or returns it to service.
+   * Takes an availability zone out of service or returns it to service. The command has no effect
+   * if another one was applied since its caller was seen waiting: a delayed or repeated command
+   * would undo what was acknowledged later.
    *
    * @param zone the name of the zone
    * @param out whether the zone receives no new requests
+   * @param basis the index of the last zone change when the caller was waiting; {@link #ANY_BASIS}
+   *     in log entries of earlier versions, which always take effect
    */
-  record SetZone(String zone, boolean out) implements ServingCommand {}
+  record SetZone(String zone, boolean out, long basis) implements ServingCommand {
+    /** The basis of a command that takes effect whatever was applied before. */
+    public static final long ANY_BASIS = -1;
+
+    /** Creates a command that takes effect whatever was applied before. */
+    public SetZone(String zone, boolean out) {
+      this(zone, out, ANY_BASIS);
+    }
+  }
 
   /**
    * Records that the fleet has received its first request; from then on weight loads are limited.
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
@@ -1,5 +1,6 @@
 package org.ebonypond.serving;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -13,6 +14,7 @@
  */
 public final class ServingState implements StateMachine {
   private static final byte[] NO_BYTES = {};
+  private static final byte[] SUPERSEDED = {1};
 
   /** Bounds decompression; request bodies are at most 4 MB unless operators raise that limit. */
   private static final int MAX_DOCUMENT_BYTES = 64 << 20;
@@ -32,11 +34,7 @@
     if (c instanceof ServingCommand.Install i && i.version() > old.version()) {
       committed = old.with(i.version(), i.content());
     } else if (c instanceof ServingCommand.SetZone z) {
-      Set<String> out = new TreeSet<>(old.zonesOut());
-      boolean changed = z.out() ? out.add(z.zone()) : out.remove(z.zone());
-      if (changed) {
-        committed = old.with(index, List.copyOf(out));
-      }
+      return setZone(index, z);
     } else if (c instanceof ServingCommand.BeginTraffic) {
       committed = old.withTraffic();
     } else if (c instanceof ServingCommand.NoteEntries n) {
@@ -47,6 +45,26 @@
     return NO_BYTES;
   }
 
+  private byte[] setZone(long index, ServingCommand.SetZone c) {
+    Committed old = committed;
+    boolean conditional = c.basis() != ServingCommand.SetZone.ANY_BASIS;
+    if (conditional && c.basis() != old.zonesIndex()) {
+      return SUPERSEDED;
+    }
+    Set<String> out = new TreeSet<>(old.zonesOut());
+    boolean changed = c.out() ? out.add(c.zone()) : out.remove(c.zone());
+    // A command that changes nothing is acknowledged as well, and supersedes delayed ones.
+    if (changed || conditional) {
+      committed = old.with(index, List.copyOf(out));
+    }
+    return NO_BYTES;
+  }
+
+  /** Returns whether the result of a command says that a later one had been applied before it. */
+  public static boolean isSuperseded(byte[] result) {
+    return Arrays.equals(result, SUPERSEDED);
+  }
+
   @Override
   public byte[] snapshot() {
     return ServingCodec.encodeState(committed);
@@ -63,7 +81,7 @@
    * @param version the version of the configuration; 0 if there is none
    * @param content the configuration as the operator sent it, compressed by {@link Deflate}; empty
    *     if there is none
-   * @param zonesIndex the log index of the last zone change; 0 if there is none
+   * @param zonesIndex the log index of the last zone command; 0 if there is none
    * @param zonesOut the zones out of service, sorted
    * @param traffic whether the fleet has received its first request
    * @param entries the highest recorded number of entries that share the budgets; 0 if none was
--- a/org.ebonypond/src/main/java/org/ebonypond/wire/FieldReader.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/wire/FieldReader.java
@@ -45,6 +45,11 @@
     return parse(bytes, 0, bytes.length, decoder);
   }
 
+  /** Returns whether the record has a field. */
+  public boolean has(String name) {
+    return values.containsKey(name);
+  }
+
   /** Returns an integer, or 0 if the field is missing. */
   public long number(String name) {
     return values.containsKey(name) ? value(name, MessageUnpacker::unpackLong) : 0;
