Do not complete an answer without a length at the loss of its connection

The HTTP codec completes an answer without a length or chunks whenever its connection closes. A reset that a read meets raises an exception first; one that a write meets closes the channel silently. An answer that its connection ends is now whole only if the other side has ended its direction in order and had the whole request.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,6 +30,7 @@
   private final String instance;
   private final TimerService timers;
   private final UnsolicitedByteLimiter unsolicited = new UnsolicitedByteLimiter();
+  private final EndOfInput endOfInput = new EndOfInput();
   private @Nullable ChannelHandlerContext context;
   private @Nullable Exchange current;
   private @Nullable Exchange answered;
@@ -49,6 +51,11 @@
     return unsolicited;
   }
 
+  /** Returns the handler that records the end of this connection's input, before the codec. */
+  EndOfInput endOfInput() {
+    return endOfInput;
+  }
+
   BackendExchange send(HttpRequest head, ByteBuf body, BackendListener listener) {
     Exchange x = new Exchange(head, body, listener, requests == 0);
     requests++;
@@ -131,6 +138,16 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      // An answer that ended with the input has been completed by the codec.
+      endAnswered();
+      ctx.close();
+    }
+    ctx.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     broken = true;
@@ -251,11 +268,27 @@
         unsolicited.reset();
         listener.content(c.content());
       }
-      if (c instanceof LastHttpContent && accepted && !ended && !broken) {
+      if (c instanceof LastHttpContent && accepted && !ended && !broken && isWhole()) {
         finish();
       }
     }
 
+    /**
+     * Returns whether the end of an answer is that of the whole answer. If the connection ends it,
+     * the backend server must have closed its direction in order, after it received the request: a
+     * process that ends looks the same until more of the request reaches its machine.
+     */
+    private boolean isWhole() {
+      ChannelHandlerContext ctx = context;
+      boolean connected = ctx != null && ctx.channel().isActive();
+      return connected && (!endOfInput.isReached() || isRequestWritten());
+    }
+
+    private boolean isRequestWritten() {
+      ChannelFuture f = writeFuture;
+      return f != null && f.isSuccess();
+    }
+
     private void finish() {
       ended = true;
       current = null;
@@ -268,11 +301,9 @@
     }
 
     private void end() {
-      ChannelFuture f = writeFuture;
-      boolean requestWritten = f != null && f.isSuccess();
       // The connection is in an unknown state if the request body is not fully written or an answer
       // to another request was received.
-      boolean reusable = keepAlive && requestWritten && !receivedForeignAnswer && !broken;
+      boolean reusable = keepAlive && isRequestWritten() && !receivedForeignAnswer && !broken;
       if (reusable) {
         idle = true;
         idleSince = timers.nowMillis();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -92,6 +92,8 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            // Distinguishes the end of the other side's direction from that of the connection.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
@@ -99,6 +101,7 @@
                   protected void initChannel(SocketChannel ch) {
                     ch.pipeline()
                         .addLast(c.unsolicitedByteLimiter())
+                        .addLast(c.endOfInput())
                         .addLast(
                             new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(c);
