Acknowledge that an instance leaves once the log has it

Departures are commands of the log now, and acknowledged when committed. Those that arrive while a command is on its way share the next one.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -199,6 +199,43 @@
         });
   }
 
+  /**
+   * Guards against requests to an instance whose deregistration was acknowledged and then lost with
+   * the processes that knew of it; entries keep a record for a minute.
+   */
+  @Test
+  void acknowledgedDeregistrationOutlivesTheLossOfAllProcesses() throws Exception {
+    TestReplica s = start();
+    s.replica.heartbeat(coldInstance("i-0", 1));
+    s.replica.deregister("i-0").join();
+    s.close();
+    TestReplica restarted = start();
+    restarted.replica.heartbeat(coldInstance("i-0", 2));
+    await(() -> phases(poll(restarted, "entry")).equals(List.of(InstancePhase.GONE)));
+  }
+
+  /**
+   * Guards against requests to an instance whose announcement that it leaves was acknowledged and
+   * then lost, when a delayed heartbeat from before it arrives.
+   */
+  @Test
+  void acknowledgedDrainingOutlivesTheLossOfAllProcesses() throws Exception {
+    TestReplica s = start();
+    s.replica.heartbeat(coldInstance("i-0", 1));
+    s.replica.heartbeat(coldInstance("i-0", 2).draining(2)).join();
+    s.close();
+    TestReplica restarted = start();
+    poll(restarted, "entry");
+    restarted.replica.heartbeat(coldInstance("i-0", 1));
+    await(() -> phases(poll(restarted, "entry")).equals(List.of(InstancePhase.DRAINING)));
+    restarted.replica.heartbeat(instance("i-0", 2, 1, SERVICE, "10.0.0.1:1000"));
+    await(() -> phases(poll(restarted, "entry")).equals(List.of(InstancePhase.READY)));
+  }
+
+  private static List<InstancePhase> phases(FleetPollResult r) {
+    return r.instances().stream().map(u -> u.instance().phase()).toList();
+  }
+
   /**
    * Guards against entries that refuse requests for good by prompt parts that were released: a
    * replica that has just started has old ones on its disk, and would block them again everywhere.
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -24,6 +24,7 @@
 import org.ebonypond.fleet.FleetPlanner;
 import org.ebonypond.fleet.FleetPoll;
 import org.ebonypond.fleet.FleetPollResult;
+import org.ebonypond.fleet.InstancePhase;
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.InstanceUpdate;
 import org.ebonypond.fleet.NewestVersion;
@@ -39,6 +40,7 @@
 import org.ebonypond.server.transport.Frame;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.PeerNetwork;
+import org.ebonypond.serving.Departure;
 import org.ebonypond.serving.ServiceProfile;
 import org.ebonypond.serving.ServingCodec;
 import org.ebonypond.serving.ServingCommand;
@@ -128,11 +130,13 @@
   private final FleetPoller poller;
   private final ReplicaMetrics metrics;
   private final NewestVersion newestVersion;
+  private final DepartureLog departures;
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
   private boolean observationInFlight;
   private List<String> restoredQuarantine = List.of();
+  private List<Departure> appliedDepartures = List.of();
   private long loggedVersion;
   private long decodedVersion;
   private boolean decoding;
@@ -202,6 +206,7 @@
             timers,
             () -> directory.addresses(timers.nowMillis()),
             () -> log.status().leader());
+    this.departures = new DepartureLog(this::commit, () -> log.current().departures());
     this.pollHandler =
         new PollHandler(
             settings.name(),
@@ -347,8 +352,13 @@
         .thenCompose(r -> whenApplied(r.index(), timers.nowMillis() + PROPOSAL_TIMEOUT_MILLIS));
   }
 
-  /** Processes a heartbeat of an instance. */
-  public void heartbeat(FleetInstance instance) {
+  /**
+   * Processes a heartbeat of an instance.
+   *
+   * @return completes when the heartbeat can be acknowledged: at once, or if the instance drains,
+   *     when that is committed; fails with {@code no-quorum} if no majority confirms it
+   */
+  public CompletableFuture<Void> heartbeat(FleetInstance instance) {
     metrics.heartbeat();
     if (table.merge(instance, 0, timers.nowMillis())) {
       LOG.atInfo()
@@ -361,12 +371,34 @@
           .addKeyValue("cold_ms", instance.coldMillis())
           .log("instance changed");
     }
+    return instance.phase() == InstancePhase.DRAINING
+        ? departures.record(
+            new Departure(instance.id(), instance.startMillis(), instance.sequence()))
+        : CompletableFuture.completedFuture(null);
   }
 
-  /** Records that an instance has deregistered. */
-  public void deregister(String id) {
-    table.remove(id, System.currentTimeMillis(), timers.nowMillis());
+  /**
+   * Records that an instance has deregistered.
+   *
+   * @return completes when that is committed; fails with {@code no-quorum} if no majority confirms
+   *     it
+   */
+  public CompletableFuture<Void> deregister(String id) {
+    long wallMillis = System.currentTimeMillis();
+    FleetInstance known = table.get(id);
+    table.remove(id, wallMillis, timers.nowMillis());
     LOG.atInfo().addKeyValue("instance", id).log("instance deregistered");
+    return departures.record(
+        Departure.deregistered(id, known == null ? wallMillis : known.startMillis()));
+  }
+
+  /** Applies the departures that the log has to the table, if there are new ones. */
+  private void applyDepartures(long now) {
+    List<Departure> all = log.current().departures();
+    if (all != appliedDepartures) {
+      appliedDepartures = all;
+      table.depart(all, now);
+    }
   }
 
   /** Replaces the seed replicas from the settings. */
@@ -455,6 +487,7 @@
   private byte[] answerPoll(Frame f) {
     final long startedNanos = System.nanoTime();
     FleetPoll p = PollCodec.decodePoll(f.payload());
+    applyDepartures(timers.nowMillis());
     byte[] answer = PollCodec.encodeResult(pollHandler.answer(p, timers.nowMillis()));
     if (!p.address().isEmpty()) {
       log.discover(p.address());
@@ -514,6 +547,7 @@
   private void plan() {
     long now = timers.nowMillis();
     table.prune(now);
+    applyDepartures(now);
     boolean holdsNewestState = log.leaderState().confirmedAt() != Long.MIN_VALUE;
     if (holdsNewestState) {
       restoreQuarantine(now);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
@@ -170,9 +170,9 @@
   private static ServingState.@Nullable Committed newerState(
       ServingState.Committed s, FleetPoll p) {
     if (s.version() > p.version()) {
-      return s;
+      return s.withoutDepartures();
     }
-    return s.zonesIndex() > p.zonesIndex() ? s.withoutContent() : null;
+    return s.zonesIndex() > p.zonesIndex() ? s.withoutContent().withoutDepartures() : null;
   }
 
   private static long stateAgeMillis(ConfirmedState s, long now) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.ebonypond.serving.Departure;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
@@ -57,6 +58,42 @@
     assertEquals("a:1", table.all(110).get(0).instance().address());
   }
 
+  /** Guards against an instance that the log says has left and that gets requests. */
+  @Test
+  void departureAppliesToTheIncarnationThatAnnouncedIt() {
+    table.merge(heartbeat("draining", 1, 5, "a:1", null), 0, 100);
+    table.merge(heartbeat("gone", 1, 5, "a:2", null), 0, 100);
+    table.merge(heartbeat("restarted", 9, 1, "a:3", null), 0, 100);
+    long cursor = table.cursor();
+    table.depart(
+        List.of(
+            new Departure("draining", 1, 6),
+            Departure.deregistered("gone", 1),
+            Departure.deregistered("restarted", 1),
+            Departure.deregistered("unknown", 1)),
+        110);
+    assertEquals(InstancePhase.DRAINING, phase("draining"));
+    assertEquals(InstancePhase.GONE, phase("gone"));
+    assertEquals(InstancePhase.READY, phase("restarted"));
+    assertEquals(3, table.changedSince(cursor, 100, 110).records().size());
+    table.merge(heartbeat("draining", 1, 5, "a:1", null), 0, 120);
+    assertEquals(InstancePhase.DRAINING, phase("draining"));
+  }
+
+  /** Guards against a record from before a departure that a restarted replica receives after it. */
+  @Test
+  void departureAppliesToRecordsThatArriveLater() {
+    table.depart(List.of(new Departure("i", 1, 6), Departure.deregistered("j", 1)), 100);
+    table.merge(heartbeat("i", 1, 5, "a:1", null), 0, 110);
+    table.merge(heartbeat("j", 1, 5, "a:2", null), 0, 110);
+    assertEquals(InstancePhase.DRAINING, phase("i"));
+    assertEquals(InstancePhase.GONE, phase("j"));
+    table.merge(heartbeat("i", 2, 1, "a:1", null), 0, 120);
+    table.merge(heartbeat("j", 2, 1, "a:2", null), 0, 120);
+    assertEquals(InstancePhase.READY, phase("i"));
+    assertEquals(InstancePhase.READY, phase("j"));
+  }
+
   /** Guards against a late heartbeat that revives a deregistered instance. */
   @Test
   void deregisteredInstanceStaysGoneUntilItStartsAgain() {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingCodecTest.java
@@ -25,6 +25,8 @@
             new ServingCommand.BeginTraffic(),
             new ServingCommand.NoteEntries(7),
             new ServingCommand.Quarantine(List.of("b:2:3")),
+            new ServingCommand.Depart(
+                List.of(new Departure("i-1", 3, 4), Departure.deregistered("i-2", 5))),
             new ServingCommand.Barrier());
     for (ServingCommand c : commands) {
       assertEquals(c, ServingCodec.decodeCommand(ServingCodec.encodeCommand(c)));
--- a/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/serving/ServingStateTest.java
@@ -83,6 +83,31 @@
     assertTrue(state.current().traffic());
   }
 
+  /** Guards against an old announcement that replaces the end of an instance or a later start. */
+  @Test
+  void latestDepartureOfEachInstanceIsKept() {
+    apply(
+        new ServingCommand.Depart(List.of(new Departure("i-1", 3, 4), new Departure("i-2", 1, 1))));
+    apply(new ServingCommand.Depart(List.of(Departure.deregistered("i-1", 3))));
+    apply(new ServingCommand.Depart(List.of(new Departure("i-1", 3, 5))));
+    apply(new ServingCommand.Depart(List.of(new Departure("i-2", 7, 1))));
+    apply(new ServingCommand.Depart(List.of(Departure.deregistered("i-2", 6))));
+    assertEquals(
+        List.of(Departure.deregistered("i-1", 3), new Departure("i-2", 7, 1)),
+        state.current().departures());
+  }
+
+  /** Guards against a state that grows with every instance that ever left. */
+  @Test
+  void numberOfDeparturesIsLimited() {
+    for (int i = 0; i < 1_000; i++) {
+      apply(new ServingCommand.Depart(List.of(Departure.deregistered("i-" + i, i))));
+    }
+    List<Departure> kept = state.current().departures();
+    assertEquals(ServingState.MAX_DEPARTURES, kept.size());
+    assertEquals(Departure.deregistered("i-999", 999), kept.get(kept.size() - 1));
+  }
+
   /** Guards against state that a snapshot omits. */
   @Test
   void snapshotRestoresEverything() {
@@ -93,6 +118,7 @@
     apply(new ServingCommand.NoteEntries(3));
     apply(new ServingCommand.Quarantine(List.of("a:1")));
     apply(new ServingCommand.Quarantine(List.of("b:2:3")));
+    apply(new ServingCommand.Depart(List.of(new Departure("i-1", 3, 4))));
     apply(new ServingCommand.Barrier());
     ServingState copy = new ServingState();
     copy.restore(state.snapshot());
@@ -103,5 +129,6 @@
     assertTrue(copy.current().traffic());
     assertEquals(7, copy.current().entries());
     assertEquals(List.of("b:2:3"), copy.current().quarantine());
+    assertEquals(List.of(new Departure("i-1", 3, 4)), copy.current().departures());
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetInstance.java
@@ -68,6 +68,25 @@
         "");
   }
 
+  /** Returns the record of this instance as draining since a heartbeat. */
+  public FleetInstance draining(long newSequence) {
+    return new FleetInstance(
+        id,
+        startMillis,
+        newSequence,
+        service,
+        address,
+        zone,
+        InstancePhase.DRAINING,
+        slots,
+        coldMillis,
+        domain,
+        models,
+        staged,
+        group,
+        lastModel);
+  }
+
   /** Returns this record with the sequence number of a later, otherwise equal heartbeat. */
   public FleetInstance withSequence(long newSequence) {
     return new FleetInstance(
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.ebonypond.serving.Departure;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,6 +29,7 @@
   private final Predicate<String> knownService;
   private final Map<String, Row> rows = new HashMap<>();
   private final Map<String, String> idsByAddress = new HashMap<>();
+  private Map<String, Departure> departures = Map.of();
   private long revision;
 
   /**
@@ -53,7 +55,9 @@
     if (old != null && !instance.isLaterThan(old.instance)) {
       return false;
     }
-    FleetInstance record = withLastModel(instance, old);
+    Departure departure = departures.get(instance.id());
+    FleetInstance record =
+        withLastModel(departure == null ? instance : departed(instance, departure), old);
     boolean known = knownService.test(instance.service());
     Row sameAddress = known ? rowAt(instance.address()) : null;
     if (sameAddress != null && !sameAddress.instance.id().equals(instance.id())) {
@@ -103,23 +107,7 @@
   public synchronized void remove(String id, long wallMillis, long now) {
     Row row = rows.get(id);
     if (row == null) {
-      FleetInstance unknown =
-          new FleetInstance(
-              id,
-              wallMillis,
-              0,
-              "",
-              "",
-              "",
-              InstancePhase.GONE,
-              0,
-              0,
-              "",
-              List.of(),
-              List.of(),
-              null,
-              "");
-      row = new Row(unknown);
+      row = new Row(unknown(id, wallMillis));
       rows.put(id, row);
     }
     if (row.instance.phase() != InstancePhase.GONE) {
@@ -129,6 +117,71 @@
     }
   }
 
+  private static FleetInstance unknown(String id, long startMillis) {
+    return new FleetInstance(
+        id,
+        startMillis,
+        0,
+        "",
+        "",
+        "",
+        InstancePhase.GONE,
+        0,
+        0,
+        "",
+        List.of(),
+        List.of(),
+        null,
+        "");
+  }
+
+  /**
+   * Applies the departures that the log has, also to records that arrive later.
+   *
+   * @param all all departures of the log, which replace those of the last call
+   * @param now the time in milliseconds
+   */
+  public synchronized void depart(List<Departure> all, long now) {
+    Map<String, Departure> earlier = departures;
+    departures = new HashMap<>();
+    for (Departure d : all) {
+      departures.put(d.id(), d);
+      Departure known = earlier.get(d.id());
+      if (known == null || d.isLaterThan(known)) {
+        apply(d, now);
+      }
+    }
+  }
+
+  private void apply(Departure d, long now) {
+    Row row = rows.get(d.id());
+    if (row == null) {
+      if (d.isDeregistered()) {
+        // Other processes may have a record of it.
+        row = new Row(unknown(d.id(), d.startMillis()).gone());
+        rows.put(d.id(), row);
+        put(row, row.instance, now, true);
+      }
+      return;
+    }
+    FleetInstance departed = departed(row.instance, d);
+    if (departed != row.instance) {
+      put(row, departed, d.isDeregistered() ? now : row.lastSeen, true);
+    }
+  }
+
+  /** Returns a record as of a departure, or unchanged if the departure does not concern it. */
+  private static FleetInstance departed(FleetInstance i, Departure d) {
+    if (i.phase() == InstancePhase.GONE || i.startMillis() > d.startMillis()) {
+      return i;
+    }
+    if (d.isDeregistered()) {
+      return i.gone();
+    }
+    boolean before = i.startMillis() == d.startMillis() && i.sequence() < d.sequence();
+    return before ? i.draining(d.sequence()) : i;
+  }
+
   /** Returns the cursor for changes after this call; see {@link #changedSince}. */
   public synchronized long cursor() {
     return revision;
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCodec.java
@@ -1,5 +1,6 @@
 package org.ebonypond.serving;
 
+import java.util.List;
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.errors.ErrorCode;
 import org.ebonypond.wire.FieldReader;
@@ -17,6 +18,8 @@
   private static final String TRAFFIC = "traffic";
   private static final String ENTRIES = "entries";
   private static final String QUARANTINE = "quarantine";
+  private static final String DEPART = "depart";
+  private static final String DEPARTURES = "departures";
   private static final String BARRIER = "barrier";
 
   private ServingCodec() {}
@@ -37,6 +40,8 @@
       w.text(TYPE, ENTRIES).number("entries", n.entries());
     } else if (c instanceof ServingCommand.Quarantine q) {
       w.text(TYPE, QUARANTINE).texts("parts", q.parts());
+    } else if (c instanceof ServingCommand.Depart d) {
+      w.text(TYPE, DEPART).records(DEPARTURES, d.departures(), ServingCodec::writeDeparture);
     } else if (c instanceof ServingCommand.Barrier) {
       w.text(TYPE, BARRIER);
     }
@@ -64,6 +69,7 @@
       case TRAFFIC -> new ServingCommand.BeginTraffic();
       case ENTRIES -> new ServingCommand.NoteEntries(r.smallNumber("entries"));
       case QUARANTINE -> new ServingCommand.Quarantine(r.texts("parts"));
+      case DEPART -> new ServingCommand.Depart(readDepartures(r));
       case BARRIER -> new ServingCommand.Barrier();
       default ->
           throw new EbonypondException(ErrorCode.FRAME_INVALID, "unknown command type " + type);
@@ -77,6 +83,9 @@
     w.number("zonesIndex", c.zonesIndex()).texts("zonesOut", c.zonesOut());
     w.flag("traffic", c.traffic()).number("entries", c.entries());
     w.texts("quarantine", c.quarantine());
+    if (!c.departures().isEmpty()) {
+      w.records(DEPARTURES, c.departures(), ServingCodec::writeDeparture);
+    }
     return w.toByteArray();
   }
 
@@ -96,6 +105,16 @@
                 r.texts("zonesOut"),
                 r.flag("traffic"),
                 r.smallNumber("entries"),
-                r.optionalTexts("quarantine")));
+                r.optionalTexts("quarantine"),
+                r.has(DEPARTURES) ? readDepartures(r) : List.of()));
+  }
+
+  private static void writeDeparture(Departure d, FieldWriter w) {
+    w.text("id", d.id()).number("start", d.startMillis()).number("sequence", d.sequence());
+  }
+
+  private static List<Departure> readDepartures(FieldReader r) {
+    return r.records(
+        DEPARTURES, d -> new Departure(d.text("id"), d.number("start"), d.number("sequence")));
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingCommand.java
@@ -66,6 +66,19 @@
     }
   }
 
+  /**
+   * Records instances that leave, so that no process that is lost takes an acknowledged departure
+   * with it.
+   *
+   * @param departures the departures, in the order of their arrival
+   */
+  record Depart(List<Departure> departures) implements ServingCommand {
+    /** Copies the list. */
+    public Depart {
+      departures = List.copyOf(departures);
+    }
+  }
+
   /** No operation; a read after it reflects everything committed before. */
   record Barrier() implements ServingCommand {}
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/serving/ServingState.java
@@ -1,18 +1,27 @@
 package org.ebonypond.serving;
 
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.ebonypond.consensus.StateMachine;
 import org.ebonypond.wire.Deflate;
 
 /**
- * The replicated configuration and the zones out of service. The configuration with the highest
- * version wins; an equal or lower version has no effect, so that duplicate and reordered commands
- * are harmless. Updated on the log thread; {@link #current()} may be called on any thread.
+ * The replicated configuration, the zones out of service and the instances that leave. The
+ * configuration with the highest version wins; an equal or lower version has no effect, so that
+ * duplicate and reordered commands are harmless. Updated on the log thread; {@link #current()} may
+ * be called on any thread.
  */
 public final class ServingState implements StateMachine {
+  /**
+   * The number of departures that are kept. Twice the instances of the largest fleet so far may
+   * leave before a process that has fallen behind has applied the first of them.
+   */
+  public static final int MAX_DEPARTURES = 512;
+
   private static final byte[] NO_BYTES = {};
   private static final byte[] SUPERSEDED = {1};
 
@@ -41,6 +50,8 @@
       committed = old.withEntries(Math.max(old.entries(), n.entries()));
     } else if (c instanceof ServingCommand.Quarantine q) {
       committed = old.withQuarantine(q.parts());
+    } else if (c instanceof ServingCommand.Depart d) {
+      committed = old.withDepartures(merged(old.departures(), d.departures()));
     }
     return NO_BYTES;
   }
@@ -60,6 +71,19 @@
     return NO_BYTES;
   }
 
+  private static List<Departure> merged(List<Departure> old, List<Departure> added) {
+    Map<String, Departure> all = new LinkedHashMap<>();
+    old.forEach(d -> all.put(d.id(), d));
+    for (Departure d : added) {
+      Departure known = all.get(d.id());
+      if (known == null || d.isLaterThan(known)) {
+        all.remove(d.id());
+        all.put(d.id(), d);
+      }
+    }
+    return all.values().stream().skip(Math.max(0, all.size() - MAX_DEPARTURES)).toList();
+  }
+
   /** Returns whether the result of a command says that a later one had been applied before it. */
   public static boolean isSuperseded(byte[] result) {
     return Arrays.equals(result, SUPERSEDED);
@@ -87,6 +111,8 @@
    * @param entries the highest recorded number of entries that share the budgets; 0 if none was
    *     recorded
    * @param quarantine the prompt parts that are refused because they crash instances
+   * @param departures the latest departure of each instance, the last {@link #MAX_DEPARTURES} in
+   *     the order of the log
    */
   public record Committed(
       long version,
@@ -95,7 +121,20 @@
       List<String> zonesOut,
       boolean traffic,
       int entries,
-      List<String> quarantine) {
+      List<String> quarantine,
+      List<Departure> departures) {
+    /** Creates a state without departures. */
+    public Committed(
+        long version,
+        byte[] content,
+        long zonesIndex,
+        List<String> zonesOut,
+        boolean traffic,
+        int entries,
+        List<String> quarantine) {
+      this(version, content, zonesIndex, zonesOut, traffic, entries, quarantine, List.of());
+    }
+
     /** Returns the configuration as the operator sent it; empty if there is none. */
     public byte[] document() {
       return Deflate.unpack(content, MAX_DOCUMENT_BYTES);
@@ -103,29 +142,42 @@
 
     /** Returns this state without the content, for a reader that already has the configuration. */
     public Committed withoutContent() {
-      return new Committed(version, NO_BYTES, zonesIndex, zonesOut, traffic, entries, quarantine);
+      return with(version, NO_BYTES);
+    }
+
+    /** Returns this state without the departures, for a reader that has a table of instances. */
+    public Committed withoutDepartures() {
+      return withDepartures(List.of());
     }
 
     private Committed with(long newVersion, byte[] newContent) {
       return new Committed(
-          newVersion, newContent, zonesIndex, zonesOut, traffic, entries, quarantine);
+          newVersion, newContent, zonesIndex, zonesOut, traffic, entries, quarantine, departures);
     }
 
     private Committed with(long newZonesIndex, List<String> newZonesOut) {
       return new Committed(
-          version, content, newZonesIndex, newZonesOut, traffic, entries, quarantine);
+          version, content, newZonesIndex, newZonesOut, traffic, entries, quarantine, departures);
     }
 
     private Committed withTraffic() {
-      return new Committed(version, content, zonesIndex, zonesOut, true, entries, quarantine);
+      return new Committed(
+          version, content, zonesIndex, zonesOut, true, entries, quarantine, departures);
     }
 
     private Committed withEntries(int newEntries) {
-      return new Committed(version, content, zonesIndex, zonesOut, traffic, newEntries, quarantine);
+      return new Committed(
+          version, content, zonesIndex, zonesOut, traffic, newEntries, quarantine, departures);
     }
 
     private Committed withQuarantine(List<String> parts) {
-      return new Committed(version, content, zonesIndex, zonesOut, traffic, entries, parts);
+      return new Committed(
+          version, content, zonesIndex, zonesOut, traffic, entries, parts, departures);
+    }
+
+    private Committed withDepartures(List<Departure> newDepartures) {
+      return new Committed(
+          version, content, zonesIndex, zonesOut, traffic, entries, quarantine, newDepartures);
     }
   }
 }
