Wait for old heads after a restart of all replicas

A member that has just left a group must not join another one before its old head has found it missing. A leader whose process had just started took an instance without a group for one that was never in any, and a table without groups for that of a first start. It now waits for instances that may have left a group before the process started, and asks the log whether there was an earlier leader.

The fake fleet now also reports a join that follows a leave too soon.

Evidence: FleetPlannerTest#membersThatLeftBeforeControlRestartedWait failed before the change.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -40,7 +40,7 @@
 
   private final EngineProfile engine;
   private final Random random;
-  private final InstanceTable table = new InstanceTable(service -> true);
+  private InstanceTable table = new InstanceTable(service -> true);
   private final Map<String, Engine> engines = new TreeMap<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
@@ -119,6 +119,13 @@
     lostAnswerRate = rate;
   }
 
+  /**
+   * Restarts all control replicas, which know of the instances only what they report from now on.
+   */
+  public void restartControl() {
+    table = new InstanceTable(service -> true);
+  }
+
   /** Kills a process without notice. */
   public void crash(String id) {
     engine(id).alive = false;
@@ -288,8 +295,9 @@
     if (o.epoch() < e.highestEpoch) {
       return OrderOutcome.FENCED;
     }
-    if (g != null) {
-      checkOldGroupIsClosed(e, g);
+    Group old = g != null ? g : e.leftGroup;
+    if (old != null && !old.isOf(o)) {
+      checkOldGroupIsClosed(e, old);
     }
     long duration = joinMillis(e, o.model());
     e.highestEpoch = o.epoch();
@@ -361,6 +369,7 @@
   private OrderOutcome leave(Engine e, FleetOrder o) {
     Group g = e.group;
     if (g != null && g.isOf(o)) {
+      e.leftGroup = g;
       e.group = null;
       e.nextHeartbeat = now;
     }
@@ -485,6 +494,10 @@
     String lastModel = "";
     String staged = "";
     @Nullable Group group;
+
+    /** The group that it left last, whose head may wait for it. */
+    @Nullable Group leftGroup;
+
     long fencing;
     long highestEpoch;
     long nextHeartbeat;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -134,6 +134,7 @@
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
+  private final long createdAt;
   private boolean observationInFlight;
   private List<String> restoredQuarantine = List.of();
   private List<Departure> appliedDepartures = List.of();
@@ -180,6 +181,7 @@
     this.metrics = metrics;
     this.network = network;
     this.timers = timers;
+    this.createdAt = timers.nowMillis();
     this.newestVersion = new NewestVersion(suspensions);
     this.executor = executor;
     this.loader = loader;
@@ -572,7 +574,7 @@
       if (p.engine() != null) {
         FleetPlanner planner = planners.computeIfAbsent(p.name(), n -> newPlanner());
         if (planner.term() != s.term()) {
-          planner.startTerm(s.term(), noneGrouped(all), p.engine().loadsPerSecond(), now);
+          planner.startTerm(s.term(), isFirstLeader(all), p.engine().loadsPerSecond(), now);
           LOG.atInfo()
               .addKeyValue("term", s.term())
               .addKeyValue("instances", all.size())
@@ -655,7 +657,8 @@
         2 * settings.heartbeatMillis() + HEARTBEAT_DELAY_MILLIS,
         settings.heartbeatMillis() + HEARTBEAT_DELAY_MILLIS,
         settings.stallMillis(),
-        new WeightLoadLimiter(settings.loadWindowMillis()));
+        new WeightLoadLimiter(settings.loadWindowMillis()),
+        createdAt);
   }
 
   /** Decodes the applied configuration, one at a time; {@link #config} has the result later. */
@@ -694,10 +697,16 @@
     return c == null || c.services().containsKey(service);
   }
 
-  private static boolean noneGrouped(List<InstanceUpdate> all) {
-    return all.stream()
-        .map(InstanceUpdate::instance)
-        .allMatch(i -> i.group() == null && i.lastModel().isEmpty());
+  /**
+   * Returns whether no earlier leader can have formed groups. After a restart of all replicas, only
+   * the log tells that there was one.
+   */
+  private boolean isFirstLeader(List<InstanceUpdate> all) {
+    return !log.current().traffic()
+        && !all.isEmpty()
+        && all.stream()
+            .map(InstanceUpdate::instance)
+            .allMatch(i -> i.group() == null && i.lastModel().isEmpty());
   }
 
   private void send(FleetPlanner planner, FleetOrder o) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -28,11 +28,16 @@
   private final FleetPlanner planner = newPlanner();
 
   private static FleetPlanner newPlanner() {
+    return newPlanner(0);
+  }
+
+  private static FleetPlanner newPlanner(long knownSince) {
     return new FleetPlanner(
         2 * FakeFleet.HEARTBEAT_MILLIS + 400,
         FakeFleet.HEARTBEAT_MILLIS + 400,
         FakeFleet.STALL_MILLIS,
-        new WeightLoadLimiter(WINDOW_MILLIS));
+        new WeightLoadLimiter(WINDOW_MILLIS),
+        knownSince);
   }
 
   static LongStream seeds() {
@@ -286,6 +291,32 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /**
+   * Guards against members that join another group while their old head still serves, because all
+   * control replicas restarted and forgot that the members have just left it.
+   */
+  @Test
+  void membersThatLeftBeforeControlRestartedWait() {
+    start();
+    fleet.run(planner, 10_000, false);
+    final List<String> members = groupOf("large");
+    fleet.deregister(members.get(0));
+    int steps = 0;
+    while (!fleet.membersOf(members.get(1)).isEmpty()) {
+      fleet.run(planner, 100, false);
+      steps++;
+      assertTrue(steps < 100, "the members do not leave");
+    }
+    fleet.restartControl();
+    FleetPlanner next = newPlanner(fleet.now());
+    fleet.run(1_500);
+    next.startTerm(2, false, 4, fleet.now());
+    fleet.run(next, 10_000, false);
+    assertEquals(List.of(), fleet.violations());
+    long regrouped = members.stream().skip(1).filter(m -> !fleet.membersOf(m).isEmpty()).count();
+    assertTrue(regrouped >= 2, "regrouped " + regrouped);
+  }
+
   /**
    * Guards against survivors that wait for a head which cannot serve, because it was lost before
    * its group was opened.
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/MixedRandomRunTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/MixedRandomRunTest.java
@@ -110,7 +110,8 @@
           2 * FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.STALL_MILLIS,
-          new WeightLoadLimiter(5_000));
+          new WeightLoadLimiter(5_000),
+          0);
     }
 
     void slice() {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -53,6 +53,12 @@
   /** When a group was first found to lack the report of a member, by group and epoch. */
   final Map<String, Long> incompleteSince = new HashMap<>();
 
+  /** The time since which this process has known what instances report, in milliseconds. */
+  final long knownSince;
+
+  /** Whether no earlier leader can have sent orders. */
+  boolean first;
+
   /** The current term, used as the fencing number of orders; -1 before the first. */
   long term = -1;
 
@@ -63,7 +69,12 @@
   long highestEpoch;
 
   PlannerState(
-      long silentMillis, long quickSilentMillis, long stallMillis, WeightLoadLimiter loadLimiter) {
+      long silentMillis,
+      long quickSilentMillis,
+      long stallMillis,
+      WeightLoadLimiter loadLimiter,
+      long knownSince) {
+    this.knownSince = knownSince;
     this.silentMillis = silentMillis;
     this.quickSilentMillis = quickSilentMillis;
     this.stallMillis = stallMillis;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -38,6 +38,9 @@
   /** Added to that time, in milliseconds. */
   private static final long READY_TIMEOUT_MARGIN_MILLIS = 5_000;
 
+  /** In fewer heartbeats an instance cannot join a group, serve and leave it again. */
+  private static final int MAX_MISSED_HEARTBEATS = 3;
+
   final PlannerState state;
   final EngineProfile engine;
   final Map<String, InstanceLoad> loads;
@@ -506,12 +509,24 @@
         || now < state.avoidUntil.getOrDefault(i.id(), Long.MIN_VALUE)) {
       return false;
     }
+    if (i.group() != null || state.confirmedLeft.containsKey(i.id())) {
+      return true;
+    }
     // An instance with a model was in a group, whose head may still wait for it if an earlier
     // leader ordered it to leave.
-    boolean wasInGroup = !i.lastModel().isEmpty() && i.group() == null;
-    return !wasInGroup
-        || state.confirmedLeft.containsKey(i.id())
-        || now - state.termStart >= state.stallMillis + PlannerState.STALL_MARGIN_MILLIS;
+    long maxStall = state.stallMillis + PlannerState.STALL_MARGIN_MILLIS;
+    return i.lastModel().isEmpty()
+        ? state.first || now - state.knownSince >= maxStall || isKnownSinceItsStart(i)
+        : now - state.termStart >= maxStall;
+  }
+
+  /**
+   * Returns whether an instance has sent so few heartbeats that this process has heard of every
+   * group it was in.
+   */
+  private boolean isKnownSinceItsStart(FleetInstance i) {
+    long received = (now - state.knownSince) / state.quickSilentMillis;
+    return i.sequence() <= received + MAX_MISSED_HEARTBEATS;
   }
 
   boolean isLost(FleetInstance i) {
