Limit the memory for request bodies over all connections

The sum of the bodies had no limit, and an allocation beyond the direct memory of the process blocks the event loop for half a second.

A body is reserved by its announced length, and refused at once with 503 if there is no room. Its buffer no longer grows.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -54,12 +54,21 @@
   private final HttpService service;
   private final LimitSource limits;
   private final int decodedHeaderBytes;
+  private final RequestBodyMemory bodies;
   private final TimerService timers;
   private final BooleanSupplier draining;
   private final Deque<Exchange> waiting = new ArrayDeque<>();
   private @Nullable Exchange current;
   private @Nullable HttpRequest head;
   private @Nullable ByteBuf body;
+  private long reservedBytes;
+
+  /** Whether the rest of a request that was refused for lack of memory is read and dropped. */
+  private boolean dropping;
+
+  /** Whether the connection closes then; its answer would be lost before. */
+  private boolean closesAfterDropping;
+
   private boolean refused;
 
   /** The answer to a malformed request behind pipelined ones, or null if there is none. */
@@ -72,18 +81,21 @@
    *
    * @param limits supplies the limits in force, which may change while the connection is open
    * @param decodedHeaderBytes the limit of this connection's decoder, which does not change
+   * @param bodies the memory for the bodies of all connections
    */
   HttpConnection(
       SocketChannel channel,
       HttpService service,
       LimitSource limits,
       int decodedHeaderBytes,
+      RequestBodyMemory bodies,
       TimerService timers,
       BooleanSupplier draining) {
     this.channel = channel;
     this.service = service;
     this.limits = limits;
     this.decodedHeaderBytes = decodedHeaderBytes;
+    this.bodies = bodies;
     this.timers = timers;
     this.draining = draining;
     this.lastActive = timers.nowMillis();
@@ -134,15 +146,48 @@
       refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, limits.areFinal());
       return;
     }
+    int length = (int) Math.min(Integer.MAX_VALUE, HttpUtil.getContentLength(r, 0L));
+    if (!reserve(length)) {
+      refuseForLackOfMemory(r);
+      return;
+    }
     if (HttpUtil.is100ContinueExpected(r)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
     head = r;
-    body = channel.alloc().buffer();
+    // A buffer that grows would take up to three times as much.
+    body = channel.alloc().buffer(length);
+  }
+
+  private boolean reserve(long bytes) {
+    boolean reserved = bodies.reserve(bytes);
+    reservedBytes += reserved ? bytes : 0;
+    return reserved;
+  }
+
+  /** Answers a request at once and drops what follows of it, so that its caller gets the answer. */
+  private void refuseForLackOfMemory(HttpRequest r) {
+    LOG.atInfo()
+        .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
+        .addKeyValue("status", HttpResponseStatus.SERVICE_UNAVAILABLE.code())
+        .addKeyValue("bytes", HttpUtil.getContentLength(r, -1L))
+        .log("no memory for the body of a request");
+    releasePartial();
+    // A caller that waits for leave to send a body need not send one.
+    dropping = !HttpUtil.is100ContinueExpected(r);
+    waiting.addLast(new Exchange(r, Unpooled.EMPTY_BUFFER, 0, true));
+    handleNext();
   }
 
   private void appendBody(HttpContent c) {
+    if (dropping) {
+      dropping = !(c instanceof LastHttpContent);
+      if (!dropping && closesAfterDropping) {
+        channel.close();
+      }
+      return;
+    }
     HttpRequest r = head;
     ByteBuf b = body;
     if (r == null || b == null) {
@@ -156,11 +201,21 @@
       refuseTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, limits.areFinal());
       return;
     }
+    int size = b.readableBytes() + c.content().readableBytes();
+    if (size > b.capacity()) {
+      int capacity = channel.alloc().calculateNewCapacity(size, Integer.MAX_VALUE);
+      if (!reserve(capacity - reservedBytes)) {
+        refuseForLackOfMemory(r);
+        dropping = !(c instanceof LastHttpContent);
+        return;
+      }
+    }
     b.writeBytes(c.content());
     if (c instanceof LastHttpContent) {
       head = null;
       body = null;
-      waiting.addLast(new Exchange(r, b));
+      waiting.addLast(new Exchange(r, b, reservedBytes, false));
+      reservedBytes = 0;
       if (waiting.size() >= MAX_PIPELINED) {
         channel.config().setAutoRead(false);
       }
@@ -180,6 +235,10 @@
       channel.config().setAutoRead(true);
     }
     current = e;
+    if (e.lacksMemory) {
+      e.answerUnavailable();
+      return;
+    }
     try {
       service.handle(e);
     } catch (RuntimeException x) {
@@ -256,6 +315,8 @@
     ByteBuf b = body;
     body = null;
     head = null;
+    bodies.release(reservedBytes);
+    reservedBytes = 0;
     if (b != null) {
       b.release();
     }
@@ -306,7 +367,7 @@
   }
 
   void closeIfIdle() {
-    if (current == null && waiting.isEmpty() && head == null) {
+    if (current == null && waiting.isEmpty() && head == null && !dropping) {
       channel.close();
     }
   }
@@ -316,7 +377,7 @@
       return;
     }
     long inactiveMillis = now - lastActive;
-    if (head != null
+    if (head != null || dropping
         ? inactiveMillis > l.headerTimeoutMillis()
         : inactiveMillis > l.idleTimeoutMillis()) {
       channel.close();
@@ -332,11 +393,23 @@
     private boolean started;
     private boolean endsWithConnection;
     private boolean done;
+    private long contentBytes;
+    private final boolean lacksMemory;
 
-    Exchange(HttpRequest request, ByteBuf content) {
+    /**
+     * Creates an exchange.
+     *
+     * @param contentBytes the memory that is reserved for the content, in bytes
+     * @param lacksMemory whether the request is refused because its content cannot be kept
+     */
+    Exchange(HttpRequest request, ByteBuf content, long contentBytes, boolean lacksMemory) {
       this.request = request;
       this.content = content;
-      this.keepAlive = HttpUtil.isKeepAlive(request);
+      this.contentBytes = contentBytes;
+      this.lacksMemory = lacksMemory;
+      this.keepAlive =
+          HttpUtil.isKeepAlive(request)
+              && !(lacksMemory && HttpUtil.is100ContinueExpected(request));
     }
 
     @Override
@@ -463,7 +536,9 @@
       current = null;
       lastActive = timers.nowMillis();
       release();
-      if (close) {
+      if (close && dropping && lacksMemory) {
+        closesAfterDropping = true;
+      } else if (close) {
         written.addListener(ChannelFutureListener.CLOSE);
       } else if (waiting.isEmpty() && pendingRefusal != null) {
         writeRefusal(pendingRefusal);
@@ -498,7 +573,17 @@
       release();
     }
 
+    private void answerUnavailable() {
+      DefaultFullHttpResponse r =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+      r.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+      answer(r, Unpooled.EMPTY_BUFFER);
+      r.release();
+    }
+
     private void release() {
+      bodies.release(contentBytes);
+      contentBytes = 0;
       if (content.refCnt() > 0) {
         content.release();
       }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -30,6 +30,7 @@
   private final TimerService timers;
   private final HttpService service;
   private final LimitSource limits;
+  private final RequestBodyMemory bodies;
   private final Set<HttpConnection> connections = new LinkedHashSet<>();
   private @Nullable Channel channel;
   private boolean draining;
@@ -41,9 +42,15 @@
    * @param timers schedules the closing of idle and slow connections
    * @param service handles the requests
    * @param limits supplies the limits on callers that are in force
+   * @param bodies the memory for the bodies of requests
    */
   public HttpListener(
-      EventLoopGroup loop, TimerService timers, HttpService service, LimitSource limits) {
+      EventLoopGroup loop,
+      TimerService timers,
+      HttpService service,
+      LimitSource limits,
+      RequestBodyMemory bodies) {
+    this.bodies = bodies;
     this.loop = loop;
     this.timers = timers;
     this.service = service;
@@ -103,7 +110,7 @@
             // Lengths that differ are still refused.
             .setAllowDuplicateContentLengths(true);
     HttpConnection h =
-        new HttpConnection(c, service, limits, maxHeaderBytes, timers, () -> draining);
+        new HttpConnection(c, service, limits, maxHeaderBytes, bodies, timers, () -> draining);
     c.pipeline().addLast(new HttpServerCodec(config)).addLast(h);
     connections.add(h);
     c.closeFuture().addListener(f -> connections.remove(h));
