End the connection of a refused body whose last part is dropped

A connection whose 503 announced its end stayed open until its idle timeout if the refused part of the body was the last one. RequestBodyMemoryTest# connectionEndsAfterTheRefusalOfItsLastBody covers it.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/RequestBodyMemoryTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/RequestBodyMemoryTest.java
@@ -139,6 +139,20 @@
     assertEquals(OK, refused.readStatus());
   }
 
+  /** Guards against a connection that stays open although its answer announced its end. */
+  @Test
+  void connectionEndsAfterTheRefusalOfItsLastBody() throws Exception {
+    fillMemory();
+    Caller refused = new Caller();
+    refused.write("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n");
+    refused.write("Transfer-Encoding: chunked\r\n\r\n");
+    refused.write(Integer.toHexString(BODY_BYTES) + "\r\n");
+    refused.sendBody();
+    refused.write("\r\n0\r\n\r\n");
+    assertEquals(UNAVAILABLE, refused.readStatus());
+    assertEquals(-1, refused.in.read());
+  }
+
   /** Guards against memory that is kept for callers that left before they sent their bodies. */
   @Test
   void memoryOfCallersThatLeftIsFree() throws Exception {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -180,12 +180,18 @@
     handleNext();
   }
 
+  /** Drops a part of a refused request; the last one ends the connection if its answer said so. */
+  private void drop(HttpContent c) {
+    dropping = !(c instanceof LastHttpContent);
+    if (!dropping && closesAfterDropping) {
+      // The answer may not be written yet.
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
   private void appendBody(HttpContent c) {
     if (dropping) {
-      dropping = !(c instanceof LastHttpContent);
-      if (!dropping && closesAfterDropping) {
-        channel.close();
-      }
+      drop(c);
       return;
     }
     HttpRequest r = head;
@@ -206,7 +212,7 @@
       int capacity = channel.alloc().calculateNewCapacity(size, Integer.MAX_VALUE);
       if (!reserve(capacity - reservedBytes)) {
         refuseForLackOfMemory(r);
-        dropping = !(c instanceof LastHttpContent);
+        drop(c);
         return;
       }
     }
