--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -318,7 +318,7 @@
   }
 
   private void releasePartial() {
-    ByteBuf b = body;
+    final ByteBuf b = body;
     body = null;
     head = null;
     bodies.release(reservedBytes);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/InstanceTableTest.java
@@ -64,7 +64,7 @@
     table.merge(heartbeat("draining", 1, 5, "a:1", null), 0, 100);
     table.merge(heartbeat("gone", 1, 5, "a:2", null), 0, 100);
     table.merge(heartbeat("restarted", 9, 1, "a:3", null), 0, 100);
-    long cursor = table.cursor();
+    final long cursor = table.cursor();
     table.depart(
         List.of(
             new Departure("draining", 1, 6),
