Tell a refused connection from the answer of another instance to an order

Cause: the outcome ABSENT of an order stood for 421, where another instance answered at the address, and for a refused connection, which says nothing of the instance.

Change: the outcomes MISDIRECTED and REFUSED take the place of ABSENT. The planner treats both as it treated ABSENT.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -149,7 +149,8 @@
   public void answered(FleetOrder order, OrderOutcome outcome, long now) {
     state.sentOrders.answered(order, outcome, now);
     boolean done = outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.HOLDS;
-    boolean notMember = outcome == OrderOutcome.CONFLICT || outcome == OrderOutcome.ABSENT;
+    boolean absent = outcome == OrderOutcome.MISDIRECTED || outcome == OrderOutcome.REFUSED;
+    boolean notMember = outcome == OrderOutcome.CONFLICT || absent;
     if (order.kind() == FleetOrder.Kind.LEAVE && (done || notMember)) {
       state.confirmedLeft.put(order.instance(), GroupView.key(order.group(), order.epoch()));
     }
@@ -157,7 +158,7 @@
       // An unanswered order may be executed much later, or never.
       state.staging.remove(order.instance());
     }
-    if (outcome == OrderOutcome.ABSENT) {
+    if (absent) {
       state.avoidUntil.put(order.instance(), now + AVOID_MILLIS);
     }
     if (order.kind() == FleetOrder.Kind.JOIN && !done) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/OrderOutcome.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/OrderOutcome.java
@@ -10,8 +10,10 @@
   CONFLICT,
   /** The instance has seen a higher fencing number or epoch. */
   FENCED,
-  /** The address now belongs to another instance, or nothing listens there. */
-  ABSENT,
+  /** Another instance answered at the address. */
+  MISDIRECTED,
+  /** The connection was refused; the instance may still run. */
+  REFUSED,
   /** There was no answer; the order may still be executed later. */
   UNKNOWN
 }
