Log why the leader gives a group up and takes an instance for a new one

Cause: the lines "groups" and "order answered" show what the leader did and not on what basis.

Change: the planner reports the decisions of each round with their reason: the first round of a term with the ages of the heartbeats, each reason for which a group is given up, and for each join the old group, its head and the evidence by which the instance was free. The replica writes one line for each and counts the joins by evidence. A group that is given up is now found together with the reason, from the same conditions in the same order.

The repair of a group writes a line for each reason, and one for each new member.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -131,6 +131,7 @@
   private final ReplicaMetrics metrics;
   private final NewestVersion newestVersion;
   private final DepartureLog departures;
+  private final DecisionLog decisions;
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
@@ -208,6 +209,7 @@
             timers,
             () -> directory.addresses(timers.nowMillis()),
             () -> log.status().leader());
+    this.decisions = new DecisionLog(metrics);
     this.departures = new DepartureLog(this::commit, () -> log.current().departures());
     this.pollHandler =
         new PollHandler(
@@ -580,9 +582,10 @@
               .addKeyValue("instances", all.size())
               .log("plans groups");
         }
-        planner
-            .plan(all, loads.all(now), p.name(), p.engine(), beforeTraffic(), now)
-            .forEach(o -> send(planner, o));
+        List<FleetOrder> round =
+            planner.plan(all, loads.all(now), p.name(), p.engine(), beforeTraffic(), now);
+        planner.decisions().forEach(d -> decisions.write(p.name(), d));
+        round.forEach(o -> send(planner, o));
         logSummary(p.name(), planner.summary());
       }
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ReplicaMetrics.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/ReplicaMetrics.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.ebonypond.fleet.FreeEvidence;
 
 /** Metrics of a control replica: the load of its event loop and the duration of commits. */
 public final class ReplicaMetrics {
@@ -48,6 +49,11 @@
     heartbeats.inc();
   }
 
+  /** Counts an instance that was taken for a new group. */
+  void joined(FreeEvidence evidence) {
+    registry.counter("joins{evidence=\"" + evidence + "\"}").inc();
+  }
+
   /** Records the delay of a timer of the event loop. */
   void loopDelay(long millis) {
     loopDelay.update(millis);
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -0,0 +1,217 @@
+package org.ebonypond.fleet;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Records the decisions of the latest round; decides nothing itself. */
+final class DecisionRecorder {
+  private final List<GroupDecision> decisions = new ArrayList<>();
+  private final Map<String, Set<GiveUpReason>> reported = new HashMap<>();
+  private final Map<String, OldGroup> latestGroups = new HashMap<>();
+  private long reportedTerm = -1;
+
+  /** Returns the decisions of the latest round. */
+  List<GroupDecision> latest() {
+    return List.copyOf(decisions);
+  }
+
+  /** Forgets what was known in an earlier term. */
+  void startTerm() {
+    reported.clear();
+    latestGroups.clear();
+  }
+
+  /** Starts a round. */
+  void clear() {
+    decisions.clear();
+  }
+
+  /** Records the input of a round; called before anything is decided. */
+  void observe(PlanningRound round) {
+    reported.keySet().retainAll(round.groups.keySet());
+    latestGroups.keySet().retainAll(round.instances.keySet());
+    round.instances.values().forEach(i -> observe(round, i));
+    if (reportedTerm != round.state.term) {
+      reportedTerm = round.state.term;
+      decisions.add(termStarted(round));
+    }
+  }
+
+  private void observe(PlanningRound round, FleetInstance i) {
+    OldGroup old = latestGroups.get(i.id());
+    if (old != null && old.startMillis != i.startMillis()) {
+      latestGroups.remove(i.id());
+      old = null;
+    }
+    GroupMembership g = i.group();
+    if (g == null) {
+      return;
+    }
+    if (old == null || !old.isOf(g)) {
+      old = new OldGroup(g.name(), g.epoch(), i.startMillis(), round.now);
+      latestGroups.put(i.id(), old);
+    }
+    old.lastReported = round.now;
+    if (old.head.isEmpty()) {
+      old.head = round.state.heads.getOrDefault(GroupView.key(g.name(), g.epoch()), "");
+    }
+  }
+
+  private static GroupDecision termStarted(PlanningRound round) {
+    int inGroups = 0;
+    List<Long> ages = new ArrayList<>();
+    for (FleetInstance i : round.instances.values()) {
+      inGroups += i.group() == null ? 0 : 1;
+      ages.add(round.ageOf(i));
+    }
+    ages.sort(null);
+    long oldest = ages.isEmpty() ? 0 : ages.get(ages.size() - 1);
+    long median = ages.isEmpty() ? 0 : ages.get(ages.size() / 2);
+    return new GroupDecision.TermStarted(round.state.term, ages.size(), inGroups, oldest, median);
+  }
+
+  /** Records that a group is given up. */
+  void givenUp(PlanningRound round, GroupView g, GroupDecision.Cause cause) {
+    Set<GiveUpReason> reasons =
+        reported.computeIfAbsent(g.key(), k -> EnumSet.noneOf(GiveUpReason.class));
+    if (reasons.add(cause.reason())) {
+      String head = round.state.heads.getOrDefault(g.key(), "");
+      decisions.add(
+          new GroupDecision.GivenUp(g.name, g.epoch, headOf(round, g.name, g.epoch, head), cause));
+    }
+  }
+
+  /** Records that a free instance is to join a new group. */
+  void taken(PlanningRound round, PlannedGroup p, FleetInstance i) {
+    OldGroup old = latestGroups.get(i.id());
+    FreeEvidence evidence = evidence(round, i, old);
+    PlannerState.LeaveAnswer answer =
+        evidence == FreeEvidence.HEAD_ANSWERED_LEAVE && old != null
+            ? round.state.leaveAnswers.get(old.head)
+            : null;
+    decisions.add(
+        new GroupDecision.Taken(
+            i.id(),
+            round.ageOf(i),
+            p.name(),
+            p.epoch(),
+            old == null ? "" : old.name,
+            old == null ? 0 : old.epoch,
+            old == null ? -1 : round.now - old.lastReported,
+            old == null ? headOf(round, "", 0, "") : headOf(round, old.name, old.epoch, old.head),
+            evidence,
+            answer == null ? waited(round, i, evidence) : round.now - answer.at(),
+            answer == null ? null : answer.outcome()));
+  }
+
+  /** Names the rule by which {@link PlanningRound#isFree} holds for an instance. */
+  private static FreeEvidence evidence(
+      PlanningRound round, FleetInstance i, @Nullable OldGroup old) {
+    PlannerState state = round.state;
+    GroupMembership g = i.group();
+    if (g != null) {
+      return evidence(round, i, g, old);
+    }
+    if (i.lastModel().isEmpty()) {
+      return state.first || round.isKnownSinceItsStart(i)
+          ? FreeEvidence.NEVER_IN_GROUP
+          : FreeEvidence.WAITED_IN_PROCESS;
+    }
+    return hasWaitedAfterLeave(round, i, old)
+        ? FreeEvidence.WAITED_AFTER_LEAVE
+        : FreeEvidence.WAITED_IN_TERM;
+  }
+
+  private static FreeEvidence evidence(
+      PlanningRound round, FleetInstance i, GroupMembership g, @Nullable OldGroup old) {
+    if (GroupName.of(g) == null) {
+      return FreeEvidence.FOREIGN_GROUP;
+    }
+    if (hasWaitedAfterLeave(round, i, old)) {
+      return FreeEvidence.WAITED_AFTER_LEAVE;
+    }
+    String key = GroupView.key(g.name(), g.epoch());
+    if (key.equals(round.state.confirmedLeft.get(i.id()))) {
+      return FreeEvidence.HEAD_ANSWERED_LEAVE;
+    }
+    GroupView view = round.groups.get(key);
+    FleetInstance member = view == null ? null : view.members.get(g.rank());
+    if (view == null || member == null || !member.id().equals(i.id())) {
+      return FreeEvidence.PLACE_TAKEN;
+    }
+    if (round.hasHeadLeft(view)) {
+      return round.hasHeadAnsweredLeave(view)
+          ? FreeEvidence.HEAD_ANSWERED_LEAVE
+          : FreeEvidence.HEAD_REPORTED_LEFT;
+    }
+    return view.headState() == MemberState.BROKEN
+        ? FreeEvidence.HEAD_BROKEN
+        : FreeEvidence.NEVER_OPENED;
+  }
+
+  private static boolean hasWaitedAfterLeave(
+      PlanningRound round, FleetInstance i, @Nullable OldGroup old) {
+    return old != null && quarantinedAt(round.state, i) >= old.since;
+  }
+
+  private static long quarantinedAt(PlannerState state, FleetInstance i) {
+    Long until = state.quarantineUntil.get(i.id());
+    return until == null ? Long.MIN_VALUE : until - state.maxStallMillis();
+  }
+
+  private static long waited(PlanningRound round, FleetInstance i, FreeEvidence evidence) {
+    return switch (evidence) {
+      case WAITED_AFTER_LEAVE -> round.now - quarantinedAt(round.state, i);
+      case WAITED_IN_TERM -> round.now - round.state.termStart;
+      case WAITED_IN_PROCESS -> round.now - round.state.knownSince;
+      default -> -1;
+    };
+  }
+
+  private static GroupDecision.Head headOf(
+      PlanningRound round, String name, long epoch, String id) {
+    FleetInstance h = round.instances.get(id);
+    if (h == null) {
+      return new GroupDecision.Head(id, "UNKNOWN", -1);
+    }
+    GroupMembership g = h.group();
+    String state = "LEFT";
+    if (h.phase() == InstancePhase.GONE) {
+      state = "GONE";
+    } else if (g != null && g.epoch() == epoch && g.name().equals(name)) {
+      state = g.state().name();
+    }
+    return new GroupDecision.Head(id, state, round.ageOf(h));
+  }
+
+  /** The latest group that an instance has reported. */
+  private static final class OldGroup {
+    final String name;
+    final long epoch;
+    final long startMillis;
+
+    /** The time of the first round in which the instance reported the group. */
+    final long since;
+
+    /** The time of the last such round. */
+    long lastReported;
+
+    String head = "";
+
+    OldGroup(String name, long epoch, long startMillis, long since) {
+      this.name = name;
+      this.epoch = epoch;
+      this.startMillis = startMillis;
+      this.since = since;
+    }
+
+    boolean isOf(GroupMembership g) {
+      return epoch == g.epoch() && name.equals(g.name());
+    }
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -71,6 +71,8 @@
     state.planned.clear();
     state.quarantineUntil.clear();
     state.confirmedLeft.clear();
+    state.leaveAnswers.clear();
+    state.decisions.startTerm();
     state.heads.clear();
     state.incompleteSince.clear();
     state.staging.clear();
@@ -86,6 +88,11 @@
     return summary;
   }
 
+  /** Returns the decisions of the last round that its orders do not explain, for the log. */
+  public List<GroupDecision> decisions() {
+    return state.decisions.latest();
+  }
+
   /** Returns the term of the current leadership, or -1 before the first. */
   public long term() {
     return state.term;
@@ -109,6 +116,7 @@
       EngineProfile engine,
       boolean beforeTraffic,
       long now) {
+    state.decisions.clear();
     if (now - state.termStart < SETTLE_MILLIS) {
       return List.of();
     }
@@ -119,6 +127,8 @@
         round.add(u);
       }
     }
+    state.leaveAnswers.keySet().retainAll(state.confirmedLeft.keySet());
+    state.decisions.observe(round);
     state.incompleteSince.keySet().retainAll(round.groups.keySet());
     state.heads.keySet().retainAll(round.groups.keySet());
     state.retiring.keySet().retainAll(round.groups.keySet());
@@ -153,6 +163,7 @@
     boolean notMember = outcome == OrderOutcome.CONFLICT || absent;
     if (order.kind() == FleetOrder.Kind.LEAVE && (done || notMember)) {
       state.confirmedLeft.put(order.instance(), GroupView.key(order.group(), order.epoch()));
+      state.leaveAnswers.put(order.instance(), new PlannerState.LeaveAnswer(outcome, now));
     }
     if (order.kind() == FleetOrder.Kind.STAGE && !done) {
       // An unanswered order may be executed much later, or never.
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
@@ -0,0 +1,25 @@
+package org.ebonypond.fleet;
+
+/** What shows that the old group of an instance cannot serve, so that it may join a new one. */
+public enum FreeEvidence {
+  /** It has been in no group since its start. */
+  NEVER_IN_GROUP,
+  /** No leader formed the group that it reports. */
+  FOREIGN_GROUP,
+  /** Another instance reports its place in the group. */
+  PLACE_TAKEN,
+  /** The head reports another group or none. */
+  HEAD_REPORTED_LEFT,
+  /** The answer of the head to {@link FleetOrder.Kind#LEAVE} counts as its departure. */
+  HEAD_ANSWERED_LEAVE,
+  /** The head reports that the group is broken. */
+  HEAD_BROKEN,
+  /** This leader formed the group and never opened it, or none can open it any more. */
+  NEVER_OPENED,
+  /** It was ordered to leave long ago enough for the head to have found it missing. */
+  WAITED_AFTER_LEAVE,
+  /** It is in no group, and the term is as old as that. */
+  WAITED_IN_TERM,
+  /** It is in no group, and this process has known the instances for as long as that. */
+  WAITED_IN_PROCESS
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -41,6 +41,12 @@
   /** The group and epoch that each instance confirmed it has left. */
   final Map<String, String> confirmedLeft = new HashMap<>();
 
+  /** The answers by which instances count as having left a group; for the log only. */
+  final Map<String, LeaveAnswer> leaveAnswers = new HashMap<>();
+
+  /** The decisions of the latest round. */
+  final DecisionRecorder decisions = new DecisionRecorder();
+
   /** The instance that reported itself as the head, by group and epoch. */
   final Map<String, String> heads = new HashMap<>();
 
@@ -81,6 +87,19 @@
     this.loadLimiter = loadLimiter;
   }
 
+  /** Returns the time after which a head must have found a member missing, in milliseconds. */
+  long maxStallMillis() {
+    return stallMillis + STALL_MARGIN_MILLIS;
+  }
+
+  /**
+   * An answer to {@link FleetOrder.Kind#LEAVE}.
+   *
+   * @param outcome the outcome
+   * @param at the time of the answer, in milliseconds
+   */
+  record LeaveAnswer(OrderOutcome outcome, long at) {}
+
   /**
    * An ordered load that stages a model on a host.
    *
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -109,25 +109,15 @@
    */
   void reviewGroups() {
     for (GroupView g : groups.values()) {
-      PlannedGroup p = state.planned.get(g.key());
       FleetInstance head = g.head();
-      MemberState status = g.headState();
-      InstanceLoad load = loadOf(g);
-      boolean progressing = load != null && load.hasProgress();
-      boolean lost = status == MemberState.BROKEN || hasHeadLeft(g);
-      boolean draining = false;
-      long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
-      lost |= stalled > MAX_STALL_MILLIS;
-      long maxSilence = stalled > STALLED_MILLIS ? state.quickSilentMillis : state.silentMillis;
-      for (FleetInstance m : g.members.values()) {
-        boolean silent = ages.getOrDefault(m.id(), 0L) > maxSilence;
-        lost |= m.phase() == InstancePhase.GONE || (silent && !progressing);
-        draining |= m.phase() == InstancePhase.DRAINING;
-      }
-      if (lost || isLongIncomplete(g, p)) {
+      GroupDecision.Cause lost = lossOf(g);
+      GroupDecision.Cause retired = lost == null ? retirementOf(g) : null;
+      if (lost != null) {
+        state.decisions.givenUp(this, g, lost);
         state.planned.remove(g.key());
         dissolve(g);
-      } else if (draining || state.retiring.containsKey(g.key())) {
+      } else if (retired != null) {
+        state.decisions.givenUp(this, g, retired);
         retire(g);
       } else {
         g.members.values().forEach(m -> assigned.add(m.id()));
@@ -143,16 +133,66 @@
     }
   }
 
+  /** Returns why a group can no longer serve, or null if it can. */
+  private GroupDecision.@Nullable Cause lossOf(GroupView g) {
+    MemberState status = g.headState();
+    if (status == MemberState.BROKEN) {
+      return GroupDecision.Cause.of(GiveUpReason.BROKEN);
+    }
+    if (hasHeadLeft(g)) {
+      return departureOf(g);
+    }
+    InstanceLoad load = loadOf(g);
+    boolean progressing = load != null && load.hasProgress();
+    long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
+    if (stalled > MAX_STALL_MILLIS) {
+      return GroupDecision.Cause.of(GiveUpReason.STALLED, "", stalled);
+    }
+    long maxSilence = stalled > STALLED_MILLIS ? state.quickSilentMillis : state.silentMillis;
+    for (FleetInstance m : g.members.values()) {
+      if (m.phase() == InstancePhase.GONE) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_GONE, m.id(), ageOf(m));
+      }
+      if (ageOf(m) > maxSilence && !progressing) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_SILENT, m.id(), ageOf(m));
+      }
+    }
+    long incomplete = incompleteMillis(g);
+    return incomplete >= INCOMPLETE_MILLIS
+        ? GroupDecision.Cause.of(GiveUpReason.INCOMPLETE, "", incomplete)
+        : null;
+  }
+
+  private GroupDecision.Cause departureOf(GroupView g) {
+    PlannerState.LeaveAnswer answer =
+        hasHeadAnsweredLeave(g) ? state.leaveAnswers.get(state.heads.get(g.key())) : null;
+    return answer == null
+        ? GroupDecision.Cause.of(GiveUpReason.HEAD_REPORTED_LEFT)
+        : new GroupDecision.Cause(
+            GiveUpReason.HEAD_ANSWERED_LEAVE, "", now - answer.at(), answer.outcome());
+  }
+
+  /** Returns why a group that can serve is to be closed, or null if it is not. */
+  private GroupDecision.@Nullable Cause retirementOf(GroupView g) {
+    for (FleetInstance m : g.members.values()) {
+      if (m.phase() == InstancePhase.DRAINING) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_DRAINING, m.id(), -1);
+      }
+    }
+    Long since = state.retiring.get(g.key());
+    return since == null ? null : GroupDecision.Cause.of(GiveUpReason.OTHER_MODEL, "", now - since);
+  }
+
   /**
-   * Returns whether the report of a member, which may have restarted, has been missing for too
-   * long.
+   * Returns for how long the report of a member, which may have restarted, has been missing, in
+   * milliseconds.
    */
-  private boolean isLongIncomplete(GroupView g, @Nullable PlannedGroup p) {
-    if (g.isComplete() || p != null) {
+  private long incompleteMillis(GroupView g) {
+    if (g.isComplete() || state.planned.containsKey(g.key())) {
       state.incompleteSince.remove(g.key());
-      return false;
+      return 0;
     }
-    return now - state.incompleteSince.computeIfAbsent(g.key(), k -> now) >= INCOMPLETE_MILLIS;
+    return now - state.incompleteSince.computeIfAbsent(g.key(), k -> now);
   }
 
   /** Frees the members of a group that has lost a member, once its head can no longer serve. */
@@ -174,8 +214,7 @@
       assigned.add(m.id());
       if (!isLost(m)) {
         order(FleetOrder.Kind.LEAVE, m, g.name, g.epoch, "", List.of());
-        state.quarantineUntil.put(
-            m.id(), now + state.stallMillis + PlannerState.STALL_MARGIN_MILLIS);
+        state.quarantineUntil.put(m.id(), now + state.maxStallMillis());
       }
     }
   }
@@ -218,12 +257,12 @@
    * Returns whether the head has left the group, by its own report or because its process ended.
    * The group can no longer serve then, and its members are free.
    */
-  private boolean hasHeadLeft(GroupView g) {
+  boolean hasHeadLeft(GroupView g) {
     String id = state.heads.get(g.key());
     if (id == null) {
       return false;
     }
-    if (g.key().equals(state.confirmedLeft.get(id))) {
+    if (hasHeadAnsweredLeave(g)) {
       return true;
     }
     FleetInstance h = instances.get(id);
@@ -231,6 +270,12 @@
     return h != null && h.phase() != InstancePhase.GONE && g.head() == null;
   }
 
+  /** Returns whether the answer of the head to an order to leave counts as its departure. */
+  boolean hasHeadAnsweredLeave(GroupView g) {
+    String id = state.heads.get(g.key());
+    return id != null && g.key().equals(state.confirmedLeft.get(id));
+  }
+
   /**
    * Closes a group that has a draining member or makes room for another model, and dissolves it
    * once it no longer serves.
@@ -453,6 +498,7 @@
           new PlannedGroup(name.text(), state.highestEpoch, c.model().name(), ids, now, readyBy);
       state.planned.put(GroupView.key(p.name(), p.epoch()), p);
       assigned.addAll(ids);
+      c.members().forEach(m -> state.decisions.taken(this, p, m));
       c.members().forEach(m -> sendIfDue(join(p, m)));
     }
   }
@@ -528,7 +574,7 @@
     }
     // An instance with a model was in a group, whose head may still wait for it if an earlier
     // leader ordered it to leave.
-    long maxStall = state.stallMillis + PlannerState.STALL_MARGIN_MILLIS;
+    long maxStall = state.maxStallMillis();
     return i.lastModel().isEmpty()
         ? state.first || now - state.knownSince >= maxStall || isKnownSinceItsStart(i)
         : now - state.termStart >= maxStall;
@@ -538,13 +584,18 @@
    * Returns whether an instance has sent so few heartbeats that this process has heard of every
    * group it was in.
    */
-  private boolean isKnownSinceItsStart(FleetInstance i) {
+  boolean isKnownSinceItsStart(FleetInstance i) {
     long received = (now - state.knownSince) / state.quickSilentMillis;
     return i.sequence() <= received + MAX_MISSED_HEARTBEATS;
   }
 
   boolean isLost(FleetInstance i) {
-    return i.phase() == InstancePhase.GONE || ages.getOrDefault(i.id(), 0L) > state.silentMillis;
+    return i.phase() == InstancePhase.GONE || ageOf(i) > state.silentMillis;
+  }
+
+  /** Returns the time since the last heartbeat of an instance, in milliseconds. */
+  long ageOf(FleetInstance i) {
+    return ages.getOrDefault(i.id(), 0L);
   }
 
   private int activeAt(String head) {
