Let the fake fleet hide instances that live

Change: connections for orders are refused for a while, by a cut that also loses heartbeats, or because another instance answers at the address; a head rejects LEAVE; a process stands still; heartbeats are late and out of order; an order of an earlier leader is executed late. A crashed engine refuses connections.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,7 +27,8 @@
 /**
  * Engines that form groups on {@link FleetOrder}s, on a manual clock. Two invariants are checked: a
  * group opens only after all of its members were ready, and an instance joins another group only
- * when the head of its old one cannot serve any more.
+ * when the head of its old one cannot serve any more. A head that stands still counts as one that
+ * may serve until it has found its group broken, since it goes on when it wakes.
  */
 public final class FakeFleet {
   /** The heartbeat period, in milliseconds. */
@@ -38,6 +40,15 @@
   private static final String SERVICE = "engines";
   private static final long REJOIN_MILLIS = 200;
 
+  /** The time after which an order without an answer is given up, in milliseconds. */
+  private static final long ORDER_TIMEOUT_MILLIS = 1_200;
+
+  /** The outcome of an order whose connection is refused. */
+  private static final OrderOutcome REFUSED = OrderOutcome.ABSENT;
+
+  /** The outcome of an order that reaches another instance at the same address. */
+  private static final OrderOutcome MISDIRECTED = OrderOutcome.ABSENT;
+
   private final EngineProfile engine;
   private final Random random;
   private InstanceTable table = new InstanceTable(service -> true);
@@ -48,6 +59,8 @@
   private final List<Long> loadStarts = new ArrayList<>();
   private final Set<String> readyMembers = new HashSet<>();
   private double lostAnswerRate;
+  private long maxHeartbeatDelay;
+  private int lastPort;
   private long now;
   private long orders;
 
@@ -86,7 +99,12 @@
 
   /** Adds an engine that has just started. */
   public void add(String domain, String id) {
-    engines.put(id, new Engine(id, domain, now));
+    engines.put(id, new Engine(id, domain, newAddress(), now));
+  }
+
+  private String newAddress() {
+    lastPort++;
+    return "10.0.0.1:" + lastPort;
   }
 
   /** Returns the time in milliseconds. */
@@ -126,7 +144,12 @@
     table = new InstanceTable(service -> true);
   }
 
-  /** Kills a process without notice. */
+  /** Sets the maximum delay of heartbeats, which then arrive out of order, in milliseconds. */
+  public void setMaxHeartbeatDelay(long millis) {
+    maxHeartbeatDelay = millis;
+  }
+
+  /** Kills a process without notice; its host refuses connections. */
   public void crash(String id) {
     engine(id).alive = false;
   }
@@ -134,16 +157,121 @@
   /** Restarts an engine: cold and in no group, with the weights that its host has staged. */
   public void restart(String id) {
     Engine old = engine(id);
-    Engine e = new Engine(id, old.domain, now);
+    Engine e = new Engine(id, old.domain, old.address, now);
     e.staged = old.staged;
     engines.put(id, e);
   }
 
+  /** Kills a process and starts another one under a new identifier at the same address. */
+  public void replace(String id, String newId) {
+    Engine old = engine(id);
+    old.alive = false;
+    Engine e = new Engine(newId, old.domain, old.address, now);
+    e.staged = old.staged;
+    engines.put(newId, e);
+  }
+
+  /** Makes an engine refuse connections for orders for a while; everything else goes on. */
+  public void refuseOrders(String id, long millis) {
+    engine(id).refusesUntil = now + millis;
+  }
+
+  /**
+   * Sets whether connections between an engine and the control replicas are refused in both
+   * directions; requests still reach it.
+   */
+  public void setRefusingCut(String id, boolean value) {
+    engine(id).refusingCut = value;
+  }
+
+  /** Sets whether another instance answers the orders to an engine, which serves on. */
+  public void setMisdirected(String id, boolean value) {
+    engine(id).misdirected = value;
+  }
+
+  /** Sets whether an engine refuses to leave its group while it is the head of an open one. */
+  public void setLeaveConflicts(String id, boolean value) {
+    engine(id).leaveConflicts = value;
+  }
+
+  /** Makes the next order of a kind to an engine get no answer; it is executed after a delay. */
+  public void delayOrder(String id, FleetOrder.Kind kind, long millis) {
+    engine(id).delays.put(kind, millis);
+  }
+
+  /** Returns whether no order of a kind has been sent since {@link #delayOrder}. */
+  public boolean isDelayPending(String id, FleetOrder.Kind kind) {
+    return engine(id).delays.containsKey(kind);
+  }
+
+  /** Makes an engine execute an order, which an earlier leader sent, after a delay. */
+  public void executeLate(FleetOrder order, long millis) {
+    schedule(now + millis, () -> execute(order));
+  }
+
+  /**
+   * Makes a process stand still for a while: it executes nothing, sends nothing and does not count
+   * the time of a missing member.
+   *
+   * @param executeOrders whether it then executes the orders that have arrived meanwhile
+   */
+  public void freeze(String id, long millis, boolean executeOrders) {
+    Engine e = engine(id);
+    if (!e.isFrozen()) {
+      e.frozenSince = now;
+      schedule(now + millis, () -> wake(e, executeOrders));
+    }
+  }
+
+  private void wake(Engine e, boolean executeOrders) {
+    if (engines.get(e.id) != e || !e.alive) {
+      return;
+    }
+    e.frozenSince = -1;
+    e.nextHeartbeat = now;
+    if (e.group != null) {
+      e.group.stalledSince = -1;
+    }
+    List<FleetOrder> waiting = List.copyOf(e.waitingOrders);
+    e.waitingOrders.clear();
+    if (executeOrders) {
+      waiting.forEach(this::execute);
+    }
+  }
+
   /** Sets whether an engine is cut off from the control replicas; requests still reach it. */
   public void setCutOff(String id, boolean value) {
     engine(id).cutOff = value;
   }
 
+  /**
+   * Ends the faults that keep an engine out of reach, and restarts it if it has ended or is about
+   * to.
+   */
+  public void heal(String id) {
+    Engine e = engine(id);
+    if (!e.alive || e.deregistered || e.phase == InstancePhase.DRAINING) {
+      restart(id);
+      return;
+    }
+    e.cutOff = false;
+    e.refusingCut = false;
+    e.misdirected = false;
+    e.leaveConflicts = false;
+    e.delays.clear();
+  }
+
+  /** Returns the engines that are ready for orders and in no group. */
+  public List<String> unused() {
+    List<String> out = new ArrayList<>();
+    for (Engine e : engines.values()) {
+      if (e.alive && e.phase == InstancePhase.READY && !e.deregistered && e.group == null) {
+        out.add(e.id);
+      }
+    }
+    return out;
+  }
+
   /** Makes an engine deregister and continue to serve, as one does that ends some time later. */
   public void deregister(String id) {
     engine(id).deregistered = true;
@@ -197,6 +325,11 @@
     return g == null ? List.of() : g.members;
   }
 
+  /** Forgets the loads so far; those before the first request are not limited. */
+  public void forgetLoads() {
+    loadStarts.clear();
+  }
+
   /** Returns the maximum number of loads from the weight store that began within a window. */
   public int maxLoads(long windowMillis) {
     int max = 0;
@@ -218,8 +351,13 @@
     for (Engine e : engines.values()) {
       Group g = e.group;
       if (g != null && g.rank == 0 && g.state == MemberState.OPEN) {
-        boolean isStalled = !e.alive || g.stalledSince >= 0;
-        long since = e.alive ? g.stalledSince : now - HEARTBEAT_MILLIS;
+        boolean isStalled = !e.alive || e.isFrozen() || g.stalledSince >= 0;
+        long since = g.stalledSince;
+        if (!e.alive) {
+          since = now - HEARTBEAT_MILLIS;
+        } else if (e.isFrozen()) {
+          since = e.frozenSince;
+        }
         long idle = isStalled ? Math.max(0, now - since) : 20;
         out.put(e.id, new InstanceLoad(e.id, g.epoch, 3, 0, idle, idle > 300 ? idle : 0));
       }
@@ -254,11 +392,23 @@
     orders++;
     long arrival = now + 5;
     Engine e = engines.get(o.instance());
-    if (e == null || !e.alive || e.cutOff) {
-      schedule(now + 1_200, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
-    } else if (random.nextDouble() < lostAnswerRate) {
-      schedule(arrival + 2_000 + random.nextInt(10_000), () -> execute(o));
-      schedule(now + 1_200, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+    if (e == null || e.cutOff) {
+      schedule(now + ORDER_TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+      return;
+    }
+    if (!e.alive || e.misdirected || e.refusesOrders(now)) {
+      boolean otherListens = e.misdirected || !e.alive && listensAt(o.address());
+      OrderOutcome outcome = otherListens ? MISDIRECTED : REFUSED;
+      schedule(arrival, () -> planner.answered(o, outcome, now));
+      return;
+    }
+    Long delay = e.delays.remove(o.kind());
+    if (delay == null && random.nextDouble() < lostAnswerRate) {
+      delay = 2_000L + random.nextInt(10_000);
+    }
+    if (delay != null || e.isFrozen()) {
+      schedule(arrival + (delay == null ? 0 : delay), () -> execute(o));
+      schedule(now + ORDER_TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
     } else {
       schedule(
           arrival,
@@ -269,11 +419,19 @@
     }
   }
 
+  private boolean listensAt(String address) {
+    return engines.values().stream().anyMatch(e -> e.alive && e.address.equals(address));
+  }
+
   private OrderOutcome execute(FleetOrder o) {
     Engine e = engines.get(o.instance());
     if (e == null || !e.alive) {
       return OrderOutcome.UNKNOWN;
     }
+    if (e.isFrozen()) {
+      e.waitingOrders.add(o);
+      return OrderOutcome.UNKNOWN;
+    }
     if (o.fencing() < e.fencing) {
       return OrderOutcome.FENCED;
     }
@@ -329,7 +487,8 @@
     Group headGroup = head == null || !head.alive ? null : head.group;
     boolean same = headGroup != null && headGroup.name.equals(g.name) && headGroup.epoch == g.epoch;
     if (same && (headGroup.state == MemberState.OPEN || headGroup.state == MemberState.CLOSING)) {
-      violations.add(now + ": " + e.id + " joins another group while " + g.name + " may serve");
+      String state = head.isFrozen() ? "stands still" : "may serve";
+      violations.add(now + ": " + e.id + " joins another group while " + g.name + " " + state);
     }
   }
 
@@ -368,6 +527,9 @@
 
   private OrderOutcome leave(Engine e, FleetOrder o) {
     Group g = e.group;
+    if (g != null && g.isOf(o) && g.rank == 0 && g.state == MemberState.OPEN && e.leaveConflicts) {
+      return OrderOutcome.CONFLICT;
+    }
     if (g != null && g.isOf(o)) {
       e.leftGroup = g;
       e.group = null;
@@ -394,7 +556,7 @@
   private boolean isComplete(Group g) {
     for (String id : g.members) {
       Engine m = engines.get(id);
-      Group other = m == null || !m.alive ? null : m.group;
+      Group other = m == null || !m.alive || m.isFrozen() ? null : m.group;
       boolean in = other != null && other.name.equals(g.name) && other.epoch == g.epoch;
       if (!in || other.state == MemberState.JOINING) {
         return false;
@@ -405,7 +567,7 @@
 
   private void advance(Engine e) {
     Group g = e.group;
-    if (!e.alive || g == null) {
+    if (!e.alive || e.isFrozen() || g == null) {
       return;
     }
     final MemberState before = g.state;
@@ -435,12 +597,19 @@
   }
 
   private void sendHeartbeat(Engine e) {
-    if (!e.alive || e.deregistered || now < e.nextHeartbeat) {
+    if (!e.alive || e.isFrozen() || e.deregistered || now < e.nextHeartbeat) {
       return;
     }
     e.nextHeartbeat = now + HEARTBEAT_MILLIS;
-    if (!e.cutOff) {
-      table.merge(e.record(), 0, now);
+    if (e.cutOff || e.refusingCut) {
+      return;
+    }
+    FleetInstance record = e.record();
+    if (maxHeartbeatDelay == 0) {
+      table.merge(record, 0, now);
+    } else {
+      long delay = random.nextInt((int) maxHeartbeatDelay);
+      schedule(now + delay, () -> table.merge(record, 0, now));
     }
   }
 
@@ -486,9 +655,24 @@
   private static final class Engine {
     final String id;
     final String domain;
+    final String address;
     final long startMillis;
     boolean alive = true;
     boolean cutOff;
+    boolean refusingCut;
+    boolean misdirected;
+    boolean leaveConflicts;
+    long refusesUntil = -1;
+
+    /** The time since which the process stands still, or -1. */
+    long frozenSince = -1;
+
+    /** The orders that have arrived since then. */
+    final List<FleetOrder> waitingOrders = new ArrayList<>();
+
+    /** The delay of the next order of each kind. */
+    final Map<FleetOrder.Kind, Long> delays = new EnumMap<>(FleetOrder.Kind.class);
+
     boolean deregistered;
     InstancePhase phase = InstancePhase.READY;
     String lastModel = "";
@@ -503,13 +687,22 @@
     long nextHeartbeat;
     long sequence;
 
-    Engine(String id, String domain, long startMillis) {
+    Engine(String id, String domain, String address, long startMillis) {
       this.id = id;
       this.domain = domain;
+      this.address = address;
       this.startMillis = startMillis;
       nextHeartbeat = startMillis;
     }
 
+    boolean isFrozen() {
+      return frozenSince >= 0;
+    }
+
+    boolean refusesOrders(long now) {
+      return refusingCut || now < refusesUntil;
+    }
+
     FleetInstance record() {
       sequence++;
       Group g = group;
@@ -518,7 +711,7 @@
           startMillis,
           sequence,
           SERVICE,
-          "10.0.0.1:" + Math.abs(id.hashCode() % 60_000 + 1),
+          address,
           "zone-" + domain,
           phase,
           18,
