Test the planner with heads that live and cannot be reached

Change: one test for each fault by which the head of a group cannot be reached while it serves, three that keep repair fast, and random runs of all faults under one old leader and under changes of leader.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -8,13 +8,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.ebonypond.junit.FakeFleet;
 import org.ebonypond.junit.Seeds;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -24,6 +27,9 @@
   /** A leader forgets the orders that it sent longer ago, in milliseconds. */
   private static final long OLD_TERM_MILLIS = 130_000;
 
+  /** Within this time the survivors of a lost member serve again, in milliseconds. */
+  private static final long REPAIR_MILLIS = 12_000;
+
   private final FakeFleet fleet = new FakeFleet(FakeFleet.twoModels(), 6, 8, 1);
   private final FleetPlanner planner = newPlanner();
 
@@ -347,6 +353,221 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /**
+   * Guards against members that join another group while their head still serves, because a refused
+   * connection was taken for the end of its process.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfHeadThatRefusesConnectionsWait(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.refuseOrders(members.get(0), 4_000);
+    loseMember(leader, members);
+    assertSurvivorsServeAgain(members);
+  }
+
+  /**
+   * Guards against members that join another group while their head still serves, because 421 was
+   * taken for the end of its process.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfHeadWhoseAddressAnotherInstanceAnswersWait(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.setMisdirected(members.get(0), true);
+    loseMember(leader, members);
+    assertSurvivorsServeAgain(members);
+  }
+
+  /**
+   * Guards against members that join another group while their head still serves, because 409 was
+   * taken for the departure of the head.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfHeadThatRejectsTheOrderToLeaveWait(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.setLeaveConflicts(members.get(0), true);
+    loseMember(leader, members);
+    assertSurvivorsServeAgain(members);
+  }
+
+  /**
+   * Guards against members that join another group while their head still serves, because the cut
+   * that hides it refuses connections.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfHeadBehindRefusingCutWait(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.setRefusingCut(members.get(0), true);
+    loseMember(leader, members);
+    assertSurvivorsServeAgain(members);
+  }
+
+  /**
+   * Guards against members that join another group before their head, which stood still, has found
+   * them missing.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfHeadThatWakesAndCannotBeReachedWait(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.freeze(members.get(0), 6_000, false);
+    FleetPlanner p = elect(leader);
+    fleet.run(p, 5_900, false);
+    fleet.refuseOrders(members.get(0), 6_000);
+    fleet.run(p, 12_000, false);
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /**
+   * Guards against members that join another group at once when an order of an earlier leader makes
+   * them leave a group that serves; the waiting time at the start of the term is over by then.
+   */
+  @Test
+  void membersThatExecuteAnOrderOfAnEarlierLeaderWait() {
+    start();
+    final List<String> members = groupOf("large");
+    final FleetInstance head = fleet.table().get(members.get(0));
+    assertNotNull(head);
+    final GroupMembership group = head.group();
+    assertNotNull(group);
+    FleetPlanner next = newPlanner();
+    next.startTerm(2, false, 4, fleet.now());
+    fleet.refuseOrders(members.get(0), 12_000);
+    for (String m : members.subList(2, 4)) {
+      FleetOrder leave =
+          new FleetOrder(
+              FleetOrder.Kind.LEAVE, m, "", group.name(), group.epoch(), "", List.of(), 1);
+      fleet.executeLate(leave, 8_000);
+    }
+    fleet.run(next, 20_000, false);
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /**
+   * Guards against members that join another group while their head serves, which executes the
+   * order to open the group only after they have left and cannot be seen.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void membersOfHiddenHeadThatOpensLateWait(boolean cutRefuses) {
+    final List<String> members = startedGroup(Leader.OLD);
+    String domain = members.get(0).substring(0, 3);
+    List<String> ids = fleet.ids().stream().filter(id -> id.startsWith(domain)).toList();
+    ids.forEach(id -> fleet.delayOrder(id, FleetOrder.Kind.OPEN, 7_000));
+    fleet.crash(members.get(3));
+    String head = null;
+    for (int i = 0; i < 200 && head == null; i++) {
+      fleet.run(planner, 100, false);
+      for (String id : ids) {
+        head = fleet.isDelayPending(id, FleetOrder.Kind.OPEN) ? head : id;
+      }
+    }
+    assertNotNull(head);
+    if (cutRefuses) {
+      fleet.setRefusingCut(head, true);
+    } else {
+      fleet.setCutOff(head, true);
+    }
+    fleet.run(planner, 30_000, false);
+    assertEquals(List.of(), fleet.violations());
+  }
+
+  /** Guards against survivors that wait for a head whose process has ended. */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfCrashedHeadServeAgainWithinSeconds(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.crash(members.get(0));
+    fleet.run(elect(leader), REPAIR_MILLIS, false);
+    assertSurvivorsServe(members.subList(1, 4));
+  }
+
+  /** Guards against survivors that wait for a head in whose place another instance listens. */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfReplacedHeadServeAgainWithinSeconds(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.replace(members.get(0), "new");
+    fleet.run(elect(leader), REPAIR_MILLIS, false);
+    assertSurvivorsServe(members.subList(1, 4));
+  }
+
+  /** Guards against survivors that wait for a head which restarted and is in no group. */
+  @ParameterizedTest
+  @EnumSource
+  void membersOfRestartedHeadServeAgainWithinSeconds(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    fleet.restart(members.get(0));
+    fleet.run(elect(leader), REPAIR_MILLIS, false);
+    assertSurvivorsServe(members.subList(1, 4));
+  }
+
+  /**
+   * Guards against survivors that wait although the head, which refused connections at first, has
+   * confirmed that it left.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void membersAreFreeOnceTheirHeadConfirmsThatItLeft(Leader leader) {
+    final List<String> members = startedGroup(leader);
+    final String head = members.get(0);
+    fleet.crash(members.get(3));
+    FleetPlanner p = elect(leader);
+    fleet.run(p, 1_500, false);
+    fleet.refuseOrders(head, 2_000);
+    for (int i = 0; i < 60 && !fleet.membersOf(head).isEmpty(); i++) {
+      fleet.run(p, 100, false);
+    }
+    fleet.run(p, 1_000, false);
+    assertEquals(List.of(), fleet.violations());
+    List<String> regrouped = new ArrayList<>(members.subList(0, 3));
+    regrouped.removeIf(m -> fleet.membersOf(m).isEmpty());
+    assertTrue(regrouped.size() >= 2, "regrouped " + regrouped);
+  }
+
+  /** The leader under which a fault occurs. */
+  enum Leader {
+    /** It has been the leader for longer than it keeps orders. */
+    OLD,
+    /** It is elected at the moment of the fault. */
+    ELECTED
+  }
+
+  /** Starts the fleet and returns the members of a large group, head first. */
+  private List<String> startedGroup(Leader leader) {
+    start();
+    fleet.run(planner, leader == Leader.OLD ? OLD_TERM_MILLIS : 10_000, false);
+    return groupOf("large");
+  }
+
+  private FleetPlanner elect(Leader leader) {
+    if (leader == Leader.OLD) {
+      return planner;
+    }
+    FleetPlanner next = newPlanner();
+    next.startTerm(2, false, 4, fleet.now());
+    return next;
+  }
+
+  private void loseMember(Leader leader, List<String> members) {
+    fleet.crash(members.get(3));
+    fleet.run(elect(leader), REPAIR_MILLIS, false);
+  }
+
+  private void assertSurvivorsServeAgain(List<String> members) {
+    assertEquals(List.of(), fleet.violations());
+    assertSurvivorsServe(members.subList(1, 3));
+  }
+
+  private void assertSurvivorsServe(List<String> survivors) {
+    assertEquals(List.of(), fleet.violations());
+    long serving = survivors.stream().filter(fleet::serves).count();
+    assertTrue(serving >= 2, serving + " of " + survivors + " serve");
+  }
+
   /** Guards against dissolving a serving group that only the control replicas cannot reach. */
   @Test
   void groupThatServesIsKeptWhileItsMembersAreCutOffFromControl() {
@@ -483,4 +704,145 @@
     int instances = 4 * f.serving("large") + 2 * f.serving("small");
     assertTrue(instances >= 20, "only " + instances + " instances serve");
   }
+
+  /**
+   * Injects faults in which instances that live and serve cannot be reached, beside crashes. All
+   * invariants must hold, and groups must recover.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void invariantsHoldWhileInstancesAreHiddenFromAnOldLeader(long seed) {
+    HiddenInstances run = new HiddenInstances(seed);
+    run.run(OLD_TERM_MILLIS);
+    run.injectFaults(false);
+    run.assertRecovers();
+  }
+
+  /** Injects the same faults beside changes of the leader. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void invariantsHoldWhileInstancesAreHiddenFromNewLeaders(long seed) {
+    HiddenInstances run = new HiddenInstances(seed);
+    run.injectFaults(true);
+    run.assertRecovers();
+  }
+
+  /**
+   * Guards against instances that no group uses again, because after restarts the free hosts of a
+   * domain have weights of different models.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void restartedInstancesAreUsedAgain(long seed) {
+    HiddenInstances run = new HiddenInstances(seed);
+    run.restartSome();
+    run.run(90_000);
+    run.assertEveryPairIsUsed();
+  }
+
+  /** A fleet with instances that live and cannot be reached. */
+  private static final class HiddenInstances {
+    /** Shorter than the time after which members of a silent head are free, in milliseconds. */
+    private static final int MAX_FREEZE_MILLIS = 6_000;
+
+    private static final int MAX_HEARTBEAT_DELAY_MILLIS = 3_000;
+    private static final int ROUNDS = 30;
+
+    final FakeFleet fleet;
+    FleetPlanner planner = newPlanner();
+    private final Random random;
+    private final List<String> ids;
+    private long term = 1;
+
+    HiddenInstances(long seed) {
+      random = new Random(seed);
+      fleet = new FakeFleet(FakeFleet.twoModels(), 6, 8, seed);
+      planner.startTerm(term, true, 4, 0);
+      fleet.run(planner, 45_000, true);
+      ids = new ArrayList<>(fleet.ids());
+      fleet.forgetLoads();
+    }
+
+    /** Advances the time under traffic. */
+    void run(long millis) {
+      for (long left = millis; left > 0; left -= 1_000) {
+        fleet.run(planner, Math.min(left, 1_000), false);
+        fleet.table().prune(fleet.now());
+      }
+    }
+
+    void injectFaults(boolean changeLeader) {
+      fleet.setLostAnswerRate(0.1);
+      fleet.setMaxHeartbeatDelay(MAX_HEARTBEAT_DELAY_MILLIS);
+      for (int i = 0; i < ROUNDS; i++) {
+        injectFault(random.nextInt(ids.size()));
+        if (changeLeader && random.nextInt(4) == 0) {
+          term++;
+          planner = newPlanner();
+          planner.startTerm(term, false, 4, fleet.now());
+        }
+        run(500 + random.nextInt(3_000));
+      }
+    }
+
+    private void injectFault(int index) {
+      String id = ids.get(index);
+      switch (random.nextInt(12)) {
+        case 0 -> fleet.crash(id);
+        case 1 -> crashBesideRefusingHead(id);
+        case 2 -> fleet.setCutOff(id, random.nextBoolean());
+        case 3 -> fleet.setRefusingCut(id, random.nextBoolean());
+        case 4 -> fleet.setMisdirected(id, random.nextBoolean());
+        case 5 -> fleet.setLeaveConflicts(id, random.nextBoolean());
+        case 6 -> fleet.refuseOrders(id, 1_000 + random.nextInt(3_000));
+        case 7 -> fleet.freeze(id, 500 + random.nextInt(MAX_FREEZE_MILLIS), random.nextBoolean());
+        case 8 -> fleet.restart(id);
+        case 9 -> {
+          ids.set(index, id + "n");
+          fleet.replace(id, ids.get(index));
+        }
+        case 10 -> fleet.drain(id);
+        default -> fleet.deregister(id);
+      }
+    }
+
+    private void crashBesideRefusingHead(String id) {
+      fleet.membersOf(id).stream()
+          .findFirst()
+          .ifPresent(head -> fleet.refuseOrders(head, 1_000 + random.nextInt(3_000)));
+      fleet.crash(id);
+    }
+
+    void assertRecovers() {
+      assertEquals(List.of(), fleet.violations());
+      fleet.setLostAnswerRate(0);
+      fleet.setMaxHeartbeatDelay(0);
+      ids.forEach(fleet::heal);
+      run(90_000);
+      assertEquals(List.of(), fleet.violations());
+      int instances = 4 * fleet.serving("large") + 2 * fleet.serving("small");
+      assertTrue(instances >= 20, "only " + instances + " instances serve");
+      int loads = fleet.maxLoads(WINDOW_MILLIS);
+      assertTrue(loads <= 20, "loads " + loads);
+    }
+
+    void assertEveryPairIsUsed() {
+      assertEquals(List.of(), unusedPairs(), "unused " + fleet.unused());
+    }
+
+    void restartSome() {
+      for (int i = 0; i < ROUNDS; i++) {
+        fleet.restart(ids.get(random.nextInt(ids.size())));
+        run(500 + random.nextInt(3_000));
+      }
+    }
+
+    /** Returns the domains in which two or more instances, enough for a group, are in no group. */
+    private List<String> unusedPairs() {
+      Map<String, Long> unused =
+          fleet.unused().stream()
+              .collect(Collectors.groupingBy(id -> id.substring(0, 2), Collectors.counting()));
+      return unused.keySet().stream().filter(d -> unused.get(d) >= 2).sorted().toList();
+    }
+  }
 }
