Keep an instance back until its old head has missed it, whoever ordered it to leave

Cause: an unknown taken for "no". An instance without a group was free once the term was as old as the time after which a head finds a member missing. That covers orders to leave that were executed before the term, but not one that arrives in it; nor did the wait of the leader's own orders know when the member had left, and it went on although the head had confirmed that it left as well.

Change: the planner keeps the last group of each instance and the time at which the instance was first known outside it, by its report or its answer. The instance is free when its old head has left or found the group broken, or after the time in which it must have found the instance missing. This replaces the time that was set when the order was given.

GroupDecisionTest expected WAITED_IN_TERM for an instance that had just left its group with its head; the evidence is now that the head reported this, which the test expects of all members alike.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/GroupDecisionTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/GroupDecisionTest.java
@@ -120,12 +120,8 @@
     assertTrue(taken.stream().anyMatch(t -> t.leftMillis() == 0), taken.toString());
     for (GroupDecision.Taken t : taken) {
       assertEquals(members.get(0), t.oldHead().id());
-      if (t.leftMillis() == 0) {
-        assertEquals(FreeEvidence.HEAD_REPORTED_LEFT, t.evidence(), t.toString());
-      } else {
-        assertEquals(FreeEvidence.WAITED_IN_TERM, t.evidence(), t.toString());
-        assertEquals("LEFT", t.oldHead().state());
-      }
+      assertEquals(FreeEvidence.HEAD_REPORTED_LEFT, t.evidence(), t.toString());
+      assertEquals("LEFT", t.oldHead().state(), t.toString());
     }
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -12,7 +12,6 @@
 final class DecisionRecorder {
   private final List<GroupDecision> decisions = new ArrayList<>();
   private final Map<String, Set<GiveUpReason>> reported = new HashMap<>();
-  private final Map<String, OldGroup> latestGroups = new HashMap<>();
   private long reportedTerm = -1;
 
   /** Returns the decisions of the latest round. */
@@ -23,7 +22,6 @@
   /** Forgets what was known in an earlier term. */
   void startTerm() {
     reported.clear();
-    latestGroups.clear();
   }
 
   /** Starts a round. */
@@ -34,34 +32,12 @@
   /** Records the input of a round; called before anything is decided. */
   void observe(PlanningRound round) {
     reported.keySet().retainAll(round.groups.keySet());
-    latestGroups.keySet().retainAll(round.instances.keySet());
-    round.instances.values().forEach(i -> observe(round, i));
     if (reportedTerm != round.state.term) {
       reportedTerm = round.state.term;
       decisions.add(termStarted(round));
     }
   }
 
-  private void observe(PlanningRound round, FleetInstance i) {
-    OldGroup old = latestGroups.get(i.id());
-    if (old != null && old.startMillis != i.startMillis()) {
-      latestGroups.remove(i.id());
-      old = null;
-    }
-    GroupMembership g = i.group();
-    if (g == null) {
-      return;
-    }
-    if (old == null || !old.isOf(g)) {
-      old = new OldGroup(g.name(), g.epoch(), i.startMillis(), round.now);
-      latestGroups.put(i.id(), old);
-    }
-    old.lastReported = round.now;
-    if (old.head.isEmpty()) {
-      old.head = round.state.heads.getOrDefault(GroupView.key(g.name(), g.epoch()), "");
-    }
-  }
-
   private static GroupDecision termStarted(PlanningRound round) {
     int inGroups = 0;
     List<Long> ages = new ArrayList<>();
@@ -88,7 +64,7 @@
 
   /** Records that a free instance is to join a new group. */
   void taken(PlanningRound round, PlannedGroup p, FleetInstance i) {
-    OldGroup old = latestGroups.get(i.id());
+    LastGroup old = round.state.lastGroups.of(i.id());
     FreeEvidence evidence = evidence(round, i, old);
     PlannerState.LeaveAnswer answer =
         evidence == FreeEvidence.HEAD_ANSWERED_LEAVE && old != null
@@ -105,40 +81,47 @@
             old == null ? -1 : round.now - old.lastReported,
             old == null ? headOf(round, "", 0, "") : headOf(round, old.name, old.epoch, old.head),
             evidence,
-            answer == null ? waited(round, i, evidence) : round.now - answer.at(),
+            answer == null ? waited(round, old, evidence) : round.now - answer.at(),
             answer == null ? null : answer.outcome()));
   }
 
   /** Names the rule by which {@link PlanningRound#isFree} holds for an instance. */
   private static FreeEvidence evidence(
-      PlanningRound round, FleetInstance i, @Nullable OldGroup old) {
+      PlanningRound round, FleetInstance i, @Nullable LastGroup old) {
     PlannerState state = round.state;
+    if (old != null && old.hasLeft()) {
+      return evidence(round, old);
+    }
     GroupMembership g = i.group();
     if (g != null) {
-      return evidence(round, i, g, old);
+      return evidence(round, i, g);
     }
     if (i.lastModel().isEmpty()) {
       return state.first || round.isKnownSinceItsStart(i)
           ? FreeEvidence.NEVER_IN_GROUP
           : FreeEvidence.WAITED_IN_PROCESS;
     }
-    return hasWaitedAfterLeave(round, i, old)
-        ? FreeEvidence.WAITED_AFTER_LEAVE
-        : FreeEvidence.WAITED_IN_TERM;
+    return FreeEvidence.WAITED_IN_TERM;
   }
 
-  private static FreeEvidence evidence(
-      PlanningRound round, FleetInstance i, GroupMembership g, @Nullable OldGroup old) {
-    if (GroupName.of(g) == null) {
-      return FreeEvidence.FOREIGN_GROUP;
+  private static FreeEvidence evidence(PlanningRound round, LastGroup old) {
+    if (old.key().equals(round.state.confirmedLeft.get(old.head))) {
+      return FreeEvidence.HEAD_ANSWERED_LEAVE;
     }
-    if (hasWaitedAfterLeave(round, i, old)) {
+    if (round.hasWaitedSince(old)) {
       return FreeEvidence.WAITED_AFTER_LEAVE;
     }
-    String key = GroupView.key(g.name(), g.epoch());
-    if (key.equals(round.state.confirmedLeft.get(i.id()))) {
-      return FreeEvidence.HEAD_ANSWERED_LEAVE;
+    FleetInstance h = round.instances.get(old.head);
+    GroupMembership g = h == null ? null : h.group();
+    boolean broken = g != null && GroupView.key(g.name(), g.epoch()).equals(old.key());
+    return broken ? FreeEvidence.HEAD_BROKEN : FreeEvidence.HEAD_REPORTED_LEFT;
+  }
+
+  private static FreeEvidence evidence(PlanningRound round, FleetInstance i, GroupMembership g) {
+    if (GroupName.of(g) == null) {
+      return FreeEvidence.FOREIGN_GROUP;
     }
+    String key = GroupView.key(g.name(), g.epoch());
     GroupView view = round.groups.get(key);
     FleetInstance member = view == null ? null : view.members.get(g.rank());
     if (view == null || member == null || !member.id().equals(i.id())) {
@@ -154,19 +137,9 @@
         : FreeEvidence.NEVER_OPENED;
   }
 
-  private static boolean hasWaitedAfterLeave(
-      PlanningRound round, FleetInstance i, @Nullable OldGroup old) {
-    return old != null && quarantinedAt(round.state, i) >= old.since;
-  }
-
-  private static long quarantinedAt(PlannerState state, FleetInstance i) {
-    Long until = state.quarantineUntil.get(i.id());
-    return until == null ? Long.MIN_VALUE : until - state.maxStallMillis();
-  }
-
-  private static long waited(PlanningRound round, FleetInstance i, FreeEvidence evidence) {
+  private static long waited(PlanningRound round, @Nullable LastGroup old, FreeEvidence evidence) {
     return switch (evidence) {
-      case WAITED_AFTER_LEAVE -> round.now - quarantinedAt(round.state, i);
+      case WAITED_AFTER_LEAVE -> old == null ? -1 : round.now - old.leftAt();
       case WAITED_IN_TERM -> round.now - round.state.termStart;
       case WAITED_IN_PROCESS -> round.now - round.state.knownSince;
       default -> -1;
@@ -188,30 +161,4 @@
     }
     return new GroupDecision.Head(id, state, round.ageOf(h));
   }
-
-  /** The latest group that an instance has reported. */
-  private static final class OldGroup {
-    final String name;
-    final long epoch;
-    final long startMillis;
-
-    /** The time of the first round in which the instance reported the group. */
-    final long since;
-
-    /** The time of the last such round. */
-    long lastReported;
-
-    String head = "";
-
-    OldGroup(String name, long epoch, long startMillis, long since) {
-      this.name = name;
-      this.epoch = epoch;
-      this.startMillis = startMillis;
-      this.since = since;
-    }
-
-    boolean isOf(GroupMembership g) {
-      return epoch == g.epoch() && name.equals(g.name());
-    }
-  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -69,7 +69,7 @@
         first ? now - SETTLE_MILLIS - state.stallMillis - PlannerState.STALL_MARGIN_MILLIS : now;
     state.sentOrders.clear();
     state.planned.clear();
-    state.quarantineUntil.clear();
+    state.lastGroups.clear();
     state.confirmedLeft.clear();
     state.leaveAnswers.clear();
     state.decisions.startTerm();
@@ -128,6 +128,7 @@
       }
     }
     state.leaveAnswers.keySet().retainAll(state.confirmedLeft.keySet());
+    round.recordLastGroups();
     state.decisions.observe(round);
     state.incompleteSince.keySet().retainAll(round.groups.keySet());
     state.heads.keySet().retainAll(round.groups.keySet());
@@ -163,6 +164,7 @@
     boolean notMember = outcome == OrderOutcome.CONFLICT || absent;
     if (order.kind() == FleetOrder.Kind.LEAVE && (done || notMember)) {
       state.confirmedLeft.put(order.instance(), GroupView.key(order.group(), order.epoch()));
+      state.lastGroups.confirmLeft(order.instance(), order.group(), order.epoch(), now);
       state.leaveAnswers.put(order.instance(), new PlannerState.LeaveAnswer(outcome, now));
     }
     if (order.kind() == FleetOrder.Kind.STAGE && !done) {
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
@@ -0,0 +1,66 @@
+package org.ebonypond.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The last group of each instance in the current term. Its head may serve until it has found the
+ * instance missing, whoever ordered the instance to leave.
+ */
+final class LastGroups {
+  private final Map<String, LastGroup> groups = new HashMap<>();
+
+  /**
+   * Records the latest report of an instance.
+   *
+   * @param i the instance
+   * @param head the head of the group that it reports, or empty if unknown
+   * @param now the time in milliseconds
+   */
+  void report(FleetInstance i, String head, long now) {
+    LastGroup last = groups.get(i.id());
+    if (last != null && last.startMillis != i.startMillis()) {
+      groups.remove(i.id());
+      last = null;
+    }
+    GroupMembership g = i.group();
+    if (g == null) {
+      if (last != null) {
+        last.reportOutside(now);
+      }
+      return;
+    }
+    if (last == null || !last.isOf(i, g)) {
+      last = new LastGroup(g.name(), g.epoch(), i.startMillis());
+      groups.put(i.id(), last);
+    }
+    last.lastReported = now;
+    if (last.head.isEmpty()) {
+      last.head = head;
+    }
+  }
+
+  /** Records that an instance has confirmed an order to leave a group. */
+  void confirmLeft(String instance, String group, long epoch, long now) {
+    LastGroup last = groups.get(instance);
+    if (last != null && last.key().equals(GroupView.key(group, epoch))) {
+      last.leave(now);
+    }
+  }
+
+  /** Returns the last group of an instance, or null if it has reported none in this term. */
+  @Nullable LastGroup of(String instance) {
+    return groups.get(instance);
+  }
+
+  /** Forgets all instances but these. */
+  void retain(Set<String> instances) {
+    groups.keySet().retainAll(instances);
+  }
+
+  void clear() {
+    groups.clear();
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -30,10 +30,8 @@
   /** The groups whose members were ordered to join, by group and epoch. */
   final Map<String, PlannedGroup> planned = new LinkedHashMap<>();
 
-  /**
-   * The time until which an instance must not join a group, because its old head may still serve.
-   */
-  final Map<String, Long> quarantineUntil = new HashMap<>();
+  /** The last group of each instance, whose head may wait for it. */
+  final LastGroups lastGroups = new LastGroups();
 
   /** The time until which an instance is not used, because it did not answer orders. */
   final Map<String, Long> avoidUntil = new HashMap<>();
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -103,6 +103,17 @@
     state.highestEpoch = Math.max(state.highestEpoch, g.epoch());
   }
 
+  /** Records the groups of this round; called once all instances have been added. */
+  void recordLastGroups() {
+    state.lastGroups.retain(instances.keySet());
+    for (FleetInstance i : instances.values()) {
+      GroupMembership g = i.group();
+      String head =
+          g == null ? "" : state.heads.getOrDefault(GroupView.key(g.name(), g.epoch()), "");
+      state.lastGroups.report(i, head, now);
+    }
+  }
+
   /**
    * Opens groups that are ready, closes those that drain or make room for another model, and
    * dissolves those that can no longer serve.
@@ -214,7 +225,6 @@
       assigned.add(m.id());
       if (!isLost(m)) {
         order(FleetOrder.Kind.LEAVE, m, g.name, g.epoch, "", List.of());
-        state.quarantineUntil.put(m.id(), now + state.maxStallMillis());
       }
     }
   }
@@ -565,11 +575,14 @@
     if (i.phase() != InstancePhase.READY || overdue || assigned.contains(i.id())) {
       return false;
     }
-    if (now < state.quarantineUntil.getOrDefault(i.id(), Long.MIN_VALUE)
-        || now < state.avoidUntil.getOrDefault(i.id(), Long.MIN_VALUE)) {
+    if (now < state.avoidUntil.getOrDefault(i.id(), Long.MIN_VALUE)) {
       return false;
     }
-    if (i.group() != null || state.confirmedLeft.containsKey(i.id())) {
+    LastGroup last = state.lastGroups.of(i.id());
+    if (last != null && last.hasLeft()) {
+      return hasWaitedSince(last) || hasHeadLeft(last);
+    }
+    if (i.group() != null) {
       return true;
     }
     // An instance with a model was in a group, whose head may still wait for it if an earlier
@@ -580,6 +593,26 @@
         : now - state.termStart >= maxStall;
   }
 
+  /** Returns whether the head must have found an instance missing that left its group. */
+  boolean hasWaitedSince(LastGroup last) {
+    return now - last.leftAt() >= state.maxStallMillis();
+  }
+
+  /** Returns whether the head of a group that an instance has left cannot serve it any more. */
+  private boolean hasHeadLeft(LastGroup last) {
+    if (last.key().equals(state.confirmedLeft.get(last.head))) {
+      return true;
+    }
+    FleetInstance h = instances.get(last.head);
+    if (h == null || h.phase() == InstancePhase.GONE) {
+      return false;
+    }
+    GroupMembership g = h.group();
+    return g == null
+        || !GroupView.key(g.name(), g.epoch()).equals(last.key())
+        || g.state() == MemberState.BROKEN;
+  }
+
   /**
    * Returns whether an instance has sent so few heartbeats that this process has heard of every
    * group it was in.
