Take only the word of a head for its departure

Cause: an unknown taken for "no". 409, 421 and a refused connection to the order to leave counted as "has left", and the members of a head that has left are free at once. An instance refuses connections while it serves: when it has none left to give, when it stops listening to drain, or behind a cut that refuses.

Change: only a confirmed order counts. While the head does not confirm, the other members are ordered to leave too, so that the head finds them missing; they are free after that time, or as soon as the head confirms, reports another group or that it is broken.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -161,8 +161,8 @@
     state.sentOrders.answered(order, outcome, now);
     boolean done = outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.HOLDS;
     boolean absent = outcome == OrderOutcome.MISDIRECTED || outcome == OrderOutcome.REFUSED;
-    boolean notMember = outcome == OrderOutcome.CONFLICT || absent;
-    if (order.kind() == FleetOrder.Kind.LEAVE && (done || notMember)) {
+    // Any other answer says nothing of the group: an instance that serves may refuse connections.
+    if (order.kind() == FleetOrder.Kind.LEAVE && done) {
       state.confirmedLeft.put(order.instance(), GroupView.key(order.group(), order.epoch()));
       state.lastGroups.confirmLeft(order.instance(), order.group(), order.epoch(), now);
       state.leaveAnswers.put(order.instance(), new PlannerState.LeaveAnswer(outcome, now));
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
@@ -10,7 +10,7 @@
   PLACE_TAKEN,
   /** The head reports another group or none. */
   HEAD_REPORTED_LEFT,
-  /** The answer of the head to {@link FleetOrder.Kind#LEAVE} counts as its departure. */
+  /** The head has confirmed an order to leave. */
   HEAD_ANSWERED_LEAVE,
   /** The head reports that the group is broken. */
   HEAD_BROKEN,
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GiveUpReason.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GiveUpReason.java
@@ -6,7 +6,7 @@
   BROKEN,
   /** The head reports another group or none. */
   HEAD_REPORTED_LEFT,
-  /** The answer of the head to {@link FleetOrder.Kind#LEAVE} counts as its departure. */
+  /** The head has confirmed an order to leave. */
   HEAD_ANSWERED_LEAVE,
   /** The head makes no progress with its requests. */
   STALLED,
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -206,25 +206,28 @@
     return now - state.incompleteSince.computeIfAbsent(g.key(), k -> now);
   }
 
-  /** Frees the members of a group that has lost a member, once its head can no longer serve. */
+  /**
+   * Frees the members of a group that has lost a member, once its head can no longer serve. Unless
+   * the head confirms that it has left, the members leave, so that it finds them missing.
+   */
   private void dissolve(GroupView g) {
-    if (hasHeadLeft(g)) {
-      return;
-    }
-    if (!mayServe(g)) {
+    if (hasHeadLeft(g) || !mayServe(g)) {
       return;
     }
+    g.members.values().forEach(m -> assigned.add(m.id()));
     FleetInstance head = g.head();
     if (head != null && !isLost(head)) {
-      order(FleetOrder.Kind.LEAVE, head, g.name, g.epoch, "", List.of());
-      g.members.values().forEach(m -> assigned.add(m.id()));
-      return;
+      FleetOrder o = leave(head, g);
+      OrderOutcome latest = state.sentOrders.outcome(o);
+      sendIfDue(o);
+      if (latest == null || latest == OrderOutcome.FENCED) {
+        return;
+      }
     }
     withdrawOpenOrder(g);
     for (FleetInstance m : g.members.values()) {
-      assigned.add(m.id());
-      if (!isLost(m)) {
-        order(FleetOrder.Kind.LEAVE, m, g.name, g.epoch, "", List.of());
+      if (m != head && !isLost(m)) {
+        sendIfDue(leave(m, g));
       }
     }
   }
@@ -238,7 +241,7 @@
     if (head != null
         && head.phase() == InstancePhase.GONE
         && state.sentOrders.isUnconfirmed(FleetOrder.Kind.OPEN, g.name, g.epoch)) {
-      order(FleetOrder.Kind.LEAVE, head, g.name, g.epoch, "", List.of());
+      sendIfDue(leave(head, g));
     }
   }
 
@@ -264,8 +267,8 @@
   }
 
   /**
-   * Returns whether the head has left the group, by its own report or because its process ended.
-   * The group can no longer serve then, and its members are free.
+   * Returns whether the head has left the group, by its own report or its answer to the order. The
+   * group can no longer serve then, and its members are free.
    */
   boolean hasHeadLeft(GroupView g) {
     String id = state.heads.get(g.key());
@@ -280,7 +283,7 @@
     return h != null && h.phase() != InstancePhase.GONE && g.head() == null;
   }
 
-  /** Returns whether the answer of the head to an order to leave counts as its departure. */
+  /** Returns whether the head has confirmed an order to leave. */
   boolean hasHeadAnsweredLeave(GroupView g) {
     String id = state.heads.get(g.key());
     return id != null && g.key().equals(state.confirmedLeft.get(id));
@@ -655,6 +658,11 @@
         state.term);
   }
 
+  private FleetOrder leave(FleetInstance m, GroupView g) {
+    return new FleetOrder(
+        FleetOrder.Kind.LEAVE, m.id(), m.address(), g.name, g.epoch, "", List.of(), state.term);
+  }
+
   private void order(
       FleetOrder.Kind kind,
       FleetInstance to,
