Keep members back while their old head still reports that it serves

The head had stood still for six seconds, reported that it serves when it woke, and could not be reached by the order to leave.

Cause: an unknown taken for "no", again. The time after which a head finds a member missing is an inference; the head's own report that it serves, which came after the member had left, was not looked at.

Change: the time counts from the latest such report.

Result: FleetPlannerTest#membersOfHeadThatWakesAndCannotBeReachedWait failed before under an old and a new leader and passes.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -139,7 +139,7 @@
 
   private static long waited(PlanningRound round, @Nullable LastGroup old, FreeEvidence evidence) {
     return switch (evidence) {
-      case WAITED_AFTER_LEAVE -> old == null ? -1 : round.now - old.leftAt();
+      case WAITED_AFTER_LEAVE -> old == null ? -1 : round.waitedMillis(old);
       case WAITED_IN_TERM -> round.now - round.state.termStart;
       case WAITED_IN_PROCESS -> round.now - round.state.knownSince;
       default -> -1;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -598,7 +598,22 @@
 
   /** Returns whether the head must have found an instance missing that left its group. */
   boolean hasWaitedSince(LastGroup last) {
-    return now - last.leftAt() >= state.maxStallMillis();
+    return waitedMillis(last) >= state.maxStallMillis();
+  }
+
+  /**
+   * Returns for how long the head of a group that an instance has left may have missed it, in
+   * milliseconds. A head that still reports that it serves may have stood still meanwhile.
+   */
+  long waitedMillis(LastGroup last) {
+    long since = last.leftAt();
+    FleetInstance h = instances.get(last.head);
+    GroupMembership g = h == null ? null : h.group();
+    boolean reportsGroup = g != null && GroupView.key(g.name(), g.epoch()).equals(last.key());
+    if (reportsGroup && (g.state() == MemberState.OPEN || g.state() == MemberState.CLOSING)) {
+      since = Math.max(since, now - ageOf(h));
+    }
+    return now - since;
   }
 
   /** Returns whether the head of a group that an instance has left cannot serve it any more. */
