Wait for a late order to open a group whose head is out of sight

The order to open the group had no answer, the head fell silent, and it executed the order when the members had left.

Cause: an unknown taken for "no". The time after which a head finds a member missing was counted from the members' departure, as if the head served by then. The outcome of an order was that of its last attempt, so that an earlier one without an answer was forgotten.

Change: unless the head reports that it serves, the time counts from the latest moment at which an unanswered order may open the group: 12 s after it was sent, or after the start of the term for a group of an earlier leader whose head last reported that it did not serve.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -12,6 +12,12 @@
   /** How long sent orders are kept; longer than any delay in their execution. */
   static final long KEEP_ORDERS_MILLIS = 120_000;
 
+  /**
+   * How late an instance may execute an order that it did not answer, in milliseconds; the longest
+   * delay that users name.
+   */
+  static final long LATE_ORDER_MILLIS = 12_000;
+
   /** The time without a heartbeat after which an instance counts as lost, in milliseconds. */
   final long silentMillis;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -603,7 +603,8 @@
 
   /**
    * Returns for how long the head of a group that an instance has left may have missed it, in
-   * milliseconds. A head that still reports that it serves may have stood still meanwhile.
+   * milliseconds. A head that still reports that it serves may have stood still meanwhile, and one
+   * that has not reported it may execute the order to open the group later.
    */
   long waitedMillis(LastGroup last) {
     long since = last.leftAt();
@@ -612,10 +613,24 @@
     boolean reportsGroup = g != null && GroupView.key(g.name(), g.epoch()).equals(last.key());
     if (reportsGroup && (g.state() == MemberState.OPEN || g.state() == MemberState.CLOSING)) {
       since = Math.max(since, now - ageOf(h));
+    } else {
+      since = Math.max(since, lastOpening(last, reportsGroup));
     }
     return now - since;
   }
 
+  /** Returns the latest time at which a group may open by an order that was not answered. */
+  private long lastOpening(LastGroup last, boolean isReported) {
+    Long unanswered = state.sentOrders.lastUnanswered(FleetOrder.Kind.OPEN, last.name, last.epoch);
+    if (unanswered != null) {
+      return unanswered + PlannerState.LATE_ORDER_MILLIS;
+    }
+    boolean wasFormedInTerm = state.sentOrders.wasSent(FleetOrder.Kind.JOIN, last.name, last.epoch);
+    return isReported && !wasFormedInTerm
+        ? state.termStart + PlannerState.LATE_ORDER_MILLIS
+        : Long.MIN_VALUE;
+  }
+
   /** Returns whether the head of a group that an instance has left cannot serve it any more. */
   private boolean hasHeadLeft(LastGroup last) {
     if (last.key().equals(state.confirmedLeft.get(last.head))) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
@@ -22,6 +22,7 @@
     }
     Sent next = new Sent(o, now);
     next.attempts = s == null ? 1 : s.attempts + 1;
+    next.earlierUnanswered = s == null ? null : s.lastUnanswered();
     sent.put(key(o), next);
     return true;
   }
@@ -64,6 +65,20 @@
                     && (s.outcome == null || s.outcome == OrderOutcome.UNKNOWN));
   }
 
+  /**
+   * Returns when an order of a kind was last sent to a member of a group without an answer, or
+   * {@code null} if all were answered. An earlier attempt may be executed although a later one was
+   * rejected.
+   */
+  @Nullable Long lastUnanswered(FleetOrder.Kind kind, String group, long epoch) {
+    Long latest = null;
+    for (Sent s : sent.values()) {
+      Long at = s.isOf(kind, group, epoch) ? s.lastUnanswered() : null;
+      latest = at == null || (latest != null && latest > at) ? latest : at;
+    }
+    return latest;
+  }
+
   /** Removes orders that were sent longer ago than {@code keepMillis}. */
   void prune(long now, long keepMillis) {
     sent.values().removeIf(s -> now - s.at > keepMillis);
@@ -85,11 +100,18 @@
     @Nullable OrderOutcome outcome;
     long repeatAt;
 
+    /** When the last earlier attempt without an answer was sent, or null. */
+    @Nullable Long earlierUnanswered;
+
     Sent(FleetOrder order, long at) {
       this.order = order;
       this.at = at;
     }
 
+    @Nullable Long lastUnanswered() {
+      return outcome == null || outcome == OrderOutcome.UNKNOWN ? (Long) at : earlierUnanswered;
+    }
+
     boolean isOf(FleetOrder.Kind kind, String group, long epoch) {
       return order.kind() == kind && order.epoch() == epoch && order.group().equals(group);
     }
