Do not open a group whose members were ordered to join a later one

Cause: a group that was given up before it was opened, because the reports of a member were late, became ready in the eyes of the leader when they arrived, and was opened, while an unanswered order to join the next group was on its way to its members.

Change: a group is given up for good while one of its members is planned for a later group.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GiveUpReason.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GiveUpReason.java
@@ -10,6 +10,8 @@
   HEAD_ANSWERED_LEAVE,
   /** The head makes no progress with its requests. */
   STALLED,
+  /** A member was ordered to join a later group. */
+  MEMBER_TAKEN,
   /** A member has deregistered. */
   MEMBER_GONE,
   /** The heartbeats of a member are missing, and entries see no progress of the group. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -153,6 +153,13 @@
     if (hasHeadLeft(g)) {
       return departureOf(g);
     }
+    for (PlannedGroup p : state.planned.values()) {
+      for (FleetInstance m : g.members.values()) {
+        if (p.epoch() > g.epoch && p.members().contains(m.id())) {
+          return GroupDecision.Cause.of(GiveUpReason.MEMBER_TAKEN, m.id(), now - p.since());
+        }
+      }
+    }
     InstanceLoad load = loadOf(g);
     boolean progressing = load != null && load.hasProgress();
     long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
