Do not open a group whose members may still execute an order to join a later one

The order that had no answer was still executed, 8 s later.

Change: an unanswered order to join counts for as long as it may be executed, whether its group is still planned or not.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -57,6 +57,9 @@
   /** The instances that cannot join a new group in this round. */
   final Set<String> assigned = new HashSet<>();
 
+  /** The highest epoch of the groups that each instance may join by an order already sent. */
+  private final Map<String, Long> laterEpochs = new HashMap<>();
+
   /** The number of usable and planned groups of each model. */
   final Map<String, Integer> counts = new HashMap<>();
 
@@ -119,6 +122,10 @@
    * dissolves those that can no longer serve.
    */
   void reviewGroups() {
+    for (PlannedGroup p : state.planned.values()) {
+      p.members().forEach(id -> laterEpochs.merge(id, p.epoch(), Math::max));
+    }
+    state.sentOrders.addUnansweredJoins(now - PlannerState.LATE_ORDER_MILLIS, laterEpochs);
     for (GroupView g : groups.values()) {
       FleetInstance head = g.head();
       GroupDecision.Cause lost = lossOf(g);
@@ -153,11 +160,9 @@
     if (hasHeadLeft(g)) {
       return departureOf(g);
     }
-    for (PlannedGroup p : state.planned.values()) {
-      for (FleetInstance m : g.members.values()) {
-        if (p.epoch() > g.epoch && p.members().contains(m.id())) {
-          return GroupDecision.Cause.of(GiveUpReason.MEMBER_TAKEN, m.id(), now - p.since());
-        }
+    for (FleetInstance m : g.members.values()) {
+      if (laterEpochs.getOrDefault(m.id(), g.epoch) > g.epoch) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_TAKEN, m.id(), -1);
       }
     }
     InstanceLoad load = loadOf(g);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
@@ -79,6 +79,22 @@
     return latest;
   }
 
+  /**
+   * Adds the highest epoch of the groups that each instance may still join, because it did not
+   * answer the order.
+   *
+   * @param since the time of the earliest order that may still be executed, in milliseconds
+   * @param epochs the epochs by instance
+   */
+  void addUnansweredJoins(long since, Map<String, Long> epochs) {
+    for (Sent s : sent.values()) {
+      Long at = s.order.kind() == FleetOrder.Kind.JOIN ? s.lastUnanswered() : null;
+      if (at != null && at >= since) {
+        epochs.merge(s.order.instance(), s.order.epoch(), Math::max);
+      }
+    }
+  }
+
   /** Removes orders that were sent longer ago than {@code keepMillis}. */
   void prune(long now, long keepMillis) {
     sent.values().removeIf(s -> now - s.at > keepMillis);
