--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/OddReportsTest.java
@@ -0,0 +1,92 @@
+package org.ebonypond.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.ebonypond.junit.FakeFleet;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+/** Reports that say less of an instance than the planner concludes from them. */
+class OddReportsTest {
+  private static final String SERVICE = "engines";
+  private static final long NOW = 100_000;
+
+  private final FleetPlanner planner =
+      new FleetPlanner(
+          2 * FakeFleet.HEARTBEAT_MILLIS + 400,
+          FakeFleet.HEARTBEAT_MILLIS + 400,
+          FakeFleet.STALL_MILLIS,
+          new WeightLoadLimiter(5_000),
+          0);
+
+  /**
+   * Guards against a group that is dissolved although all of its members report that it serves,
+   * because one entry had one failure at its head and nobody has sent a request there since.
+   */
+  @Test
+  void idleGroupIsKeptAfterOneFailureOfOneEntry() {
+    planner.startTerm(2, false, 4, 0);
+    List<FleetInstance> all =
+        List.of(instance("a", member(0, MemberState.OPEN)), instance("b", member(1, null)));
+    InstanceLoad load = new InstanceLoad("a", epoch(), 0, 0, InstanceLoad.NEVER, 3_000);
+    assertEquals(List.of(), plan(all, Map.of("a", load), NOW));
+  }
+
+  /**
+   * Guards against a member that joins another group while its group serves, because another
+   * instance reports the same place in it.
+   */
+  @Test
+  void memberWhosePlaceAnotherInstanceReportsIsNotTaken() {
+    planner.startTerm(2, false, 4, 0);
+    List<FleetInstance> all =
+        List.of(
+            instance("a", member(0, MemberState.OPEN)),
+            instance("b", member(1, null)),
+            instance("c", member(1, null)),
+            instance("d", null));
+    List<String> joined = new ArrayList<>();
+    for (FleetOrder o : plan(all, Map.of(), NOW)) {
+      if (o.kind() == FleetOrder.Kind.JOIN) {
+        joined.add(o.instance());
+      }
+    }
+    assertEquals(List.of(), joined);
+  }
+
+  private List<FleetOrder> plan(
+      List<FleetInstance> all, Map<String, InstanceLoad> loads, long now) {
+    List<InstanceUpdate> updates = all.stream().map(i -> new InstanceUpdate(i, 100)).toList();
+    return planner.plan(updates, loads, SERVICE, FakeFleet.twoModels(), false, now);
+  }
+
+  private static long epoch() {
+    return (1L << 24) + 1;
+  }
+
+  private static GroupMembership member(int rank, @Nullable MemberState state) {
+    String name = new GroupName("small", 2, epoch()).text();
+    return new GroupMembership(name, epoch(), rank, state == null ? MemberState.READY : state);
+  }
+
+  private static FleetInstance instance(String id, @Nullable GroupMembership g) {
+    return new FleetInstance(
+        id,
+        1,
+        80,
+        SERVICE,
+        "10.0.0.1:" + (1_000 + id.charAt(0)),
+        "zone",
+        InstancePhase.READY,
+        18,
+        0,
+        "domain",
+        List.of("small"),
+        List.of("small"),
+        g,
+        "small");
+  }
+}
