Wait for a head of which the leader first hears after its members have left

Seen: members join another group while the head of their old one serves (TWO). The head stood still when the leader's table was new, the members left, and the head reported that it serves when it woke.

Cause: the head of a member's last group was recorded only while the member still reported the group.

Change: it is recorded whenever the head reports.

Result: HiddenHeadAcrossTermsTest#membersOfHeadFirstHeardOfAfterTheyLeftWait failed before (three joins at 69,050 ms) and passes; GroupDecisionTest passes.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
@@ -16,10 +16,9 @@
    * Records the latest report of an instance.
    *
    * @param i the instance
-   * @param head the head of the group that it reports, or empty if unknown
    * @param now the time in milliseconds
    */
-  void report(FleetInstance i, String head, long now) {
+  void report(FleetInstance i, long now) {
     LastGroup last = groups.get(i.id());
     if (last != null && last.startMillis != i.startMillis()) {
       groups.remove(i.id());
@@ -37,8 +36,18 @@
       groups.put(i.id(), last);
     }
     last.lastReported = now;
-    if (last.head.isEmpty()) {
-      last.head = head;
+  }
+
+  /**
+   * Records the heads that have reported by now; a member may have left its group before.
+   *
+   * @param heads the heads, by group and epoch
+   */
+  void nameHeads(Map<String, String> heads) {
+    for (LastGroup last : groups.values()) {
+      if (last.head.isEmpty()) {
+        last.head = heads.getOrDefault(last.key(), "");
+      }
     }
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -110,11 +110,9 @@
   void recordLastGroups() {
     state.lastGroups.retain(instances.keySet());
     for (FleetInstance i : instances.values()) {
-      GroupMembership g = i.group();
-      String head =
-          g == null ? "" : state.heads.getOrDefault(GroupView.key(g.name(), g.epoch()), "");
-      state.lastGroups.report(i, head, now);
+      state.lastGroups.report(i, now);
     }
+    state.lastGroups.nameHeads(state.heads);
   }
 
   /**
