Wait for unknown heads of instances that this leader has not known for long

They had left it before the term, and the head stood still until they were free; or the table of the new leader lacked their past, since it first heard of them without a group, and its process was old enough.

Cause: an unknown taken for "no". No known group was taken for no group, and the age of the process or of the term for a time in which the head must have found the member missing.

Change: an instance without a known group waits from the moment at which this leader first heard of it, and as long as a head of its domain that lacks members reports that it serves. One that has sent at most three heartbeats was in no group and waits for nothing.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -135,7 +135,6 @@
   private final Map<String, FleetPlanner> planners = new HashMap<>();
   private final Map<String, String> summaries = new HashMap<>();
   private @Nullable ServingConfig config;
-  private final long createdAt;
   private boolean observationInFlight;
   private List<String> restoredQuarantine = List.of();
   private List<Departure> appliedDepartures = List.of();
@@ -182,7 +181,6 @@
     this.metrics = metrics;
     this.network = network;
     this.timers = timers;
-    this.createdAt = timers.nowMillis();
     this.newestVersion = new NewestVersion(suspensions);
     this.executor = executor;
     this.loader = loader;
@@ -660,8 +658,7 @@
         2 * settings.heartbeatMillis() + HEARTBEAT_DELAY_MILLIS,
         settings.heartbeatMillis() + HEARTBEAT_DELAY_MILLIS,
         settings.stallMillis(),
-        new WeightLoadLimiter(settings.loadWindowMillis()),
-        createdAt);
+        new WeightLoadLimiter(settings.loadWindowMillis()));
   }
 
   /** Decodes the applied configuration, one at a time; {@link #config} has the result later. */
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -34,16 +34,11 @@
   private final FleetPlanner planner = newPlanner();
 
   private static FleetPlanner newPlanner() {
-    return newPlanner(0);
-  }
-
-  private static FleetPlanner newPlanner(long knownSince) {
     return new FleetPlanner(
         2 * FakeFleet.HEARTBEAT_MILLIS + 400,
         FakeFleet.HEARTBEAT_MILLIS + 400,
         FakeFleet.STALL_MILLIS,
-        new WeightLoadLimiter(WINDOW_MILLIS),
-        knownSince);
+        new WeightLoadLimiter(WINDOW_MILLIS));
   }
 
   static LongStream seeds() {
@@ -314,7 +309,7 @@
       assertTrue(steps < 100, "the members do not leave");
     }
     fleet.restartControl();
-    FleetPlanner next = newPlanner(fleet.now());
+    FleetPlanner next = newPlanner();
     fleet.run(1_500);
     next.startTerm(2, false, 4, fleet.now());
     fleet.run(next, 10_000, false);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/GroupDecisionTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/GroupDecisionTest.java
@@ -24,8 +24,7 @@
           2 * FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.STALL_MILLIS,
-          new WeightLoadLimiter(5_000),
-          0);
+          new WeightLoadLimiter(5_000));
 
   private List<GroupDecision> start() {
     planner.startTerm(1, true, 4, 0);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/HiddenHeadAcrossTermsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/HiddenHeadAcrossTermsTest.java
@@ -21,8 +21,7 @@
         2 * FakeFleet.HEARTBEAT_MILLIS + 400,
         FakeFleet.HEARTBEAT_MILLIS + 400,
         FakeFleet.STALL_MILLIS,
-        new WeightLoadLimiter(WINDOW_MILLIS),
-        0);
+        new WeightLoadLimiter(WINDOW_MILLIS));
   }
 
   /**
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/MixedRandomRunTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/MixedRandomRunTest.java
@@ -110,8 +110,7 @@
           2 * FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.STALL_MILLIS,
-          new WeightLoadLimiter(5_000),
-          0);
+          new WeightLoadLimiter(5_000));
     }
 
     void slice() {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/OddReportsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/OddReportsTest.java
@@ -19,8 +19,7 @@
           2 * FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.HEARTBEAT_MILLIS + 400,
           FakeFleet.STALL_MILLIS,
-          new WeightLoadLimiter(5_000),
-          0);
+          new WeightLoadLimiter(5_000));
 
   /**
    * Guards against a group that is dissolved although all of its members report that it serves,
@@ -49,10 +48,10 @@
             instance("c", member(1, null)),
             instance("d", null));
     List<String> joined = new ArrayList<>();
-    for (FleetOrder o : plan(all, Map.of(), NOW)) {
-      if (o.kind() == FleetOrder.Kind.JOIN) {
-        joined.add(o.instance());
-      }
+    for (long t = NOW; t < NOW + 10_000; t += 500) {
+      plan(all, Map.of(), t).stream()
+          .filter(o -> o.kind() == FleetOrder.Kind.JOIN)
+          .forEach(o -> joined.add(o.instance()));
     }
     assertEquals(List.of(), joined);
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -81,14 +81,13 @@
             old == null ? -1 : round.now - old.lastReported,
             old == null ? headOf(round, "", 0, "") : headOf(round, old.name, old.epoch, old.head),
             evidence,
-            answer == null ? waited(round, old, evidence) : round.now - answer.at(),
+            answer == null ? waited(round, i, old, evidence) : round.now - answer.at(),
             answer == null ? null : answer.outcome()));
   }
 
   /** Names the rule by which {@link PlanningRound#isFree} holds for an instance. */
   private static FreeEvidence evidence(
       PlanningRound round, FleetInstance i, @Nullable LastGroup old) {
-    PlannerState state = round.state;
     if (old != null && old.hasLeft()) {
       return evidence(round, old);
     }
@@ -96,12 +95,9 @@
     if (g != null) {
       return evidence(round, i, g);
     }
-    if (i.lastModel().isEmpty()) {
-      return state.first || round.isKnownSinceItsStart(i)
-          ? FreeEvidence.NEVER_IN_GROUP
-          : FreeEvidence.WAITED_IN_PROCESS;
-    }
-    return FreeEvidence.WAITED_IN_TERM;
+    return round.state.first || PlanningRound.isNew(i)
+        ? FreeEvidence.NEVER_IN_GROUP
+        : FreeEvidence.WAITED_IN_TERM;
   }
 
   private static FreeEvidence evidence(PlanningRound round, LastGroup old) {
@@ -137,11 +133,11 @@
         : FreeEvidence.NEVER_OPENED;
   }
 
-  private static long waited(PlanningRound round, @Nullable LastGroup old, FreeEvidence evidence) {
+  private static long waited(
+      PlanningRound round, FleetInstance i, @Nullable LastGroup old, FreeEvidence evidence) {
     return switch (evidence) {
       case WAITED_AFTER_LEAVE -> old == null ? -1 : round.waitedMillis(old);
-      case WAITED_IN_TERM -> round.now - round.state.termStart;
-      case WAITED_IN_PROCESS -> round.now - round.state.knownSince;
+      case WAITED_IN_TERM -> round.unknownGroupMillis(i);
       default -> -1;
     };
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -41,16 +41,10 @@
    * @param quickSilentMillis the same for a member of a group without progress
    * @param stallMillis the time after which a head detects a missing member, in milliseconds
    * @param loadLimiter limits the loads from the weight store
-   * @param knownSince the time since which this process has known what instances report, in
-   *     milliseconds; what they did before is unknown
    */
   public FleetPlanner(
-      long silentMillis,
-      long quickSilentMillis,
-      long stallMillis,
-      WeightLoadLimiter loadLimiter,
-      long knownSince) {
-    state = new PlannerState(silentMillis, quickSilentMillis, stallMillis, loadLimiter, knownSince);
+      long silentMillis, long quickSilentMillis, long stallMillis, WeightLoadLimiter loadLimiter) {
+    state = new PlannerState(silentMillis, quickSilentMillis, stallMillis, loadLimiter);
   }
 
   /**
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
@@ -18,8 +18,6 @@
   NEVER_OPENED,
   /** It was ordered to leave long ago enough for the head to have found it missing. */
   WAITED_AFTER_LEAVE,
-  /** It is in no group, and the term is as old as that. */
-  WAITED_IN_TERM,
-  /** It is in no group, and this process has known the instances for as long as that. */
-  WAITED_IN_PROCESS
+  /** It is in no group, and the leader has known it for as long as that. */
+  WAITED_IN_TERM
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
@@ -12,6 +12,9 @@
 final class LastGroups {
   private final Map<String, LastGroup> groups = new HashMap<>();
 
+  /** When each instance was first reported in the current term, in milliseconds. */
+  private final Map<String, Long> knownSince = new HashMap<>();
+
   /**
    * Records the latest report of an instance.
    *
@@ -19,6 +22,7 @@
    * @param now the time in milliseconds
    */
   void report(FleetInstance i, long now) {
+    knownSince.putIfAbsent(i.id(), now);
     LastGroup last = groups.get(i.id());
     if (last != null && last.startMillis != i.startMillis()) {
       groups.remove(i.id());
@@ -64,12 +68,19 @@
     return groups.get(instance);
   }
 
+  /** Returns when an instance was first reported in the current term, in milliseconds. */
+  long knownSince(String instance) {
+    return knownSince.getOrDefault(instance, Long.MAX_VALUE);
+  }
+
   /** Forgets all instances but these. */
   void retain(Set<String> instances) {
     groups.keySet().retainAll(instances);
+    knownSince.keySet().retainAll(instances);
   }
 
   void clear() {
     groups.clear();
+    knownSince.clear();
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -63,9 +63,6 @@
   /** When a group was first found to lack the report of a member, by group and epoch. */
   final Map<String, Long> incompleteSince = new HashMap<>();
 
-  /** The time since which this process has known what instances report, in milliseconds. */
-  final long knownSince;
-
   /** Whether no earlier leader can have sent orders. */
   boolean first;
 
@@ -79,12 +76,7 @@
   long highestEpoch;
 
   PlannerState(
-      long silentMillis,
-      long quickSilentMillis,
-      long stallMillis,
-      WeightLoadLimiter loadLimiter,
-      long knownSince) {
-    this.knownSince = knownSince;
+      long silentMillis, long quickSilentMillis, long stallMillis, WeightLoadLimiter loadLimiter) {
     this.silentMillis = silentMillis;
     this.quickSilentMillis = quickSilentMillis;
     this.stallMillis = stallMillis;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -38,7 +38,7 @@
   /** Added to that time, in milliseconds. */
   private static final long READY_TIMEOUT_MARGIN_MILLIS = 5_000;
 
-  /** In fewer heartbeats an instance cannot join a group, serve and leave it again. */
+  /** In so few heartbeats an instance does not report that it joins, is ready and leaves again. */
   private static final int MAX_MISSED_HEARTBEATS = 3;
 
   final PlannerState state;
@@ -598,12 +598,39 @@
     if (i.group() != null) {
       return true;
     }
-    // An instance with a model was in a group, whose head may still wait for it if an earlier
-    // leader ordered it to leave.
-    long maxStall = state.maxStallMillis();
-    return i.lastModel().isEmpty()
-        ? state.first || now - state.knownSince >= maxStall || isKnownSinceItsStart(i)
-        : now - state.termStart >= maxStall;
+    return state.first || isNew(i) || hasWaitedSinceUnknownGroup(i);
+  }
+
+  /**
+   * Returns whether an instance has sent so few heartbeats since its start that it was in no group.
+   */
+  static boolean isNew(FleetInstance i) {
+    return i.sequence() <= MAX_MISSED_HEARTBEATS;
+  }
+
+  /**
+   * Returns whether the head of a group that an instance may have left before this leader heard of
+   * it must have found it missing.
+   */
+  private boolean hasWaitedSinceUnknownGroup(FleetInstance i) {
+    return unknownGroupMillis(i) >= state.maxStallMillis();
+  }
+
+  /**
+   * Returns for how long the head of such a group may have missed an instance, in milliseconds. Any
+   * head in its domain that still reports that it serves, and lacks members, may be the one.
+   */
+  long unknownGroupMillis(FleetInstance i) {
+    long since = state.lastGroups.knownSince(i.id());
+    for (GroupView g : groups.values()) {
+      FleetInstance h = g.head();
+      boolean lacksMembers = h != null && !g.isComplete() && domainOf(h).equals(domainOf(i));
+      MemberState status = g.headState();
+      if (lacksMembers && (status == MemberState.OPEN || status == MemberState.CLOSING)) {
+        since = Math.max(since, now - ageOf(h));
+      }
+    }
+    return now - since;
   }
 
   /** Returns whether the head must have found an instance missing that left its group. */
@@ -656,15 +683,6 @@
         || g.state() == MemberState.BROKEN;
   }
 
-  /**
-   * Returns whether an instance has sent so few heartbeats that this process has heard of every
-   * group it was in.
-   */
-  boolean isKnownSinceItsStart(FleetInstance i) {
-    long received = (now - state.knownSince) / state.quickSilentMillis;
-    return i.sequence() <= received + MAX_MISSED_HEARTBEATS;
-  }
-
   boolean isLost(FleetInstance i) {
     return i.phase() == InstancePhase.GONE || ageOf(i) > state.silentMillis;
   }
