Keep an instance back whose place in a serving group another one reports

Cause: only the instance that was read last for a place counted as a member; the other one was free at once.

Change: an instance that reports a place in a group which may serve is not free.

Result: OddReportsTest#memberWhosePlaceAnotherInstanceReportsIsNotTaken failed before (three joins) and passes.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -595,12 +595,24 @@
     if (last != null && last.hasLeft()) {
       return hasWaitedSince(last) || hasHeadLeft(last);
     }
-    if (i.group() != null) {
-      return true;
+    GroupMembership g = i.group();
+    if (g != null) {
+      return !isInServingGroup(i, g);
     }
     return state.first || isNew(i) || hasWaitedSinceUnknownGroup(i);
   }
 
+  /**
+   * Returns whether an instance reports a place in a group that may serve although another instance
+   * reports the same place; the members of other groups have been reviewed.
+   */
+  private boolean isInServingGroup(FleetInstance i, GroupMembership g) {
+    GroupView view = groups.get(GroupView.key(g.name(), g.epoch()));
+    FleetInstance member = view == null ? null : view.members.get(g.rank());
+    boolean isPlaceTaken = member != null && !member.id().equals(i.id());
+    return view != null && isPlaceTaken && !hasHeadLeft(view) && mayServe(view);
+  }
+
   /**
    * Returns whether an instance has sent so few heartbeats since its start that it was in no group.
    */
