--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/HiddenHeadAcrossTermsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/HiddenHeadAcrossTermsTest.java
@@ -116,6 +116,29 @@
     assertEquals(List.of(), fleet.violations());
   }
 
+  /**
+   * Guards against a new leader that opens a group of an earlier one, whose order to join a later
+   * group a member executes afterwards.
+   */
+  @Test
+  void groupOfAnEarlierLeaderIsNotOpenedWhileMembersMayJoinALaterOne() {
+    final List<String> members = fleet.membersOf(headWithLateOpening(60_000));
+    fleet.run(1_500);
+    FleetInstance member = fleet.table().get(members.get(1));
+    assertNotNull(member);
+    GroupMembership g = member.group();
+    assertNotNull(g);
+    assertEquals(MemberState.READY, g.state());
+    long epoch = g.epoch() + 10;
+    String later = new GroupName("small", 2, epoch).text();
+    List<String> ids = members.subList(0, 2);
+    FleetOrder join =
+        new FleetOrder(FleetOrder.Kind.JOIN, ids.get(1), "", later, epoch, "small", ids, 1);
+    fleet.executeLate(join, 5_000);
+    fleet.run(elect(), 10_000, false);
+    assertEquals(List.of(), fleet.violations());
+  }
+
   private List<String> startedGroup() {
     planner.startTerm(1, true, 4, 0);
     fleet.run(planner, 50_000, true);
