--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
@@ -12,14 +12,17 @@
 final class LastGroups {
   private final Map<String, LastGroup> groups = new HashMap<>();
 
+  /** When each instance was first reported in the current term, in milliseconds. */
+  private final Map<String, Long> knownSince = new HashMap<>();
+
   /**
    * Records the latest report of an instance.
    *
    * @param i the instance
-   * @param head the head of the group that it reports, or empty if unknown
    * @param now the time in milliseconds
    */
-  void report(FleetInstance i, String head, long now) {
+  void report(FleetInstance i, long now) {
+    knownSince.putIfAbsent(i.id(), now);
     LastGroup last = groups.get(i.id());
     if (last != null && last.startMillis != i.startMillis()) {
       groups.remove(i.id());
@@ -37,8 +40,18 @@
       groups.put(i.id(), last);
     }
     last.lastReported = now;
-    if (last.head.isEmpty()) {
-      last.head = head;
+  }
+
+  /**
+   * Records the heads that have reported by now; a member may have left its group before.
+   *
+   * @param heads the heads, by group and epoch
+   */
+  void nameHeads(Map<String, String> heads) {
+    for (LastGroup last : groups.values()) {
+      if (last.head.isEmpty()) {
+        last.head = heads.getOrDefault(last.key(), "");
+      }
     }
   }
 
@@ -55,12 +68,19 @@
     return groups.get(instance);
   }
 
+  /** Returns when an instance was first reported in the current term, in milliseconds. */
+  long knownSince(String instance) {
+    return knownSince.getOrDefault(instance, Long.MAX_VALUE);
+  }
+
   /** Forgets all instances but these. */
   void retain(Set<String> instances) {
     groups.keySet().retainAll(instances);
+    knownSince.keySet().retainAll(instances);
   }
 
   void clear() {
     groups.clear();
+    knownSince.clear();
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -38,7 +38,7 @@
   /** Added to that time, in milliseconds. */
   private static final long READY_TIMEOUT_MARGIN_MILLIS = 5_000;
 
-  /** In fewer heartbeats an instance cannot join a group, serve and leave it again. */
+  /** In so few heartbeats an instance does not report that it joins, is ready and leaves again. */
   private static final int MAX_MISSED_HEARTBEATS = 3;
 
   final PlannerState state;
@@ -110,11 +110,9 @@
   void recordLastGroups() {
     state.lastGroups.retain(instances.keySet());
     for (FleetInstance i : instances.values()) {
-      GroupMembership g = i.group();
-      String head =
-          g == null ? "" : state.heads.getOrDefault(GroupView.key(g.name(), g.epoch()), "");
-      state.lastGroups.report(i, head, now);
+      state.lastGroups.report(i, now);
     }
+    state.lastGroups.nameHeads(state.heads);
   }
 
   /**
@@ -597,15 +595,54 @@
     if (last != null && last.hasLeft()) {
       return hasWaitedSince(last) || hasHeadLeft(last);
     }
-    if (i.group() != null) {
-      return true;
+    GroupMembership g = i.group();
+    if (g != null) {
+      return !isInServingGroup(i, g);
     }
-    // An instance with a model was in a group, whose head may still wait for it if an earlier
-    // leader ordered it to leave.
-    long maxStall = state.maxStallMillis();
-    return i.lastModel().isEmpty()
-        ? state.first || now - state.knownSince >= maxStall || isKnownSinceItsStart(i)
-        : now - state.termStart >= maxStall;
+    return state.first || isNew(i) || hasWaitedSinceUnknownGroup(i);
+  }
+
+  /**
+   * Returns whether an instance reports a place in a group that may serve although another instance
+   * reports the same place; the members of other groups have been reviewed.
+   */
+  private boolean isInServingGroup(FleetInstance i, GroupMembership g) {
+    GroupView view = groups.get(GroupView.key(g.name(), g.epoch()));
+    FleetInstance member = view == null ? null : view.members.get(g.rank());
+    boolean isPlaceTaken = member != null && !member.id().equals(i.id());
+    return view != null && isPlaceTaken && !hasHeadLeft(view) && mayServe(view);
+  }
+
+  /**
+   * Returns whether an instance has sent so few heartbeats since its start that it was in no group.
+   */
+  static boolean isNew(FleetInstance i) {
+    return i.sequence() <= MAX_MISSED_HEARTBEATS;
+  }
+
+  /**
+   * Returns whether the head of a group that an instance may have left before this leader heard of
+   * it must have found it missing.
+   */
+  private boolean hasWaitedSinceUnknownGroup(FleetInstance i) {
+    return unknownGroupMillis(i) >= state.maxStallMillis();
+  }
+
+  /**
+   * Returns for how long the head of such a group may have missed an instance, in milliseconds. Any
+   * head in its domain that still reports that it serves, and lacks members, may be the one.
+   */
+  long unknownGroupMillis(FleetInstance i) {
+    long since = state.lastGroups.knownSince(i.id());
+    for (GroupView g : groups.values()) {
+      FleetInstance h = g.head();
+      boolean lacksMembers = h != null && !g.isComplete() && domainOf(h).equals(domainOf(i));
+      MemberState status = g.headState();
+      if (lacksMembers && (status == MemberState.OPEN || status == MemberState.CLOSING)) {
+        since = Math.max(since, now - ageOf(h));
+      }
+    }
+    return now - since;
   }
 
   /** Returns whether the head must have found an instance missing that left its group. */
@@ -658,15 +695,6 @@
         || g.state() == MemberState.BROKEN;
   }
 
-  /**
-   * Returns whether an instance has sent so few heartbeats that this process has heard of every
-   * group it was in.
-   */
-  boolean isKnownSinceItsStart(FleetInstance i) {
-    long received = (now - state.knownSince) / state.quickSilentMillis;
-    return i.sequence() <= received + MAX_MISSED_HEARTBEATS;
-  }
-
   boolean isLost(FleetInstance i) {
     return i.phase() == InstancePhase.GONE || ageOf(i) > state.silentMillis;
   }
