--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/HiddenHeadAcrossTermsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/HiddenHeadAcrossTermsTest.java
@@ -121,7 +121,7 @@
    * group a member executes afterwards.
    */
   @Test
-  void groupOfAnEarlierLeaderIsNotOpenedWhileMembersMayJoinALaterOne() {
+  void groupOfEarlierLeaderIsNotOpenedWhileMembersMayJoinLaterOne() {
     final List<String> members = fleet.membersOf(headWithLateOpening(60_000));
     fleet.run(1_500);
     FleetInstance member = fleet.table().get(members.get(1));
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -11,7 +11,8 @@
  *
  * <p>A member may join another group only once the head of its old group can no longer serve: the
  * head reported so, confirmed that it left the group, or has been without this member for at least
- * the time after which a head detects a missing member.
+ * the time after which a head detects a missing member. That time starts anew with each report of
+ * the head that it serves, and when an unanswered order to open the group may be executed.
  */
 public final class FleetPlanner {
   /** How long a new leader waits for heartbeats to arrive before it plans, in milliseconds. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -14,7 +14,7 @@
 
   /**
    * How late an instance may execute an order that it did not answer, in milliseconds; the longest
-   * delay that users name.
+   * delay in the users' trials of late orders.
    */
   static final long LATE_ORDER_MILLIS = 12_000;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -593,7 +593,7 @@
     }
     LastGroup last = state.lastGroups.of(i.id());
     if (last != null && last.hasLeft()) {
-      return hasWaitedSince(last) || hasHeadLeft(last);
+      return isReleased(last) || hasWaitedSince(last);
     }
     GroupMembership g = i.group();
     if (g != null) {
@@ -647,7 +647,9 @@
 
   /** Returns whether the head must have found an instance missing that left its group. */
   boolean hasWaitedSince(LastGroup last) {
-    return waitedMillis(last) >= state.maxStallMillis();
+    // The time of late orders is asked last because it takes a search of all orders sent.
+    return now - last.leftAt() >= state.maxStallMillis()
+        && waitedMillis(last) >= state.maxStallMillis();
   }
 
   /**
@@ -681,7 +683,7 @@
   }
 
   /** Returns whether the head of a group that an instance has left cannot serve it any more. */
-  private boolean hasHeadLeft(LastGroup last) {
+  private boolean isReleased(LastGroup last) {
     if (last.key().equals(state.confirmedLeft.get(last.head))) {
       return true;
     }
