Form a group anew instead of opening one of an earlier leader

Cause: a new leader opened a group of an earlier one that had become ready. The earlier leader had given that group up and ordered a member to join a later one; the order had no answer and was executed 5 s into the new term. The new leader cannot know of it, and the member has not seen the new fencing number.

Change: a group of an earlier term that has not been opened is given up once it is ready. Its members join one of this term within about half a second, whose epoch makes them refuse late orders.

--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -26,9 +26,6 @@
   /** The number of unanswered join orders after which the group is abandoned. */
   private static final int MAX_JOIN_ATTEMPTS = 3;
 
-  /** The low bits of an epoch count within a term; the high bits hold the term. */
-  private static final int EPOCH_BITS = 24;
-
   private final PlannerState state;
   private String summary = "";
   private int instanceCount;
@@ -59,7 +56,7 @@
   public void startTerm(long newTerm, boolean first, double loadsPerSecond, long now) {
     state.term = newTerm;
     state.first = first;
-    state.highestEpoch = newTerm << EPOCH_BITS;
+    state.highestEpoch = newTerm << PlannerState.EPOCH_BITS;
     state.termStart =
         first ? now - SETTLE_MILLIS - state.stallMillis - PlannerState.STALL_MARGIN_MILLIS : now;
     state.sentOrders.clear();
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GiveUpReason.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GiveUpReason.java
@@ -12,6 +12,8 @@
   STALLED,
   /** A member was ordered to join a later group. */
   MEMBER_TAKEN,
+  /** An earlier leader formed the group, whose members may execute its later orders. */
+  EARLIER_TERM,
   /** A member has deregistered. */
   MEMBER_GONE,
   /** The heartbeats of a member are missing, and entries see no progress of the group. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -9,6 +9,9 @@
   /** The margin for late messages, added to the time after which a head detects a lost member. */
   static final long STALL_MARGIN_MILLIS = 500;
 
+  /** The low bits of an epoch count within a term; the high bits hold the term. */
+  static final int EPOCH_BITS = 24;
+
   /** How long sent orders are kept; longer than any delay in their execution. */
   static final long KEEP_ORDERS_MILLIS = 120_000;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -163,6 +163,9 @@
         return GroupDecision.Cause.of(GiveUpReason.MEMBER_TAKEN, m.id(), -1);
       }
     }
+    if (g.isReady() && g.epoch >> PlannerState.EPOCH_BITS < state.term) {
+      return GroupDecision.Cause.of(GiveUpReason.EARLIER_TERM);
+    }
     InstanceLoad load = loadOf(g);
     boolean progressing = load != null && load.hasProgress();
     long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
