--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -104,7 +104,7 @@
     if (old.key().equals(round.state.confirmedLeft.get(old.head))) {
       return FreeEvidence.HEAD_ANSWERED_LEAVE;
     }
-    if (round.hasWaitedSince(old)) {
+    if (!round.isReleased(old)) {
       return FreeEvidence.WAITED_AFTER_LEAVE;
     }
     FleetInstance h = round.instances.get(old.head);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -686,7 +686,7 @@
   }
 
   /** Returns whether the head of a group that an instance has left cannot serve it any more. */
-  private boolean isReleased(LastGroup last) {
+  boolean isReleased(LastGroup last) {
     if (last.key().equals(state.confirmedLeft.get(last.head))) {
       return true;
     }
