--- a/scripts/lib/regroup/Fleet.java
+++ b/scripts/lib/regroup/Fleet.java
@@ -56,12 +56,12 @@
 
   /** Returns the heads of open groups. */
   synchronized List<Member> openHeads() {
-    return members.values().stream().filter(m -> m.headState().equals("open")).toList();
+    return members.values().stream().filter(m -> m.membership.headState().equals("open")).toList();
   }
 
   /** Returns the members of the group of a head. */
   synchronized List<String> membersOf(Member head) {
-    return List.copyOf(head.groupMembers());
+    return List.copyOf(head.membership.groupMembers());
   }
 
   synchronized Member find(String id) {
@@ -95,25 +95,28 @@
   }
 
   /** Checks a join that an instance takes, before its membership is replaced. */
-  synchronized void checkJoin(Member m, String group, long epoch, List<String> ids) {
+  synchronized void checkJoin(String id, String group, long epoch, List<String> ids) {
     joins++;
-    for (Member head : members.values()) {
+    String own = members.containsKey(id) ? members.get(id).membership.group() : "";
+    for (Member m : members.values()) {
+      Membership head = m.membership;
       boolean other = !(head.group().equals(group) && head.epoch() == epoch);
       String state = head.headState();
       boolean serves = state.equals("open") || state.equals("closing");
-      if (head != m && other && serves && head.groupMembers().contains(m.id)) {
+      if (!m.id.equals(id) && other && serves && head.groupMembers().contains(id)) {
         broken++;
         harness.log(
-            "BROKEN: %s took a join of %s %s while %s was the %s head of %s %s and %s"
+            "BROKEN: %s, which %s, took a join of %s %s while %s was the %s head of %s %s and %s"
                 .formatted(
-                    m.id,
+                    id,
+                    own.equals(head.group()) ? "had not left" : "had left",
                     group,
                     ids,
-                    head.id,
+                    m.id,
                     state,
                     head.group(),
                     head.groupMembers(),
-                    head.troubles()));
+                    m.troubles()));
         harness.log(
             "since a crash %s, since the leader was disturbed %s, since the group was opened %s"
                 .formatted(since(crashAt), since(leaderTroubleAt), since(head.openSince())));
@@ -129,7 +132,10 @@
     while (!closed) {
       synchronized (this) {
         long now = harness.now();
-        members.values().forEach(m -> m.tick(now, isMissingMember(m)));
+        for (Member m : members.values()) {
+          m.tick(now);
+          m.membership.tick(now, lacksMember(m.membership));
+        }
       }
       try {
         Thread.sleep(TICK_MILLIS);
@@ -139,10 +145,12 @@
     }
   }
 
-  private boolean isMissingMember(Member head) {
+  private boolean lacksMember(Membership head) {
     for (String id : head.groupMembers()) {
       Member m = members.get(id);
-      if (m == null || !m.group().equals(head.group()) || m.epoch() != head.epoch()) {
+      if (m == null
+          || !m.membership.group().equals(head.group())
+          || m.membership.epoch() != head.epoch()) {
         return true;
       }
     }
--- a/scripts/lib/regroup/Regroup.java
+++ b/scripts/lib/regroup/Regroup.java
@@ -142,11 +142,23 @@
     if (t != null) {
       disturbHead(h, t, 1_000 + random.nextInt(3_000));
     }
+    if (troubles.contains(Trouble.ISOLATE)) {
+      isolate(h.domain, 1_500 + random.nextInt(2_500));
+    }
     if (troubles.contains(Trouble.CRASH)) {
       crashMember(h, t != null, number);
     }
   }
 
+  private void isolate(String domain, int millis) throws IOException {
+    harness.log("trouble: ISOLATE at " + domain + " for " + millis + " ms");
+    for (Member m : fleet.members()) {
+      if (m.domain.equals(domain)) {
+        m.isolate(millis);
+      }
+    }
+  }
+
   /** Crashes a member of a group; never the head if it is to stay. */
   private void crashMember(Member head, boolean headStays, int number) throws IOException {
     List<String> ids = fleet.membersOf(head);
@@ -172,14 +184,14 @@
     harness.log("trouble: " + t + " at " + head.id + " for " + millis + " ms");
     switch (t) {
       case REFUSE -> head.refuse(millis);
-      case CONFLICT -> head.conflict(millis);
+      case CONFLICT -> head.membership.hold(millis);
       case MISDIRECT -> head.misdirect(millis);
       default -> head.cut(millis);
     }
   }
 
   private void crash(Member m, int millis, String id) throws IOException {
-    List<String> staged = m.staged();
+    List<String> staged = m.membership.staged();
     m.crash();
     Worker.daemon(
         () -> {
--- a/scripts/lib/regroup/Trouble.java
+++ b/scripts/lib/regroup/Trouble.java
@@ -15,6 +15,9 @@
   /** A head refuses connections and its heartbeats do not arrive; open connections go on. */
   CUT,
 
+  /** All instances of a domain are cut off together and lose their open connections. */
+  ISOLATE,
+
   /** The leader of the replicas stands still for some seconds. */
   STOP,
 
