--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -12,6 +12,12 @@
   /** How long sent orders are kept; longer than any delay in their execution. */
   static final long KEEP_ORDERS_MILLIS = 120_000;
 
+  /**
+   * How late an instance may execute an order that it did not answer, in milliseconds; the longest
+   * delay that users name.
+   */
+  static final long LATE_ORDER_MILLIS = 12_000;
+
   /** The time without a heartbeat after which an instance counts as lost, in milliseconds. */
   final long silentMillis;
 
@@ -30,10 +36,8 @@
   /** The groups whose members were ordered to join, by group and epoch. */
   final Map<String, PlannedGroup> planned = new LinkedHashMap<>();
 
-  /**
-   * The time until which an instance must not join a group, because its old head may still serve.
-   */
-  final Map<String, Long> quarantineUntil = new HashMap<>();
+  /** The last group of each instance, whose head may wait for it. */
+  final LastGroups lastGroups = new LastGroups();
 
   /** The time until which an instance is not used, because it did not answer orders. */
   final Map<String, Long> avoidUntil = new HashMap<>();
@@ -41,6 +45,12 @@
   /** The group and epoch that each instance confirmed it has left. */
   final Map<String, String> confirmedLeft = new HashMap<>();
 
+  /** The answers by which instances count as having left a group; for the log only. */
+  final Map<String, LeaveAnswer> leaveAnswers = new HashMap<>();
+
+  /** The decisions of the latest round. */
+  final DecisionRecorder decisions = new DecisionRecorder();
+
   /** The instance that reported itself as the head, by group and epoch. */
   final Map<String, String> heads = new HashMap<>();
 
@@ -81,6 +91,19 @@
     this.loadLimiter = loadLimiter;
   }
 
+  /** Returns the time after which a head must have found a member missing, in milliseconds. */
+  long maxStallMillis() {
+    return stallMillis + STALL_MARGIN_MILLIS;
+  }
+
+  /**
+   * An answer to {@link FleetOrder.Kind#LEAVE}.
+   *
+   * @param outcome the outcome
+   * @param at the time of the answer, in milliseconds
+   */
+  record LeaveAnswer(OrderOutcome outcome, long at) {}
+
   /**
    * An ordered load that stages a model on a host.
    *
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -103,31 +103,32 @@
     state.highestEpoch = Math.max(state.highestEpoch, g.epoch());
   }
 
+  /** Records the groups of this round; called once all instances have been added. */
+  void recordLastGroups() {
+    state.lastGroups.retain(instances.keySet());
+    for (FleetInstance i : instances.values()) {
+      GroupMembership g = i.group();
+      String head =
+          g == null ? "" : state.heads.getOrDefault(GroupView.key(g.name(), g.epoch()), "");
+      state.lastGroups.report(i, head, now);
+    }
+  }
+
   /**
    * Opens groups that are ready, closes those that drain or make room for another model, and
    * dissolves those that can no longer serve.
    */
   void reviewGroups() {
     for (GroupView g : groups.values()) {
-      PlannedGroup p = state.planned.get(g.key());
       FleetInstance head = g.head();
-      MemberState status = g.headState();
-      InstanceLoad load = loadOf(g);
-      boolean progressing = load != null && load.hasProgress();
-      boolean lost = status == MemberState.BROKEN || hasHeadLeft(g);
-      boolean draining = false;
-      long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
-      lost |= stalled > MAX_STALL_MILLIS;
-      long maxSilence = stalled > STALLED_MILLIS ? state.quickSilentMillis : state.silentMillis;
-      for (FleetInstance m : g.members.values()) {
-        boolean silent = ages.getOrDefault(m.id(), 0L) > maxSilence;
-        lost |= m.phase() == InstancePhase.GONE || (silent && !progressing);
-        draining |= m.phase() == InstancePhase.DRAINING;
-      }
-      if (lost || isLongIncomplete(g, p)) {
+      GroupDecision.Cause lost = lossOf(g);
+      GroupDecision.Cause retired = lost == null ? retirementOf(g) : null;
+      if (lost != null) {
+        state.decisions.givenUp(this, g, lost);
         state.planned.remove(g.key());
         dissolve(g);
-      } else if (draining || state.retiring.containsKey(g.key())) {
+      } else if (retired != null) {
+        state.decisions.givenUp(this, g, retired);
         retire(g);
       } else {
         g.members.values().forEach(m -> assigned.add(m.id()));
@@ -143,39 +144,97 @@
     }
   }
 
+  /** Returns why a group can no longer serve, or null if it can. */
+  private GroupDecision.@Nullable Cause lossOf(GroupView g) {
+    MemberState status = g.headState();
+    if (status == MemberState.BROKEN) {
+      return GroupDecision.Cause.of(GiveUpReason.BROKEN);
+    }
+    if (hasHeadLeft(g)) {
+      return departureOf(g);
+    }
+    for (PlannedGroup p : state.planned.values()) {
+      for (FleetInstance m : g.members.values()) {
+        if (p.epoch() > g.epoch && p.members().contains(m.id())) {
+          return GroupDecision.Cause.of(GiveUpReason.MEMBER_TAKEN, m.id(), now - p.since());
+        }
+      }
+    }
+    InstanceLoad load = loadOf(g);
+    boolean progressing = load != null && load.hasProgress();
+    long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
+    if (stalled > MAX_STALL_MILLIS) {
+      return GroupDecision.Cause.of(GiveUpReason.STALLED, "", stalled);
+    }
+    long maxSilence = stalled > STALLED_MILLIS ? state.quickSilentMillis : state.silentMillis;
+    for (FleetInstance m : g.members.values()) {
+      if (m.phase() == InstancePhase.GONE) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_GONE, m.id(), ageOf(m));
+      }
+      if (ageOf(m) > maxSilence && !progressing) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_SILENT, m.id(), ageOf(m));
+      }
+    }
+    long incomplete = incompleteMillis(g);
+    return incomplete >= INCOMPLETE_MILLIS
+        ? GroupDecision.Cause.of(GiveUpReason.INCOMPLETE, "", incomplete)
+        : null;
+  }
+
+  private GroupDecision.Cause departureOf(GroupView g) {
+    PlannerState.LeaveAnswer answer =
+        hasHeadAnsweredLeave(g) ? state.leaveAnswers.get(state.heads.get(g.key())) : null;
+    return answer == null
+        ? GroupDecision.Cause.of(GiveUpReason.HEAD_REPORTED_LEFT)
+        : new GroupDecision.Cause(
+            GiveUpReason.HEAD_ANSWERED_LEAVE, "", now - answer.at(), answer.outcome());
+  }
+
+  /** Returns why a group that can serve is to be closed, or null if it is not. */
+  private GroupDecision.@Nullable Cause retirementOf(GroupView g) {
+    for (FleetInstance m : g.members.values()) {
+      if (m.phase() == InstancePhase.DRAINING) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_DRAINING, m.id(), -1);
+      }
+    }
+    Long since = state.retiring.get(g.key());
+    return since == null ? null : GroupDecision.Cause.of(GiveUpReason.OTHER_MODEL, "", now - since);
+  }
+
   /**
-   * Returns whether the report of a member, which may have restarted, has been missing for too
-   * long.
+   * Returns for how long the report of a member, which may have restarted, has been missing, in
+   * milliseconds.
    */
-  private boolean isLongIncomplete(GroupView g, @Nullable PlannedGroup p) {
-    if (g.isComplete() || p != null) {
+  private long incompleteMillis(GroupView g) {
+    if (g.isComplete() || state.planned.containsKey(g.key())) {
       state.incompleteSince.remove(g.key());
-      return false;
+      return 0;
     }
-    return now - state.incompleteSince.computeIfAbsent(g.key(), k -> now) >= INCOMPLETE_MILLIS;
+    return now - state.incompleteSince.computeIfAbsent(g.key(), k -> now);
   }
 
-  /** Frees the members of a group that has lost a member, once its head can no longer serve. */
+  /**
+   * Frees the members of a group that has lost a member, once its head can no longer serve. Unless
+   * the head confirms that it has left, the members leave, so that it finds them missing.
+   */
   private void dissolve(GroupView g) {
-    if (hasHeadLeft(g)) {
-      return;
-    }
-    if (!mayServe(g)) {
+    if (hasHeadLeft(g) || !mayServe(g)) {
       return;
     }
+    g.members.values().forEach(m -> assigned.add(m.id()));
     FleetInstance head = g.head();
     if (head != null && !isLost(head)) {
-      order(FleetOrder.Kind.LEAVE, head, g.name, g.epoch, "", List.of());
-      g.members.values().forEach(m -> assigned.add(m.id()));
-      return;
+      FleetOrder o = leave(head, g);
+      OrderOutcome latest = state.sentOrders.outcome(o);
+      sendIfDue(o);
+      if (latest == null || latest == OrderOutcome.FENCED) {
+        return;
+      }
     }
     withdrawOpenOrder(g);
     for (FleetInstance m : g.members.values()) {
-      assigned.add(m.id());
-      if (!isLost(m)) {
-        order(FleetOrder.Kind.LEAVE, m, g.name, g.epoch, "", List.of());
-        state.quarantineUntil.put(
-            m.id(), now + state.stallMillis + PlannerState.STALL_MARGIN_MILLIS);
+      if (m != head && !isLost(m)) {
+        sendIfDue(leave(m, g));
       }
     }
   }
@@ -189,7 +248,7 @@
     if (head != null
         && head.phase() == InstancePhase.GONE
         && state.sentOrders.isUnconfirmed(FleetOrder.Kind.OPEN, g.name, g.epoch)) {
-      order(FleetOrder.Kind.LEAVE, head, g.name, g.epoch, "", List.of());
+      sendIfDue(leave(head, g));
     }
   }
 
@@ -215,15 +274,15 @@
   }
 
   /**
-   * Returns whether the head has left the group, by its own report or because its process ended.
-   * The group can no longer serve then, and its members are free.
+   * Returns whether the head has left the group, by its own report or its answer to the order. The
+   * group can no longer serve then, and its members are free.
    */
-  private boolean hasHeadLeft(GroupView g) {
+  boolean hasHeadLeft(GroupView g) {
     String id = state.heads.get(g.key());
     if (id == null) {
       return false;
     }
-    if (g.key().equals(state.confirmedLeft.get(id))) {
+    if (hasHeadAnsweredLeave(g)) {
       return true;
     }
     FleetInstance h = instances.get(id);
@@ -231,6 +290,12 @@
     return h != null && h.phase() != InstancePhase.GONE && g.head() == null;
   }
 
+  /** Returns whether the head has confirmed an order to leave. */
+  boolean hasHeadAnsweredLeave(GroupView g) {
+    String id = state.heads.get(g.key());
+    return id != null && g.key().equals(state.confirmedLeft.get(id));
+  }
+
   /**
    * Closes a group that has a draining member or makes room for another model, and dissolves it
    * once it no longer serves.
@@ -453,6 +518,7 @@
           new PlannedGroup(name.text(), state.highestEpoch, c.model().name(), ids, now, readyBy);
       state.planned.put(GroupView.key(p.name(), p.epoch()), p);
       assigned.addAll(ids);
+      c.members().forEach(m -> state.decisions.taken(this, p, m));
       c.members().forEach(m -> sendIfDue(join(p, m)));
     }
   }
@@ -519,32 +585,90 @@
     if (i.phase() != InstancePhase.READY || overdue || assigned.contains(i.id())) {
       return false;
     }
-    if (now < state.quarantineUntil.getOrDefault(i.id(), Long.MIN_VALUE)
-        || now < state.avoidUntil.getOrDefault(i.id(), Long.MIN_VALUE)) {
+    if (now < state.avoidUntil.getOrDefault(i.id(), Long.MIN_VALUE)) {
       return false;
     }
-    if (i.group() != null || state.confirmedLeft.containsKey(i.id())) {
+    LastGroup last = state.lastGroups.of(i.id());
+    if (last != null && last.hasLeft()) {
+      return hasWaitedSince(last) || hasHeadLeft(last);
+    }
+    if (i.group() != null) {
       return true;
     }
     // An instance with a model was in a group, whose head may still wait for it if an earlier
     // leader ordered it to leave.
-    long maxStall = state.stallMillis + PlannerState.STALL_MARGIN_MILLIS;
+    long maxStall = state.maxStallMillis();
     return i.lastModel().isEmpty()
         ? state.first || now - state.knownSince >= maxStall || isKnownSinceItsStart(i)
         : now - state.termStart >= maxStall;
   }
 
+  /** Returns whether the head must have found an instance missing that left its group. */
+  boolean hasWaitedSince(LastGroup last) {
+    return waitedMillis(last) >= state.maxStallMillis();
+  }
+
+  /**
+   * Returns for how long the head of a group that an instance has left may have missed it, in
+   * milliseconds. A head that still reports that it serves may have stood still meanwhile, and one
+   * that has not reported it may execute the order to open the group later.
+   */
+  long waitedMillis(LastGroup last) {
+    long since = last.leftAt();
+    FleetInstance h = instances.get(last.head);
+    GroupMembership g = h == null ? null : h.group();
+    boolean reportsGroup = g != null && GroupView.key(g.name(), g.epoch()).equals(last.key());
+    if (reportsGroup && (g.state() == MemberState.OPEN || g.state() == MemberState.CLOSING)) {
+      since = Math.max(since, now - ageOf(h));
+    } else {
+      since = Math.max(since, lastOpening(last, reportsGroup));
+    }
+    return now - since;
+  }
+
+  /** Returns the latest time at which a group may open by an order that was not answered. */
+  private long lastOpening(LastGroup last, boolean isReported) {
+    Long unanswered = state.sentOrders.lastUnanswered(FleetOrder.Kind.OPEN, last.name, last.epoch);
+    if (unanswered != null) {
+      return unanswered + PlannerState.LATE_ORDER_MILLIS;
+    }
+    boolean wasFormedInTerm = state.sentOrders.wasSent(FleetOrder.Kind.JOIN, last.name, last.epoch);
+    return isReported && !wasFormedInTerm
+        ? state.termStart + PlannerState.LATE_ORDER_MILLIS
+        : Long.MIN_VALUE;
+  }
+
+  /** Returns whether the head of a group that an instance has left cannot serve it any more. */
+  private boolean hasHeadLeft(LastGroup last) {
+    if (last.key().equals(state.confirmedLeft.get(last.head))) {
+      return true;
+    }
+    FleetInstance h = instances.get(last.head);
+    if (h == null || h.phase() == InstancePhase.GONE) {
+      return false;
+    }
+    GroupMembership g = h.group();
+    return g == null
+        || !GroupView.key(g.name(), g.epoch()).equals(last.key())
+        || g.state() == MemberState.BROKEN;
+  }
+
   /**
    * Returns whether an instance has sent so few heartbeats that this process has heard of every
    * group it was in.
    */
-  private boolean isKnownSinceItsStart(FleetInstance i) {
+  boolean isKnownSinceItsStart(FleetInstance i) {
     long received = (now - state.knownSince) / state.quickSilentMillis;
     return i.sequence() <= received + MAX_MISSED_HEARTBEATS;
   }
 
   boolean isLost(FleetInstance i) {
-    return i.phase() == InstancePhase.GONE || ages.getOrDefault(i.id(), 0L) > state.silentMillis;
+    return i.phase() == InstancePhase.GONE || ageOf(i) > state.silentMillis;
+  }
+
+  /** Returns the time since the last heartbeat of an instance, in milliseconds. */
+  long ageOf(FleetInstance i) {
+    return ages.getOrDefault(i.id(), 0L);
   }
 
   private int activeAt(String head) {
@@ -571,6 +695,11 @@
         state.term);
   }
 
+  private FleetOrder leave(FleetInstance m, GroupView g) {
+    return new FleetOrder(
+        FleetOrder.Kind.LEAVE, m.id(), m.address(), g.name, g.epoch, "", List.of(), state.term);
+  }
+
   private void order(
       FleetOrder.Kind kind,
       FleetInstance to,
