Use members again that refused the order to leave, once their head has left

Since members are ordered to leave while their head refuses, many refuse such an order at a moment at which nobody wants to use them.

Change: only refused orders that use an instance, to join or to stage, set it aside.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -523,6 +523,19 @@
     assertTrue(regrouped.size() >= 2, "regrouped " + regrouped);
   }
 
+  /**
+   * Guards against members that are set aside for seconds although their head has left, because
+   * they refused connections when they were ordered to leave.
+   */
+  @Test
+  void membersThatRefusedTheOrderToLeaveAreUsedOnceTheirHeadHasLeft() {
+    final List<String> members = startedGroup(Leader.OLD);
+    fleet.crash(members.get(3));
+    members.subList(0, 3).forEach(m -> fleet.refuseOrders(m, 4_000));
+    fleet.run(planner, 8_000, false);
+    assertSurvivorsServe(members.subList(0, 3));
+  }
+
   /** The leader under which a fault occurs. */
   enum Leader {
     /** It has been the leader for longer than it keeps orders. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -163,7 +163,7 @@
       // An unanswered order may be executed much later, or never.
       state.staging.remove(order.instance());
     }
-    if (absent) {
+    if (absent && order.kind() != FleetOrder.Kind.LEAVE) {
       state.avoidUntil.put(order.instance(), now + AVOID_MILLIS);
     }
     if (order.kind() == FleetOrder.Kind.JOIN && !done) {
