Quarantine requests that crash instances, not only the parts of their prompts

Callers of sound requests got 400 for ten minutes because a harmful one shared a part of the prompt with them, and requests without such a part ended one instance after the other without an end. The quarantine recognized nothing but shared parts.

An entry now recognizes a request by its caller, method, host, target and body, and records its crashes and answers beside those of the parts. A request that was never answered is blocked after three crashes that chance does not explain, after five in any case. Its crashes count against a part only if other requests with the part are ended.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetReplicaTest.java
@@ -191,7 +191,7 @@
             new PartSuspicion.Crash(1, 0, 0.02),
             new PartSuspicion.Crash(2, 500, 0.02),
             new PartSuspicion.Crash(3, 1_000, 0.02));
-    List<PartSuspicion> blocked = List.of(new PartSuspicion(0xBAD, 0, crashes, 0, true));
+    List<PartSuspicion> blocked = List.of(new PartSuspicion(0xBAD, 0, crashes, 0, true, false));
     await(
         () -> {
           poll(s, "entry", blocked);
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/QuarantineGossipTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/QuarantineGossipTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import org.ebonypond.quarantine.RequestTraits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -15,7 +16,7 @@
 class QuarantineGossipTest {
   private static final long SHARED = 1;
   private static final long POISON = 0xBAD;
-  private static final List<Long> HARMFUL = List.of(SHARED, POISON);
+  private static final RequestTraits HARMFUL = RequestTraits.ofParts(List.of(SHARED, POISON));
 
   /** The time within which all processes in touch must act on new facts. */
   private static final long CONTACT_MILLIS = 3_000;
@@ -34,9 +35,9 @@
     }
   }
 
-  private static long blocking(PollNetwork net, List<Long> parts) {
+  private static long blocking(PollNetwork net, RequestTraits request) {
     long now = net.timers.nowMillis();
-    return net.entries.stream().filter(e -> e.quarantine.quarantined(parts, now) != null).count();
+    return net.entries.stream().filter(e -> e.quarantine.quarantined(request, now) != null).count();
   }
 
   /** Guards against entries that let harmful requests pass because they saw too few crashes. */
@@ -44,11 +45,14 @@
   @ValueSource(ints = {9, 77})
   void crashesAtDifferentEntriesBlockThePartAtAll(int entries) {
     PollNetwork net = network(entries);
-    net.entries.get(5).quarantine.began(List.of(SHARED), net.timers.nowMillis());
+    net.entries
+        .get(5)
+        .quarantine
+        .began(RequestTraits.ofParts(List.of(SHARED)), net.timers.nowMillis());
     crash(net, 0, 1, 2);
     net.timers.advance(CONTACT_MILLIS);
     assertEquals(entries, blocking(net, HARMFUL));
-    assertEquals(0, blocking(net, List.of(SHARED)));
+    assertEquals(0, blocking(net, RequestTraits.ofParts(List.of(SHARED))));
   }
 
   /** Guards against a part that is blamed although other entries get answers to it. */
@@ -95,7 +99,8 @@
     for (int i = 0; i < 200; i++) {
       long now = net.timers.nowMillis();
       for (int part = 0; part < 40; part++) {
-        net.entries.get(i % 9).quarantine.crashed("i-" + i, 1, List.of(1_000L + part), now);
+        RequestTraits request = RequestTraits.ofParts(List.of(1_000L + part));
+        net.entries.get(i % 9).quarantine.crashed("i-" + i, 1, request, now);
       }
       net.timers.advance(50);
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -240,7 +240,7 @@
   }
 
   private void logFailure(boolean sent, String cause) {
-    owner.log().sendFailed(target, sent, lastEventAt > 0, owner.head().sharedParts(), cause);
+    owner.log().sendFailed(target, sent, lastEventAt > 0, owner.traits(), cause);
   }
 
   private boolean isStream(BackendReply r) {
@@ -269,7 +269,7 @@
     if (lastEventAt > 0) {
       observePace(now - lastEventAt, eventCount);
     } else {
-      forwarder.quarantine().began(owner.head().sharedParts(), now);
+      forwarder.quarantine().began(owner.traits(), now);
     }
     lastEventAt = now;
     answer.writeEvents(now);
@@ -377,7 +377,7 @@
       return;
     }
     forwarder.metrics().firstOutput(owner.kind(), now - owner.receivedAt());
-    forwarder.quarantine().began(owner.head().sharedParts(), now);
+    forwarder.quarantine().began(owner.traits(), now);
     HttpResponse h = answerHead();
     if (r.status() >= 500) {
       stats.answeredFailure(now);
@@ -441,9 +441,7 @@
     forwarder.metrics().sendFailed(owner.kind(), reason);
     logFailure(true, detail);
     if (lastEventAt == 0) {
-      forwarder
-          .quarantine()
-          .crashed(target.id(), target.startMillis(), owner.head().sharedParts(), now);
+      forwarder.quarantine().crashed(target.id(), target.startMillis(), owner.traits(), now);
     }
     owner.onPossiblyRun(reason);
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallHead.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallHead.java
@@ -19,6 +19,8 @@
  * @param resumeAfter the identifier of the last event that the caller received, or an empty string
  * @param sharedParts the identifiers of the prompt's parts that other requests may share; the last
  *     part, which belongs to this request or its session, is not among them
+ * @param contentHash a hash of the method, the host, the target, and the body or, without one, the
+ *     parts of the prompt
  */
 public record CallHead(
     String id,
@@ -31,7 +33,8 @@
     int maxOutputTokens,
     int hintedTokens,
     String resumeAfter,
-    List<Long> sharedParts) {
+    List<Long> sharedParts,
+    long contentHash) {
   /** Returns the expected number of tokens of the answer. */
   public int outputTokens() {
     return hintedTokens > 0 ? Math.min(hintedTokens, maxOutputTokens) : maxOutputTokens;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -13,6 +13,8 @@
 import org.ebonypond.forward.EngineCost;
 import org.ebonypond.forward.TargetSelector;
 import org.ebonypond.forward.WaitingOrder;
+import org.ebonypond.quarantine.RequestTraits;
+import org.ebonypond.quarantine.TextHash;
 import org.ebonypond.server.fleet.ReplicaDirectory;
 import org.ebonypond.server.http1.HttpCall;
 import org.ebonypond.serving.ModelProfile;
@@ -74,6 +76,7 @@
   private final CallerAnswer answer;
   private final Set<String> tried = new HashSet<>();
 
+  private RequestTraits traits;
   private @Nullable RouteRule route;
   private @Nullable ServiceProfile service;
   private @Nullable WorkspaceProfile workspace;
@@ -95,6 +98,7 @@
     this.forwarder = forwarder;
     this.call = call;
     this.head = head;
+    this.traits = RequestTraits.ofParts(head.sharedParts());
     this.timers = forwarder.timers();
     this.receivedAt = timers.nowMillis();
     this.bodyBytes = call.body().readableBytes();
@@ -170,6 +174,7 @@
       stopWaiting();
     }
     route = r;
+    traits = new RequestTraits(identity(), head.sharedParts());
     service = config.service(r.choose(forwarder.random().nextLong(Long.MAX_VALUE)));
     if (service == null) {
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no-service", START_RETRY_AFTER_MILLIS);
@@ -186,6 +191,12 @@
     dispatch("first");
   }
 
+  /** Returns what repetitions of the request by the same caller have in common. */
+  private long identity() {
+    WorkspaceProfile w = workspace;
+    return TextHash.of(Long.toHexString(head.contentHash()) + "/" + (w == null ? "" : w.name()));
+  }
+
   /**
    * Refuses the request for good if the configuration is known to be the newest one. Otherwise the
    * refusal may be wrong, and callers do not repeat a request after it: the request waits until the
@@ -226,14 +237,14 @@
   }
 
   /**
-   * Refuses a request with prompt parts that crash instances. The status tells the caller not to
-   * repeat it, since it would be refused at every entry.
+   * Refuses a request that crashes instances, or has prompt parts that do. The status tells the
+   * caller not to repeat it, since it would be refused at every entry.
    */
   private boolean refuseIfQuarantined() {
     if (answer.isStarted()) {
       return false;
     }
-    Set<Long> parts = forwarder.quarantine().quarantined(head.sharedParts(), timers.nowMillis());
+    Set<Long> parts = forwarder.quarantine().quarantined(traits, timers.nowMillis());
     if (parts == null) {
       return false;
     }
@@ -494,8 +505,7 @@
 
   /** Returns whether the request may be the cause of a crash; if its answer began, it is not. */
   private boolean mayCrashInstances() {
-    return !answer.isStarted()
-        && forwarder.quarantine().isSuspected(head.sharedParts(), timers.nowMillis());
+    return !answer.isStarted() && forwarder.quarantine().isSuspected(traits, timers.nowMillis());
   }
 
   private void giveUp(String reason, long retryAfterMillis) {
@@ -629,6 +639,11 @@
     return head;
   }
 
+  /** Returns what the request has in common with others. */
+  RequestTraits traits() {
+    return traits;
+  }
+
   RequestLog log() {
     return log;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/QuarantineLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/QuarantineLog.java
@@ -5,7 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Logs which prompt parts an entry refuses. */
+/** Logs which requests and prompt parts an entry refuses. */
 public final class QuarantineLog implements QuarantineListener {
   private static final Logger LOG = LoggerFactory.getLogger(QuarantineLog.class);
 
@@ -15,13 +15,13 @@
         .addKeyValue("parts", parts.stream().map(Long::toHexString).toList())
         .addKeyValue("crashes", crashes)
         .addKeyValue("begun", begun)
-        .log("prompt parts quarantined");
+        .log("request or prompt parts quarantined");
   }
 
   @Override
   public void unblocked(Set<Long> parts) {
     LOG.atInfo()
         .addKeyValue("parts", parts.stream().map(Long::toHexString).toList())
-        .log("prompt parts released");
+        .log("request or prompt parts released");
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -7,6 +7,7 @@
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.TargetSelector;
+import org.ebonypond.quarantine.RequestTraits;
 import org.ebonypond.server.fleet.FleetView;
 import org.ebonypond.serving.RouteRule;
 import org.ebonypond.time.TimerService;
@@ -120,22 +121,25 @@
    * Logs an attempt that failed.
    *
    * @param began whether the instance had begun to write an answer
-   * @param parts the parts of the prompt that other requests may share
+   * @param request what the request has in common with others
    */
   void sendFailed(
-      FleetInstance target, boolean sent, boolean began, List<Long> parts, String cause) {
+      FleetInstance target, boolean sent, boolean began, RequestTraits request, String cause) {
     event()
         .addKeyValue("instance", target.id())
         .addKeyValue("address", target.address())
         .addKeyValue("sent", sent)
         .addKeyValue("began", began)
-        .addKeyValue("parts", hex(parts))
+        .addKeyValue("identity", Long.toHexString(request.request()))
+        .addKeyValue("parts", hex(request.parts()))
         .addKeyValue("cause", cause)
         .log("send failed");
   }
 
   void quarantined(Collection<Long> parts) {
-    event().addKeyValue("parts", hex(parts)).log("request has quarantined prompt parts");
+    event()
+        .addKeyValue("parts", hex(parts))
+        .log("request is quarantined, or has quarantined prompt parts");
   }
 
   private static List<String> hex(Collection<Long> parts) {
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -39,7 +39,12 @@
               new InstanceLoad("i-2", 4, 0, 0, 20, 900)),
           List.of(
               new PartSuspicion(
-                  Long.MIN_VALUE, 7, List.of(new PartSuspicion.Crash(-1, 12, 0.25)), 3, true)),
+                  Long.MIN_VALUE,
+                  7,
+                  List.of(new PartSuspicion.Crash(-1, 12, 0.25)),
+                  3,
+                  true,
+                  true)),
           List.of(new NamedLimit("i-1", 8, 3.25, 40)));
 
   private static FleetInstance instance(GroupMembership g) {
@@ -184,7 +189,7 @@
   @ValueSource(doubles = {-0.1, 1.1, Double.NaN, Double.NEGATIVE_INFINITY})
   void impossibleRatesOfCrashesAreRejected(double rate) {
     PartSuspicion impossible =
-        new PartSuspicion(1, 0, List.of(new PartSuspicion.Crash(1, 0, rate)), 0, false);
+        new PartSuspicion(1, 0, List.of(new PartSuspicion.Crash(1, 0, rate)), 0, false, false);
     FleetPoll poll =
         new FleetPoll(
             "e", "", 0, 0, 0, 0, true, false, 0, List.of(), List.of(impossible), List.of());
--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/PartQuarantineTest.java
@@ -57,17 +57,17 @@
   private void crash(List<Long>... requests) {
     crashes++;
     for (List<Long> parts : requests) {
-      quarantine.crashed("i-" + crashes, crashes, parts, now);
+      quarantine.crashed("i-" + crashes, crashes, RequestTraits.ofParts(parts), now);
     }
   }
 
   private boolean isBlocked(Long... parts) {
-    return quarantine.quarantined(List.of(parts), now) != null;
+    return quarantine.quarantined(RequestTraits.ofParts(List.of(parts)), now) != null;
   }
 
   private void answer(int count, Long... parts) {
     for (int i = 0; i < count; i++) {
-      quarantine.began(List.of(parts), now);
+      quarantine.began(RequestTraits.ofParts(List.of(parts)), now);
     }
   }
 
@@ -117,7 +117,7 @@
     Recorder restarted = new Recorder();
     PartQuarantine late = new PartQuarantine(restarted);
     late.merge(quarantine.report(now), now);
-    late.quarantined(List.of(SHARED), now + PartQuarantine.CONSULT_MILLIS);
+    late.quarantined(RequestTraits.ofParts(List.of(SHARED)), now + PartQuarantine.CONSULT_MILLIS);
     assertEquals(0, restarted.decisions);
   }
 
@@ -127,7 +127,7 @@
     answer(3_000, SHARED);
     crashSeries(SuspicionTable.MAX_CRASHES + 4, POISON);
     assertFalse(isBlocked(SHARED));
-    assertFalse(quarantine.isSuspected(List.of(SHARED), now));
+    assertFalse(quarantine.isSuspected(RequestTraits.ofParts(List.of(SHARED)), now));
   }
 
   /** Guards against blocking sound requests that share all other parts with the harmful ones. */
@@ -213,7 +213,7 @@
       now += 220;
       answer(20, SHARED);
       crash(List.of(rare));
-      other.crashed("i-" + crashes, crashes, List.of(rare, POISON), now);
+      other.crashed("i-" + crashes, crashes, RequestTraits.ofParts(List.of(rare, POISON)), now);
       if (i % 3 == 2) {
         quarantine.merge(other.report(now), now);
       }
@@ -231,7 +231,7 @@
     }
     now += 5_000;
     assertFalse(isBlocked(SHARED, FIRST_SUBJECT));
-    assertFalse(quarantine.isSuspected(List.of(SHARED, FIRST_SUBJECT), now));
+    assertFalse(quarantine.isSuspected(RequestTraits.ofParts(List.of(SHARED, FIRST_SUBJECT)), now));
   }
 
   /** Guards against one harmful part that hides another one. */
@@ -277,7 +277,7 @@
     }
     assertTrue(isBlocked(SHARED, POISON));
     assertFalse(isBlocked(FIRST_SUBJECT));
-    assertFalse(quarantine.isSuspected(List.of(FIRST_SUBJECT), now));
+    assertFalse(quarantine.isSuspected(RequestTraits.ofParts(List.of(FIRST_SUBJECT)), now));
   }
 
   /** Guards against a request that is sent on after it has probably ended two instances. */
@@ -285,10 +285,10 @@
   void suspectedRequestIsNotSentAgain() {
     now += 500;
     crash(List.of(SHARED, POISON));
-    assertFalse(quarantine.isSuspected(List.of(POISON), now));
+    assertFalse(quarantine.isSuspected(RequestTraits.ofParts(List.of(POISON)), now));
     now += 500;
     crash(List.of(SHARED, POISON));
-    assertTrue(quarantine.isSuspected(List.of(POISON), now));
+    assertTrue(quarantine.isSuspected(RequestTraits.ofParts(List.of(POISON)), now));
     assertFalse(isBlocked(POISON));
   }
 
@@ -376,7 +376,7 @@
     crashSeries(SuspicionTable.MIN_CRASHES, POISON);
     now += PartQuarantine.CONSULT_MILLIS;
     assertTrue(isBlocked(SHARED, POISON));
-    assertNotNull(quarantine.quarantined(List.of(POISON), now));
+    assertNotNull(quarantine.quarantined(RequestTraits.ofParts(List.of(POISON)), now));
   }
 
   /**
@@ -390,13 +390,13 @@
     assertTrue(isBlocked(POISON));
     PartQuarantine unlucky = new PartQuarantine(new Recorder());
     for (int i = 0; i < 100; i++) {
-      List<Long> other = List.of(FIRST_SUBJECT + 1_000 + i);
+      RequestTraits other = RequestTraits.ofParts(List.of(FIRST_SUBJECT + 1_000 + i));
       quarantine.crashed("i-unlucky", 1, other, now);
       unlucky.crashed("i-unlucky", 1, other, now);
     }
     assertTrue(isBlocked(POISON));
     unlucky.merge(quarantine.report(now), now);
-    assertNotNull(unlucky.quarantined(List.of(POISON), now));
+    assertNotNull(unlucky.quarantined(RequestTraits.ofParts(List.of(POISON)), now));
     assertEquals(1, recorder.decisions);
   }
 
@@ -435,9 +435,9 @@
     assertEquals(kept, restarted.blockedParts(now).stream().map(BlockedPart::encode).toList());
     PartQuarantine entry = new PartQuarantine(new Recorder());
     entry.merge(restarted.report(r -> true, now), now + 5);
-    assertNotNull(entry.quarantined(List.of(SHARED, POISON), now + 5));
-    assertNotNull(entry.quarantined(List.of(SECOND_POISON), now + 5));
-    assertNull(entry.quarantined(List.of(SHARED), now + 5));
+    assertNotNull(entry.quarantined(RequestTraits.ofParts(List.of(SHARED, POISON)), now + 5));
+    assertNotNull(entry.quarantined(RequestTraits.ofParts(List.of(SECOND_POISON)), now + 5));
+    assertNull(entry.quarantined(RequestTraits.ofParts(List.of(SHARED)), now + 5));
   }
 
   /** Guards against a replica that fails on a malformed record of its log. */
@@ -458,7 +458,7 @@
       quarantine.merge(quarantine.report(now), now);
     }
     assertFalse(isBlocked(POISON));
-    assertNull(quarantine.quarantined(List.of(), now));
+    assertNull(quarantine.quarantined(RequestTraits.ofParts(List.of()), now));
   }
 
   /** Guards against suspicions that never expire because they circulate between processes. */
--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/QuarantineRandomTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/QuarantineRandomTest.java
@@ -10,13 +10,15 @@
 import java.util.Set;
 import java.util.stream.LongStream;
 import org.ebonypond.junit.Seeds;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Many entries, instances and requests on a manual clock. Some requests have a part that crashes
- * the instances that begin to write on it, in some runs only a part of them; instances also crash
- * by chance, and entries restart. Entries exchange their reports through one replica.
+ * the instances that begin to write on it, in some runs only a part of them, or one or two requests
+ * crash instances and come again; instances also crash by chance, and entries restart. Entries
+ * exchange their reports through one replica.
  */
 class QuarantineRandomTest {
   private static final long POISON = 0xBAD;
@@ -30,6 +32,11 @@
   private static final int TOLERATED_LATE = 3;
   private static final int MAX_ATTEMPTS = 2;
 
+  /** The crash of a repeated request from which entries in touch must act. */
+  private static final int TOLERATED_REQUEST_CRASHES = 3;
+
+  private static final long REPEATING_END_MILLIS = 120_000;
+
   static LongStream seeds() {
     return Seeds.all();
   }
@@ -39,7 +46,7 @@
   @MethodSource("seeds")
   void harmfulRequestsAreRefusedAndSoundOnesAreServed(long seed) {
     Fleet f = new Fleet(new Random(seed));
-    f.run();
+    f.run(END_MILLIS);
     String what = f.describe();
     assertTrue(f.late <= TOLERATED_LATE, f.late + " harmful requests sent late; " + what);
     assertTrue(
@@ -47,10 +54,46 @@
         f.refused + " of " + f.requests + " sound requests refused; " + what);
   }
 
+  /** Guards against requests that come again and again, and sound ones that are refused. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void repeatedRequestsThatCrashInstancesAreRefused(long seed) {
+    Fleet f = new Fleet(new Random(seed));
+    f.repeatHarmful();
+    f.run(REPEATING_END_MILLIS);
+    String what = f.describe();
+    for (Repeated r : f.repeated) {
+      assertTrue(r.late <= TOLERATED_LATE, r + " sent late; " + what);
+    }
+    assertTrue(
+        f.refused <= 5 + f.requests / 500,
+        f.refused + " of " + f.requests + " sound requests refused; " + what);
+  }
+
+  /** A request that crashes each instance and comes again. */
+  private static final class Repeated {
+    final RequestTraits traits;
+    final long pauseMillis;
+    int crashes;
+    int late;
+    long thirdCrashAt = Long.MAX_VALUE;
+
+    Repeated(RequestTraits traits, long pauseMillis) {
+      this.traits = traits;
+      this.pauseMillis = pauseMillis;
+    }
+
+    @Override
+    public String toString() {
+      return late + " of the requests that come each " + pauseMillis + " ms";
+    }
+  }
+
   /** A request at an instance. */
-  private record Sent(int entry, List<Long> parts, int attempt, Instance instance, long beginsAt) {
-    boolean isHarmful() {
-      return parts.contains(POISON);
+  private record Sent(
+      int entry, RequestTraits traits, int attempt, Instance instance, long beginsAt) {
+    boolean hasHarmfulPart() {
+      return traits.parts().contains(POISON);
     }
   }
 
@@ -80,6 +123,9 @@
     private final double restartsPerSecond;
     private final long pollMillis;
     private final long companion;
+    private final List<Repeated> repeated = new ArrayList<>();
+    private double harmfulPartShare;
+    private long identity = 1L << 32;
     private long now;
     private int lives;
     private int harmfulCrashes;
@@ -107,6 +153,17 @@
       chanceCrashesPerSecond = random.nextInt(3) == 0 ? 0.5 * random.nextDouble() : 0;
       pollMillis = 100 + random.nextInt(300);
       companion = 1 + subject();
+      harmfulPartShare = harmfulShare;
+    }
+
+    /** Replaces the harmful part by requests that come again; two of them come together. */
+    void repeatHarmful() {
+      harmfulPartShare = 0;
+      long pauseMillis = 100L << random.nextInt(8);
+      int count = 1 + random.nextInt(2);
+      for (int i = 0; i < count; i++) {
+        repeated.add(new Repeated(new RequestTraits(identity++, List.of(companion)), pauseMillis));
+      }
     }
 
     /** Returns a subject; low numbers are much more frequent. */
@@ -136,14 +193,19 @@
           + harmfulCrashes;
     }
 
-    void run() {
-      for (now = 0; now < END_MILLIS; now += 10) {
+    void run(long endMillis) {
+      for (now = 0; now < endMillis; now += 10) {
         while (!begins.isEmpty() && begins.peek().beginsAt <= now) {
           begin(begins.poll());
         }
         if (happens(perSecond)) {
           arrive();
         }
+        for (Repeated r : repeated) {
+          if (now >= POISON_FROM_MILLIS && now % r.pauseMillis < 10) {
+            send(random.nextInt(entries.size()), r.traits, 1);
+          }
+        }
         if (happens(chanceCrashesPerSecond)) {
           crash(instances.get(random.nextInt(instances.size())));
         }
@@ -161,15 +223,17 @@
     }
 
     private void arrive() {
-      boolean harmful = now >= POISON_FROM_MILLIS && random.nextDouble() < harmfulShare;
+      boolean harmful = now >= POISON_FROM_MILLIS && random.nextDouble() < harmfulPartShare;
       List<Long> parts = harmful ? List.of(companion, POISON) : List.of(1 + subject());
       requests += harmful ? 0 : 1;
-      send(random.nextInt(entries.size()), parts, 1);
+      send(random.nextInt(entries.size()), new RequestTraits(identity++, parts), 1);
     }
 
-    private void send(int entry, List<Long> parts, int attempt) {
-      boolean harmful = parts.contains(POISON);
-      if (entries.get(entry).quarantined(parts, now) != null) {
+    private void send(int entry, RequestTraits traits, int attempt) {
+      Repeated repetition = repetition(traits);
+      boolean harmfulPart = traits.parts().contains(POISON);
+      boolean harmful = harmfulPart || repetition != null;
+      if (entries.get(entry).quarantined(traits, now) != null) {
         refused += harmful ? 0 : 1;
         return;
       }
@@ -180,21 +244,37 @@
       Instance i = up.get(random.nextInt(up.size()));
       // An entry that has just started is not held to what it cannot know yet.
       boolean inTouch = now - restartedAt[entry] > CONTACT_MILLIS;
-      if (harmful && inTouch && now - CONTACT_MILLIS > fifthCrashAt) {
+      if (harmfulPart && inTouch && now - CONTACT_MILLIS > fifthCrashAt) {
         late++;
       }
+      if (repetition != null && inTouch && now - CONTACT_MILLIS > repetition.thirdCrashAt) {
+        repetition.late++;
+      }
       long load = i.unanswered.size();
       long beginsAt = now + 50 + random.nextInt(150) + 40 * load;
-      Sent s = new Sent(entry, parts, attempt, i, beginsAt);
+      Sent s = new Sent(entry, traits, attempt, i, beginsAt);
       i.unanswered.add(s);
       begins.add(s);
     }
 
+    private @Nullable Repeated repetition(RequestTraits traits) {
+      return repeated.stream().filter(r -> r.traits.equals(traits)).findAny().orElse(null);
+    }
+
     private void begin(Sent s) {
       if (!s.instance.unanswered.contains(s)) {
         return;
       }
-      if (s.isHarmful() && random.nextDouble() < crashProbability) {
+      Repeated repetition = repetition(s.traits);
+      if (repetition != null) {
+        repetition.crashes++;
+        if (repetition.crashes == TOLERATED_REQUEST_CRASHES) {
+          repetition.thirdCrashAt = now;
+        }
+        crash(s.instance);
+        return;
+      }
+      if (s.hasHarmfulPart() && random.nextDouble() < crashProbability) {
         harmfulCrashes++;
         if (harmfulCrashes == TOLERATED_CRASHES) {
           fifthCrashAt = now;
@@ -203,7 +283,7 @@
         return;
       }
       s.instance.unanswered.remove(s);
-      entries.get(s.entry).began(s.parts, now);
+      entries.get(s.entry).began(s.traits, now);
     }
 
     private void crash(Instance i) {
@@ -217,10 +297,15 @@
       instances.set(index, next);
       List<Sent> ended = List.copyOf(i.unanswered);
       i.unanswered.clear();
-      ended.forEach(s -> entries.get(s.entry).crashed(i.id, 1, s.parts, now));
+      ended.forEach(s -> entries.get(s.entry).crashed(i.id, 1, s.traits, now));
       for (Sent s : ended) {
-        if (s.attempt < MAX_ATTEMPTS && !entries.get(s.entry).isSuspected(s.parts, now)) {
-          send(s.entry, s.parts, s.attempt + 1);
+        if (s.attempt < MAX_ATTEMPTS && !entries.get(s.entry).isSuspected(s.traits, now)) {
+          send(s.entry, s.traits, s.attempt + 1);
+        } else if (!repeated.isEmpty()
+            && s.attempt < 2 * MAX_ATTEMPTS
+            && repetition(s.traits) == null) {
+          // The caller sends it again, to another entry.
+          send(random.nextInt(entries.size()), s.traits, s.attempt + 1);
         }
       }
     }
--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/SuspicionTableTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/SuspicionTableTest.java
@@ -15,10 +15,11 @@
   @Test
   void changesOfTheLogDoNotRenewKnownParts() {
     SuspicionTable table = new SuspicionTable();
-    List<BlockedPart> first = List.of(new BlockedPart(1, List.of(11L, 12L, 13L)));
+    List<BlockedPart> first = List.of(new BlockedPart(1, false, List.of(11L, 12L, 13L)));
     table.restore(first, 0);
     long later = SuspicionTable.EXPIRY_MILLIS - 1;
-    List<BlockedPart> both = List.of(first.get(0), new BlockedPart(2, List.of(21L, 22L, 23L)));
+    List<BlockedPart> both =
+        List.of(first.get(0), new BlockedPart(2, true, List.of(21L, 22L, 23L)));
     table.restore(both, later);
     assertEquals(both, table.blockedParts(later));
     assertEquals(both.subList(1, 2), table.blockedParts(later + 2));
@@ -34,7 +35,9 @@
               for (int i = 0; i < ROUNDS; i++) {
                 PartSuspicion.Crash crash = new PartSuspicion.Crash(i, 0, 0.01);
                 table.merge(
-                    "e", List.of(new PartSuspicion(i % 500, 0, List.of(crash), 1, true)), i);
+                    "e",
+                    List.of(new PartSuspicion(i % 500, 0, List.of(crash), 1, true, i % 2 == 0)),
+                    i);
               }
             });
     CompletableFuture<Void> reads =
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -38,6 +38,10 @@
   private static final int HEARTBEAT_FIELDS = 4;
   private static final int LOAD_FIELDS = 6;
   private static final int SUSPICION_FIELDS = 5;
+
+  /** The field of a suspicion that the first version lacked. */
+  private static final int ADDED_SUSPICION_FIELDS = 1;
+
   private static final int CRASH_FIELDS = 3;
   private static final int LIMIT_FIELDS = 4;
   private static final InstancePhase[] PHASES = InstancePhase.values();
@@ -211,12 +215,13 @@
   }
 
   private static void packSuspicion(MessagePacker p, PartSuspicion s) throws IOException {
-    p.packArrayHeader(SUSPICION_FIELDS);
+    p.packArrayHeader(SUSPICION_FIELDS + ADDED_SUSPICION_FIELDS);
     p.packLong(s.part());
     p.packLong(s.idleMillis());
     packList(p, s.crashes(), PollCodec::packCrash);
     p.packLong(s.begun());
     p.packBoolean(s.blocked());
+    p.packBoolean(s.wholeRequest());
   }
 
   private static PartSuspicion unpackSuspicion(MessageUnpacker u) throws IOException {
@@ -227,8 +232,9 @@
             u.unpackLong(),
             unpackList(u, PollCodec::unpackCrash),
             u.unpackLong(),
-            u.unpackBoolean());
-    u.skipValue(extra);
+            u.unpackBoolean(),
+            extra >= 1 && u.unpackBoolean());
+    u.skipValue(Math.max(0, extra - ADDED_SUSPICION_FIELDS));
     return s;
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
@@ -9,15 +9,19 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decides which prompt parts an entry refuses because they crash instances.
+ * Decides which requests and prompt parts an entry refuses because they crash instances.
  *
  * <p>A crash ends all requests of an instance, and most of them are not the cause. Suspected are
- * the parts of the requests on which the instance had not begun to write. The cause recurs in
- * crashes of different instances and is hardly ever answered, while the parts beside it are
- * answered elsewhere. A part is blocked if chance does not explain its crashes, given how often
- * requests without it are ended. A crash that a blocked part explains does not count against other
- * parts. The evidence is shared between all entries, because each one sees only some of the crashes
- * and answers. Not thread-safe.
+ * the requests on which the instance had not begun to write, and the parts of their prompts. The
+ * cause recurs in crashes of different instances and is hardly ever answered, while the parts
+ * beside it are answered elsewhere. A part is blocked if chance does not explain its crashes, given
+ * how often requests without it are ended. A crash that a blocked part explains does not count
+ * against other parts. The evidence is shared between all entries, because each one sees only some
+ * of the crashes and answers. Not thread-safe.
+ *
+ * <p>A request is blocked for its own crashes, also if another one was at the same instances: two
+ * that always come together are told apart by nothing. Its crashes count against its parts only if
+ * requests with the parts are ended that do not explain them.
  */
 public final class PartQuarantine {
   /** The reporter of what this entry observes itself. */
@@ -27,12 +31,20 @@
   private static final String OTHERS = "others";
 
   /**
-   * The accepted probability that any of the suspected parts is blocked by chance. Each of them
-   * gets an equal share, so that more evidence is needed while many instances crash.
+   * The accepted probability that any of the suspected parts is blocked by chance, and that any of
+   * the suspected requests is. Each of them gets an equal share, so that more evidence is needed
+   * while many instances crash.
    */
   private static final double ERROR_PROBABILITY = 5e-4;
 
-  /** The number of parts among which the probability is divided at least. */
+  /**
+   * The number of crashes after which a request that was never answered is blocked without regard
+   * to chance. Few callers send a request so often, and it may reach instances three times more
+   * after the third crash.
+   */
+  static final int CERTAIN_CRASHES = 5;
+
+  /** The number of suspects among which the probability is divided at least. */
   private static final int MIN_SUSPECTS = 10;
 
   /** A request with a part that is in this many crashes may not be sent again after a crash. */
@@ -83,10 +95,10 @@
     this.listener = listener;
   }
 
-  /** Records that an instance has begun to write an answer to a request with these parts. */
-  public void began(List<Long> parts, long now) {
-    recentlyBegun.add(parts, now);
-    for (long part : parts) {
+  /** Records that an instance has begun to write an answer to a request. */
+  public void began(RequestTraits request, long now) {
+    recentlyBegun.add(request.parts(), now);
+    for (long part : request.ids()) {
       if (table.contains(part)) {
         table.begun(OWN, part, 1);
         changed = true;
@@ -95,39 +107,42 @@
   }
 
   /**
-   * Records that an instance ended a request with these parts before it had begun to write an
-   * answer.
+   * Records that an instance ended a request before it had begun to write an answer.
    *
    * @param instance the identifier of the instance
    * @param startMillis when the instance started, in milliseconds since 1970
    */
-  public void crashed(String instance, long startMillis, List<Long> parts, long now) {
-    recentlyEnded.add(parts, now);
+  public void crashed(String instance, long startMillis, RequestTraits request, long now) {
+    recentlyEnded.add(request.ids(), now);
     long crash = crashId(instance, startMillis);
-    for (long part : parts) {
+    for (long part : request.ids()) {
       boolean isNew = !table.contains(part);
-      table.crashed(part, crash, endedRate(part, now), now);
-      countRecent(isNew, part, now);
+      boolean wholeRequest = part == request.request();
+      table.crashed(part, wholeRequest, crash, endedRate(part, now), now);
+      countRecent(isNew, wholeRequest, part, now);
     }
   }
 
-  /** Returns the blocked parts that a request which has arrived has, or null. */
-  public @Nullable Set<Long> quarantined(List<Long> parts, long now) {
-    if (parts.isEmpty()) {
+  /**
+   * Returns what is blocked of a request that has arrived, itself or some of its parts, or null.
+   */
+  public @Nullable Set<Long> quarantined(RequestTraits request, long now) {
+    if (request.isEmpty()) {
       return null;
     }
     decide(now);
-    parts.forEach(p -> table.seen(p, now));
-    return blocked.stream().filter(parts::containsAll).findAny().orElse(null);
+    List<Long> ids = request.ids();
+    ids.forEach(p -> table.seen(p, now));
+    return blocked.stream().filter(ids::containsAll).findAny().orElse(null);
   }
 
   /**
-   * Returns whether a request with these parts may be the cause of crashes, so that it must not be
-   * sent to another instance.
+   * Returns whether a request may be the cause of crashes, so that it must not be sent to another
+   * instance.
    */
-  public boolean isSuspected(List<Long> parts, long now) {
+  public boolean isSuspected(RequestTraits request, long now) {
     decide(now);
-    return parts.stream().anyMatch(suspected::contains);
+    return request.ids().stream().anyMatch(suspected::contains);
   }
 
   /** Returns what this entry knows, to be reported to the other entries. */
@@ -143,18 +158,24 @@
     for (PartSuspicion p : report) {
       boolean isNew = !table.contains(p.part());
       table.merge(OTHERS, List.of(p), now);
-      countRecent(isNew, p.part(), now);
+      countRecent(isNew, p.wholeRequest(), p.part(), now);
     }
   }
 
-  /** Returns the number of blocked parts and groups of parts. */
+  /** Returns the number of blocked requests, parts and groups of parts. */
   public int size() {
     return blocked.size();
   }
 
-  private void countRecent(boolean isNew, long part, long now) {
+  /**
+   * Counts the answers to a new part that had begun before. Those to a request do not count: it may
+   * crash instances from now on.
+   */
+  private void countRecent(boolean isNew, boolean wholeRequest, long part, long now) {
     if (isNew) {
-      table.begun(OWN, part, recentlyBegun.count(part, now));
+      if (!wholeRequest) {
+        table.begun(OWN, part, recentlyBegun.count(part, now));
+      }
       reportsWhenSuspected.put(part, reports);
     }
     changed = true;
@@ -171,20 +192,32 @@
     Set<Set<Long>> next = new HashSet<>();
     Set<Long> nextSuspected = new HashSet<>();
     Set<Long> explained = new HashSet<>();
-    for (Group g = heaviest(explained, now); g != null; g = heaviest(explained, now)) {
-      next.add(g.parts);
-      g.parts.forEach(table::block);
-      nextSuspected.addAll(g.parts);
+    List<SuspicionTable.Suspect> requests = recurringRequests(now);
+    for (Group g = heaviest(explained, requests, now);
+        g != null;
+        g = heaviest(explained, requests, now)) {
+      block(g, next);
       explained.addAll(g.crashes);
-      if (!blocked.contains(g.parts)) {
-        listener.blocked(g.parts, g.crashes.size(), g.begun);
+    }
+    double acceptedChance = acceptedChance(true);
+    for (SuspicionTable.Suspect s : requests) {
+      if (recurrences(s, explained, now).size() >= SuspicionTable.MIN_CRASHES
+          && !isByChance(s, acceptedChance, now)
+          && isConsulted(s, now)) {
+        block(new Group(Set.of(s.part), Set.copyOf(s.crashes()), s.begun()), next);
       }
     }
+    next.forEach(nextSuspected::addAll);
     for (SuspicionTable.Suspect s : table.suspects()) {
-      List<Double> recurrences = recurrences(s, explained, now);
+      if (s.crashes().size() < MIN_CRASHES_TO_SUSPECT) {
+        continue;
+      }
+      Set<Long> others = s.isWholeRequest() ? explained : explainedFor(s, explained, requests);
+      List<Double> recurrences = recurrences(s, others, now);
       if (recurrences.size() >= MIN_CRASHES_TO_SUSPECT
           && s.isHardlyAnswered()
-          && chance(s, recurrences, explained) <= SUSPECTING_PROBABILITY) {
+          && (isNeverAnsweredRequest(s, recurrences, SuspicionTable.MIN_CRASHES)
+              || chance(s, recurrences, others) <= SUSPECTING_PROBABILITY)) {
         nextSuspected.add(s.part);
       }
     }
@@ -193,18 +226,91 @@
     suspected = nextSuspected;
   }
 
+  private void block(Group g, Set<Set<Long>> next) {
+    next.add(g.parts);
+    g.parts.forEach(table::block);
+    if (!blocked.contains(g.parts)) {
+      listener.blocked(g.parts, g.crashes.size(), g.begun);
+    }
+  }
+
+  /** Returns the requests that were at several crashes and were hardly answered. */
+  private List<SuspicionTable.Suspect> recurringRequests(long now) {
+    List<SuspicionTable.Suspect> out = new ArrayList<>();
+    for (SuspicionTable.Suspect s : table.suspects()) {
+      if (s.isWholeRequest()
+          && s.crashes().size() >= MIN_CRASHES_TO_SUSPECT
+          && s.isHardlyAnswered()
+          && recurrences(s, Set.of(), now).size() >= MIN_CRASHES_TO_SUSPECT) {
+        out.add(s);
+      }
+    }
+    return out;
+  }
+
+  private boolean isByChance(SuspicionTable.Suspect request, double acceptedChance, long now) {
+    List<Double> recurrences = recurrences(request, Set.of(), now);
+    return !request.isBlocked()
+        && !isNeverAnsweredRequest(request, recurrences, CERTAIN_CRASHES)
+        && chance(request, recurrences, Set.of()) > acceptedChance;
+  }
+
+  private double acceptedChance(boolean wholeRequests) {
+    long suspects =
+        table.suspects().stream().filter(s -> s.isWholeRequest() == wholeRequests).count();
+    return ERROR_PROBABILITY / Math.max(MIN_SUSPECTS, suspects);
+  }
+
+  private static boolean isNeverAnsweredRequest(
+      SuspicionTable.Suspect s, List<Double> recurrences, int minCrashes) {
+    return s.isWholeRequest() && s.begun() == 0 && recurrences.size() >= minCrashes;
+  }
+
+  /**
+   * Returns the crashes that do not count against a part: those that other parts explain, and those
+   * that requests with the part may have caused by themselves. If the part was never answered, that
+   * holds only if a single request explains all of them but one; requests with a part that crashes
+   * instances would otherwise each be taken for a cause of their own.
+   */
+  private static Set<Long> explainedFor(
+      SuspicionTable.Suspect part,
+      Set<Long> explainedByParts,
+      List<SuspicionTable.Suspect> requests) {
+    Set<Long> out = new HashSet<>(explainedByParts);
+    for (SuspicionTable.Suspect r : requests) {
+      boolean isExplained;
+      if (part.begun() > 0) {
+        isExplained = r.crashes().size() >= SuspicionTable.MIN_CRASHES;
+      } else {
+        Set<Long> others = new HashSet<>(part.crashes());
+        others.removeAll(explainedByParts);
+        others.removeAll(r.crashes());
+        isExplained = others.size() <= 1;
+      }
+      if (isExplained) {
+        out.addAll(r.crashes());
+      }
+    }
+    return out;
+  }
+
   /**
    * Returns the parts that are answered least for each of their crashes, or null if no part has
    * enough crashes that are not explained yet. Among parts that are answered equally often, those
    * with the most crashes are returned. Parts that were in the same crashes so far form a group: a
    * request with only some of them will show which one is the cause.
    */
-  private @Nullable Group heaviest(Set<Long> explained, long now) {
-    double acceptedChance = ERROR_PROBABILITY / Math.max(MIN_SUSPECTS, table.suspects().size());
+  private @Nullable Group heaviest(
+      Set<Long> explainedByParts, List<SuspicionTable.Suspect> requests, long now) {
+    double acceptedChance = acceptedChance(false);
     double least = Double.MAX_VALUE;
     int most = 0;
     Map<Set<Long>, Set<Long>> partsByCrashes = new HashMap<>();
     for (SuspicionTable.Suspect s : table.suspects()) {
+      if (s.isWholeRequest() || s.crashes().size() < SuspicionTable.MIN_CRASHES) {
+        continue;
+      }
+      Set<Long> explained = explainedFor(s, explainedByParts, requests);
       List<Double> recurrences = recurrences(s, explained, now);
       if (recurrences.size() < SuspicionTable.MIN_CRASHES
           || !s.isHardlyAnswered()
@@ -299,6 +405,9 @@
     return TextHash.of(instance + "@" + startMillis);
   }
 
-  /** Parts that are blocked together, their crashes, and the answers begun on each of them. */
+  /**
+   * A request, or parts that are blocked together, their crashes, and the answers begun on each of
+   * them.
+   */
   private record Group(Set<Long> parts, Set<Long> crashes, long begun) {}
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -8,12 +8,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
- * The suspected prompt parts that a process knows. Crashes from several reporters are united, so a
- * report that arrives twice or returns to its origin changes nothing; answers that began are added
- * up over the reporters. Parts expire some time after the last request with them. Thread-safe, but
- * for {@link #suspects}.
+ * The suspected requests and prompt parts that a process knows. Crashes from several reporters are
+ * united, so a report that arrives twice or returns to its origin changes nothing; answers that
+ * began are added up over the reporters. Parts expire some time after the last request with them.
+ * Thread-safe, but for {@link #suspects}.
  */
 public final class SuspicionTable {
   /**
@@ -22,17 +23,26 @@
    */
   public static final int MAX_CRASHES = 32;
 
-  /** The maximum number of parts. At about 1 KB each, they take a fraction of an entry's heap. */
+  /**
+   * The maximum number of parts, and of requests. At about 1 KB each, they take a fraction of an
+   * entry's heap.
+   */
   static final int MAX_PARTS = 256;
 
   /**
-   * The maximum number of parts in one report. At 600 bytes each, a report takes a fourth of the
-   * control traffic that an entry may cause in a second.
+   * The maximum number of suspects in one report, apart from recent requests. At 600 bytes each, a
+   * report takes a fourth of the control traffic that an entry may cause in a second.
    */
   static final int MAX_REPORTED = 12;
 
   /**
-   * The time at which a part is forgotten, in milliseconds: after the last request if the part is
+   * The maximum number of recent requests with few crashes in one report. Their crashes happen at
+   * different entries, each of which sees one; at 60 bytes each, they take little.
+   */
+  static final int MAX_RECENT = 20;
+
+  /**
+   * The time at which a suspect is forgotten, in milliseconds: after the last request if it is
    * blocked, otherwise after its last crash.
    */
   static final long EXPIRY_MILLIS = 600_000;
@@ -65,24 +75,28 @@
   static final int MAX_BEGUN_PER_CRASH = 3;
 
   /**
-   * Parts that may be the cause first, then those with more crashes, then those with more recent
+   * Suspects that may be the cause first, then those with more crashes, then those with more recent
    * requests.
    */
-  private static final Comparator<Suspect> BY_WEIGHT =
-      Comparator.comparing(Suspect::isHardlyAnswered)
-          .thenComparingInt(s -> s.crashes.size())
-          .thenComparingLong(s -> s.lastSeenAt)
+  private static final Comparator<Ranked> BY_WEIGHT =
+      Comparator.comparing(Ranked::hardlyAnswered)
+          .thenComparingInt(r -> r.suspect.crashes.size())
+          .thenComparingLong(r -> r.suspect.lastSeenAt)
           .reversed();
 
   private final Map<Long, Suspect> suspects = new HashMap<>();
 
   /**
-   * Records that an instance crashed before it began to write an answer on a part.
+   * Records that an instance crashed before it began to write an answer to a request.
    *
+   * @param part the identifier of the request, or of a part of its prompt
+   * @param wholeRequest whether it is that of the request
    * @param endedRate the fraction of the requests without the part that instances end now
    */
-  synchronized void crashed(long part, long crash, double endedRate, long now) {
+  synchronized void crashed(
+      long part, boolean wholeRequest, long crash, double endedRate, long now) {
     Suspect s = suspects.computeIfAbsent(part, Suspect::new);
+    s.wholeRequest |= wholeRequest;
     s.addCrash(crash, now, endedRate);
     s.lastSeenAt = now;
     evictIfFull();
@@ -115,6 +129,7 @@
       p.crashes().forEach(c -> s.addCrash(c.id(), now - Math.max(0, c.ageMillis()), c.endedRate()));
       s.begun.merge(reporter, p.begun(), Math::max);
       s.blocked |= p.blocked();
+      s.wholeRequest |= p.wholeRequest();
     }
     evictIfFull();
   }
@@ -154,7 +169,9 @@
         .map(
             s ->
                 new BlockedPart(
-                    s.part, s.crashes.keySet().stream().sorted().limit(MIN_CRASHES).toList()))
+                    s.part,
+                    s.wholeRequest,
+                    s.crashes.keySet().stream().sorted().limit(MIN_CRASHES).toList()))
         .toList();
   }
 
@@ -172,6 +189,7 @@
         s.lastSeenAt = now;
       }
       s.blocked = true;
+      s.wholeRequest |= b.wholeRequest();
     }
     evictIfFull();
   }
@@ -187,11 +205,14 @@
    */
   public synchronized List<PartSuspicion> report(Predicate<String> reporters, long now) {
     prune(now);
-    return suspects.values().stream()
-        .sorted(BY_WEIGHT)
-        .limit(MAX_REPORTED)
-        .map(s -> s.report(reporters, now))
-        .toList();
+    List<Suspect> ranked = ranked(s -> true);
+    List<Suspect> first = ranked.subList(0, Math.min(MAX_REPORTED, ranked.size()));
+    Stream<Suspect> recent =
+        ranked.subList(first.size(), ranked.size()).stream()
+            .filter(s -> s.wholeRequest && s.crashes.size() <= MIN_CRASHES)
+            .sorted(Comparator.comparingLong((Suspect s) -> s.lastSeenAt).reversed())
+            .limit(MAX_RECENT);
+    return Stream.concat(first.stream(), recent).map(s -> s.report(reporters, now)).toList();
   }
 
   /** Removes expired parts; returns whether there were any. */
@@ -205,19 +226,39 @@
 
   private void evictIfFull() {
     if (suspects.size() > MAX_PARTS) {
-      List<Suspect> all = new ArrayList<>(suspects.values());
-      all.sort(BY_WEIGHT);
+      evictIfFull(s -> s.wholeRequest);
+      evictIfFull(s -> !s.wholeRequest);
+    }
+  }
+
+  private void evictIfFull(Predicate<Suspect> kind) {
+    if (suspects.values().stream().filter(kind).count() > MAX_PARTS) {
+      List<Suspect> all = ranked(kind);
       all.subList(MAX_PARTS, all.size()).forEach(s -> suspects.remove(s.part));
     }
   }
 
-  /** A suspected part. */
+  /** Returns the suspects of a kind by their weights. */
+  private List<Suspect> ranked(Predicate<Suspect> kind) {
+    return suspects.values().stream()
+        .filter(kind)
+        .map(s -> new Ranked(s, s.isHardlyAnswered()))
+        .sorted(BY_WEIGHT)
+        .map(Ranked::suspect)
+        .toList();
+  }
+
+  /** A suspect and whether it may be the cause, which takes long to compare anew. */
+  private record Ranked(Suspect suspect, boolean hardlyAnswered) {}
+
+  /** A suspected request or part. */
   static final class Suspect {
     final long part;
     private final Map<Long, Crash> crashes = new HashMap<>();
     private final Map<String, Long> begun = new HashMap<>();
     private long lastSeenAt = Long.MIN_VALUE;
     private boolean blocked;
+    private boolean wholeRequest;
 
     Suspect(long part) {
       this.part = part;
@@ -243,6 +284,11 @@
           .toList();
     }
 
+    /** Returns whether a request with all its repetitions is suspected. */
+    boolean isWholeRequest() {
+      return wholeRequest;
+    }
+
     /** Returns whether an entry has found that chance does not explain the crashes. */
     boolean isBlocked() {
       return blocked;
@@ -276,7 +322,8 @@
     private PartSuspicion report(Predicate<String> reporters, long now) {
       List<PartSuspicion.Crash> out = new ArrayList<>();
       crashes.forEach((id, c) -> out.add(new PartSuspicion.Crash(id, now - c.at, c.endedRate)));
-      return new PartSuspicion(part, now - lastSeenAt, out, begun(reporters), blocked);
+      return new PartSuspicion(
+          part, now - lastSeenAt, out, begun(reporters), blocked, wholeRequest);
     }
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/package-info.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/package-info.java
@@ -1,6 +1,6 @@
 /**
- * The quarantine of prompt parts that crash instances: what entries observe of a part, how they
- * share it, and which parts they refuse. Has no I/O.
+ * The quarantine of requests and prompt parts that crash instances: what entries observe of them,
+ * how they share it, and which parts they refuse. Has no I/O.
  */
 @NullMarked
 package org.ebonypond.quarantine;
