Test that entries share the evidence against rare requests within their control traffic

A request that comes once in ten seconds at another entry each time, among others that are ended, is blocked at 9 and 77 entries after at most six crashes.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/QuarantineGossipTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/QuarantineGossipTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import org.ebonypond.quarantine.PartQuarantine;
 import org.ebonypond.quarantine.RequestTraits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,9 +19,17 @@
   private static final long POISON = 0xBAD;
   private static final RequestTraits HARMFUL = RequestTraits.ofParts(List.of(SHARED, POISON));
 
+  private static final RequestTraits REPEATED = new RequestTraits(0xDEAD, List.of(SHARED));
+
+  /** The crashes of a request until it must be blocked: the third, and three more later. */
+  private static final int MAX_REQUEST_CRASHES = 6;
+
   /** The time within which all processes in touch must act on new facts. */
   private static final long CONTACT_MILLIS = 3_000;
 
+  private long nextRequest = 1L << 32;
+  private int crashes;
+
   private static PollNetwork network(int entries) {
     PollNetwork net = new PollNetwork(3, entries, 10);
     net.timers.advance(5_000);
@@ -109,4 +118,76 @@
     long perSecond = (net.entries.get(0).bytes() - before) / 10;
     assertTrue(perSecond <= 27_000, perSecond + " bytes a second");
   }
+
+  /** Guards against a request whose crashes no two entries see, among those of many others. */
+  @ParameterizedTest
+  @ValueSource(ints = {9, 77})
+  void rareRequestIsBlockedAtAllEntries(int entries) {
+    PollNetwork net = network(entries);
+    for (int i = 0; i < MAX_REQUEST_CRASHES; i++) {
+      int e = (7 * i) % entries;
+      if (net.entries.get(e).quarantine.quarantined(REPEATED, net.timers.nowMillis()) == null) {
+        crashBeside(net, e, REPEATED, 5);
+      }
+      for (int second = 0; second < 10; second++) {
+        crashBeside(net, (e + 1 + second) % entries, REPEATED.parts(), 8);
+        net.timers.advance(1_000);
+      }
+    }
+    assertEquals(entries, blocking(net, REPEATED));
+    assertEquals(0, blocking(net, new RequestTraits(nextRequest++, REPEATED.parts())));
+  }
+
+  /** Guards against a request that comes back when all replicas are lost while it is blocked. */
+  @Test
+  void requestStaysBlockedWhenTheReplicasAreRestarted() {
+    PollNetwork net = network(9);
+    for (int e = 0; e < 5; e++) {
+      crashBeside(net, e, REPEATED, 0);
+      net.timers.advance(500);
+    }
+    net.timers.advance(CONTACT_MILLIS);
+    net.replicas.keySet().forEach(net::restart);
+    net.timers.advance(CONTACT_MILLIS);
+    net.entries.get(7).restart();
+    net.timers.advance(CONTACT_MILLIS);
+    assertEquals(9, blocking(net, REPEATED));
+  }
+
+  /** Guards against evidence of distinct requests that takes the bandwidth of control traffic. */
+  @Test
+  void evidenceOfManyEndedRequestsStaysWithinTheControlTraffic() {
+    PollNetwork net = network(9);
+    for (int i = 0; i < 200; i++) {
+      crashBeside(net, i % 9, List.of(SHARED), 40);
+      net.timers.advance(50);
+    }
+    long before = net.entries.get(0).bytes();
+    net.timers.advance(10_000);
+    long perSecond = (net.entries.get(0).bytes() - before) / 10;
+    assertTrue(perSecond <= 27_000, perSecond + " bytes a second");
+  }
+
+  private void crashBeside(PollNetwork net, int entry, RequestTraits harmful, int others) {
+    long now = net.timers.nowMillis();
+    net.entries.get(entry).quarantine.crashed("i-" + ++crashes, 1, harmful, now);
+    end(net, entry, harmful.parts(), others);
+  }
+
+  private void crashBeside(PollNetwork net, int entry, List<Long> parts, int requests) {
+    crashes++;
+    end(net, entry, parts, requests);
+  }
+
+  /** Ends requests that are not repeated. */
+  private void end(PollNetwork net, int entry, List<Long> parts, int requests) {
+    PartQuarantine q = net.entries.get(entry).quarantine;
+    long now = net.timers.nowMillis();
+    for (int i = 0; i < requests; i++) {
+      q.crashed("i-" + crashes, 1, new RequestTraits(nextRequest++, parts), now);
+    }
+    for (int i = 0; i < 20 * requests; i++) {
+      q.began(new RequestTraits(nextRequest++, parts), now);
+    }
+  }
 }
