--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -69,8 +69,10 @@
         first ? now - SETTLE_MILLIS - state.stallMillis - PlannerState.STALL_MARGIN_MILLIS : now;
     state.sentOrders.clear();
     state.planned.clear();
-    state.quarantineUntil.clear();
+    state.lastGroups.clear();
     state.confirmedLeft.clear();
+    state.leaveAnswers.clear();
+    state.decisions.startTerm();
     state.heads.clear();
     state.incompleteSince.clear();
     state.staging.clear();
@@ -86,6 +88,11 @@
     return summary;
   }
 
+  /** Returns the decisions of the last round that its orders do not explain, for the log. */
+  public List<GroupDecision> decisions() {
+    return state.decisions.latest();
+  }
+
   /** Returns the term of the current leadership, or -1 before the first. */
   public long term() {
     return state.term;
@@ -109,6 +116,7 @@
       EngineProfile engine,
       boolean beforeTraffic,
       long now) {
+    state.decisions.clear();
     if (now - state.termStart < SETTLE_MILLIS) {
       return List.of();
     }
@@ -119,6 +127,9 @@
         round.add(u);
       }
     }
+    state.leaveAnswers.keySet().retainAll(state.confirmedLeft.keySet());
+    round.recordLastGroups();
+    state.decisions.observe(round);
     state.incompleteSince.keySet().retainAll(round.groups.keySet());
     state.heads.keySet().retainAll(round.groups.keySet());
     state.retiring.keySet().retainAll(round.groups.keySet());
@@ -149,15 +160,18 @@
   public void answered(FleetOrder order, OrderOutcome outcome, long now) {
     state.sentOrders.answered(order, outcome, now);
     boolean done = outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.HOLDS;
-    boolean notMember = outcome == OrderOutcome.CONFLICT || outcome == OrderOutcome.ABSENT;
-    if (order.kind() == FleetOrder.Kind.LEAVE && (done || notMember)) {
+    boolean absent = outcome == OrderOutcome.MISDIRECTED || outcome == OrderOutcome.REFUSED;
+    // Any other answer says nothing of the group: an instance that serves may refuse connections.
+    if (order.kind() == FleetOrder.Kind.LEAVE && done) {
       state.confirmedLeft.put(order.instance(), GroupView.key(order.group(), order.epoch()));
+      state.lastGroups.confirmLeft(order.instance(), order.group(), order.epoch(), now);
+      state.leaveAnswers.put(order.instance(), new PlannerState.LeaveAnswer(outcome, now));
     }
     if (order.kind() == FleetOrder.Kind.STAGE && !done) {
       // An unanswered order may be executed much later, or never.
       state.staging.remove(order.instance());
     }
-    if (outcome == OrderOutcome.ABSENT) {
+    if (absent) {
       state.avoidUntil.put(order.instance(), now + AVOID_MILLIS);
     }
     if (order.kind() == FleetOrder.Kind.JOIN && !done) {
