Keep the times of known crashes when blocked requests are restored from the log

Cause: when the list of blocked requests in the log changes, the leader takes it over "as if the crashes had just happened", 200 ms apart in the order of their identifiers, also those that it knows. The earlier of two times wins, so a crash that was 0.31 s after another one moved to less than 200 ms after it, and both then count as one. Two crashes are not enough for a verdict, and the reports carry the times to all entries. The same holds for blocked prompt parts.

Fix: restoring adds only crashes that are unknown, before the known ones, so that they are never counted as one with them.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/RequestQuarantineTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/RequestQuarantineTest.java
@@ -227,6 +227,45 @@
     assertEquals(0, recorder.decisions);
   }
 
+  /** Guards against a block that ends once the log returns it to replicas that know its crashes. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void blockOutlastsItsReturnFromTheLog(long seed) {
+    // The log sorts crashes by identifiers, which do not follow their times.
+    crashes = (int) seed * SuspicionTable.MIN_CRASHES;
+    answer(500, SHARED);
+    for (int i = 0; i < SuspicionTable.MIN_CRASHES; i++) {
+      now += SuspicionTable.SIMULTANEOUS_MILLIS + 50;
+      crashBeside(0, HARMFUL);
+    }
+    for (int i = 0; i < PartQuarantine.CONSULTED_REPORTS; i++) {
+      quarantine.merge(List.of(), now);
+    }
+    now += SuspicionTable.SIMULTANEOUS_MILLIS / 2;
+    assertTrue(isBlocked(HARMFUL));
+    SuspicionTable replica = new SuspicionTable();
+    replica.merge("entry", quarantine.report(now), now);
+    replica.restore(replica.blockedParts(now), now);
+    quarantine.merge(replica.report(r -> true, now), now);
+    assertTrue(isBlocked(HARMFUL));
+  }
+
+  /** Guards against a restored block that ends because a replica already knows a new crash. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 2})
+  void blockIsRestoredBesideKnownCrash(int known) {
+    List<Long> kept = List.of(1L, 2L, 3L);
+    PartSuspicion.Crash crash = new PartSuspicion.Crash(kept.get(known), 100, 0.5);
+    SuspicionTable replica = new SuspicionTable();
+    replica.merge(
+        "entry",
+        List.of(new PartSuspicion(HARMFUL.request(), 0, List.of(crash), 0, false, true)),
+        now);
+    replica.restore(List.of(new BlockedPart(HARMFUL.request(), true, kept)), now);
+    quarantine.merge(replica.report(r -> true, now), now);
+    assertTrue(isBlocked(HARMFUL));
+  }
+
   /** Guards against a block that ends while the request comes, and one that never ends. */
   @Test
   void blockLastsAsLongAsTheRequestComes() {
--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/SuspicionTable.java
@@ -177,14 +177,12 @@
 
   /**
    * Adds parts that were blocked before all processes stopped, as if their crashes had just
-   * happened one after the other. Known parts are not renewed.
+   * happened one after the other. Known parts are not renewed, and known crashes keep their times.
    */
   public synchronized void restore(List<BlockedPart> parts, long now) {
     for (BlockedPart b : parts) {
       Suspect s = suspects.computeIfAbsent(b.part(), Suspect::new);
-      for (int i = 0; i < b.crashes().size(); i++) {
-        s.addCrash(b.crashes().get(i), now - i * SIMULTANEOUS_MILLIS, 0);
-      }
+      s.addEarlierCrashes(b.crashes(), now);
       if (s.lastSeenAt == Long.MIN_VALUE) {
         s.lastSeenAt = now;
       }
@@ -270,6 +268,20 @@
       }
     }
 
+    /** Adds those crashes that are unknown, at different times before the known ones. */
+    private void addEarlierCrashes(List<Long> ids, long now) {
+      long at = now;
+      for (Crash c : crashes.values()) {
+        at = Math.min(at, c.at - SIMULTANEOUS_MILLIS);
+      }
+      for (long id : ids) {
+        if (!crashes.containsKey(id)) {
+          addCrash(id, at, 0);
+          at -= SIMULTANEOUS_MILLIS;
+        }
+      }
+    }
+
     /** Returns the identifiers of the crashes. */
     Set<Long> crashes() {
       return crashes.keySet();
