Make the runs of QuarantineRandomTest repeatable

The unanswered requests of an instance were kept in a hash set whose order depends on the identity of objects, so that a crash repeated them in another order each time, and a failing seed could pass in the next run. They are kept in the order of sending. No bound changes.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/QuarantineRandomTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/quarantine/QuarantineRandomTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -99,7 +99,10 @@
 
   private static final class Instance {
     final String id;
-    final Set<Sent> unanswered = new HashSet<>();
+
+    /** In the order of sending, so that a seed always gives the same run. */
+    final Set<Sent> unanswered = new LinkedHashSet<>();
+
     long downUntil;
 
     Instance(String id) {
