--- a/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/quarantine/PartQuarantine.java
@@ -39,8 +39,8 @@
 
   /**
    * The number of crashes after which a request that was never answered is blocked without regard
-   * to chance. Few callers send a request so often, and it may reach instances three times more
-   * after the third crash.
+   * to chance. It may reach instances three times more after the third crash; the last of these is
+   * left for entries that learn of the block late.
    */
   static final int CERTAIN_CRASHES = 5;
 
