--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -11,7 +11,8 @@
  *
  * <p>A member may join another group only once the head of its old group can no longer serve: the
  * head reported so, confirmed that it left the group, or has been without this member for at least
- * the time after which a head detects a missing member.
+ * the time after which a head detects a missing member. That time starts anew with each report of
+ * the head that it serves, and when an unanswered order to open the group may be executed.
  */
 public final class FleetPlanner {
   /** How long a new leader waits for heartbeats to arrive before it plans, in milliseconds. */
@@ -25,9 +26,6 @@
   /** The number of unanswered join orders after which the group is abandoned. */
   private static final int MAX_JOIN_ATTEMPTS = 3;
 
-  /** The low bits of an epoch count within a term; the high bits hold the term. */
-  private static final int EPOCH_BITS = 24;
-
   private final PlannerState state;
   private String summary = "";
   private int instanceCount;
@@ -41,16 +39,10 @@
    * @param quickSilentMillis the same for a member of a group without progress
    * @param stallMillis the time after which a head detects a missing member, in milliseconds
    * @param loadLimiter limits the loads from the weight store
-   * @param knownSince the time since which this process has known what instances report, in
-   *     milliseconds; what they did before is unknown
    */
   public FleetPlanner(
-      long silentMillis,
-      long quickSilentMillis,
-      long stallMillis,
-      WeightLoadLimiter loadLimiter,
-      long knownSince) {
-    state = new PlannerState(silentMillis, quickSilentMillis, stallMillis, loadLimiter, knownSince);
+      long silentMillis, long quickSilentMillis, long stallMillis, WeightLoadLimiter loadLimiter) {
+    state = new PlannerState(silentMillis, quickSilentMillis, stallMillis, loadLimiter);
   }
 
   /**
@@ -64,7 +56,7 @@
   public void startTerm(long newTerm, boolean first, double loadsPerSecond, long now) {
     state.term = newTerm;
     state.first = first;
-    state.highestEpoch = newTerm << EPOCH_BITS;
+    state.highestEpoch = newTerm << PlannerState.EPOCH_BITS;
     state.termStart =
         first ? now - SETTLE_MILLIS - state.stallMillis - PlannerState.STALL_MARGIN_MILLIS : now;
     state.sentOrders.clear();
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -9,12 +9,15 @@
   /** The margin for late messages, added to the time after which a head detects a lost member. */
   static final long STALL_MARGIN_MILLIS = 500;
 
+  /** The low bits of an epoch count within a term; the high bits hold the term. */
+  static final int EPOCH_BITS = 24;
+
   /** How long sent orders are kept; longer than any delay in their execution. */
   static final long KEEP_ORDERS_MILLIS = 120_000;
 
   /**
    * How late an instance may execute an order that it did not answer, in milliseconds; the longest
-   * delay that users name.
+   * delay in the users' trials of late orders.
    */
   static final long LATE_ORDER_MILLIS = 12_000;
 
@@ -63,9 +66,6 @@
   /** When a group was first found to lack the report of a member, by group and epoch. */
   final Map<String, Long> incompleteSince = new HashMap<>();
 
-  /** The time since which this process has known what instances report, in milliseconds. */
-  final long knownSince;
-
   /** Whether no earlier leader can have sent orders. */
   boolean first;
 
@@ -79,12 +79,7 @@
   long highestEpoch;
 
   PlannerState(
-      long silentMillis,
-      long quickSilentMillis,
-      long stallMillis,
-      WeightLoadLimiter loadLimiter,
-      long knownSince) {
-    this.knownSince = knownSince;
+      long silentMillis, long quickSilentMillis, long stallMillis, WeightLoadLimiter loadLimiter) {
     this.silentMillis = silentMillis;
     this.quickSilentMillis = quickSilentMillis;
     this.stallMillis = stallMillis;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -38,7 +38,7 @@
   /** Added to that time, in milliseconds. */
   private static final long READY_TIMEOUT_MARGIN_MILLIS = 5_000;
 
-  /** In fewer heartbeats an instance cannot join a group, serve and leave it again. */
+  /** In so few heartbeats an instance does not report that it joins, is ready and leaves again. */
   private static final int MAX_MISSED_HEARTBEATS = 3;
 
   final PlannerState state;
@@ -57,6 +57,9 @@
   /** The instances that cannot join a new group in this round. */
   final Set<String> assigned = new HashSet<>();
 
+  /** The highest epoch of the groups that each instance may join by an order already sent. */
+  private final Map<String, Long> laterEpochs = new HashMap<>();
+
   /** The number of usable and planned groups of each model. */
   final Map<String, Integer> counts = new HashMap<>();
 
@@ -107,11 +110,9 @@
   void recordLastGroups() {
     state.lastGroups.retain(instances.keySet());
     for (FleetInstance i : instances.values()) {
-      GroupMembership g = i.group();
-      String head =
-          g == null ? "" : state.heads.getOrDefault(GroupView.key(g.name(), g.epoch()), "");
-      state.lastGroups.report(i, head, now);
+      state.lastGroups.report(i, now);
     }
+    state.lastGroups.nameHeads(state.heads);
   }
 
   /**
@@ -119,6 +120,10 @@
    * dissolves those that can no longer serve.
    */
   void reviewGroups() {
+    for (PlannedGroup p : state.planned.values()) {
+      p.members().forEach(id -> laterEpochs.merge(id, p.epoch(), Math::max));
+    }
+    state.sentOrders.addUnansweredJoins(now - PlannerState.LATE_ORDER_MILLIS, laterEpochs);
     for (GroupView g : groups.values()) {
       FleetInstance head = g.head();
       GroupDecision.Cause lost = lossOf(g);
@@ -153,13 +158,14 @@
     if (hasHeadLeft(g)) {
       return departureOf(g);
     }
-    for (PlannedGroup p : state.planned.values()) {
-      for (FleetInstance m : g.members.values()) {
-        if (p.epoch() > g.epoch && p.members().contains(m.id())) {
-          return GroupDecision.Cause.of(GiveUpReason.MEMBER_TAKEN, m.id(), now - p.since());
-        }
+    for (FleetInstance m : g.members.values()) {
+      if (laterEpochs.getOrDefault(m.id(), g.epoch) > g.epoch) {
+        return GroupDecision.Cause.of(GiveUpReason.MEMBER_TAKEN, m.id(), -1);
       }
     }
+    if (g.isReady() && g.epoch >> PlannerState.EPOCH_BITS < state.term) {
+      return GroupDecision.Cause.of(GiveUpReason.EARLIER_TERM);
+    }
     InstanceLoad load = loadOf(g);
     boolean progressing = load != null && load.hasProgress();
     long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
@@ -590,22 +596,63 @@
     }
     LastGroup last = state.lastGroups.of(i.id());
     if (last != null && last.hasLeft()) {
-      return hasWaitedSince(last) || hasHeadLeft(last);
+      return isReleased(last) || hasWaitedSince(last);
     }
-    if (i.group() != null) {
-      return true;
+    GroupMembership g = i.group();
+    if (g != null) {
+      return !isInServingGroup(i, g);
+    }
+    return state.first || isNew(i) || hasWaitedSinceUnknownGroup(i);
+  }
+
+  /**
+   * Returns whether an instance reports a place in a group that may serve although another instance
+   * reports the same place; the members of other groups have been reviewed.
+   */
+  private boolean isInServingGroup(FleetInstance i, GroupMembership g) {
+    GroupView view = groups.get(GroupView.key(g.name(), g.epoch()));
+    FleetInstance member = view == null ? null : view.members.get(g.rank());
+    boolean isPlaceTaken = member != null && !member.id().equals(i.id());
+    return view != null && isPlaceTaken && !hasHeadLeft(view) && mayServe(view);
+  }
+
+  /**
+   * Returns whether an instance has sent so few heartbeats since its start that it was in no group.
+   */
+  static boolean isNew(FleetInstance i) {
+    return i.sequence() <= MAX_MISSED_HEARTBEATS;
+  }
+
+  /**
+   * Returns whether the head of a group that an instance may have left before this leader heard of
+   * it must have found it missing.
+   */
+  private boolean hasWaitedSinceUnknownGroup(FleetInstance i) {
+    return unknownGroupMillis(i) >= state.maxStallMillis();
+  }
+
+  /**
+   * Returns for how long the head of such a group may have missed an instance, in milliseconds. Any
+   * head in its domain that still reports that it serves, and lacks members, may be the one.
+   */
+  long unknownGroupMillis(FleetInstance i) {
+    long since = state.lastGroups.knownSince(i.id());
+    for (GroupView g : groups.values()) {
+      FleetInstance h = g.head();
+      boolean lacksMembers = h != null && !g.isComplete() && domainOf(h).equals(domainOf(i));
+      MemberState status = g.headState();
+      if (lacksMembers && (status == MemberState.OPEN || status == MemberState.CLOSING)) {
+        since = Math.max(since, now - ageOf(h));
+      }
     }
-    // An instance with a model was in a group, whose head may still wait for it if an earlier
-    // leader ordered it to leave.
-    long maxStall = state.maxStallMillis();
-    return i.lastModel().isEmpty()
-        ? state.first || now - state.knownSince >= maxStall || isKnownSinceItsStart(i)
-        : now - state.termStart >= maxStall;
+    return now - since;
   }
 
   /** Returns whether the head must have found an instance missing that left its group. */
   boolean hasWaitedSince(LastGroup last) {
-    return waitedMillis(last) >= state.maxStallMillis();
+    // The time of late orders is asked last because it takes a search of all orders sent.
+    return now - last.leftAt() >= state.maxStallMillis()
+        && waitedMillis(last) >= state.maxStallMillis();
   }
 
   /**
@@ -639,7 +686,7 @@
   }
 
   /** Returns whether the head of a group that an instance has left cannot serve it any more. */
-  private boolean hasHeadLeft(LastGroup last) {
+  boolean isReleased(LastGroup last) {
     if (last.key().equals(state.confirmedLeft.get(last.head))) {
       return true;
     }
@@ -653,15 +700,6 @@
         || g.state() == MemberState.BROKEN;
   }
 
-  /**
-   * Returns whether an instance has sent so few heartbeats that this process has heard of every
-   * group it was in.
-   */
-  boolean isKnownSinceItsStart(FleetInstance i) {
-    long received = (now - state.knownSince) / state.quickSilentMillis;
-    return i.sequence() <= received + MAX_MISSED_HEARTBEATS;
-  }
-
   boolean isLost(FleetInstance i) {
     return i.phase() == InstancePhase.GONE || ageOf(i) > state.silentMillis;
   }
