--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
@@ -8,7 +8,7 @@
   FOREIGN_GROUP,
   /** Another instance reports its place in the group. */
   PLACE_TAKEN,
-  /** The head reports another group or none. */
+  /** The head reports another group or none; it may have restarted. */
   HEAD_REPORTED_LEFT,
   /** The head has confirmed an order to leave. */
   HEAD_ANSWERED_LEAVE,
@@ -16,7 +16,7 @@
   HEAD_BROKEN,
   /** This leader formed the group and never opened it, or none can open it any more. */
   NEVER_OPENED,
-  /** It was ordered to leave long ago enough for the head to have found it missing. */
+  /** It left long ago enough for the head to have found it missing. */
   WAITED_AFTER_LEAVE,
   /** It is in no group, and the leader has known it for as long as that. */
   WAITED_IN_TERM
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -4,7 +4,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** The state that a planner keeps between rounds; cleared at the start of each term. */
+/**
+ * The state that a planner keeps between rounds. What concerns instances and groups is cleared at
+ * the start of each term.
+ */
 final class PlannerState {
   /** The margin for late messages, added to the time after which a head detects a lost member. */
   static final long STALL_MARGIN_MILLIS = 500;
