Log which replica confirmed a configuration, and what a new leader confirms first

The record of a refusal by an old configuration could not tell a lost version from a wrong confirmation or from the lack of a leader. A refusal now names the newest version that the entry knows and the replica that confirmed it, a request that is sent the version and its age, a replica where its log ends when it is opened, and a leader the version that it confirms first.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -139,6 +139,7 @@
   private List<String> restoredQuarantine = List.of();
   private List<Departure> appliedDepartures = List.of();
   private long loggedVersion;
+  private long confirmedTerm = -1;
   private long decodedVersion;
   private boolean decoding;
   private long decodingStartedAt;
@@ -263,6 +264,12 @@
 
   /** Starts the log, the polling and the planning of groups. */
   public void start() {
+    LOG.atInfo()
+        .addMarker(LogMarkers.STATE)
+        .addKeyValue("last_index", status().lastDurableIndex())
+        .addKeyValue("committed_index", status().commitIndex())
+        .addKeyValue("term", status().term())
+        .log("log opened");
     log.start();
     poller.start();
     timers.every(PLAN_MILLIS, () -> executor.execute(this::plan));
@@ -556,6 +563,9 @@
     }
     logConfiguration(now);
     ReplicaStatus s = log.status();
+    if (holdsNewestState) {
+      logFirstConfirmation(s);
+    }
     boolean leads = s.role() == RaftRole.LEADER && s.mayLead(now);
     if (leads || now - decodingStartedAt >= FOLLOWER_DECODING_MILLIS) {
       decodeNewest(now);
@@ -634,6 +644,19 @@
     }
   }
 
+  /** Logs what a new leader takes for the newest state, once a majority has confirmed its term. */
+  private void logFirstConfirmation(ReplicaStatus s) {
+    if (s.term() != confirmedTerm) {
+      confirmedTerm = s.term();
+      LOG.atInfo()
+          .addMarker(LogMarkers.STATE)
+          .addKeyValue("term", s.term())
+          .addKeyValue("applied", s.appliedIndex())
+          .addKeyValue("version", log.current().version())
+          .log("a majority confirms the leader");
+    }
+  }
+
   private void logSummary(String service, String summary) {
     if (!summary.equals(summaries.put(service, summary))) {
       LOG.atInfo().addKeyValue("service", service).addKeyValue("state", summary).log("groups");
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -44,6 +44,7 @@
   private long version;
   private long receivedVersion;
   private String configSource = "";
+  private String confirmationSource = "";
   private long firstConfigAt;
   private long replacedVersion;
   private long replacedAt;
@@ -76,6 +77,7 @@
     if (r.state() != null) {
       accept(replica, r.state(), r.stateAgeMillis(), now);
     }
+    final long knownBefore = newestVersion.knownAt();
     if (!newestVersion.record(r, sentAt)) {
       LOG.atWarn()
           .addKeyValue("replica", replica)
@@ -83,6 +85,9 @@
           .addKeyValue("known", newestVersion.version())
           .log("an older configuration is reported as the newest");
     }
+    if (newestVersion.knownAt() != knownBefore) {
+      confirmationSource = replica;
+    }
     noteReplacement(now);
     for (InstanceUpdate u : r.instances()) {
       FleetInstance i = u.instance();
@@ -202,6 +207,16 @@
     return configSource;
   }
 
+  /** Returns the newest version that a replica is known to have committed; 0 if none is known. */
+  public long newestVersion() {
+    return newestVersion.version();
+  }
+
+  /** Returns the control replica that last told which version is the newest; empty if none has. */
+  public String confirmationSource() {
+    return confirmationSource;
+  }
+
   /**
    * Returns how long ago the configuration in force was known to be the newest committed one, in
    * milliseconds; -1 if it never was or if a newer one is known.
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -413,7 +413,7 @@
     Attempt a = new Attempt(this, forwarder, answer, target, selection, buffer);
     current = a;
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
-    log.sent(cause, target, selection, d, a.stats(), loadOfOthers);
+    log.sent(cause, forwarder.view(), target, selection, d, a.stats(), loadOfOthers);
     InetSocketAddress to = ReplicaDirectory.address(target.address());
     long maxIdle = route().idempotent() ? Long.MAX_VALUE : MAX_IDLE_MILLIS;
     a.sent(
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -42,8 +42,14 @@
     this.receivedAt = receivedAt;
   }
 
+  /**
+   * Logs that a request is sent.
+   *
+   * @param view the view whose configuration has chosen the service
+   */
   void sent(
       String cause,
+      FleetView view,
       FleetInstance target,
       TargetSelector.Selection selection,
       Dispatch dispatch,
@@ -59,6 +65,8 @@
         .addKeyValue("others_active", loadOfOthers == null ? 0 : loadOfOthers.active())
         .addKeyValue("resume_after", dispatch.resumeAfter())
         .addKeyValue("left_ms", dispatch.remainingMillis())
+        .addKeyValue("config", view.version())
+        .addKeyValue("config_age_ms", view.configAgeMillis(timers.nowMillis()))
         .log("request sent");
   }
 
@@ -185,6 +193,8 @@
         .addKeyValue("config", view.version())
         .addKeyValue("config_age_ms", view.configAgeMillis(timers.nowMillis()))
         .addKeyValue("config_source", view.configSource())
+        .addKeyValue("newest_config", view.newestVersion())
+        .addKeyValue("confirmed_by", view.confirmationSource())
         .addKeyValue("predicted_end_ms", predictedEndMillis)
         .addKeyValue("left_ms", remainingMillis)
         .addKeyValue("took_ms", tookMillis())
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/NewestVersion.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/NewestVersion.java
@@ -70,6 +70,14 @@
     return times.isEmpty() ? 0 : times.lastKey();
   }
 
+  /**
+   * Returns the latest time of which the newest version is known, in milliseconds, also if the
+   * process was suspended since; {@code Long.MIN_VALUE} if there is none.
+   */
+  public long knownAt() {
+    return times.isEmpty() ? Long.MIN_VALUE : times.lastEntry().getValue();
+  }
+
   /** Returns whether a newer version than the given one is known. */
   public boolean isOutdated(long held) {
     return !times.isEmpty() && times.lastKey() > held;
