Do not serve for long by what no leader confirms

Callers: a route or a key that a change has taken away was obeyed by entries that did not know the change yet (CONFIG), for as long as the replicas had no leader after the loss of all of them.

Cause: a change that is acknowledged right before the loss is known to no entry. Nobody tells an entry that its version is an old one until there is a leader, and until then it served by what it held, of any age.

While replicas that reach a majority answer its polls, an entry now takes a version for too old to serve by once no replica has confirmed it for the time after which processes in contact must act by what is committed. Requests wait for a confirmation and get 503 if none comes. Entries go on serving while the replicas reach no majority.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetView.java
@@ -35,6 +35,12 @@
    */
   private static final long COLD_REPORT_MILLIS = 3_000;
 
+  /**
+   * How long the answer of a replica that reaches a majority tells that replicas are connected, in
+   * milliseconds: two polls of each replica and their answers.
+   */
+  private static final long CONNECTED_MILLIS = 2_000;
+
   private final ConfigSource source;
   private final SuspensionDetector suspensions;
   private final NewestVersion newestVersion;
@@ -48,6 +54,7 @@
   private long firstConfigAt;
   private long replacedVersion;
   private long replacedAt;
+  private long connectedAt = Long.MIN_VALUE;
   private long zonesIndex = -1;
   private Set<String> zonesOut = Set.of();
   private final Map<String, Long> restoredAt = new HashMap<>();
@@ -88,6 +95,9 @@
     if (newestVersion.knownAt() != knownBefore) {
       confirmationSource = replica;
     }
+    if (r.ready()) {
+      connectedAt = Math.max(connectedAt, sentAt);
+    }
     noteReplacement(now);
     for (InstanceUpdate u : r.instances()) {
       FleetInstance i = u.instance();
@@ -254,6 +264,20 @@
     return config == null || newestVersion.version() > 0 ? 0 : millisSince(firstConfigAt, now);
   }
 
+  /**
+   * Returns for how long no replica has confirmed any version although replicas that reach a
+   * majority answer, in milliseconds; 0 if no such replica answers, or if none has confirmed a
+   * version yet. A change that was committed right before all replicas were lost is known to nobody
+   * until they have a leader again. The time before a suspension does not count.
+   */
+  public long leaderlessMillis(long now) {
+    long resumedAt = suspensions.resumedAt();
+    boolean connected = connectedAt > resumedAt && now - connectedAt < CONNECTED_MILLIS;
+    return connected && newestVersion.version() > 0
+        ? now - Math.max(newestVersion.knownAt(), resumedAt)
+        : 0;
+  }
+
   private long millisSince(long time, long now) {
     return time > suspensions.resumedAt() ? now - time : Long.MAX_VALUE;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -148,9 +148,15 @@
         >= forwarder.configAges().replacedMillis();
   }
 
+  /** Returns whether no replica has confirmed a configuration for too long. */
+  private boolean isLeaderless() {
+    return forwarder.view().leaderlessMillis(timers.nowMillis())
+        >= forwarder.configAges().leaderlessMillis();
+  }
+
   /** Resolves the route, the workspace and the service of the request, and dispatches it. */
   private void accept(ServingConfig config) {
-    if (isReplaced() || isOfUnknownAge()) {
+    if (isReplaced() || isOfUnknownAge() || isLeaderless()) {
       // A later version may have taken the route or the key away.
       if (!waitForConfirmation()) {
         refuseUnconfigured();
