Let an entry open connections to instances for another one

An entry that cannot reach an instance has no other way to it. The entry that asks keeps every decision on a request.

Not used yet.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -18,6 +18,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.regex.Pattern;
+import org.ebonypond.server.relay.RelayLostException;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -27,7 +28,7 @@
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
 
   private final BackendPool pool;
-  private final String instance;
+  private final String key;
   private final TimerService timers;
   private final UnsolicitedByteLimiter unsolicited = new UnsolicitedByteLimiter();
   private final EndOfInput endOfInput = new EndOfInput();
@@ -37,12 +38,18 @@
   private int requests;
   private boolean idle;
   private boolean broken;
+  private boolean retired;
   private long idleSince;
   private long idleTimeoutMillis;
 
-  BackendConnection(BackendPool pool, String instance, TimerService timers) {
+  /**
+   * Creates a connection for a first request.
+   *
+   * @param key the key of this connection in the pool
+   */
+  BackendConnection(BackendPool pool, String key, TimerService timers) {
     this.pool = pool;
-    this.instance = instance;
+    this.key = key;
     this.timers = timers;
   }
 
@@ -85,6 +92,15 @@
     }
   }
 
+  /** Sends no request on this connection after the current one. */
+  void retire() {
+    retired = true;
+    if (idle) {
+      pool.remove(key, this);
+      close();
+    }
+  }
+
   void connectFailed(String reason) {
     Exchange x = current;
     current = null;
@@ -110,7 +126,7 @@
       Exchange x = current;
       if (x == null || broken) {
         // The backend server sent data that belongs to no request.
-        pool.remove(instance, this);
+        pool.remove(key, this);
         close();
         return;
       }
@@ -152,7 +168,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     broken = true;
     endAnswered();
-    pool.remove(instance, this);
+    pool.remove(key, this);
     Exchange x = current;
     current = null;
     if (x != null) {
@@ -164,10 +180,13 @@
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     broken = true;
     endAnswered();
-    pool.remove(instance, this);
+    pool.remove(key, this);
     Exchange x = current;
     current = null;
     if (x != null) {
+      if (cause instanceof RelayLostException) {
+        x.relayLost();
+      }
       x.fail(x.written, String.valueOf(cause.getMessage()));
     }
     ctx.close();
@@ -303,11 +322,12 @@
     private void end() {
       // The connection is in an unknown state if the request body is not fully written or an answer
       // to another request was received.
-      boolean reusable = keepAlive && isRequestWritten() && !receivedForeignAnswer && !broken;
+      boolean reusable =
+          keepAlive && isRequestWritten() && !receivedForeignAnswer && !broken && !retired;
       if (reusable) {
         idle = true;
         idleSince = timers.nowMillis();
-        pool.release(instance, BackendConnection.this);
+        pool.release(key, BackendConnection.this);
       } else {
         close();
       }
@@ -321,6 +341,12 @@
       close();
     }
 
+    void relayLost() {
+      if (!cancelled && !ended) {
+        listener.relayLost();
+      }
+    }
+
     void fail(boolean sent, String reason) {
       if (!written && body.refCnt() > 0) {
         body.release();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendListener.java
@@ -18,6 +18,12 @@
   /** Called when the answer is complete. */
   void end();
 
+  /**
+   * Called before {@link #failed} if the process that relays the connection has ended it, so that
+   * nothing is known of the backend server.
+   */
+  default void relayLost() {}
+
   /**
    * Called when the exchange fails; no further calls follow.
    *
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -14,7 +15,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.ebonypond.server.relay.RelayClientHandler;
+import org.ebonypond.server.relay.RelayPath;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 
@@ -38,6 +43,9 @@
 
   private static final long SWEEP_MILLIS = 1_000;
 
+  /** Precedes the identifier of an instance in the key of its relayed connections. */
+  private static final String RELAYED = "relayed ";
+
   private final EventLoopGroup loop;
   private final TimerService timers;
   private final int connectTimeoutMillis;
@@ -79,12 +87,32 @@
       ByteBuf body,
       long maxIdleMillis,
       BackendListener listener) {
-    BackendConnection reused = takeIdle(instance, maxIdleMillis);
+    return send(instance, address, null, head, body, maxIdleMillis, listener);
+  }
+
+  /**
+   * Sends a request, through another entry if a path is given.
+   *
+   * @param path the way through another entry, which then opens the connection to the instance;
+   *     null for a direct connection
+   */
+  public BackendExchange send(
+      String instance,
+      InetSocketAddress address,
+      @Nullable RelayPath path,
+      HttpRequest head,
+      ByteBuf body,
+      long maxIdleMillis,
+      BackendListener listener) {
+    String key = path == null ? instance : RELAYED + instance;
+    BackendConnection reused = takeIdle(key, maxIdleMillis);
     if (reused != null) {
       return reused.send(head, body, listener);
     }
-    BackendConnection c = new BackendConnection(this, instance, timers);
+    BackendConnection c = new BackendConnection(this, key, timers);
     final BackendExchange x = c.send(head, body, listener);
+    final RelayClientHandler relay =
+        path == null ? null : new RelayClientHandler(instance, timers, path.observer(), c::retire);
     connects++;
     open.merge(instance, 1, Integer::sum);
     ChannelFuture connecting =
@@ -99,6 +127,9 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel ch) {
+                    if (relay != null) {
+                      ch.pipeline().addLast(relay);
+                    }
                     ch.pipeline()
                         .addLast(c.unsolicitedByteLimiter())
                         .addLast(c.endOfInput())
@@ -107,11 +138,14 @@
                         .addLast(c);
                   }
                 })
-            .connect(address);
+            .connect(path == null ? address : path.address());
     connecting.channel().closeFuture().addListener(f -> closed(instance));
     connecting.addListener(
         f -> {
           if (!f.isSuccess()) {
+            if (relay != null) {
+              relay.connectFailed();
+            }
             c.connectFailed(String.valueOf(f.cause().getMessage()));
           }
         });
@@ -125,21 +159,55 @@
 
   /** Returns whether an instance has an idle connection. */
   public boolean hasIdle(String instance) {
-    Deque<BackendConnection> q = idle.get(instance);
+    return isIdle(instance) || isIdle(RELAYED + instance);
+  }
+
+  private boolean isIdle(String key) {
+    Deque<BackendConnection> q = idle.get(key);
     return q != null && !q.isEmpty();
   }
 
+  /** Closes the idle direct connections to an instance that this entry cannot reach any more. */
+  public void closeIdle(String instance) {
+    Deque<BackendConnection> q = idle.remove(instance);
+    if (q != null) {
+      List.copyOf(q).forEach(BackendConnection::close);
+    }
+  }
+
+  /**
+   * Opens a connection to an instance and closes it, to learn whether the instance can be reached.
+   *
+   * @return completes with whether the connection was established
+   */
+  public CompletableFuture<Boolean> probe(InetSocketAddress address) {
+    CompletableFuture<Boolean> reached = new CompletableFuture<>();
+    connects++;
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+        .handler(new ChannelInboundHandlerAdapter())
+        .connect(address)
+        .addListener(
+            (ChannelFuture f) -> {
+              reached.complete(f.isSuccess());
+              f.channel().close();
+            });
+    return reached;
+  }
+
   /** Returns the number of connections opened so far. */
   public long connects() {
     return connects;
   }
 
-  void release(String instance, BackendConnection c) {
-    idle.computeIfAbsent(instance, k -> new ArrayDeque<>()).addFirst(c);
+  void release(String key, BackendConnection c) {
+    idle.computeIfAbsent(key, k -> new ArrayDeque<>()).addFirst(c);
   }
 
-  void remove(String instance, BackendConnection c) {
-    Deque<BackendConnection> q = idle.get(instance);
+  void remove(String key, BackendConnection c) {
+    Deque<BackendConnection> q = idle.get(key);
     if (q != null) {
       q.remove(c);
     }
@@ -151,8 +219,8 @@
         : Math.max(IDLE_MARGIN_MILLIS / 4, announcedMillis - IDLE_MARGIN_MILLIS);
   }
 
-  private @Nullable BackendConnection takeIdle(String instance, long maxIdleMillis) {
-    Deque<BackendConnection> q = idle.get(instance);
+  private @Nullable BackendConnection takeIdle(String key, long maxIdleMillis) {
+    Deque<BackendConnection> q = idle.get(key);
     if (q == null) {
       return null;
     }
--- /dev/null
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/RelayChooser.java
@@ -0,0 +1,107 @@
+package org.ebonypond.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.ebonypond.fleet.RelayAddress;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the entry that relays a connection to an instance which this entry cannot reach. Entries
+ * of the same availability zone come first: bytes between zones have a price. Not thread-safe.
+ */
+public final class RelayChooser {
+  /** The age at which the known relays are requested again, in milliseconds. */
+  static final long REFRESH_MILLIS = 2_000;
+
+  private static final long FIRST_PAUSE_MILLIS = 500;
+  private static final long LONGEST_PAUSE_MILLIS = 4_000;
+
+  /**
+   * The number of instances in a row that a relay may fail to reach before it counts as cut off
+   * itself.
+   */
+  private static final int MAX_UNREACHABLE = 2;
+
+  private final String zone;
+  private final RandomGenerator random;
+  private List<RelayAddress> relays = List.of();
+  private final Map<String, State> states = new HashMap<>();
+  private long updatedAt = Long.MIN_VALUE;
+
+  /**
+   * Creates a chooser that knows no relays.
+   *
+   * @param zone the availability zone of this entry
+   * @param random spreads the connections over the relays
+   */
+  public RelayChooser(String zone, RandomGenerator random) {
+    this.zone = zone;
+    this.random = random;
+  }
+
+  /** Returns whether the known relays should be requested from a control replica. */
+  public boolean wantsUpdate(long now) {
+    return updatedAt == Long.MIN_VALUE || now - updatedAt >= REFRESH_MILLIS;
+  }
+
+  /**
+   * Replaces the known relays. An empty list is ignored: a replica that has just started knows none
+   * yet, and an entry that is cut off needs those that it knew before.
+   */
+  public void update(List<RelayAddress> known, long now) {
+    if (!known.isEmpty()) {
+      relays = List.copyOf(known);
+      updatedAt = now;
+      states.keySet().removeIf(a -> relays.stream().noneMatch(r -> r.address().equals(a)));
+    }
+  }
+
+  /** Returns the address of a relay, or null if none can be used now. */
+  public @Nullable String choose(long now) {
+    List<RelayAddress> usable = new ArrayList<>();
+    for (RelayAddress r : relays) {
+      State s = states.get(r.address());
+      if (s == null || now >= s.pausedUntil) {
+        usable.add(r);
+      }
+    }
+    List<RelayAddress> near = usable.stream().filter(r -> r.zone().equals(zone)).toList();
+    List<RelayAddress> from = near.isEmpty() ? usable : near;
+    return from.isEmpty() ? null : from.get(random.nextInt(from.size())).address();
+  }
+
+  /** Records that a relay has opened a connection. */
+  public void connected(String address) {
+    states.remove(address);
+  }
+
+  /** Records that a relay could not reach an instance. */
+  public void unreachable(String address, long now) {
+    State s = state(address);
+    s.unreachable++;
+    if (s.unreachable >= MAX_UNREACHABLE) {
+      failed(address, now);
+    }
+  }
+
+  /** Records that a relay did not answer, or refused a connection. */
+  public void failed(String address, long now) {
+    State s = state(address);
+    s.pauseMillis =
+        s.pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(2 * s.pauseMillis, LONGEST_PAUSE_MILLIS);
+    s.pausedUntil = now + s.pauseMillis;
+  }
+
+  private State state(String address) {
+    return states.computeIfAbsent(address, a -> new State());
+  }
+
+  private static final class State {
+    private int unreachable;
+    private long pauseMillis;
+    private long pausedUntil = Long.MIN_VALUE;
+  }
+}
