Serve callers of an entry that is cut off through another entry

Cause: requests went from the entry to the instance only, and the entry did not know that it was cut off: each request tried four instances that had failed for seconds, 700 ms each, or was refused after four refusals.

An entry now takes its paths to a service for lost when several instances have failed, a connection among them, while no byte arrived from any other; to a single instance when a connection to it failed. It then reaches instances through another entry, and probes the direct way until it is back. Control replicas name the other entries in answers to polls. Where no entry can help, requests are refused at once, with a time to come back.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetPollerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/FleetPollerTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.ebonypond.fleet.FleetPollResult;
 import org.ebonypond.fleet.PollCodec;
+import org.ebonypond.fleet.RelayReport;
 import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.server.transport.FrameType;
@@ -79,6 +80,7 @@
         List::of,
         List::of,
         List::of,
+        () -> RelayReport.NONE,
         listener);
   }
 
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/fleet/PollNetwork.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -22,7 +23,10 @@
 import org.ebonypond.fleet.InstanceUpdate;
 import org.ebonypond.fleet.NamedLimits;
 import org.ebonypond.fleet.PollCodec;
+import org.ebonypond.fleet.RelayAddress;
+import org.ebonypond.fleet.RelayReport;
 import org.ebonypond.fleet.ReplicaPollPlan;
+import org.ebonypond.forward.RelayChooser;
 import org.ebonypond.junit.ManualTimerService;
 import org.ebonypond.quarantine.PartQuarantine;
 import org.ebonypond.server.forward.QuarantineLog;
@@ -35,6 +39,7 @@
 /** Entries and control replicas that poll over a simulated network, on a manual clock. */
 final class PollNetwork {
   private static final long ENTRY_POLL_MILLIS = 100;
+  private static final RelayAddress RELAY = new RelayAddress("10.128.100.100:7340", "zone-a");
   private static final long LATENCY_MILLIS = 1;
 
   /** The time for an answer on a fifth of a CPU, without its records and loads. */
@@ -227,6 +232,7 @@
               () -> loads.own(timers.nowMillis()),
               () -> handler.ownSuspicions(timers.nowMillis()),
               () -> handler.ownLimits(timers.nowMillis()),
+              () -> RelayReport.NONE,
               this::merge);
     }
 
@@ -293,6 +299,7 @@
     private List<InstanceLoad> loads = new ArrayList<>();
     NamedLimits limits = new NamedLimits();
     PartQuarantine quarantine = new PartQuarantine(new QuarantineLog());
+    private final RelayChooser relays = new RelayChooser("zone-a", new Random(1));
     private long version;
 
     Entry(String name, List<String> seeds, int heads) {
@@ -317,10 +324,12 @@
               () -> loads,
               () -> quarantine.report(timers.nowMillis()),
               () -> limits.own(timers.nowMillis()),
+              () -> new RelayReport(RELAY, relays.wantsUpdate(timers.nowMillis())),
               this::accept);
     }
 
     private void accept(String replica, FleetPollResult r, long sentAt) {
+      relays.update(r.relays(), timers.nowMillis());
       quarantine.merge(r.suspicions(), timers.nowMillis());
       limits.merge(r.limits(), false, timers.nowMillis());
       ServingState.Committed s = r.state();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetPoller.java
@@ -16,6 +16,7 @@
 import org.ebonypond.fleet.NamedLimit;
 import org.ebonypond.fleet.PollCodec;
 import org.ebonypond.fleet.PollPlan;
+import org.ebonypond.fleet.RelayReport;
 import org.ebonypond.quarantine.PartSuspicion;
 import org.ebonypond.server.transport.FrameType;
 import org.ebonypond.server.transport.Peers;
@@ -49,6 +50,7 @@
   private final Supplier<List<InstanceLoad>> loads;
   private final Supplier<List<PartSuspicion>> suspicions;
   private final Supplier<List<NamedLimit>> limits;
+  private final Supplier<RelayReport> relays;
   private final PollListener listener;
   private final Map<String, Position> positions = new HashMap<>();
   private final Set<String> unreachable = new HashSet<>();
@@ -71,6 +73,7 @@
    * @param loads the load of this process at each instance
    * @param suspicions the prompt parts that this process suspects of crashing instances
    * @param limits the limits that instances named to this process
+   * @param relays what this process says about connections that entries relay for each other
    * @param listener receives the answers
    */
   public FleetPoller(
@@ -88,6 +91,7 @@
       Supplier<List<InstanceLoad>> loads,
       Supplier<List<PartSuspicion>> suspicions,
       Supplier<List<NamedLimit>> limits,
+      Supplier<RelayReport> relays,
       PollListener listener) {
     this.node = node;
     this.address = address;
@@ -103,6 +107,7 @@
     this.loads = loads;
     this.suspicions = suspicions;
     this.limits = limits;
+    this.relays = relays;
     this.listener = listener;
   }
 
@@ -147,7 +152,8 @@
             requests.getAsLong(),
             currentLoads,
             planned.home() ? suspicions.get() : List.of(),
-            planned.home() ? limits.get() : List.of());
+            planned.home() ? limits.get() : List.of(),
+            relays.get());
     byte[] request = PollCodec.encodePoll(message);
     InetSocketAddress to = ReplicaDirectory.address(name);
     long sentAt = timers.nowMillis();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/FleetReplica.java
@@ -30,6 +30,7 @@
 import org.ebonypond.fleet.NewestVersion;
 import org.ebonypond.fleet.OrderOutcome;
 import org.ebonypond.fleet.PollCodec;
+import org.ebonypond.fleet.RelayReport;
 import org.ebonypond.fleet.ReplicaPollPlan;
 import org.ebonypond.fleet.WeightLoadLimiter;
 import org.ebonypond.server.control.ProposalClient;
@@ -236,6 +237,7 @@
             () -> loads.own(timers.nowMillis()),
             () -> pollHandler.ownSuspicions(timers.nowMillis()),
             () -> pollHandler.ownLimits(timers.nowMillis()),
+            () -> RelayReport.NONE,
             this::merge);
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/PollHandler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.ebonypond.errors.EbonypondException;
@@ -13,6 +14,7 @@
 import org.ebonypond.fleet.InstanceTable;
 import org.ebonypond.fleet.NamedLimit;
 import org.ebonypond.fleet.NamedLimits;
+import org.ebonypond.fleet.RelayTable;
 import org.ebonypond.quarantine.BlockedPart;
 import org.ebonypond.quarantine.PartSuspicion;
 import org.ebonypond.quarantine.SuspicionTable;
@@ -56,6 +58,7 @@
   private final EntryLoads loads;
   private final SuspicionTable suspicions = new SuspicionTable();
   private final NamedLimits limits = new NamedLimits();
+  private final RelayTable relays = new RelayTable(new Random());
   private final Supplier<ConfirmedState> state;
   private final Supplier<@Nullable String> leader;
   private final long startedAt;
@@ -91,7 +94,7 @@
   /**
    * Records what the sender reports about itself and returns the answer.
    *
-   * @throws EbonypondException {@code frame-invalid} if the sender's address is malformed
+   * @throws EbonypondException {@code frame-invalid} if an address of the sender is malformed
    */
   FleetPollResult answer(FleetPoll p, long now) {
     boolean replica = !p.address().isEmpty();
@@ -99,6 +102,14 @@
       throw new EbonypondException(
           ErrorCode.FRAME_INVALID, "malformed replica address in a poll: " + p.address());
     }
+    String relay = p.relays().own().address();
+    if (!relay.isEmpty() && !ReplicaDirectory.isAddress(relay)) {
+      throw new EbonypondException(
+          ErrorCode.FRAME_INVALID, "malformed relay address in a poll: " + relay);
+    }
+    if (!replica) {
+      relays.report(p.node(), p.relays().own(), now);
+    }
     if (replica) {
       directory.recordContact(p.address(), now);
       loads.reportPeer(p.address(), p.loads(), now);
@@ -137,7 +148,8 @@
             ? suspicions.report(reporter -> !reporter.equals(p.node()), now)
             : List.of(),
         p.home() && !replica ? limits.all(now) : List.of(),
-        stateAgeMillis(confirmed, now));
+        stateAgeMillis(confirmed, now),
+        p.relays().wanted() ? relays.sample(p.node(), p.relays().own().zone(), now) : List.of());
   }
 
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -12,9 +12,12 @@
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.forward.EngineCost;
 import org.ebonypond.forward.InstanceStats;
+import org.ebonypond.forward.PathMonitor;
 import org.ebonypond.forward.TargetSelector;
 import org.ebonypond.server.http1.BackendExchange;
 import org.ebonypond.server.http1.BackendListener;
+import org.ebonypond.server.relay.RelayObserver;
+import org.ebonypond.server.relay.RelayStatus;
 import org.ebonypond.serving.CallKind;
 import org.ebonypond.serving.ModelProfile;
 import org.ebonypond.time.TimerService;
@@ -65,6 +68,10 @@
   /** The number of answers to other requests; a server may write them without end. */
   private int dropped;
 
+  private final @Nullable String relay;
+  private @Nullable RelayStatus relayStatus;
+  private boolean relayLost;
+  private boolean silenceReported;
   private boolean closed;
   private boolean paused;
   private boolean endsWithConnection;
@@ -80,6 +87,8 @@
    * @param answer the answer to the caller, which an earlier attempt may have started
    * @param target the instance
    * @param selection why the instance was selected
+   * @param relay the address of the entry through which the instance is reached; null for a direct
+   *     connection
    * @param body an empty buffer for an answer that is not a stream; released at the end
    */
   Attempt(
@@ -88,7 +97,9 @@
       CallerAnswer answer,
       FleetInstance target,
       TargetSelector.Selection selection,
+      @Nullable String relay,
       ByteBuf body) {
+    this.relay = relay;
     this.owner = owner;
     this.forwarder = forwarder;
     this.timers = forwarder.timers();
@@ -176,10 +187,18 @@
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
     endsWithConnection = !HttpUtil.isContentLengthSet(h) && !HttpUtil.isTransferEncodingChunked(h);
-    stats.progressed(timers.nowMillis());
+    observeProgress(timers.nowMillis());
     return true;
   }
 
+  /** Records that bytes of the answer have arrived. */
+  private void observeProgress(long now) {
+    stats.progressed(now);
+    if (relay == null) {
+      forwarder.pathProgressed(target);
+    }
+  }
+
   /** Records the rate that the instance accepts, unless the answer may be that of another one. */
   private void observeLimit(BackendReply r) {
     boolean named = r.acceptedPerSecond() != Double.POSITIVE_INFINITY;
@@ -214,7 +233,7 @@
     if (isStream(r)) {
       forwardEvents(bytes, now);
     } else {
-      stats.progressed(now);
+      observeProgress(now);
       buffer(bytes);
     }
   }
@@ -264,7 +283,7 @@
   }
 
   private void writeEvents(int eventCount, long now) {
-    stats.progressed(now);
+    observeProgress(now);
     startAnswer(now);
     if (lastEventAt > 0) {
       observePace(now - lastEventAt, eventCount);
@@ -419,18 +438,69 @@
     owner.onNotRun(full ? "full" : "refused", true);
   }
 
+  @Override
+  public void relayLost() {
+    relayLost = true;
+  }
+
   @Override
   public void failed(boolean sent, String reason) {
     if (!close()) {
       return;
     }
     if (sent) {
+      if (relay == null) {
+        forwarder.pathFailed(target, PathMonitor.Failure.NO_ANSWER);
+      }
       brokenOff("cut", reason);
     } else {
+      notConnected(reason);
+    }
+  }
+
+  private void notConnected(String reason) {
+    boolean relayFailed = relay != null && relayStatus != RelayStatus.UNREACHABLE;
+    forwarder.metrics().sendFailed(owner.kind(), relayFailed ? "relay" : "connect");
+    logFailure(false, reason);
+    if (relay == null) {
+      forwarder.pathFailed(target, PathMonitor.Failure.CONNECT);
+    }
+    if (!relayFailed) {
       stats.failed(timers.nowMillis());
-      forwarder.metrics().sendFailed(owner.kind(), "connect");
-      logFailure(false, reason);
-      owner.onNotRun("connect", false);
+    }
+    if (relay == null || relayFailed) {
+      owner.retryOnOtherPath(target);
+    }
+    owner.onNotRun(relayFailed ? "relay" : "connect", false);
+  }
+
+  /** Returns what learns of the entry that relays the connection of this attempt. */
+  RelayObserver relayObserver(String address) {
+    return new RelayObserver() {
+      @Override
+      public void answered(RelayStatus status) {
+        relayStatus = status;
+        forwarder.relayAnswered(address, target, status);
+      }
+
+      @Override
+      public void lost() {
+        forwarder.relays().failed(address, timers.nowMillis());
+      }
+    };
+  }
+
+  /** Records that this attempt has made no progress for too long; counts once. */
+  void reportSilence(long now) {
+    if (silenceReported) {
+      return;
+    }
+    silenceReported = true;
+    String r = relay;
+    if (r == null) {
+      forwarder.pathFailed(target, PathMonitor.Failure.NO_ANSWER);
+    } else {
+      forwarder.relays().failed(r, now);
     }
   }
 
@@ -440,7 +510,7 @@
     stats.failed(now);
     forwarder.metrics().sendFailed(owner.kind(), reason);
     logFailure(true, detail);
-    if (lastEventAt == 0) {
+    if (lastEventAt == 0 && !relayLost) {
       forwarder.quarantine().crashed(target.id(), target.startMillis(), owner.traits(), now);
     }
     owner.onPossiblyRun(reason);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -17,6 +17,7 @@
 import org.ebonypond.quarantine.TextHash;
 import org.ebonypond.server.fleet.ReplicaDirectory;
 import org.ebonypond.server.http1.HttpCall;
+import org.ebonypond.server.relay.RelayPath;
 import org.ebonypond.serving.ModelProfile;
 import org.ebonypond.serving.RouteRule;
 import org.ebonypond.serving.ServiceProfile;
@@ -231,6 +232,10 @@
       giveUp("stopping", STOPPING_RETRY_AFTER_MILLIS);
       return;
     }
+    if (forwarder.isCutOff(service().name())) {
+      giveUp("cut-off", RETRY_AFTER_MILLIS);
+      return;
+    }
     TargetSelector.Selection selection = choose();
     if (selection.target() != null) {
       send(selection, cause);
@@ -416,10 +421,11 @@
             answer.lastId(),
             model == null ? -1 : selection.urgency());
     ByteBuf buffer = call.body().alloc().buffer();
-    Attempt a = new Attempt(this, forwarder, answer, target, selection, buffer);
+    String relay = forwarder.relayTo(target);
+    Attempt a = new Attempt(this, forwarder, answer, target, selection, relay, buffer);
     current = a;
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
-    log.sent(cause, forwarder.view(), target, selection, d, a.stats(), loadOfOthers);
+    log.sent(cause, forwarder.view(), target, selection, relay, d, a.stats(), loadOfOthers);
     InetSocketAddress to = ReplicaDirectory.address(target.address());
     long maxIdle = route().idempotent() ? Long.MAX_VALUE : MAX_IDLE_MILLIS;
     a.sent(
@@ -428,6 +434,9 @@
             .send(
                 target.id(),
                 to,
+                relay == null
+                    ? null
+                    : new RelayPath(ReplicaDirectory.address(relay), a.relayObserver(relay)),
                 forwarder.dialect().encode(call, d),
                 call.body().retainedDuplicate(),
                 maxIdle,
@@ -438,10 +447,11 @@
   void checkProgress(long now) {
     Attempt a = current;
     RouteRule r = route;
-    if (a == null || r == null || done || !r.idempotent()) {
+    if (a == null || r == null || done || !a.isStalled(now)) {
       return;
     }
-    if (!a.isStalled(now) || !mayRunElsewhere()) {
+    a.reportSilence(now);
+    if (!r.idempotent() || !mayRunElsewhere()) {
       return;
     }
     TargetSelector.Selection selection = choose();
@@ -472,6 +482,13 @@
     return deadlineAt - timers.nowMillis();
   }
 
+  /** Allows another attempt at an instance if it has another path than the one that has failed. */
+  void retryOnOtherPath(FleetInstance target) {
+    if (forwarder.relayTo(target) != null) {
+      tried.remove(target.id());
+    }
+  }
+
   /**
    * Retries or refuses after an attempt that certainly did not run.
    *
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -46,12 +46,14 @@
    * Logs that a request is sent.
    *
    * @param view the view whose configuration has chosen the service
+   * @param relay the address of the entry that relays the connection; null for a direct connection
    */
   void sent(
       String cause,
       FleetView view,
       FleetInstance target,
       TargetSelector.Selection selection,
+      @Nullable String relay,
       Dispatch dispatch,
       InstanceStats stats,
       @Nullable InstanceLoad loadOfOthers) {
@@ -59,6 +61,7 @@
         .addKeyValue("cause", cause)
         .addKeyValue("instance", target.id())
         .addKeyValue("zone", target.zone())
+        .addKeyValue("relay", relay == null ? "" : relay)
         .addKeyValue("urgency", selection.urgency())
         .addKeyValue("predicted_first_ms", Math.round(selection.firstMillis()))
         .addKeyValue("own_active", stats.active())
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/PollCodecTest.java
@@ -45,7 +45,8 @@
                   3,
                   true,
                   true)),
-          List.of(new NamedLimit("i-1", 8, 3.25, 40)));
+          List.of(new NamedLimit("i-1", 8, 3.25, 40)),
+          new RelayReport(new RelayAddress("10.0.0.9:7000", "z"), true));
 
   private static FleetInstance instance(GroupMembership g) {
     return new FleetInstance(
@@ -83,7 +84,8 @@
         "10.0.0.2:7000",
         POLL.suspicions(),
         POLL.limits(),
-        350);
+        350,
+        List.of(POLL.relays().own()));
   }
 
   /** Guards against a field that is lost or swapped in the encoding. */
@@ -135,7 +137,8 @@
         r.leader(),
         r.suspicions(),
         r.limits(),
-        r.stateAgeMillis());
+        r.stateAgeMillis(),
+        r.relays());
   }
 
   /** Guards against rejecting messages of a later version that has additional fields. */
@@ -143,7 +146,7 @@
   void fieldsOfLaterVersionsAreSkipped() throws IOException {
     byte[] known = PollCodec.encodePoll(POLL);
     try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-      p.packArrayHeader(14);
+      p.packArrayHeader(16);
       p.writePayload(known, 1, known.length - 1);
       p.packString("new");
       p.packArrayHeader(1);
@@ -152,15 +155,22 @@
     }
   }
 
-  /** Guards against rejecting messages of versions that have no suspicions or limits yet. */
+  /**
+   * Guards against rejecting messages of versions that have no suspicions, limits or relays yet.
+   */
   @Test
   void messagesOfEarlierVersionsAreAccepted() throws IOException {
     FleetPoll poll =
         new FleetPoll(
             "front-1", "", 7, -1, 3, 12, true, false, 99, POLL.loads(), List.of(), List.of());
     byte[] current = PollCodec.encodePoll(poll);
-    for (int missing = 1; missing <= 2; missing++) {
-      byte[] earlier = Arrays.copyOf(current, current.length - missing);
+    // The sizes of the last fields without a value: whether relays are wanted, the sender's own
+    // relay, limits and suspicions.
+    int[] sizes = {1, 3, 1, 1};
+    int length = current.length;
+    for (int missing = 1; missing <= sizes.length; missing++) {
+      length -= sizes[missing - 1];
+      byte[] earlier = Arrays.copyOf(current, length);
       earlier[0] -= (byte) missing;
       assertEquals(poll, PollCodec.decodePoll(earlier));
     }
@@ -176,8 +186,9 @@
     byte[] current = PollCodec.encodeResult(r);
     try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
       p.packArrayHeader(15);
-      // The header of 16 fields has three bytes, and the age of 0 has one.
-      p.writePayload(current, 3, current.length - 4);
+      // The header of 17 fields has three bytes; the age of 0 and the empty list of relays have one
+      // each.
+      p.writePayload(current, 3, current.length - 5);
       FleetPollResult earlier = PollCodec.decodeResult(p.toByteArray());
       assertEquals(FleetPollResult.UNCONFIRMED, earlier.stateAgeMillis());
       assertEquals(3, earlier.version());
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPoll.java
@@ -22,6 +22,7 @@
  *     home it is
  * @param suspicions the prompt parts that the sender suspects of crashing instances
  * @param limits the limits that instances named to the sender, or to the entries whose home it is
+ * @param relays what the sender says about connections that entries relay for each other
  */
 public record FleetPoll(
     String node,
@@ -35,4 +36,35 @@
     long requests,
     List<InstanceLoad> loads,
     List<PartSuspicion> suspicions,
-    List<NamedLimit> limits) {}
+    List<NamedLimit> limits,
+    RelayReport relays) {
+  /** Creates the poll of a process that neither relays connections nor asks for relays. */
+  public FleetPoll(
+      String node,
+      String address,
+      long version,
+      long zonesIndex,
+      long boot,
+      long cursor,
+      boolean home,
+      boolean wantsState,
+      long requests,
+      List<InstanceLoad> loads,
+      List<PartSuspicion> suspicions,
+      List<NamedLimit> limits) {
+    this(
+        node,
+        address,
+        version,
+        zonesIndex,
+        boot,
+        cursor,
+        home,
+        wantsState,
+        requests,
+        loads,
+        suspicions,
+        limits,
+        RelayReport.NONE);
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPollResult.java
@@ -31,6 +31,7 @@
  *     sender's home
  * @param stateAgeMillis how long ago the replica's state was known to be the newest committed one,
  *     in milliseconds; {@link #UNCONFIRMED} if it never was
+ * @param relays some of the other entries that relay connections; empty unless the sender asked
  */
 public record FleetPollResult(
     long boot,
@@ -48,7 +49,46 @@
     @Nullable String leader,
     List<PartSuspicion> suspicions,
     List<NamedLimit> limits,
-    long stateAgeMillis) {
+    long stateAgeMillis,
+    List<RelayAddress> relays) {
   /** The age of a state that was never known to be the newest. */
   public static final long UNCONFIRMED = Long.MAX_VALUE;
+
+  /** Creates an answer that names no relays. */
+  public FleetPollResult(
+      long boot,
+      long cursor,
+      long version,
+      long zonesIndex,
+      boolean ready,
+      ServingState.@Nullable Committed state,
+      List<InstanceUpdate> instances,
+      List<UnchangedHeartbeat> unchanged,
+      @Nullable List<InstanceLoad> loads,
+      int entries,
+      long minPollIntervalMillis,
+      List<String> replicas,
+      @Nullable String leader,
+      List<PartSuspicion> suspicions,
+      List<NamedLimit> limits,
+      long stateAgeMillis) {
+    this(
+        boot,
+        cursor,
+        version,
+        zonesIndex,
+        ready,
+        state,
+        instances,
+        unchanged,
+        loads,
+        entries,
+        minPollIntervalMillis,
+        replicas,
+        leader,
+        suspicions,
+        limits,
+        stateAgeMillis,
+        List.of());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PollCodec.java
@@ -28,10 +28,10 @@
   private static final int RESULT_FIELDS = 13;
 
   /** The fields of a poll that the first version lacked. */
-  private static final int ADDED_POLL_FIELDS = 2;
+  private static final int ADDED_POLL_FIELDS = 4;
 
   /** The fields of a result that the first version lacked. */
-  private static final int ADDED_RESULT_FIELDS = 3;
+  private static final int ADDED_RESULT_FIELDS = 4;
 
   private static final int INSTANCE_FIELDS = 15;
   private static final int GROUP_FIELDS = 4;
@@ -44,6 +44,7 @@
 
   private static final int CRASH_FIELDS = 3;
   private static final int LIMIT_FIELDS = 4;
+  private static final int RELAY_FIELDS = 2;
   private static final InstancePhase[] PHASES = InstancePhase.values();
   private static final MemberState[] STATES = MemberState.values();
 
@@ -66,6 +67,8 @@
           packList(p, poll.loads(), PollCodec::packLoad);
           packList(p, poll.suspicions(), PollCodec::packSuspicion);
           packList(p, poll.limits(), PollCodec::packLimit);
+          packRelay(p, poll.relays().own());
+          p.packBoolean(poll.relays().wanted());
         });
   }
 
@@ -92,7 +95,10 @@
                   u.unpackLong(),
                   unpackList(u, PollCodec::unpackLoad),
                   unpackAdded(u, extra >= 1, PollCodec::unpackSuspicion),
-                  unpackAdded(u, extra >= 2, PollCodec::unpackLimit));
+                  unpackAdded(u, extra >= 2, PollCodec::unpackLimit),
+                  new RelayReport(
+                      extra >= 3 ? unpackRelay(u) : RelayAddress.NONE,
+                      extra >= 4 && u.unpackBoolean()));
           u.skipValue(Math.max(0, extra - ADDED_POLL_FIELDS));
           return poll;
         });
@@ -120,6 +126,7 @@
           packList(p, r.limits(), PollCodec::packLimit);
           // -1 is shorter on the wire than Long.MAX_VALUE.
           p.packLong(r.stateAgeMillis() == FleetPollResult.UNCONFIRMED ? -1 : r.stateAgeMillis());
+          packList(p, r.relays(), PollCodec::packRelay);
         });
   }
 
@@ -150,7 +157,8 @@
                   unpackText(u),
                   unpackAdded(u, extra >= 1, PollCodec::unpackSuspicion),
                   unpackAdded(u, extra >= 2, PollCodec::unpackLimit),
-                  extra >= 3 ? unpackStateAge(u) : FleetPollResult.UNCONFIRMED);
+                  extra >= 3 ? unpackStateAge(u) : FleetPollResult.UNCONFIRMED,
+                  unpackAdded(u, extra >= 4, PollCodec::unpackRelay));
           u.skipValue(Math.max(0, extra - ADDED_RESULT_FIELDS));
           return r;
         });
@@ -272,6 +280,19 @@
     return l;
   }
 
+  private static void packRelay(MessagePacker p, RelayAddress r) throws IOException {
+    p.packArrayHeader(RELAY_FIELDS);
+    p.packString(r.address());
+    p.packString(r.zone());
+  }
+
+  private static RelayAddress unpackRelay(MessageUnpacker u) throws IOException {
+    int extra = extraFields(u, RELAY_FIELDS);
+    RelayAddress r = new RelayAddress(u.unpackString(), u.unpackString());
+    u.skipValue(extra);
+    return r;
+  }
+
   private static void packHeartbeat(MessagePacker p, UnchangedHeartbeat heartbeat)
       throws IOException {
     p.packArrayHeader(HEARTBEAT_FIELDS);
