Probe instances that have come since the paths of a service were lost

If all instances of a service are lost and others replace them while the records of the old ones last, only the old ones were probed: the new ones would have got no request until the records expired.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -239,7 +239,7 @@
     if (failure == PathMonitor.Failure.CONNECT) {
       pool.closeIdle(i.id());
     }
-    int instances = (int) view.instances().stream().filter(o -> serves(o, i.service())).count();
+    int instances = serving(i.service()).size();
     if (paths.failed(i.id(), i.service(), failure, instances, timers.nowMillis())) {
       view.instances().stream()
           .filter(o -> o.service().equals(i.service()))
@@ -253,10 +253,13 @@
     }
   }
 
-  private static boolean serves(FleetInstance i, String service) {
-    return i.service().equals(service)
-        && i.phase() == InstancePhase.READY
-        && (i.group() == null || i.servesGroup());
+  /** Returns the instances to which requests of a service may be sent. */
+  private List<String> serving(String service) {
+    return view.instances().stream()
+        .filter(i -> i.service().equals(service) && i.phase() == InstancePhase.READY)
+        .filter(i -> i.group() == null || i.servesGroup())
+        .map(FleetInstance::id)
+        .toList();
   }
 
   /** Records that bytes arrived on this entry's own connection to an instance. */
@@ -288,7 +291,7 @@
 
   /** Opens a connection to an instance that could not be reached, if it is time. */
   private void probePath(long now) {
-    String id = paths.dueProbe(now);
+    String id = paths.dueProbe(this::serving, now);
     FleetInstance i = id == null ? null : view.instance(id);
     if (i != null) {
       pool.probe(ReplicaDirectory.address(i.address())).thenAccept(ok -> probed(i, ok));
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/PathMonitor.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/PathMonitor.java
@@ -1,10 +1,12 @@
 package org.ebonypond.forward;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
@@ -120,19 +122,23 @@
   /**
    * Returns an instance to which a connection should be opened now, to learn whether the entry's
    * own path to it works; null if no probe is due.
+   *
+   * @param instances returns the instances of a service; those that have come since its paths were
+   *     lost may be the only ones that are left
    */
-  public @Nullable String dueProbe(long now) {
+  public @Nullable String dueProbe(Function<String, Collection<String>> instances, long now) {
     if (now < nextProbeAt) {
       return null;
     }
     Set<String> candidates = new LinkedHashSet<>(unreachable);
-    for (ServicePaths p : services.values()) {
-      p.expire(now);
-      // Requests without an answer alone may also mean that the instances are slow.
-      if (p.lost || p.failedAt.size() >= FAILED_INSTANCES) {
-        candidates.addAll(p.failedAt.keySet());
-      }
-    }
+    services.forEach(
+        (service, p) -> {
+          p.expire(now);
+          // Requests without an answer alone may also mean that the instances are slow.
+          if (p.lost || p.failedAt.size() >= FAILED_INSTANCES) {
+            candidates.addAll(instances.apply(service));
+          }
+        });
     if (candidates.isEmpty()) {
       return null;
     }
