--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -194,8 +194,11 @@
   /** Records that bytes of the answer have arrived. */
   private void observeProgress(long now) {
     stats.progressed(now);
-    if (relay == null) {
+    String r = relay;
+    if (r == null) {
       forwarder.pathProgressed(target);
+    } else {
+      forwarder.relays().worked(r);
     }
   }
 
@@ -491,7 +494,7 @@
   }
 
   /** Records that this attempt has made no progress for too long; counts once. */
-  void reportSilence(long now) {
+  void reportSilence() {
     if (silenceReported) {
       return;
     }
@@ -500,7 +503,7 @@
     if (r == null) {
       forwarder.pathFailed(target, PathMonitor.Failure.NO_ANSWER);
     } else {
-      forwarder.relays().failed(r, now);
+      forwarder.relays().doubted(r);
     }
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -450,7 +450,7 @@
     if (a == null || r == null || done || !a.isStalled(now)) {
       return;
     }
-    a.reportSilence(now);
+    a.reportSilence();
     if (!r.idempotent() || !mayRunElsewhere()) {
       return;
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -278,14 +278,13 @@
 
   /** Records the answer of an entry that was asked to relay a connection to an instance. */
   void relayAnswered(String address, FleetInstance i, RelayStatus status) {
-    long now = timers.nowMillis();
     switch (status) {
-      case CONNECTED -> relays.connected(address);
+      case CONNECTED -> relays.worked(address);
       case UNREACHABLE -> {
-        relays.unreachable(address, now);
+        relays.doubted(address);
         paths.failedElsewhere(i.id());
       }
-      default -> relays.failed(address, now);
+      default -> relays.failed(address, timers.nowMillis());
     }
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/RelayChooser.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/RelayChooser.java
@@ -20,10 +20,10 @@
   private static final long LONGEST_PAUSE_MILLIS = 4_000;
 
   /**
-   * The number of instances in a row that a relay may fail to reach before it counts as cut off
-   * itself.
+   * The number of doubts in a row after which a relay is avoided: it did not reach an instance,
+   * which may have crashed, or a relayed request was not answered, which the instance may cause.
    */
-  private static final int MAX_UNREACHABLE = 2;
+  private static final int MAX_DOUBTS = 3;
 
   private final String zone;
   private final RandomGenerator random;
@@ -59,32 +59,33 @@
     }
   }
 
-  /** Returns the address of a relay, or null if none can be used now. */
+  /**
+   * Returns the address of a relay, or null if none can be used now. One that is only doubted is
+   * better than none.
+   */
   public @Nullable String choose(long now) {
-    List<RelayAddress> usable = new ArrayList<>();
+    List<RelayAddress> trusted = new ArrayList<>();
+    List<RelayAddress> doubted = new ArrayList<>();
     for (RelayAddress r : relays) {
       State s = states.get(r.address());
       if (s == null || now >= s.pausedUntil) {
-        usable.add(r);
+        (s == null || s.doubts < MAX_DOUBTS ? trusted : doubted).add(r);
       }
     }
+    List<RelayAddress> usable = trusted.isEmpty() ? doubted : trusted;
     List<RelayAddress> near = usable.stream().filter(r -> r.zone().equals(zone)).toList();
     List<RelayAddress> from = near.isEmpty() ? usable : near;
     return from.isEmpty() ? null : from.get(random.nextInt(from.size())).address();
   }
 
-  /** Records that a relay has opened a connection. */
-  public void connected(String address) {
+  /** Records that a relay opened a connection, or that bytes of an instance came through it. */
+  public void worked(String address) {
     states.remove(address);
   }
 
-  /** Records that a relay could not reach an instance. */
-  public void unreachable(String address, long now) {
-    State s = state(address);
-    s.unreachable++;
-    if (s.unreachable >= MAX_UNREACHABLE) {
-      failed(address, now);
-    }
+  /** Records that a relay did not reach an instance, or that a relayed request is not answered. */
+  public void doubted(String address) {
+    state(address).doubts++;
   }
 
   /** Records that a relay did not answer, or refused a connection. */
@@ -100,7 +101,7 @@
   }
 
   private static final class State {
-    private int unreachable;
+    private int doubts;
     private long pauseMillis;
     private long pausedUntil = Long.MIN_VALUE;
   }
