Let a refused caller read its refusal while it is still sending

Callers: a request over the limits, or a malformed one, was answered and its connection closed while the rest of the request was on its way. The close of a connection with unread bytes resets it, and a caller that was still sending got "Broken pipe" in place of the answer.

The entry now ends its direction only, reads and drops what still comes, and closes when the caller does, or after a second.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -50,6 +50,12 @@
   /** Retry-After of a request over limits that may have been replaced; several polls. */
   private static final int RETRY_AFTER_SECONDS = 1;
 
+  /**
+   * How long a caller whose request was refused unread may go on sending it, in milliseconds; a
+   * body of the default limit takes less at 100 Mbit/s.
+   */
+  private static final long LINGER_MILLIS = 1_000;
+
   private final SocketChannel channel;
   private final HttpService service;
   private final LimitSource limits;
@@ -314,7 +320,11 @@
     if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
       r.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
     }
-    channel.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+    // Closing a connection with unread bytes resets it, and the caller would lose the answer: what
+    // it still sends is read and dropped until it has closed as well.
+    channel.config().setAutoRead(true);
+    channel.writeAndFlush(r).addListener(f -> channel.shutdownOutput());
+    timers.after(LINGER_MILLIS, channel::close);
   }
 
   private void releasePartial() {
