--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -12,7 +12,6 @@
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.forward.EngineCost;
 import org.ebonypond.forward.InstanceStats;
-import org.ebonypond.forward.PathMonitor;
 import org.ebonypond.forward.TargetSelector;
 import org.ebonypond.server.http1.BackendExchange;
 import org.ebonypond.server.http1.BackendListener;
@@ -194,12 +193,7 @@
   /** Records that bytes of the answer have arrived. */
   private void observeProgress(long now) {
     stats.progressed(now);
-    String r = relay;
-    if (r == null) {
-      forwarder.pathProgressed(target);
-    } else {
-      forwarder.relays().worked(r);
-    }
+    forwarder.paths().progressed(target, relay);
   }
 
   /** Records the rate that the instance accepts, unless the answer may be that of another one. */
@@ -453,7 +447,7 @@
     }
     if (sent) {
       if (relay == null) {
-        forwarder.pathFailed(target, PathMonitor.Failure.NO_ANSWER);
+        forwarder.paths().notAnswered(target, null);
       }
       brokenOff("cut", reason);
     } else {
@@ -466,7 +460,7 @@
     forwarder.metrics().sendFailed(owner.kind(), relayFailed ? "relay" : "connect");
     logFailure(false, reason);
     if (relay == null) {
-      forwarder.pathFailed(target, PathMonitor.Failure.CONNECT);
+      forwarder.paths().connectFailed(target);
     }
     if (!relayFailed) {
       stats.failed(timers.nowMillis());
@@ -477,18 +471,23 @@
     owner.onNotRun(relayFailed ? "relay" : "connect", false);
   }
 
-  /** Returns what learns of the entry that relays the connection of this attempt. */
+  /**
+   * Returns what learns of the entry that relays the connection of this attempt.
+   *
+   * @param address the address of that entry
+   */
   RelayObserver relayObserver(String address) {
+    RelayObserver paths = forwarder.paths().observe(address, target);
     return new RelayObserver() {
       @Override
       public void answered(RelayStatus status) {
         relayStatus = status;
-        forwarder.relayAnswered(address, target, status);
+        paths.answered(status);
       }
 
       @Override
       public void lost() {
-        forwarder.relays().failed(address, timers.nowMillis());
+        paths.lost();
       }
     };
   }
@@ -499,12 +498,7 @@
       return;
     }
     silenceReported = true;
-    String r = relay;
-    if (r == null) {
-      forwarder.pathFailed(target, PathMonitor.Failure.NO_ANSWER);
-    } else {
-      forwarder.relays().doubted(r);
-    }
+    forwarder.paths().notAnswered(target, relay);
   }
 
   /** Reports an answer that the instance has not completed, and may have crashed on. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -232,7 +232,7 @@
       giveUp("stopping", STOPPING_RETRY_AFTER_MILLIS);
       return;
     }
-    if (forwarder.isCutOff(service().name())) {
+    if (forwarder.paths().isCutOff(service().name())) {
       giveUp("cut-off", RETRY_AFTER_MILLIS);
       return;
     }
@@ -421,7 +421,7 @@
             answer.lastId(),
             model == null ? -1 : selection.urgency());
     ByteBuf buffer = call.body().alloc().buffer();
-    String relay = forwarder.relayTo(target);
+    String relay = forwarder.paths().relayTo(target);
     Attempt a = new Attempt(this, forwarder, answer, target, selection, relay, buffer);
     current = a;
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
@@ -484,7 +484,7 @@
 
   /** Allows another attempt at an instance if it has another path than the one that has failed. */
   void retryOnOtherPath(FleetInstance target) {
-    if (forwarder.relayTo(target) != null) {
+    if (forwarder.paths().relayTo(target) != null) {
       tried.remove(target.id());
     }
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -19,17 +19,14 @@
 import org.ebonypond.forward.EntryTurns;
 import org.ebonypond.forward.InstanceNotices;
 import org.ebonypond.forward.InstanceStats;
-import org.ebonypond.forward.PathMonitor;
 import org.ebonypond.forward.RelayChooser;
 import org.ebonypond.forward.RetryAllowance;
 import org.ebonypond.forward.TargetSelector;
 import org.ebonypond.quarantine.PartQuarantine;
 import org.ebonypond.server.fleet.FleetView;
-import org.ebonypond.server.fleet.ReplicaDirectory;
 import org.ebonypond.server.http1.BackendPool;
 import org.ebonypond.server.http1.HttpCall;
 import org.ebonypond.server.http1.HttpService;
-import org.ebonypond.server.relay.RelayStatus;
 import org.ebonypond.serving.ServiceProfile;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
@@ -61,8 +58,7 @@
   private final EntryTurns turns;
   private final PartQuarantine quarantine;
   private final NamedLimits limits = new NamedLimits();
-  private final PathMonitor paths = new PathMonitor();
-  private final RelayChooser relays;
+  private final InstancePaths paths;
   private final TimerService timers;
   private final RandomGenerator random;
   private final ForwardMetrics metrics;
@@ -117,7 +113,7 @@
     this.guard = guard;
     this.turns = turns;
     this.quarantine = quarantine;
-    this.relays = relays;
+    this.paths = new InstancePaths(view, pool, relays, timers);
     this.timers = timers;
     this.random = random;
     this.metrics = metrics;
@@ -214,103 +210,14 @@
     }
   }
 
-  /** Returns whether this entry cannot reach the instances of some service. */
+  /** Returns whether this entry cannot reach the instances of some service by itself. */
   public boolean isAnyPathLost() {
     return paths.isAnyLost();
   }
 
-  /**
-   * Returns whether this entry can reach the instances of a service neither directly nor relayed.
-   */
-  boolean isCutOff(String service) {
-    return paths.isLost(service) && relays.choose(timers.nowMillis()) == null;
-  }
-
-  /**
-   * Returns the address of the entry that should relay a connection to an instance; null if this
-   * entry should connect itself.
-   */
-  @Nullable String relayTo(FleetInstance i) {
-    return paths.isDirect(i.id(), i.service()) ? null : relays.choose(timers.nowMillis());
-  }
-
-  /** Records a failure of this entry's own connection to an instance. */
-  void pathFailed(FleetInstance i, PathMonitor.Failure failure) {
-    if (failure == PathMonitor.Failure.CONNECT) {
-      pool.closeIdle(i.id());
-    }
-    int instances = serving(i.service()).size();
-    if (paths.failed(i.id(), i.service(), failure, instances, timers.nowMillis())) {
-      view.instances().stream()
-          .filter(o -> o.service().equals(i.service()))
-          .forEach(o -> pool.closeIdle(o.id()));
-      LOG.atWarn()
-          .addKeyValue("service", i.service())
-          .addKeyValue("instance", i.id())
-          .addKeyValue("failure", failure)
-          .addKeyValue("instances", instances)
-          .log("no instance of a service can be reached");
-    }
-  }
-
-  /** Returns the instances to which requests of a service may be sent. */
-  private List<String> serving(String service) {
-    return view.instances().stream()
-        .filter(i -> i.service().equals(service) && i.phase() == InstancePhase.READY)
-        .filter(i -> i.group() == null || i.servesGroup())
-        .map(FleetInstance::id)
-        .toList();
-  }
-
-  /** Records that bytes arrived on this entry's own connection to an instance. */
-  void pathProgressed(FleetInstance i) {
-    if (paths.progressed(i.service())) {
-      logRegained(i);
-    }
-  }
-
-  private static void logRegained(FleetInstance i) {
-    LOG.atInfo()
-        .addKeyValue("service", i.service())
-        .addKeyValue("instance", i.id())
-        .log("instances of a service can be reached again");
-  }
-
-  /** Records the answer of an entry that was asked to relay a connection to an instance. */
-  void relayAnswered(String address, FleetInstance i, RelayStatus status) {
-    switch (status) {
-      case CONNECTED -> relays.worked(address);
-      case UNREACHABLE -> {
-        relays.doubted(address);
-        paths.failedElsewhere(i.id());
-      }
-      default -> relays.failed(address, timers.nowMillis());
-    }
-  }
-
-  /** Opens a connection to an instance that could not be reached, if it is time. */
-  private void probePath(long now) {
-    String id = paths.dueProbe(this::serving, now);
-    FleetInstance i = id == null ? null : view.instance(id);
-    if (i != null) {
-      pool.probe(ReplicaDirectory.address(i.address())).thenAccept(ok -> probed(i, ok));
-    }
-  }
-
-  private void probed(FleetInstance i, boolean reached) {
-    if (!reached) {
-      pathFailed(i, PathMonitor.Failure.CONNECT);
-      return;
-    }
-    paths.probeSucceeded(timers.nowMillis());
-    if (paths.connected(i.id(), i.service())) {
-      logRegained(i);
-    }
-  }
-
-  /** Returns the entries that relay connections for this one. */
-  RelayChooser relays() {
-    return relays;
+  /** Returns the ways to the instances. */
+  InstancePaths paths() {
+    return paths;
   }
 
   private static void logLimit(String instance, double perSecond, long ageMillis) {
@@ -481,8 +388,7 @@
     guard.prune(now);
     turns.retain(id -> view.instance(id) != null);
     notices.retain(id -> view.instance(id) != null);
-    paths.retain(id -> view.instance(id) != null);
-    probePath(now);
+    paths.check(now);
     for (ForwardCall c : List.copyOf(calls)) {
       c.checkProgress(now);
     }
