Guard relayed connections whose answer crosses a timeout or a stop

Read, not seen: a connection that was reported as failed could not carry a request before either, since it is closed at once; now the code says so. A connection that is opened while the relaying entry begins to stop is retired like those that were open.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayClientHandler.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayClientHandler.java
@@ -61,7 +61,8 @@
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
     if (!connected) {
       RelayStatus s = RelayStatus.ofCode(in.readByte());
-      if (s != RelayStatus.CONNECTED) {
+      // A connection that was reported as failed must not carry a request any more.
+      if (s != RelayStatus.CONNECTED || answered) {
         in.skipBytes(in.readableBytes());
         refused(ctx, s == null ? RelayStatus.NO_ANSWER : s);
         return;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayListener.java
@@ -126,6 +126,10 @@
     return instances.apply(instance);
   }
 
+  boolean isDraining() {
+    return draining;
+  }
+
   boolean mayRelay() {
     return !draining && connections.size() < MAX_CONNECTIONS && hasCapacity.getAsBoolean();
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayedConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayedConnection.java
@@ -98,6 +98,9 @@
     }
     instance = to;
     answer(RelayStatus.CONNECTED);
+    if (listener.isDraining()) {
+      retire();
+    }
   }
 
   private void refuse(String id, RelayStatus s) {
