Do not report that instances fail that an entry cannot reach

Callers of the other entries: during the cut of second1 the leader dissolved 18 groups that served, as stalled, since the entries that were cut off had reported for over 2.5 s that their heads fail.

Cause: a failure on an entry's own path was told as one of the instance. While its paths to a service are lost, an entry now reports the progress of its requests only.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -149,12 +149,13 @@
     List<InstanceLoad> out = new ArrayList<>();
     stats.forEach(
         (id, s) -> {
-          long failingMillis = s.failingMillis(now);
-          if (s.active() > 0 || failingMillis > 0) {
-            long idle = s.active() > 0 ? s.idleMillis(now) : InstanceLoad.NEVER;
-            out.add(
-                new InstanceLoad(
-                    id, s.epoch(), s.active(), s.prefillTokens(), idle, failingMillis));
+          long idle = s.active() > 0 ? s.idleMillis(now) : InstanceLoad.NEVER;
+          InstanceLoad seen =
+              new InstanceLoad(
+                  id, s.epoch(), s.active(), s.prefillTokens(), idle, s.failingMillis(now));
+          InstanceLoad load = paths.isLost(id) ? seen.ofUnreachable() : seen;
+          if (load.active() > 0 || load.failingMillis() > 0) {
+            out.add(load);
           }
         });
     return out;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/InstancePaths.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/InstancePaths.java
@@ -40,6 +40,12 @@
     return monitor.isAnyLost();
   }
 
+  /** Returns whether this entry can reach no instance of the service of an instance by itself. */
+  boolean isLost(String instance) {
+    FleetInstance i = view.instance(instance);
+    return i != null && monitor.isLost(i.service());
+  }
+
   /** Returns whether this entry reaches the instances of a service neither directly nor relayed. */
   boolean isCutOff(String service) {
     return monitor.isLost(service) && relays.choose(timers.nowMillis()) == null;
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceLoad.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/InstanceLoad.java
@@ -56,6 +56,20 @@
     return Math.max(failingMillis, idle);
   }
 
+  /**
+   * Returns this load as a process reports it that cannot reach the instance by itself: that its
+   * requests fail or make no progress says nothing of the instance.
+   */
+  public InstanceLoad ofUnreachable() {
+    return new InstanceLoad(
+        instance,
+        epoch,
+        active,
+        prefillTokens,
+        idleMillis < PROGRESS_MILLIS ? idleMillis : NEVER,
+        0);
+  }
+
   /** Returns whether any process has seen recent progress. */
   public boolean hasProgress() {
     return idleMillis < PROGRESS_MILLIS;
