Let entries relay to the services that they reach

Cause: an entry that had lost the paths to any service offered no relay at all, and one that refused was avoided for all services. Three entries in a row that could not help also used up the attempts of a request.

Entries now relay to instances of services that they reach and answer CUT_OFF for others; relays are avoided by service; an entry that does not relay costs a request no attempt, since it is avoided afterwards.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -456,19 +456,20 @@
   }
 
   private void notConnected(String reason) {
-    boolean relayFailed = relay != null && relayStatus != RelayStatus.UNREACHABLE;
-    forwarder.metrics().sendFailed(owner.kind(), relayFailed ? "relay" : "connect");
     logFailure(false, reason);
+    if (relay != null && relayStatus != RelayStatus.UNREACHABLE) {
+      // Nothing is known of the instance.
+      forwarder.metrics().sendFailed(owner.kind(), "relay");
+      owner.onNotRelayed(target);
+      return;
+    }
+    forwarder.metrics().sendFailed(owner.kind(), "connect");
+    stats.failed(timers.nowMillis());
     if (relay == null) {
       forwarder.paths().connectFailed(target);
-    }
-    if (!relayFailed) {
-      stats.failed(timers.nowMillis());
-    }
-    if (relay == null || relayFailed) {
       owner.retryOnOtherPath(target);
     }
-    owner.onNotRun(relayFailed ? "relay" : "connect", false);
+    owner.onNotRun("connect", false);
   }
 
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -482,6 +482,19 @@
     return deadlineAt - timers.nowMillis();
   }
 
+  /**
+   * Tries another way after an entry did not relay a connection. Each such entry is avoided for a
+   * while, so there are as many of these attempts as other entries at most.
+   */
+  void onNotRelayed(FleetInstance target) {
+    retryOnOtherPath(target);
+    if (remaining() > MIN_REMAINING_MILLIS) {
+      dispatch("relay");
+    } else {
+      giveUp("relay", RETRY_AFTER_MILLIS);
+    }
+  }
+
   /** Allows another attempt at an instance if it has another path than the one that has failed. */
   void retryOnOtherPath(FleetInstance target) {
     if (forwarder.paths().relayTo(target) != null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -211,9 +211,14 @@
     }
   }
 
-  /** Returns whether this entry cannot reach the instances of some service by itself. */
-  public boolean isAnyPathLost() {
-    return paths.isAnyLost();
+  /** Returns whether this entry reaches the instances of no service by itself. */
+  public boolean isEveryPathLost() {
+    return paths.isEveryLost();
+  }
+
+  /** Returns whether this entry can reach no instance of the service of an instance by itself. */
+  public boolean isPathLost(String instance) {
+    return paths.isLost(instance);
   }
 
   /** Returns the ways to the instances. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/InstancePaths.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/InstancePaths.java
@@ -10,6 +10,7 @@
 import org.ebonypond.server.http1.BackendPool;
 import org.ebonypond.server.relay.RelayObserver;
 import org.ebonypond.server.relay.RelayStatus;
+import org.ebonypond.serving.ServingConfig;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -35,9 +36,12 @@
     this.timers = timers;
   }
 
-  /** Returns whether this entry cannot reach the instances of some service by itself. */
-  boolean isAnyLost() {
-    return monitor.isAnyLost();
+  /** Returns whether this entry reaches the instances of no service by itself. */
+  boolean isEveryLost() {
+    ServingConfig c = view.config();
+    return c != null
+        && monitor.isAnyLost()
+        && c.services().keySet().stream().allMatch(monitor::isLost);
   }
 
   /** Returns whether this entry can reach no instance of the service of an instance by itself. */
@@ -48,7 +52,7 @@
 
   /** Returns whether this entry reaches the instances of a service neither directly nor relayed. */
   boolean isCutOff(String service) {
-    return monitor.isLost(service) && relays.choose(timers.nowMillis()) == null;
+    return monitor.isLost(service) && relays.choose(service, timers.nowMillis()) == null;
   }
 
   /**
@@ -56,7 +60,9 @@
    * entry should connect itself.
    */
   @Nullable String relayTo(FleetInstance i) {
-    return monitor.isDirect(i.id(), i.service()) ? null : relays.choose(timers.nowMillis());
+    return monitor.isDirect(i.id(), i.service())
+        ? null
+        : relays.choose(i.service(), timers.nowMillis());
   }
 
   /** Records that no connection to an instance was established. */
@@ -75,7 +81,7 @@
     if (relay == null) {
       failed(i, PathMonitor.Failure.NO_ANSWER);
     } else {
-      relays.doubted(relay);
+      relays.doubted(relay, i.service());
     }
   }
 
@@ -110,7 +116,7 @@
    */
   void progressed(FleetInstance i, @Nullable String relay) {
     if (relay != null) {
-      relays.worked(relay);
+      relays.worked(relay, i.service());
     } else if (monitor.progressed(i.service())) {
       logRegained(i);
     }
@@ -126,19 +132,19 @@
 
       @Override
       public void lost() {
-        relays.failed(relay, timers.nowMillis());
+        relays.failed(relay, i.service(), timers.nowMillis());
       }
     };
   }
 
   private void relayAnswered(String relay, FleetInstance i, RelayStatus status) {
     switch (status) {
-      case CONNECTED -> relays.worked(relay);
+      case CONNECTED -> relays.worked(relay, i.service());
       case UNREACHABLE -> {
-        relays.doubted(relay);
+        relays.doubted(relay, i.service());
         monitor.failedElsewhere(i.id());
       }
-      default -> relays.failed(relay, timers.nowMillis());
+      default -> relays.failed(relay, i.service(), timers.nowMillis());
     }
   }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayListener.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.ebonypond.server.transport.TcpListener;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
@@ -41,6 +42,7 @@
   private final EventLoopGroup loop;
   private final TimerService timers;
   private final Function<String, @Nullable InetSocketAddress> instances;
+  private final Predicate<String> reaches;
   private final BooleanSupplier hasCapacity;
   private final int connectTimeoutMillis;
   private final Set<RelayedConnection> connections = new LinkedHashSet<>();
@@ -54,6 +56,7 @@
    * @param timers provides the clock and closes idle connections
    * @param instances returns the address of an instance that this entry knows, or null; connections
    *     are relayed to such instances only
+   * @param reaches whether this entry reaches an instance by itself, as far as it knows
    * @param hasCapacity whether this entry can take on work of others
    * @param connectTimeoutMillis the timeout for a connection to an instance, in milliseconds
    */
@@ -61,11 +64,13 @@
       EventLoopGroup loop,
       TimerService timers,
       Function<String, @Nullable InetSocketAddress> instances,
+      Predicate<String> reaches,
       BooleanSupplier hasCapacity,
       int connectTimeoutMillis) {
     this.loop = loop;
     this.timers = timers;
     this.instances = instances;
+    this.reaches = reaches;
     this.hasCapacity = hasCapacity;
     this.connectTimeoutMillis = connectTimeoutMillis;
   }
@@ -126,6 +131,10 @@
     return instances.apply(instance);
   }
 
+  boolean reaches(String instance) {
+    return reaches.test(instance);
+  }
+
   boolean isDraining() {
     return draining;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayStatus.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayStatus.java
@@ -10,8 +10,10 @@
   UNREACHABLE(1),
   /** The entry does not know the instance. */
   UNKNOWN_INSTANCE(2),
-  /** The entry relays as many connections as it can, stops soon, or is cut off itself. */
+  /** The entry relays as many connections as it can, or stops soon. */
   BUSY(3),
+  /** The entry is cut off from the instances of the service itself. */
+  CUT_OFF(4),
   /** The entry did not answer; never sent. */
   NO_ANSWER(-1);
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayedConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayedConnection.java
@@ -64,6 +64,8 @@
       refuse(id, RelayStatus.BUSY);
     } else if (address == null) {
       refuse(id, RelayStatus.UNKNOWN_INSTANCE);
+    } else if (!listener.reaches(id)) {
+      refuse(id, RelayStatus.CUT_OFF);
     } else {
       ChannelFuture connecting =
           new Bootstrap()
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/RelayChooserTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/RelayChooserTest.java
@@ -22,11 +22,11 @@
   /** Guards against relayed bytes between zones while an entry of the own zone can help. */
   @Test
   void entriesOfTheOwnZoneComeFirstAndShareTheLoad() {
-    assertNull(chooser.choose(0));
+    assertNull(chooser.choose("s", 0));
     chooser.update(List.of(FAR, NEAR, NEAR_TOO), 0);
     Set<String> chosen = new HashSet<>();
     for (int i = 0; i < 100; i++) {
-      chosen.add(chooser.choose(0));
+      chosen.add(chooser.choose("s", 0));
     }
     assertEquals(Set.of(NEAR.address(), NEAR_TOO.address()), chosen);
   }
@@ -35,17 +35,17 @@
   @Test
   void entryThatFailsIsAvoidedForLongerEachTime() {
     chooser.update(List.of(NEAR, FAR), 0);
-    chooser.failed(NEAR.address(), 0);
-    assertEquals(FAR.address(), chooser.choose(1));
-    assertEquals(NEAR.address(), chooser.choose(500));
-    chooser.failed(NEAR.address(), 500);
-    assertEquals(FAR.address(), chooser.choose(1_400));
-    assertEquals(NEAR.address(), chooser.choose(1_500));
-    chooser.failed(NEAR.address(), 1_500);
-    chooser.failed(FAR.address(), 1_500);
-    assertNull(chooser.choose(1_501));
-    chooser.worked(NEAR.address());
-    assertEquals(NEAR.address(), chooser.choose(1_501));
+    chooser.failed(NEAR.address(), "s", 0);
+    assertEquals(FAR.address(), chooser.choose("s", 1));
+    assertEquals(NEAR.address(), chooser.choose("s", 500));
+    chooser.failed(NEAR.address(), "s", 500);
+    assertEquals(FAR.address(), chooser.choose("s", 1_400));
+    assertEquals(NEAR.address(), chooser.choose("s", 1_500));
+    chooser.failed(NEAR.address(), "s", 1_500);
+    chooser.failed(FAR.address(), "s", 1_500);
+    assertNull(chooser.choose("s", 1_501));
+    chooser.worked(NEAR.address(), "s");
+    assertEquals(NEAR.address(), chooser.choose("s", 1_501));
   }
 
   /**
@@ -56,14 +56,23 @@
   void doubtedEntryIsUsedOnlyIfThereIsNoOther() {
     chooser.update(List.of(NEAR, FAR), 0);
     for (int i = 0; i < 3; i++) {
-      assertEquals(NEAR.address(), chooser.choose(0));
-      chooser.doubted(NEAR.address());
+      assertEquals(NEAR.address(), chooser.choose("s", 0));
+      chooser.doubted(NEAR.address(), "s");
     }
-    assertEquals(FAR.address(), chooser.choose(0));
-    chooser.failed(FAR.address(), 0);
-    assertEquals(NEAR.address(), chooser.choose(0));
-    chooser.worked(NEAR.address());
-    assertEquals(NEAR.address(), chooser.choose(5_000));
+    assertEquals(FAR.address(), chooser.choose("s", 0));
+    chooser.failed(FAR.address(), "s", 0);
+    assertEquals(NEAR.address(), chooser.choose("s", 0));
+    chooser.worked(NEAR.address(), "s");
+    assertEquals(NEAR.address(), chooser.choose("s", 5_000));
+  }
+
+  /** Guards against an entry that is avoided for a service which it does reach. */
+  @Test
+  void failureForOneServiceSaysNothingOfAnother() {
+    chooser.update(List.of(NEAR), 0);
+    chooser.failed(NEAR.address(), "s", 0);
+    assertNull(chooser.choose("s", 1));
+    assertEquals(NEAR.address(), chooser.choose("other", 1));
   }
 
   /** Guards against an entry that forgets the others when it needs them. */
@@ -74,7 +83,7 @@
     assertFalse(chooser.wantsUpdate(RelayChooser.REFRESH_MILLIS - 1));
     assertTrue(chooser.wantsUpdate(RelayChooser.REFRESH_MILLIS));
     chooser.update(List.of(), RelayChooser.REFRESH_MILLIS);
-    assertEquals(NEAR.address(), chooser.choose(RelayChooser.REFRESH_MILLIS));
+    assertEquals(NEAR.address(), chooser.choose("s", RelayChooser.REFRESH_MILLIS));
     assertTrue(chooser.wantsUpdate(RelayChooser.REFRESH_MILLIS));
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/RelayChooser.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/RelayChooser.java
@@ -28,7 +28,7 @@
   private final String zone;
   private final RandomGenerator random;
   private List<RelayAddress> relays = List.of();
-  private final Map<String, State> states = new HashMap<>();
+  private final Map<Way, State> states = new HashMap<>();
   private long updatedAt = Long.MIN_VALUE;
 
   /**
@@ -55,19 +55,19 @@
     if (!known.isEmpty()) {
       relays = List.copyOf(known);
       updatedAt = now;
-      states.keySet().removeIf(a -> relays.stream().noneMatch(r -> r.address().equals(a)));
+      states.keySet().removeIf(w -> relays.stream().noneMatch(r -> r.address().equals(w.relay)));
     }
   }
 
   /**
-   * Returns the address of a relay, or null if none can be used now. One that is only doubted is
-   * better than none.
+   * Returns the address of a relay to the instances of a service, or null if none can be used now.
+   * One that is only doubted is better than none.
    */
-  public @Nullable String choose(long now) {
+  public @Nullable String choose(String service, long now) {
     List<RelayAddress> trusted = new ArrayList<>();
     List<RelayAddress> doubted = new ArrayList<>();
     for (RelayAddress r : relays) {
-      State s = states.get(r.address());
+      State s = states.get(new Way(r.address(), service));
       if (s == null || now >= s.pausedUntil) {
         (s == null || s.doubts < MAX_DOUBTS ? trusted : doubted).add(r);
       }
@@ -79,27 +79,30 @@
   }
 
   /** Records that a relay opened a connection, or that bytes of an instance came through it. */
-  public void worked(String address) {
-    states.remove(address);
+  public void worked(String address, String service) {
+    states.remove(new Way(address, service));
   }
 
   /** Records that a relay did not reach an instance, or that a relayed request is not answered. */
-  public void doubted(String address) {
-    state(address).doubts++;
+  public void doubted(String address, String service) {
+    state(address, service).doubts++;
   }
 
   /** Records that a relay did not answer, or refused a connection. */
-  public void failed(String address, long now) {
-    State s = state(address);
+  public void failed(String address, String service, long now) {
+    State s = state(address, service);
     s.pauseMillis =
         s.pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(2 * s.pauseMillis, LONGEST_PAUSE_MILLIS);
     s.pausedUntil = now + s.pauseMillis;
   }
 
-  private State state(String address) {
-    return states.computeIfAbsent(address, a -> new State());
+  private State state(String address, String service) {
+    return states.computeIfAbsent(new Way(address, service), w -> new State());
   }
 
+  /** An entry may be cut off from the instances of one service and reach those of another. */
+  private record Way(String relay, String service) {}
+
   private static final class State {
     private int doubts;
     private long pauseMillis;
