Log why a started answer ends, and how long an instance was silent

An answer that ends by a reset is logged with the reason of its last attempt, such as "full", which does not tell whether an instance broke off, whether this entry ended an attempt that might have gone on, or whether the caller's time was over. The line now has the instances whose attempts this entry has ended, all that were tried and the time left; a moved request has the silence and the limit. No decision changes.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -519,15 +519,30 @@
    * member.
    */
   boolean isStalled(long now) {
-    if (paused) {
+    if (paused || (!isStreamCall() && reply != null)) {
       return false;
     }
-    if (owner.route().kind() == CallKind.STREAM) {
-      long limit = stallMillis(now);
-      return now - sentAt > limit && stats.idleMillis(now) > limit;
-    }
-    double slow = Math.max(MIN_SLOW_MILLIS, SLOW_FACTOR * owner.route().targetMillis());
-    return now - sentAt > slow && reply == null;
+    return silentMillis(now) > stallLimitMillis(now);
+  }
+
+  /**
+   * Returns the time without progress, in milliseconds. The streams of a group advance together, so
+   * each of them speaks for the others.
+   */
+  long silentMillis(long now) {
+    long sinceSent = now - sentAt;
+    return isStreamCall() ? Math.min(sinceSent, stats.idleMillis(now)) : sinceSent;
+  }
+
+  /** Returns the time without progress after which this attempt has stalled, in milliseconds. */
+  long stallLimitMillis(long now) {
+    return isStreamCall()
+        ? stallMillis(now)
+        : (long) Math.max(MIN_SLOW_MILLIS, SLOW_FACTOR * owner.route().targetMillis());
+  }
+
+  private boolean isStreamCall() {
+    return owner.route().kind() == CallKind.STREAM;
   }
 
   private long stallMillis(long now) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -77,6 +77,9 @@
   private final CallerAnswer answer;
   private final Set<String> tried = new HashSet<>();
 
+  /** The instances whose attempts this entry has ended although they might have answered. */
+  private final Set<String> left = new HashSet<>();
+
   private RequestTraits traits;
   private @Nullable RouteRule route;
   private @Nullable ServiceProfile service;
@@ -458,7 +461,8 @@
     if (selection.target() == null || !tryRetry()) {
       return;
     }
-    log.moved("stalled", a.target().id(), sends);
+    log.moved("stalled", a.target().id(), sends, a.silentMillis(now), a.stallLimitMillis(now));
+    left.add(a.target().id());
     a.stop();
     a.stats().failed(now);
     mayHaveRun = true;
@@ -546,7 +550,7 @@
 
   private void giveUp(String reason, long retryAfterMillis) {
     if (answer.isStarted()) {
-      log.brokenOff(route().name(), reason, sends);
+      log.brokenOff(route().name(), reason, sends, left, tried, remaining());
       forwarder.metrics().ended(kind(), "broken-off", reason, timers.nowMillis() - receivedAt);
       cleanUp();
       call.abort();
@@ -567,6 +571,7 @@
     }
     Attempt a = current;
     if (a != null) {
+      left.add(a.target().id());
       a.stop();
       mayHaveRun = true;
     }
@@ -603,6 +608,7 @@
   void shutDown() {
     Attempt a = current;
     if (a != null) {
+      left.add(a.target().id());
       a.stop();
       mayHaveRun = true;
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -73,11 +73,19 @@
         .log("request sent");
   }
 
-  void moved(String reason, String instance, int sends) {
+  /**
+   * Logs that a request leaves an instance that makes no progress.
+   *
+   * @param silentMillis the time since bytes last arrived from the instance, in milliseconds
+   * @param limitMillis the time after which it counts as stalled, in milliseconds
+   */
+  void moved(String reason, String instance, int sends, long silentMillis, long limitMillis) {
     event()
         .addKeyValue("reason", reason)
         .addKeyValue("instance", instance)
         .addKeyValue("sends", sends)
+        .addKeyValue("silent_ms", silentMillis)
+        .addKeyValue("limit_ms", limitMillis)
         .addKeyValue("took_ms", tookMillis())
         .log("request moved");
   }
@@ -157,12 +165,28 @@
     return parts.stream().map(Long::toHexString).toList();
   }
 
-  void brokenOff(String route, String reason, int sends) {
+  /**
+   * Logs that a started answer ends incomplete.
+   *
+   * @param left the instances whose attempts this entry has ended although they had not failed
+   * @param tried all instances to which the request was sent
+   * @param remainingMillis the caller's time that was left, in milliseconds
+   */
+  void brokenOff(
+      String route,
+      String reason,
+      int sends,
+      Collection<String> left,
+      Collection<String> tried,
+      long remainingMillis) {
     LOG.atWarn()
         .addKeyValue("request", id)
         .addKeyValue("route", route)
         .addKeyValue("reason", reason)
         .addKeyValue("sends", sends)
+        .addKeyValue("left_instances", left)
+        .addKeyValue("tried", tried)
+        .addKeyValue("left_ms", remainingMillis)
         .addKeyValue("took_ms", tookMillis())
         .log("answer broken off");
   }
