Keep a silent attempt until another instance has begun to answer

Callers got streams with status 200 that ended by a reset although no instance had broken off and their time was not over; calls that are no streams got 502 in place of an answer.

Cause: ForwardCall.checkProgress ended the attempt at an instance that had been silent for a stall, and only then asked another instance. If that one was full, the call had neither, and onNotRun reset the answer. All streams of an instance count as stalled together, so they ask for more slots than the others have.

A stalled request is now sent to a second instance while the first attempt goes on. The first one that completes an event (or the whole answer of a call that is no stream) ends the other. Each attempt has a splitter of its own, a copy taken after the last complete event, so events come once and in order whichever goes on. A second attempt takes a free slot only, never goes to an instance that is stalled itself, and counts against the retry allowance and the instances of the route as before. If it is refused or fails, nothing ends. A started answer without an attempt waits for an instance up to 2 s, after which callers give up a stream, also for the retry allowance; before, "full" ended it at once. A stalled instance is avoided until it sends bytes; before, each stream that left it doubled the time for which it was avoided, up to 8 s.

In EventSplitterTest dropPartialEvent() is continuation() now, which returns a new splitter: three tests assert the same of that one. TargetSelectorTest has the new argument.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
@@ -161,6 +161,7 @@
             remainingMillis,
             started ? remainingMillis : c.kind.targetMillis() - (now - c.arrival),
             c.kind.targetMillis(),
+            false,
             c.tried);
     List<TargetSelector.Candidate> out = new ArrayList<>();
     for (String name : knownGroups) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -11,6 +11,7 @@
 import org.ebonypond.errors.EbonypondException;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.forward.EngineCost;
+import org.ebonypond.forward.EventSplitter;
 import org.ebonypond.forward.InstanceStats;
 import org.ebonypond.forward.TargetSelector;
 import org.ebonypond.server.http1.BackendExchange;
@@ -61,6 +62,7 @@
   private final long sentAt;
   private final double predictedMillis;
   private final boolean late;
+  private final EventSplitter splitter;
   private final ByteBuf body;
   private int pendingPrefillTokens;
 
@@ -107,6 +109,7 @@
     this.stats = forwarder.stats(target.id());
     this.sentAt = timers.nowMillis();
     this.predictedMillis = selection.firstMillis();
+    this.splitter = answer.newSplitter();
     this.body = body;
     this.pendingPrefillTokens = owner.head().promptTokens();
     // Only a stream shows when its prompt has been processed.
@@ -266,13 +269,13 @@
   private void forwardEvents(ByteBuf bytes, long now) {
     String problem = null;
     try {
-      answer.feed(ByteBufUtil.getBytes(bytes));
+      answer.feed(splitter, ByteBufUtil.getBytes(bytes));
     } catch (EbonypondException e) {
       problem = String.valueOf(e.getMessage());
     }
     // Bytes that complete no event do not count as progress.
-    if (answer.completedEvents() > 0) {
-      writeEvents(answer.completedEvents(), now);
+    if (splitter.events() > 0) {
+      writeEvents(splitter.events(), now);
     }
     if (problem != null) {
       discardAnswer("no-answer", problem);
@@ -281,6 +284,7 @@
 
   private void writeEvents(int eventCount, long now) {
     observeProgress(now);
+    owner.answers(this);
     startAnswer(now);
     if (lastEventAt > 0) {
       observePace(now - lastEventAt, eventCount);
@@ -288,7 +292,7 @@
       forwarder.quarantine().began(owner.traits(), now);
     }
     lastEventAt = now;
-    answer.writeEvents(now);
+    answer.writeEvents(splitter, now);
     if (!answer.isWritable()) {
       setReading(false);
     }
@@ -346,7 +350,7 @@
   }
 
   private void endStream(BackendReply r) {
-    if (answer.hasPartialEvent()) {
+    if (splitter.hasPartialEvent()) {
       close();
       brokenOff("unfinished-event", "the stream ended inside an event");
       return;
@@ -357,8 +361,9 @@
       brokenOff("no-event", "the connection ended before the first event");
       return;
     }
+    owner.answers(this);
     startAnswer(timers.nowMillis());
-    answer.finishEvents();
+    answer.finishEvents(splitter);
     close();
     owner.completed(this, r.status());
     answer.end();
@@ -382,7 +387,7 @@
         || undeclaredRefusal
         || unsignedRefusal
         || answer.isStarted()
-        || (failed && owner.canTryAnother())) {
+        || (failed && (owner.isRunning() || owner.canTryAnother()))) {
       whole.release();
       stats.answeredFailure(now);
       forwarder.metrics().sendFailed(owner.kind(), "status-" + r.status());
@@ -432,7 +437,7 @@
     }
     forwarder.metrics().sendFailed(owner.kind(), full ? "full" : "refused-" + r.status());
     owner.log().backendRefused(target.id(), r);
-    owner.onNotRun(full ? "full" : "refused", true);
+    owner.onNotRun(target, full ? "full" : "refused", true);
   }
 
   @Override
@@ -469,7 +474,7 @@
       forwarder.paths().connectFailed(target);
       owner.retryOnOtherPath(target);
     }
-    owner.onNotRun("connect", false);
+    owner.onNotRun(target, "connect", false);
   }
 
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
@@ -13,7 +13,7 @@
  */
 final class CallerAnswer {
   private final HttpCall call;
-  private final EventSplitter splitter;
+  private EventSplitter splitter;
   private final ByteArrayOutputStream events = new ByteArrayOutputStream();
   private boolean started;
   private long firstOutputAt;
@@ -48,12 +48,9 @@
     return splitter.lastId();
   }
 
-  boolean hasPartialEvent() {
-    return splitter.hasPartialEvent();
-  }
-
-  void dropPartialEvent() {
-    splitter.dropPartialEvent();
+  /** Returns a splitter for an instance that continues after the last complete event. */
+  EventSplitter newSplitter() {
+    return splitter.continuation();
   }
 
   /** Sends the head of a stream. */
@@ -69,32 +66,34 @@
   }
 
   /**
-   * Takes bytes of a stream.
+   * Takes bytes of a stream. Nothing is written yet.
    *
+   * @param s the splitter of the instance that sent them
    * @throws org.ebonypond.errors.EbonypondException if they are no valid events; those before the
    *     first invalid one count as completed
    */
-  void feed(byte[] bytes) {
+  void feed(EventSplitter s, byte[] bytes) {
     events.reset();
-    splitter.feed(bytes, events);
-  }
-
-  /** Returns the number of events that the last bytes completed. */
-  int completedEvents() {
-    return splitter.events();
+    s.feed(bytes, events);
   }
 
-  /** Writes the events that the last bytes completed. */
-  void writeEvents(long now) {
+  /**
+   * Writes the events that the last bytes completed.
+   *
+   * @param s the splitter of the instance that sent them; the answer continues with it
+   */
+  void writeEvents(EventSplitter s, long now) {
+    splitter = s;
     longestGapMillis = lastWriteAt == 0 ? 0 : Math.max(longestGapMillis, now - lastWriteAt);
     lastWriteAt = now;
     call.writeContent(Unpooled.wrappedBuffer(events.toByteArray()));
   }
 
   /** Writes what follows the last event of a complete stream. */
-  void finishEvents() {
+  void finishEvents(EventSplitter s) {
+    splitter = s;
     events.reset();
-    splitter.finish(events);
+    s.finish(events);
     if (events.size() > 0) {
       call.writeContent(Unpooled.wrappedBuffer(events.toByteArray()));
     }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -4,7 +4,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -61,8 +63,14 @@
   /** The part of the caller's time that is left for an answer of unknown duration, as a divisor. */
   private static final int WAIT_DIVISOR = 2;
 
-  /** How long an interrupted stream waits for a free slot to resume, in milliseconds. */
-  private static final long RESUME_WAIT_MILLIS = 1_000;
+  /** After this many refusals by backend servers, a started answer is broken off. */
+  private static final int MAX_RESUME_REFUSALS = 8;
+
+  /**
+   * How long an interrupted stream waits for an instance to resume, in milliseconds; callers give
+   * up a stream after a pause of that length.
+   */
+  private static final long RESUME_WAIT_MILLIS = 2_000;
 
   /** Retry-After of a stopping entry, in milliseconds; the caller retries at another entry. */
   private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
@@ -91,9 +99,16 @@
   private String sendCause = "first";
   private TargetSelector.@Nullable Selection rejection;
   private long deadlineAt;
-  private @Nullable Attempt current;
+
+  /** The attempts in progress: a second one only while the first makes no progress. */
+  private final List<Attempt> running = new ArrayList<>(2);
+
   private int possibleRuns;
   private int refusals;
+
+  /** Whether the next send still has to be taken from the retry allowance. */
+  private boolean owesRetry;
+
   private int sends;
   private boolean mayHaveRun;
   private boolean done;
@@ -236,17 +251,31 @@
       return;
     }
     if (forwarder.paths().isCutOff(service().name())) {
-      giveUp("cut-off", RETRY_AFTER_MILLIS);
+      waitOrGiveUp(mayQueue && answer.isStarted(), "cut-off", RETRY_AFTER_MILLIS);
       return;
     }
-    TargetSelector.Selection selection = choose();
-    if (selection.target() != null) {
+    TargetSelector.Selection selection = choose(false);
+    if (selection.target() == null) {
+      rejection = selection;
+      waitOrGiveUp(mayQueue, selection.reason(), selection.retryAfterMillis());
+    } else if (owesRetry && !tryRetry()) {
+      waitOrGiveUp(mayQueue, "retry-budget", RETRY_AFTER_MILLIS);
+    } else {
+      owesRetry = false;
       send(selection, cause);
-      return;
     }
-    rejection = selection;
-    if (!mayQueue || !mayWait(selection) || !waitInQueue(selection.waitingLimit())) {
-      giveUp(selection.reason(), selection.retryAfterMillis());
+  }
+
+  private void waitOrGiveUp(boolean mayQueue, String reason, long retryAfterMillis) {
+    TargetSelector.Selection selection = rejection;
+    int limit = selection == null ? 0 : selection.waitingLimit();
+    boolean waits =
+        mayQueue
+            && (answer.isStarted()
+                ? waitInQueue(Integer.MAX_VALUE)
+                : mayWait(limit) && waitInQueue(limit));
+    if (!waits) {
+      giveUp(reason, retryAfterMillis);
     }
   }
 
@@ -267,9 +296,8 @@
     return true;
   }
 
-  private boolean mayWait(TargetSelector.Selection selection) {
-    return selection.waitingLimit() > 0
-        || (sends == 0 && forwarder.queue().isDiscovering(timers.nowMillis()));
+  private boolean mayWait(int waitingLimit) {
+    return waitingLimit > 0 || (sends == 0 && forwarder.queue().isDiscovering(timers.nowMillis()));
   }
 
   /**
@@ -379,7 +407,12 @@
     }
   }
 
-  private TargetSelector.Selection choose() {
+  /**
+   * Chooses an instance.
+   *
+   * @param second whether an earlier attempt is still in progress
+   */
+  private TargetSelector.Selection choose(boolean second) {
     ServiceProfile s = service();
     long now = timers.nowMillis();
     long targetMillis = route().targetMillis() - (now - receivedAt);
@@ -391,6 +424,7 @@
             deadlineAt - now,
             answer.isStarted() ? deadlineAt - now : targetMillis,
             route().targetMillis(),
+            second,
             tried);
     EngineCost c = model == null ? null : cost;
     return forwarder
@@ -414,8 +448,6 @@
     long now = timers.nowMillis();
     forwarder.recordSent(target.id(), now);
     forwarder.metrics().sent(kind(), cause);
-    // The next instance resumes after the last complete event.
-    answer.dropPartialEvent();
     Dispatch d =
         new Dispatch(
             target.id(),
@@ -426,7 +458,7 @@
     ByteBuf buffer = call.body().alloc().buffer();
     String relay = forwarder.paths().relayTo(target);
     Attempt a = new Attempt(this, forwarder, answer, target, selection, relay, buffer);
-    current = a;
+    running.add(a);
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
     log.sent(cause, forwarder.view(), target, selection, relay, d, a.stats(), loadOfOthers);
     InetSocketAddress to = ReplicaDirectory.address(target.address());
@@ -446,28 +478,54 @@
                 a));
   }
 
-  /** Moves a stalled request to another instance if one can take it. */
+  /**
+   * Sends a stalled request to a second instance if one has a free slot. The stalled attempt
+   * continues, since its instance may only be silent for a while: the first one that answers ends
+   * the other.
+   */
   void checkProgress(long now) {
-    Attempt a = current;
     RouteRule r = route;
-    if (a == null || r == null || done || !a.isStalled(now)) {
+    if (done || r == null || running.size() != 1) {
+      return;
+    }
+    Attempt a = running.get(0);
+    if (!a.isStalled(now)) {
       return;
     }
     a.reportSilence();
-    if (!r.idempotent() || !mayRunElsewhere()) {
+    if (!r.idempotent() || refusals >= MAX_REFUSALS || !mayRunElsewhere() || mayCrashInstances()) {
       return;
     }
-    TargetSelector.Selection selection = choose();
+    TargetSelector.Selection selection = choose(true);
     if (selection.target() == null || !tryRetry()) {
       return;
     }
-    log.moved("stalled", a.target().id(), sends, a.silentMillis(now), a.stallLimitMillis(now));
+    log.stalled(a.target().id(), sends, a.silentMillis(now), a.stallLimitMillis(now));
+    a.stats().stalled(now);
+    send(selection, "stalled");
+  }
+
+  /** Ends the other attempt because this one has begun to answer, or has gone on. */
+  void answers(Attempt a) {
+    for (Attempt o : List.copyOf(running)) {
+      if (o != a) {
+        log.superseded(o.target().id(), a.target().id());
+        leave(o);
+      }
+    }
+  }
+
+  /** Ends an attempt that might have answered. */
+  private void leave(Attempt a) {
     left.add(a.target().id());
-    a.stop();
-    a.stats().failed(now);
     mayHaveRun = true;
     possibleRuns++;
-    send(selection, "stalled");
+    a.stop();
+  }
+
+  /** Returns whether an attempt is in progress. */
+  boolean isRunning() {
+    return !running.isEmpty();
   }
 
   private boolean mayRunElsewhere() {
@@ -492,6 +550,9 @@
    */
   void onNotRelayed(FleetInstance target) {
     retryOnOtherPath(target);
+    if (isRunning()) {
+      return;
+    }
     if (remaining() > MIN_REMAINING_MILLIS) {
       dispatch("relay");
     } else {
@@ -507,36 +568,59 @@
   }
 
   /**
-   * Retries or refuses after an attempt that certainly did not run.
+   * Retries or refuses after an attempt that certainly did not run, unless another one is in
+   * progress.
    *
+   * @param target the instance of the attempt
    * @param reachedBackend whether a backend server refused it; a retry then counts against the
    *     retry allowance
    */
-  void onNotRun(String reason, boolean reachedBackend) {
+  void onNotRun(FleetInstance target, String reason, boolean reachedBackend) {
     refusals++;
-    boolean retry =
-        refusals <= MAX_REFUSALS
-            && remaining() > MIN_REMAINING_MILLIS
-            && (!reachedBackend || tryRetry());
-    if (retry) {
-      dispatch(reason);
-    } else {
-      giveUp(reason, RETRY_AFTER_MILLIS);
+    if (isRunning()) {
+      return;
     }
+    int maxRefusals = MAX_REFUSALS;
+    if (answer.isStarted()) {
+      // The instance may have a free slot before the caller gives up.
+      tried.remove(target.id());
+      maxRefusals = MAX_RESUME_REFUSALS;
+    }
+    boolean retry = refusals <= maxRefusals && remaining() > MIN_REMAINING_MILLIS;
+    retry(retry, reachedBackend, reason);
   }
 
-  /** Retries or gives up after an attempt that may have run, or has run in part. */
+  /**
+   * Retries or gives up after an attempt that may have run, or has run in part, unless another one
+   * is in progress.
+   */
   void onPossiblyRun(String reason) {
     mayHaveRun = true;
     possibleRuns++;
+    if (isRunning()) {
+      return;
+    }
     boolean retry =
         route().idempotent()
             && answer.isResumable()
             && possibleRuns < route().maxInstances()
             && remaining() > MIN_REMAINING_MILLIS
-            && !mayCrashInstances()
-            && tryRetry();
-    if (retry) {
+            && !mayCrashInstances();
+    retry(retry, true, reason);
+  }
+
+  /**
+   * Sends the request again or gives it up.
+   *
+   * @param counted whether the retry counts against the retry allowance; a started answer may wait
+   *     for it
+   */
+  private void retry(boolean allowed, boolean counted, String reason) {
+    owesRetry = counted;
+    if (allowed && counted && !answer.isStarted()) {
+      owesRetry = !tryRetry();
+    }
+    if (allowed && (answer.isStarted() || !owesRetry)) {
       dispatch(reason);
     } else {
       giveUp(reason, RETRY_AFTER_MILLIS);
@@ -569,12 +653,7 @@
     if (done) {
       return;
     }
-    Attempt a = current;
-    if (a != null) {
-      left.add(a.target().id());
-      a.stop();
-      mayHaveRun = true;
-    }
+    List.copyOf(running).forEach(this::leave);
     if (answer.isStarted()) {
       giveUp("deadline", 0);
     } else if (mayHaveRun) {
@@ -585,33 +664,23 @@
   }
 
   private void onCallerWritable() {
-    Attempt a = current;
-    if (a != null && a.isPaused()) {
-      a.resume();
-    }
+    running.stream().filter(Attempt::isPaused).forEach(Attempt::resume);
   }
 
   private void onCallerClosed() {
     if (done) {
       return;
     }
-    Attempt a = current;
-    if (a != null) {
-      a.stop();
-    }
-    log.cancelled("caller-left", a == null ? "" : a.target().id(), sends);
+    List<String> instances = running.stream().map(a -> a.target().id()).toList();
+    List.copyOf(running).forEach(Attempt::stop);
+    log.cancelled("caller-left", instances, sends);
     forwarder.metrics().ended(kind(), "cancelled", "caller-left", timers.nowMillis() - receivedAt);
     cleanUp();
   }
 
   /** Ends the call because the process stops. */
   void shutDown() {
-    Attempt a = current;
-    if (a != null) {
-      left.add(a.target().id());
-      a.stop();
-      mayHaveRun = true;
-    }
+    List.copyOf(running).forEach(this::leave);
     giveUp("shutdown", 0);
   }
 
@@ -649,7 +718,6 @@
   private void cleanUp() {
     done = true;
     stopWaiting();
-    current = null;
     TimerService.Subscription d = deadline;
     if (d != null) {
       d.cancel();
@@ -659,6 +727,7 @@
 
   /** Ends the call because an attempt has an answer to it. */
   void completed(Attempt a, int status) {
+    answers(a);
     long now = timers.nowMillis();
     a.stats().succeeded(now);
     long first = answer.isStarted() ? answer.firstOutputAt() : now;
@@ -672,9 +741,7 @@
 
   /** Records that an attempt has ended. */
   void ended(Attempt a) {
-    if (current == a) {
-      current = null;
-    }
+    running.remove(a);
   }
 
   CallHead head() {
@@ -704,7 +771,7 @@
 
   /** Returns whether another instance could take the call now, after a failure of this one. */
   boolean canTryAnother() {
-    return mayRunElsewhere() && choose().target() != null;
+    return mayRunElsewhere() && choose(false).target() != null;
   }
 
   /** Returns the kind of the call as a label of metrics. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -74,20 +74,33 @@
   }
 
   /**
-   * Logs that a request leaves an instance that makes no progress.
+   * Logs that an instance makes no progress with a request, which is sent to a second one as well.
    *
    * @param silentMillis the time since bytes last arrived from the instance, in milliseconds
    * @param limitMillis the time after which it counts as stalled, in milliseconds
    */
-  void moved(String reason, String instance, int sends, long silentMillis, long limitMillis) {
+  void stalled(String instance, int sends, long silentMillis, long limitMillis) {
     event()
-        .addKeyValue("reason", reason)
         .addKeyValue("instance", instance)
         .addKeyValue("sends", sends)
         .addKeyValue("silent_ms", silentMillis)
         .addKeyValue("limit_ms", limitMillis)
         .addKeyValue("took_ms", tookMillis())
-        .log("request moved");
+        .log("request stalled");
+  }
+
+  /**
+   * Logs that an attempt is ended because another one answers.
+   *
+   * @param instance the instance of the ended attempt
+   * @param by the instance that answers
+   */
+  void superseded(String instance, String by) {
+    event()
+        .addKeyValue("instance", instance)
+        .addKeyValue("by", by)
+        .addKeyValue("took_ms", tookMillis())
+        .log("attempt ended for another one");
   }
 
   void waits(String cause, long atMostMillis) {
@@ -98,10 +111,10 @@
         .log("request waits");
   }
 
-  void cancelled(String reason, String instance, int sends) {
+  void cancelled(String reason, List<String> instances, int sends) {
     event()
         .addKeyValue("reason", reason)
-        .addKeyValue("instance", instance)
+        .addKeyValue("instances", instances)
         .addKeyValue("sends", sends)
         .addKeyValue("took_ms", tookMillis())
         .log("request cancelled");
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/EventSplitterTest.java
@@ -40,10 +40,10 @@
     s.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"), out);
     assertEquals("id: 1\ndata: a\n\n", forwarded());
     assertTrue(s.hasPartialEvent());
-    s.dropPartialEvent();
-    s.feed(bytes("id: 2\ndata: b\n\n"), out);
+    EventSplitter next = s.continuation();
+    next.feed(bytes("id: 2\ndata: b\n\n"), out);
     assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", forwarded());
-    assertFalse(s.hasPartialEvent());
+    assertFalse(next.hasPartialEvent());
   }
 
   /** Guards against duplicate events after a stream was resumed. */
@@ -177,8 +177,8 @@
   void continuationThatDoesNotFitFails(String before, String after) {
     EventSplitter s = new EventSplitter("");
     s.feed(events(before), out);
-    s.dropPartialEvent();
-    assertThrows(EbonypondException.class, () -> s.feed(events(after), out));
+    EventSplitter next = s.continuation();
+    assertThrows(EbonypondException.class, () -> next.feed(events(after), out));
   }
 
   /** Guards against a stream that is broken off although its continuation fits. */
@@ -197,8 +197,8 @@
     EventSplitter s = new EventSplitter("");
     s.feed(events(before), out);
     assertTrue(s.isResumable());
-    s.dropPartialEvent();
-    assertTrue(s.feed(events(after), out) > 0);
+    EventSplitter next = s.continuation();
+    assertTrue(next.feed(events(after), out) > 0);
   }
 
   /** Guards against events that come twice, because those without a number cannot be compared. */
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -59,13 +59,14 @@
   }
 
   private static TargetSelector.Need need(long remaining, Set<String> tried) {
-    return new TargetSelector.Need(ENGINE.model("large"), 1_400, 135, remaining, 500, 500, tried);
+    return new TargetSelector.Need(
+        ENGINE.model("large"), 1_400, 135, remaining, 500, 500, false, tried);
   }
 
   /** Returns the requirements of a request that has already waited for the given time. */
   private static TargetSelector.Need needAfter(long waited) {
     return new TargetSelector.Need(
-        ENGINE.model("large"), 1_400, 135, 8_000 - waited, 500 - waited, 500, Set.of());
+        ENGINE.model("large"), 1_400, 135, 8_000 - waited, 500 - waited, 500, false, Set.of());
   }
 
   private String chosen(TargetSelector.Selection d) {
@@ -176,7 +177,7 @@
         List.of(candidate("a", 23, null), candidate("b", 23, null));
     assertEquals(12, selector.choose(needAfter(0), busy, COST, 3, 0).waitingLimit());
     TargetSelector.Need tooLate =
-        new TargetSelector.Need(ENGINE.model("large"), 1_400, 135, 300, 100, 500, Set.of());
+        new TargetSelector.Need(ENGINE.model("large"), 1_400, 135, 300, 100, 500, false, Set.of());
     assertEquals(0, selector.choose(tooLate, busy, COST, 3, 0).waitingLimit());
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -205,13 +205,19 @@
     clear();
   }
 
-  /** Discards an unfinished event, before the stream continues on another instance. */
-  public void dropPartialEvent() {
-    clear();
-    droppedBytes = 0;
-    resumed = hasEvent;
-    lastIdOfInstance = Long.MIN_VALUE;
-    hasNewEventOfInstance = false;
+  /**
+   * Returns a splitter for the bytes of another instance that continues the stream after the last
+   * complete event. This one is not changed and may go on.
+   */
+  public EventSplitter continuation() {
+    EventSplitter s = new EventSplitter(lastIdText);
+    s.hasId = hasId;
+    s.lastId = lastId;
+    s.numbered = numbered;
+    s.consecutive = consecutive;
+    s.hasEvent = hasEvent;
+    s.resumed = hasEvent;
+    return s;
   }
 
   private void clear() {
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
@@ -5,6 +5,12 @@
   private static final long FIRST_SUSPICION_MILLIS = 1_000;
   private static final long LONGEST_SUSPICION_MILLIS = 8_000;
 
+  /**
+   * How long a stalled instance without requests is skipped, in milliseconds; by then its group is
+   * given up if it lost a member.
+   */
+  private static final long STALLED_MILLIS = 2_500;
+
   /**
    * The time in milliseconds for which an instance is skipped after it refused a request because it
    * is full.
@@ -30,6 +36,7 @@
   private long suspectUntil = Long.MIN_VALUE;
   private long fullUntil = Long.MIN_VALUE;
   private long failingSince = Long.MIN_VALUE;
+  private long stalledUntil = Long.MIN_VALUE;
   private int failures;
   private double slowness = 1;
   private long slownessAt;
@@ -43,6 +50,7 @@
     if (groupEpoch != epoch) {
       epoch = groupEpoch;
       suspectUntil = Long.MIN_VALUE;
+      stalledUntil = Long.MIN_VALUE;
       failingSince = Long.MIN_VALUE;
       failures = 0;
       slowness = 1;
@@ -91,6 +99,7 @@
   public void progressed(long now) {
     lastProgress = now;
     failingSince = Long.MIN_VALUE;
+    stalledUntil = Long.MIN_VALUE;
   }
 
   /** Records that a request ended successfully. */
@@ -112,6 +121,17 @@
     answeredFailure(now);
   }
 
+  /**
+   * Records that requests make no progress for too long. The instance is skipped until bytes arrive
+   * again, for a limited time: if no request is left there, nothing else can show that it goes on.
+   */
+  public void stalled(long now) {
+    stalledUntil = now + STALLED_MILLIS;
+    if (failingSince == Long.MIN_VALUE) {
+      failingSince = now;
+    }
+  }
+
   /** Records an answer with which the instance reports an internal failure. */
   public void answeredFailure(long now) {
     failureRate = failureRate(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
@@ -145,7 +165,7 @@
 
   /** Returns whether the instance should be skipped because of recent failures. */
   public boolean isSuspect(long now) {
-    return now < suspectUntil;
+    return now < suspectUntil || now < stalledUntil;
   }
 
   /**
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -122,6 +122,10 @@
           ? Selection.refuse("limited", FULL_RETRY_MILLIS)
           : Selection.refuse("no-instance", NO_INSTANCE_RETRY_MILLIS);
     }
+    int slots = cost == null ? Math.max(1, best.instance().slots()) : cost.slots();
+    if (need.second() && (!anyHealthy || best.active() >= slots)) {
+      return Selection.refuse("full", FULL_RETRY_MILLIS);
+    }
     return cost == null ? admitPlain(best) : admit(need, best, cost, accepting, entries, now);
   }
 
@@ -215,6 +219,8 @@
    * @param targetMillis the remaining time until the first event is late, in milliseconds
    * @param routeTargetMillis the time from the arrival of a request of this route until its first
    *     event is late, in milliseconds
+   * @param second whether an earlier attempt is still in progress; a second one takes a free slot
+   *     only, so that it delays no other request
    * @param tried the identifiers of instances that must not receive the request again
    */
   public record Need(
@@ -224,6 +230,7 @@
       long remainingMillis,
       long targetMillis,
       long routeTargetMillis,
+      boolean second,
       Set<String> tried) {
     ModelProfile requireModel() {
       if (model == null) {
