Count the silence of second attempts as a sign of lost paths

Since the silent attempt is kept, only calls with one attempt were checked, so an entry that is cut off from its instances learned of the silence of the first one only, and noticed later that it has lost its paths. Every attempt that has stalled is reported again. SilentInstanceTest#silenceOfSecondInstanceCountsAsLostPath failed before.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -485,14 +485,14 @@
    */
   void checkProgress(long now) {
     RouteRule r = route;
-    if (done || r == null || running.size() != 1) {
+    if (done || r == null) {
       return;
     }
-    Attempt a = running.get(0);
-    if (!a.isStalled(now)) {
+    List<Attempt> stalled = running.stream().filter(a -> a.isStalled(now)).toList();
+    stalled.forEach(Attempt::reportSilence);
+    if (running.size() != 1 || stalled.isEmpty()) {
       return;
     }
-    a.reportSilence();
     if (!r.idempotent() || refusals >= MAX_REFUSALS || !mayRunElsewhere() || mayCrashInstances()) {
       return;
     }
@@ -500,6 +500,7 @@
     if (selection.target() == null || !tryRetry()) {
       return;
     }
+    Attempt a = stalled.get(0);
     log.stalled(a.target().id(), sends, a.silentMillis(now), a.stallLimitMillis(now));
     a.stats().stalled(now);
     send(selection, "stalled");
