Ask an instance again that was full when a stream wanted to move

An instance that had refused a request because it was full was never asked again for it, so a stream of a silent or lost instance ended although a slot became free. A refused request of a started answer may go to the same instance again, at most MAX_RESUME_REFUSALS times in all and not within the 150 ms for which a full instance is skipped. SilentInstanceTest#instanceThatWasFullIsAskedAgain failed before.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -493,7 +493,7 @@
     if (running.size() != 1 || stalled.isEmpty()) {
       return;
     }
-    if (!r.idempotent() || refusals >= MAX_REFUSALS || !mayRunElsewhere() || mayCrashInstances()) {
+    if (!r.idempotent() || refusals >= maxRefusals() || !mayRunElsewhere() || mayCrashInstances()) {
       return;
     }
     TargetSelector.Selection selection = choose(true);
@@ -578,19 +578,21 @@
    */
   void onNotRun(FleetInstance target, String reason, boolean reachedBackend) {
     refusals++;
-    if (isRunning()) {
-      return;
-    }
-    int maxRefusals = MAX_REFUSALS;
     if (answer.isStarted()) {
       // The instance may have a free slot before the caller gives up.
       tried.remove(target.id());
-      maxRefusals = MAX_RESUME_REFUSALS;
     }
-    boolean retry = refusals <= maxRefusals && remaining() > MIN_REMAINING_MILLIS;
+    if (isRunning()) {
+      return;
+    }
+    boolean retry = refusals <= maxRefusals() && remaining() > MIN_REMAINING_MILLIS;
     retry(retry, reachedBackend, reason);
   }
 
+  private int maxRefusals() {
+    return answer.isStarted() ? MAX_RESUME_REFUSALS : MAX_REFUSALS;
+  }
+
   /**
    * Retries or gives up after an attempt that may have run, or has run in part, unless another one
    * is in progress.
