Move the attempts of a call into a class of their own

ForwardCall kept six fields about its attempts since two may be in progress; CallAttempts has them now. No change of behaviour.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -387,7 +387,7 @@
         || undeclaredRefusal
         || unsignedRefusal
         || answer.isStarted()
-        || (failed && (owner.isRunning() || owner.canTryAnother()))) {
+        || (failed && owner.canBeAnsweredElsewhere())) {
       whole.release();
       stats.answeredFailure(now);
       forwarder.metrics().sendFailed(owner.kind(), "status-" + r.status());
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -4,8 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -83,10 +81,7 @@
   private final int bodyBytes;
   private final RequestLog log;
   private final CallerAnswer answer;
-  private final Set<String> tried = new HashSet<>();
-
-  /** The instances whose attempts this entry has ended although they might have answered. */
-  private final Set<String> left = new HashSet<>();
+  private final CallAttempts attempts = new CallAttempts();
 
   private RequestTraits traits;
   private @Nullable RouteRule route;
@@ -100,17 +95,9 @@
   private TargetSelector.@Nullable Selection rejection;
   private long deadlineAt;
 
-  /** The attempts in progress: a second one only while the first makes no progress. */
-  private final List<Attempt> running = new ArrayList<>(2);
-
-  private int possibleRuns;
-  private int refusals;
-
   /** Whether the next send still has to be taken from the retry allowance. */
   private boolean owesRetry;
 
-  private int sends;
-  private boolean mayHaveRun;
   private boolean done;
 
   ForwardCall(Forwarder forwarder, HttpCall call, CallHead head) {
@@ -297,7 +284,8 @@
   }
 
   private boolean mayWait(int waitingLimit) {
-    return waitingLimit > 0 || (sends == 0 && forwarder.queue().isDiscovering(timers.nowMillis()));
+    return waitingLimit > 0
+        || (attempts.sends() == 0 && forwarder.queue().isDiscovering(timers.nowMillis()));
   }
 
   /**
@@ -425,7 +413,7 @@
             answer.isStarted() ? deadlineAt - now : targetMillis,
             route().targetMillis(),
             second,
-            tried);
+            attempts.tried());
     EngineCost c = model == null ? null : cost;
     return forwarder
         .selector()
@@ -443,8 +431,6 @@
       throw new IllegalArgumentException("no instance was chosen");
     }
     stopWaiting();
-    sends++;
-    tried.add(target.id());
     long now = timers.nowMillis();
     forwarder.recordSent(target.id(), now);
     forwarder.metrics().sent(kind(), cause);
@@ -458,7 +444,7 @@
     ByteBuf buffer = call.body().alloc().buffer();
     String relay = forwarder.paths().relayTo(target);
     Attempt a = new Attempt(this, forwarder, answer, target, selection, relay, buffer);
-    running.add(a);
+    attempts.started(a);
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
     log.sent(cause, forwarder.view(), target, selection, relay, d, a.stats(), loadOfOthers);
     InetSocketAddress to = ReplicaDirectory.address(target.address());
@@ -488,12 +474,15 @@
     if (done || r == null) {
       return;
     }
-    List<Attempt> stalled = running.stream().filter(a -> a.isStalled(now)).toList();
+    List<Attempt> stalled = attempts.running().stream().filter(a -> a.isStalled(now)).toList();
     stalled.forEach(Attempt::reportSilence);
-    if (running.size() != 1 || stalled.isEmpty()) {
+    if (attempts.running().size() != 1 || stalled.isEmpty()) {
       return;
     }
-    if (!r.idempotent() || refusals >= maxRefusals() || !mayRunElsewhere() || mayCrashInstances()) {
+    if (!r.idempotent()
+        || attempts.refusals() >= maxRefusals()
+        || !mayRunElsewhere()
+        || mayCrashInstances()) {
       return;
     }
     TargetSelector.Selection selection = choose(true);
@@ -501,37 +490,24 @@
       return;
     }
     Attempt a = stalled.get(0);
-    log.stalled(a.target().id(), sends, a.silentMillis(now), a.stallLimitMillis(now));
+    log.stalled(a.target().id(), attempts.sends(), a.silentMillis(now), a.stallLimitMillis(now));
     a.stats().stalled(now);
     send(selection, "stalled");
   }
 
   /** Ends the other attempt because this one has begun to answer, or has gone on. */
   void answers(Attempt a) {
-    for (Attempt o : List.copyOf(running)) {
+    for (Attempt o : attempts.running()) {
       if (o != a) {
         log.superseded(o.target().id(), a.target().id());
-        leave(o);
+        attempts.leave(o);
       }
     }
   }
 
-  /** Ends an attempt that might have answered. */
-  private void leave(Attempt a) {
-    left.add(a.target().id());
-    mayHaveRun = true;
-    possibleRuns++;
-    a.stop();
-  }
-
-  /** Returns whether an attempt is in progress. */
-  boolean isRunning() {
-    return !running.isEmpty();
-  }
-
   private boolean mayRunElsewhere() {
     return answer.isResumable()
-        && possibleRuns + 1 < route().maxInstances()
+        && attempts.possibleRuns() + 1 < route().maxInstances()
         && remaining() > MIN_REMAINING_MILLIS;
   }
 
@@ -551,7 +527,7 @@
    */
   void onNotRelayed(FleetInstance target) {
     retryOnOtherPath(target);
-    if (isRunning()) {
+    if (attempts.isRunning()) {
       return;
     }
     if (remaining() > MIN_REMAINING_MILLIS) {
@@ -564,7 +540,7 @@
   /** Allows another attempt at an instance if it has another path than the one that has failed. */
   void retryOnOtherPath(FleetInstance target) {
     if (forwarder.paths().relayTo(target) != null) {
-      tried.remove(target.id());
+      attempts.retryAt(target.id());
     }
   }
 
@@ -577,15 +553,15 @@
    *     retry allowance
    */
   void onNotRun(FleetInstance target, String reason, boolean reachedBackend) {
-    refusals++;
+    attempts.refused();
     if (answer.isStarted()) {
       // The instance may have a free slot before the caller gives up.
-      tried.remove(target.id());
+      attempts.retryAt(target.id());
     }
-    if (isRunning()) {
+    if (attempts.isRunning()) {
       return;
     }
-    boolean retry = refusals <= maxRefusals() && remaining() > MIN_REMAINING_MILLIS;
+    boolean retry = attempts.refusals() <= maxRefusals() && remaining() > MIN_REMAINING_MILLIS;
     retry(retry, reachedBackend, reason);
   }
 
@@ -598,15 +574,14 @@
    * is in progress.
    */
   void onPossiblyRun(String reason) {
-    mayHaveRun = true;
-    possibleRuns++;
-    if (isRunning()) {
+    attempts.possiblyRan();
+    if (attempts.isRunning()) {
       return;
     }
     boolean retry =
         route().idempotent()
             && answer.isResumable()
-            && possibleRuns < route().maxInstances()
+            && attempts.possibleRuns() < route().maxInstances()
             && remaining() > MIN_REMAINING_MILLIS
             && !mayCrashInstances();
     retry(retry, true, reason);
@@ -637,11 +612,11 @@
 
   private void giveUp(String reason, long retryAfterMillis) {
     if (answer.isStarted()) {
-      log.brokenOff(route().name(), reason, sends, left, tried, remaining());
+      log.brokenOff(route().name(), reason, attempts, remaining());
       forwarder.metrics().ended(kind(), "broken-off", reason, timers.nowMillis() - receivedAt);
       cleanUp();
       call.abort();
-    } else if (mayHaveRun) {
+    } else if (attempts.possibleRuns() > 0) {
       refuse(HttpResponseStatus.BAD_GATEWAY, reason, 0);
     } else {
       long maxRetryAfter = Math.max(0, remaining() / RETRY_AFTER_DIVISOR);
@@ -656,10 +631,10 @@
     if (done) {
       return;
     }
-    List.copyOf(running).forEach(this::leave);
+    attempts.running().forEach(attempts::leave);
     if (answer.isStarted()) {
       giveUp("deadline", 0);
-    } else if (mayHaveRun) {
+    } else if (attempts.possibleRuns() > 0) {
       refuse(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", 0);
     } else {
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "deadline", 0);
@@ -667,23 +642,24 @@
   }
 
   private void onCallerWritable() {
-    running.stream().filter(Attempt::isPaused).forEach(Attempt::resume);
+    attempts.running().stream().filter(Attempt::isPaused).forEach(Attempt::resume);
   }
 
   private void onCallerClosed() {
     if (done) {
       return;
     }
-    List<String> instances = running.stream().map(a -> a.target().id()).toList();
-    List.copyOf(running).forEach(Attempt::stop);
-    log.cancelled("caller-left", instances, sends);
+    List<Attempt> ended = attempts.running();
+    ended.forEach(Attempt::stop);
+    List<String> instances = ended.stream().map(a -> a.target().id()).toList();
+    log.cancelled("caller-left", instances, attempts.sends());
     forwarder.metrics().ended(kind(), "cancelled", "caller-left", timers.nowMillis() - receivedAt);
     cleanUp();
   }
 
   /** Ends the call because the process stops. */
   void shutDown() {
-    List.copyOf(running).forEach(this::leave);
+    attempts.running().forEach(attempts::leave);
     giveUp("shutdown", 0);
   }
 
@@ -696,8 +672,7 @@
         workspace == null ? "" : workspace.name(),
         status.code(),
         reason,
-        sends,
-        tried,
+        attempts,
         forwarder.view(),
         selection == null ? 0 : (long) selection.endMillis(),
         remaining(),
@@ -735,7 +710,12 @@
     a.stats().succeeded(now);
     long first = answer.isStarted() ? answer.firstOutputAt() : now;
     log.answered(
-        route(), a.target().id(), status, sends, first - receivedAt, answer.longestGapMillis());
+        route(),
+        a.target().id(),
+        status,
+        attempts.sends(),
+        first - receivedAt,
+        answer.longestGapMillis());
     forwarder
         .metrics()
         .ended(kind(), "answered", "status-" + status / 100 + "xx", now - receivedAt);
@@ -744,7 +724,7 @@
 
   /** Records that an attempt has ended. */
   void ended(Attempt a) {
-    running.remove(a);
+    attempts.ended(a);
   }
 
   CallHead head() {
@@ -772,9 +752,9 @@
     return cost;
   }
 
-  /** Returns whether another instance could take the call now, after a failure of this one. */
-  boolean canTryAnother() {
-    return mayRunElsewhere() && choose(false).target() != null;
+  /** Returns whether another attempt may answer the call, after a failure of this one. */
+  boolean canBeAnsweredElsewhere() {
+    return attempts.isRunning() || (mayRunElsewhere() && choose(false).target() != null);
   }
 
   /** Returns the kind of the call as a label of metrics. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.List;
-import java.util.Set;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.InstanceStats;
@@ -181,24 +180,16 @@
   /**
    * Logs that a started answer ends incomplete.
    *
-   * @param left the instances whose attempts this entry has ended although they had not failed
-   * @param tried all instances to which the request was sent
    * @param remainingMillis the caller's time that was left, in milliseconds
    */
-  void brokenOff(
-      String route,
-      String reason,
-      int sends,
-      Collection<String> left,
-      Collection<String> tried,
-      long remainingMillis) {
+  void brokenOff(String route, String reason, CallAttempts attempts, long remainingMillis) {
     LOG.atWarn()
         .addKeyValue("request", id)
         .addKeyValue("route", route)
         .addKeyValue("reason", reason)
-        .addKeyValue("sends", sends)
-        .addKeyValue("left_instances", left)
-        .addKeyValue("tried", tried)
+        .addKeyValue("sends", attempts.sends())
+        .addKeyValue("left_instances", attempts.left())
+        .addKeyValue("tried", attempts.tried())
         .addKeyValue("left_ms", remainingMillis)
         .addKeyValue("took_ms", tookMillis())
         .log("answer broken off");
@@ -216,8 +207,7 @@
       String workspace,
       int status,
       String reason,
-      int sends,
-      Set<String> tried,
+      CallAttempts attempts,
       FleetView view,
       long predictedEndMillis,
       long remainingMillis,
@@ -228,8 +218,8 @@
         .addKeyValue("workspace", workspace)
         .addKeyValue("status", status)
         .addKeyValue("reason", reason)
-        .addKeyValue("sends", sends)
-        .addKeyValue("tried", tried)
+        .addKeyValue("sends", attempts.sends())
+        .addKeyValue("tried", attempts.tried())
         .addKeyValue("config", view.version())
         .addKeyValue("config_age_ms", view.configAgeMillis(timers.nowMillis()))
         .addKeyValue("config_source", view.configSource())
