Measure the silence of instances only while the entry could read

Cause: idle times and the time since a request was sent are measured by the steady clock, which runs on while the entry is stopped or its event loop is held up. What the instances sent meanwhile waits in the sockets, and the timers that are due may run before they are read.

InstanceStats measures idle and failing times by it, for Attempt, TargetSelector and the loads that are reported; so does the pace of a stream, which makes an instance look slow. Requests are not checked for stalls in the first round after the loop was held up. A pause that also stops the steady clock, as that of a virtual machine, did not count before either. PathMonitor keeps the steady clock: there an age only makes a failure expire.

--- a/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
+++ b/org.ebonypond.bench/src/main/java/org/ebonypond/bench/experiment/ExperimentEntry.java
@@ -95,13 +95,12 @@
 
   /** Returns the load that this entry puts on each group, without idle groups. */
   Map<String, InstanceLoad> loads() {
-    long now = timers.nowMillis();
     Map<String, InstanceLoad> out = new HashMap<>();
     stats.forEach(
         (g, s) -> {
           if (s.active() > 0) {
-            long idle = s.idleMillis(now);
-            long failingMillis = s.failingMillis(now);
+            long idle = s.idleMillis();
+            long failingMillis = s.failingMillis();
             out.put(g, new InstanceLoad(g, 1, s.active(), s.prefillTokens(), idle, failingMillis));
           }
         });
@@ -176,7 +175,7 @@
   }
 
   private InstanceStats statsOf(String name) {
-    return stats.computeIfAbsent(name, n -> new InstanceStats());
+    return stats.computeIfAbsent(name, n -> new InstanceStats(timers::nowMillis));
   }
 
   private FleetInstance headInstance(String name, ExperimentGroup g) {
@@ -209,7 +208,7 @@
     c.prefillLeft = c.promptTokens;
     c.lastAt = timers.nowMillis();
     c.late = selection.late();
-    statsOf(name).started(c.promptTokens, c.late, c.lastAt);
+    statsOf(name).started(c.promptTokens, c.late);
     inFlight.add(c);
     ExperimentGroup.Job job =
         new ExperimentGroup.Job(
@@ -227,7 +226,7 @@
   private void checkCalls() {
     long now = timers.nowMillis();
     for (Call c : List.copyOf(inFlight)) {
-      boolean stalled = now - c.lastAt > STALL_MILLIS && statsOf(c.group).idleMillis(now) > 300;
+      boolean stalled = now - c.lastAt > STALL_MILLIS && statsOf(c.group).idleMillis() > 300;
       if (now >= c.deadlineAt) {
         detach(c);
         c.outcome.failed();
@@ -277,7 +276,7 @@
       }
       call.lastAt = now;
       call.eventsLeft--;
-      s.progressed(now);
+      s.progressed();
     }
 
     @Override
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -18,6 +18,7 @@
 import org.ebonypond.server.http1.BackendListener;
 import org.ebonypond.server.relay.RelayObserver;
 import org.ebonypond.server.relay.RelayStatus;
+import org.ebonypond.server.timer.LoopTime;
 import org.ebonypond.serving.CallKind;
 import org.ebonypond.serving.ModelProfile;
 import org.ebonypond.time.TimerService;
@@ -56,10 +57,14 @@
   private final ForwardCall owner;
   private final Forwarder forwarder;
   private final TimerService timers;
+  private final LoopTime loopTime;
   private final CallerAnswer answer;
   private final FleetInstance target;
   private final InstanceStats stats;
+
+  /** When the request was sent, in loop time. */
   private final long sentAt;
+
   private final double predictedMillis;
   private final boolean late;
   private final EventSplitter splitter;
@@ -76,7 +81,10 @@
   private boolean closed;
   private boolean paused;
   private boolean endsWithConnection;
+
+  /** When the last events arrived, in loop time; 0 if none has. */
   private long lastEventAt;
+
   private @Nullable BackendReply reply;
   private @Nullable HttpHeaders headers;
   private @Nullable BackendExchange exchange;
@@ -107,14 +115,15 @@
     this.answer = answer;
     this.target = target;
     this.stats = forwarder.stats(target.id());
-    this.sentAt = timers.nowMillis();
+    this.loopTime = forwarder.loopTime();
+    this.sentAt = loopTime.millis();
     this.predictedMillis = selection.firstMillis();
     this.splitter = answer.newSplitter();
     this.body = body;
     this.pendingPrefillTokens = owner.head().promptTokens();
     // Only a stream shows when its prompt has been processed.
     this.late = selection.late() && owner.route().kind() == CallKind.STREAM;
-    stats.started(pendingPrefillTokens, late, sentAt);
+    stats.started(pendingPrefillTokens, late);
   }
 
   /** Sets the exchange that this attempt listens to. */
@@ -136,7 +145,7 @@
 
   /** Continues to read the answer because the caller has read what was written. */
   void resume() {
-    stats.progressed(timers.nowMillis());
+    stats.progressed();
     setReading(true);
   }
 
@@ -189,13 +198,13 @@
     reply = r;
     headers = forwarder.dialect().forwardedHeaders(h);
     endsWithConnection = !HttpUtil.isContentLengthSet(h) && !HttpUtil.isTransferEncodingChunked(h);
-    observeProgress(timers.nowMillis());
+    observeProgress();
     return true;
   }
 
   /** Records that bytes of the answer have arrived. */
-  private void observeProgress(long now) {
-    stats.progressed(now);
+  private void observeProgress() {
+    stats.progressed();
     forwarder.paths().progressed(target, relay);
   }
 
@@ -229,11 +238,10 @@
     if (closed || r == null) {
       return;
     }
-    long now = timers.nowMillis();
     if (isStream(r)) {
-      forwardEvents(bytes, now);
+      forwardEvents(bytes, timers.nowMillis());
     } else {
-      observeProgress(now);
+      observeProgress();
       buffer(bytes);
     }
   }
@@ -283,15 +291,16 @@
   }
 
   private void writeEvents(int eventCount, long now) {
-    observeProgress(now);
+    observeProgress();
     owner.answers(this);
     startAnswer(now);
+    long eventAt = loopTime.millis();
     if (lastEventAt > 0) {
-      observePace(now - lastEventAt, eventCount);
+      observePace(eventAt - lastEventAt, eventCount);
     } else {
       forwarder.quarantine().began(owner.traits(), now);
     }
-    lastEventAt = now;
+    lastEventAt = eventAt;
     answer.writeEvents(splitter, now);
     if (!answer.isWritable()) {
       setReading(false);
@@ -527,16 +536,16 @@
     if (paused || (!isStreamCall() && reply != null)) {
       return false;
     }
-    return silentMillis(now) > stallLimitMillis(now);
+    return silentMillis() > stallLimitMillis(now);
   }
 
   /**
    * Returns the time without progress, in milliseconds. The streams of a group advance together, so
    * each of them speaks for the others.
    */
-  long silentMillis(long now) {
-    long sinceSent = now - sentAt;
-    return isStreamCall() ? Math.min(sinceSent, stats.idleMillis(now)) : sinceSent;
+  long silentMillis() {
+    long sinceSent = loopTime.millis() - sentAt;
+    return isStreamCall() ? Math.min(sinceSent, stats.idleMillis()) : sinceSent;
   }
 
   /** Returns the time without progress after which this attempt has stalled, in milliseconds. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -500,7 +500,7 @@
     if (selection.target() == null || !tryRetry()) {
       return;
     }
-    log.stalled(a.target().id(), sends, a.silentMillis(now), a.stallLimitMillis(now));
+    log.stalled(a.target().id(), sends, a.silentMillis(), a.stallLimitMillis(now));
     a.stats().stalled(now);
     send(selection, "stalled");
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -27,6 +27,7 @@
 import org.ebonypond.server.http1.BackendPool;
 import org.ebonypond.server.http1.HttpCall;
 import org.ebonypond.server.http1.HttpService;
+import org.ebonypond.server.timer.LoopTime;
 import org.ebonypond.serving.ServiceProfile;
 import org.ebonypond.time.TimerService;
 import org.jspecify.annotations.Nullable;
@@ -60,6 +61,7 @@
   private final NamedLimits limits = new NamedLimits();
   private final InstancePaths paths;
   private final TimerService timers;
+  private final LoopTime loopTime;
   private final RandomGenerator random;
   private final ForwardMetrics metrics;
   private final ConfigAgeLimits configAges;
@@ -119,6 +121,7 @@
     this.metrics = metrics;
     this.configAges = configAges;
     this.queue = new CallQueue(heartbeatMillis);
+    this.loopTime = new LoopTime(timers, CHECK_INTERVAL_MILLIS);
     timers.every(CHECK_INTERVAL_MILLIS, this::checkCalls);
   }
 
@@ -145,14 +148,13 @@
    * Returns the load that this entry puts on each instance, to be reported to the other entries.
    */
   public List<InstanceLoad> loads() {
-    long now = timers.nowMillis();
     List<InstanceLoad> out = new ArrayList<>();
     stats.forEach(
         (id, s) -> {
-          long idle = s.active() > 0 ? s.idleMillis(now) : InstanceLoad.NEVER;
+          long idle = s.active() > 0 ? s.idleMillis() : InstanceLoad.NEVER;
           InstanceLoad seen =
               new InstanceLoad(
-                  id, s.epoch(), s.active(), s.prefillTokens(), idle, s.failingMillis(now));
+                  id, s.epoch(), s.active(), s.prefillTokens(), idle, s.failingMillis());
           InstanceLoad load = paths.isLost(id) ? seen.ofUnreachable() : seen;
           if (load.active() > 0 || load.failingMillis() > 0) {
             out.add(load);
@@ -330,7 +332,7 @@
   }
 
   InstanceStats stats(String instance) {
-    return stats.computeIfAbsent(instance, i -> new InstanceStats());
+    return stats.computeIfAbsent(instance, i -> new InstanceStats(loopTime::millis));
   }
 
   void opened(ForwardCall c) {
@@ -381,6 +383,11 @@
     return timers;
   }
 
+  /** Returns the time by which the silence of instances is measured. */
+  LoopTime loopTime() {
+    return loopTime;
+  }
+
   RandomGenerator random() {
     return random;
   }
@@ -395,8 +402,10 @@
     turns.retain(id -> view.instance(id) != null);
     notices.retain(id -> view.instance(id) != null);
     paths.check(now);
-    for (ForwardCall c : List.copyOf(calls)) {
-      c.checkProgress(now);
+    if (!loopTime.isCatchingUp()) {
+      for (ForwardCall c : List.copyOf(calls)) {
+        c.checkProgress(now);
+      }
     }
     queue.redispatch(now);
     stats.entrySet().removeIf(e -> e.getValue().active() == 0 && view.instance(e.getKey()) == null);
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -50,11 +50,11 @@
 
   private static TargetSelector.Candidate candidate(
       String id, int active, @Nullable InstanceLoad loadOfOthers) {
-    InstanceStats s = new InstanceStats();
+    InstanceStats s = new InstanceStats(() -> 0);
     for (int i = 0; i < active; i++) {
-      s.started(0, false, 0);
+      s.started(0, false);
     }
-    s.progressed(0);
+    s.progressed();
     return new TargetSelector.Candidate(head(id), s, loadOfOthers, false);
   }
 
@@ -109,7 +109,7 @@
       TargetSelector.Selection d = selector.choose(need(8_000, Set.of()), c, COST, 1, 0);
       if (d.target() != null) {
         admitted++;
-        c.get(0).stats().started(1_400, false, 0);
+        c.get(0).stats().started(1_400, false);
       }
     }
     assertTrue(admitted >= 12 && admitted <= 26, admitted + " admitted");
@@ -156,7 +156,7 @@
         if (d.target() != null) {
           c.stream()
               .filter(g -> g.instance().id().equals(chosen(d)))
-              .forEach(g -> g.stats().started(1_400, d.late(), 0));
+              .forEach(g -> g.stats().started(1_400, d.late()));
           pendingTokens += 1_400;
         } else {
           assertTrue(d.waitingLimit() > 0, "late requests wait");
@@ -185,7 +185,7 @@
   @Test
   void prefersOwnZoneUnlessItIsBusier() {
     TargetSelector.Candidate far =
-        new TargetSelector.Candidate(head("far", "y"), new InstanceStats(), null, false);
+        new TargetSelector.Candidate(head("far", "y"), new InstanceStats(() -> 0), null, false);
     TargetSelector.Candidate near = candidate("near", 3, null);
     TargetSelector.Candidate busy = candidate("near", 17, null);
     assertEquals(
@@ -202,7 +202,7 @@
   }
 
   private static TargetSelector.Candidate limited(String id) {
-    return new TargetSelector.Candidate(head(id), new InstanceStats(), null, true);
+    return new TargetSelector.Candidate(head(id), new InstanceStats(() -> 0), null, true);
   }
 
   /** Guards against requests to an instance that accepts none now, while another one has room. */
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
@@ -1,5 +1,7 @@
 package org.ebonypond.forward;
 
+import java.util.function.LongSupplier;
+
 /** Statistics of one entry about one instance, from its own requests. Not thread-safe. */
 public final class InstanceStats {
   private static final long FIRST_SUSPICION_MILLIS = 1_000;
@@ -28,6 +30,7 @@
   /** The half-life in milliseconds of the last observation when no new ones arrive. */
   private static final double HALF_LIFE_MILLIS = 2_500;
 
+  private final LongSupplier readingMillis;
   private long epoch;
   private int active;
   private int prefillTokens;
@@ -43,6 +46,16 @@
   private double failureRate;
   private long failureAt;
 
+  /**
+   * Creates statistics of an instance to which nothing was sent.
+   *
+   * @param readingMillis the time in which this entry could read what arrived, in milliseconds; how
+   *     long the instance is silent or fails is measured by it
+   */
+  public InstanceStats(LongSupplier readingMillis) {
+    this.readingMillis = readingMillis;
+  }
+
   /**
    * Sets the epoch of the group whose head the instance is; resets the statistics if it changed.
    */
@@ -69,9 +82,9 @@
    * @param tokens the number of its prompt tokens
    * @param late whether it has missed its latency target already
    */
-  public void started(int tokens, boolean late, long now) {
+  public void started(int tokens, boolean late) {
     if (active == 0) {
-      lastProgress = now;
+      lastProgress = readingMillis.getAsLong();
     }
     active++;
     prefillTokens += tokens;
@@ -96,8 +109,8 @@
   }
 
   /** Records that bytes arrived. */
-  public void progressed(long now) {
-    lastProgress = now;
+  public void progressed() {
+    lastProgress = readingMillis.getAsLong();
     failingSince = Long.MIN_VALUE;
     stalledUntil = Long.MIN_VALUE;
   }
@@ -115,10 +128,14 @@
     long suspicionMillis = FIRST_SUSPICION_MILLIS << Math.min(failures, 3);
     failures++;
     suspectUntil = now + Math.min(suspicionMillis, LONGEST_SUSPICION_MILLIS);
+    startFailing();
+    answeredFailure(now);
+  }
+
+  private void startFailing() {
     if (failingSince == Long.MIN_VALUE) {
-      failingSince = now;
+      failingSince = readingMillis.getAsLong();
     }
-    answeredFailure(now);
   }
 
   /**
@@ -127,9 +144,7 @@
    */
   public void stalled(long now) {
     stalledUntil = now + STALLED_MILLIS;
-    if (failingSince == Long.MIN_VALUE) {
-      failingSince = now;
-    }
+    startFailing();
   }
 
   /** Records an answer with which the instance reports an internal failure. */
@@ -172,8 +187,10 @@
    * Returns the time in milliseconds since the first failure after the last progress; 0 if there is
    * none.
    */
-  public long failingMillis(long now) {
-    return failingSince == Long.MIN_VALUE ? 0 : Math.max(1, now - failingSince);
+  public long failingMillis() {
+    return failingSince == Long.MIN_VALUE
+        ? 0
+        : Math.max(1, readingMillis.getAsLong() - failingSince);
   }
 
   /** Returns whether the instance recently refused a request because it is full. */
@@ -197,8 +214,8 @@
   }
 
   /** Returns the time in milliseconds since bytes last arrived; 0 if no request is in flight. */
-  public long idleMillis(long now) {
-    return active == 0 ? 0 : now - lastProgress;
+  public long idleMillis() {
+    return active == 0 ? 0 : readingMillis.getAsLong() - lastProgress;
   }
 
   private static double decay(long millis) {
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -134,15 +134,15 @@
   }
 
   /** Returns whether requests of this entry or of others at an instance make no progress. */
-  private static boolean isStalled(Candidate c, long now) {
+  private static boolean isStalled(Candidate c) {
     InstanceLoad load = c.loadOfOthers();
-    boolean ownStalled = c.stats().active() > 0 && c.stats().idleMillis(now) > OWN_IDLE_MILLIS;
+    boolean ownStalled = c.stats().active() > 0 && c.stats().idleMillis() > OWN_IDLE_MILLIS;
     boolean othersStalled = load != null && load.stalledMillis() > OTHERS_IDLE_MILLIS;
     return ownStalled || othersStalled;
   }
 
   private static boolean isHealthy(Candidate c, boolean engine, long now) {
-    return !c.stats().isSuspect(now) && !(engine && isStalled(c, now));
+    return !c.stats().isSuspect(now) && !(engine && isStalled(c));
   }
 
   private static double score(Need need, Candidate c, @Nullable EngineCost cost, long now) {
