--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -490,7 +490,7 @@
       return;
     }
     Attempt a = stalled.get(0);
-    log.stalled(a.target().id(), attempts.sends(), a.silentMillis(now), a.stallLimitMillis(now));
+    log.stalled(a.target().id(), attempts.sends(), a.silentMillis(), a.stallLimitMillis(now));
     a.stats().stalled(now);
     send(selection, "stalled");
   }
