Do not take instances for silent whose answers wait for slow callers

An entry stops reading a stream while its caller reads slowly. The idle time of the instance went on meanwhile: new requests avoided it, and the entry reported it to the others and to the leader as stalled. When the caller read again, the instance counted as progressing although nothing had arrived, also if another stream showed that it was silent, and the time of the pause counted as its pace.

Cause: InstanceStats knew only how many requests are in flight, not whether an answer is read that could end the silence.

The idle time is now measured while at least one answer is read. Without one, the entry reports that it knows nothing of the progress (InstanceLoad.NEVER, as entries without a path do); neither stall nor progress, so a broken group is not kept either. A resumed stream waits from the time of its resumption. The pace of a stream that was paused is not recorded.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -62,8 +62,8 @@
   private final FleetInstance target;
   private final InstanceStats stats;
 
-  /** When the request was sent, in loop time. */
-  private final long sentAt;
+  /** When the request was sent, or its answer was last read again, in loop time. */
+  private long waitsSince;
 
   private final double predictedMillis;
   private final boolean late;
@@ -80,6 +80,7 @@
   private boolean silenceReported;
   private boolean closed;
   private boolean paused;
+  private boolean wasPaused;
   private boolean endsWithConnection;
 
   /** When the last events arrived, in loop time; 0 if none has. */
@@ -116,7 +117,7 @@
     this.target = target;
     this.stats = forwarder.stats(target.id());
     this.loopTime = forwarder.loopTime();
-    this.sentAt = loopTime.millis();
+    this.waitsSince = loopTime.millis();
     this.predictedMillis = selection.firstMillis();
     this.splitter = answer.newSplitter();
     this.body = body;
@@ -145,7 +146,7 @@
 
   /** Continues to read the answer because the caller has read what was written. */
   void resume() {
-    stats.progressed();
+    waitsSince = loopTime.millis();
     setReading(true);
   }
 
@@ -166,6 +167,9 @@
     if (dropped > 1) {
       owner.log().mismatchedAnswers(target.id(), dropped);
     }
+    if (paused) {
+      stats.resumed();
+    }
     stats.ended(pendingPrefillTokens, late);
     pendingPrefillTokens = 0;
     forwarder.bufferedAnswers().remove(this);
@@ -295,9 +299,9 @@
     owner.answers(this);
     startAnswer(now);
     long eventAt = loopTime.millis();
-    if (lastEventAt > 0) {
+    if (lastEventAt > 0 && !wasPaused) {
       observePace(eventAt - lastEventAt, eventCount);
-    } else {
+    } else if (lastEventAt == 0) {
       forwarder.quarantine().began(owner.traits(), now);
     }
     lastEventAt = eventAt;
@@ -309,9 +313,19 @@
 
   /** Pauses or resumes reading, so that a slow caller exerts backpressure on the backend server. */
   private void setReading(boolean on) {
+    if (closed || paused != on) {
+      return;
+    }
     paused = !on;
+    if (paused) {
+      // From now on the pace of the stream is that of its caller.
+      wasPaused = true;
+      stats.paused();
+    } else {
+      stats.resumed();
+    }
     BackendExchange x = exchange;
-    if (x != null && !closed) {
+    if (x != null) {
       x.setReading(on);
     }
   }
@@ -544,8 +558,8 @@
    * each of them speaks for the others.
    */
   long silentMillis() {
-    long sinceSent = loopTime.millis() - sentAt;
-    return isStreamCall() ? Math.min(sinceSent, stats.idleMillis()) : sinceSent;
+    long waited = loopTime.millis() - waitsSince;
+    return isStreamCall() ? Math.min(waited, stats.idleMillis()) : waited;
   }
 
   /** Returns the time without progress after which this attempt has stalled, in milliseconds. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Forwarder.java
@@ -151,7 +151,7 @@
     List<InstanceLoad> out = new ArrayList<>();
     stats.forEach(
         (id, s) -> {
-          long idle = s.active() > 0 ? s.idleMillis() : InstanceLoad.NEVER;
+          long idle = s.isUnread() ? InstanceLoad.NEVER : s.idleMillis();
           InstanceLoad seen =
               new InstanceLoad(
                   id, s.epoch(), s.active(), s.prefillTokens(), idle, s.failingMillis());
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.GroupMembership;
 import org.ebonypond.fleet.InstanceLoad;
@@ -90,6 +91,21 @@
     assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 0)));
   }
 
+  /** Guards against groups that are avoided because a caller reads its answer slowly. */
+  @Test
+  void doesNotSkipGroupWhoseOnlyAnswerIsNotRead() {
+    AtomicLong now = new AtomicLong();
+    InstanceStats unread = new InstanceStats(now::get);
+    unread.started(0, false);
+    unread.progressed();
+    unread.paused();
+    now.set(5_000);
+    List<TargetSelector.Candidate> c =
+        List.of(
+            new TargetSelector.Candidate(head("a"), unread, null, false), candidate("b", 10, null));
+    assertEquals("a", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 5_000)));
+  }
+
   /** Guards against requests that wait although they cannot end before their deadline. */
   @Test
   void refusesRequestsThatCannotEndBeforeTheirDeadline() {
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
@@ -33,6 +33,7 @@
   private final LongSupplier readingMillis;
   private long epoch;
   private int active;
+  private int paused;
   private int prefillTokens;
   private int latePrefillTokens;
   private long lastProgress = Long.MIN_VALUE;
@@ -83,14 +84,30 @@
    * @param late whether it has missed its latency target already
    */
   public void started(int tokens, boolean late) {
-    if (active == 0) {
-      lastProgress = readingMillis.getAsLong();
-    }
+    beginSilence();
     active++;
     prefillTokens += tokens;
     latePrefillTokens += late ? tokens : 0;
   }
 
+  /** Starts to measure the silence if no answer was read that could have ended it. */
+  private void beginSilence() {
+    if (isUnread()) {
+      lastProgress = readingMillis.getAsLong();
+    }
+  }
+
+  /** Records that the answer to a request is not read for now because its caller is slow. */
+  public void paused() {
+    paused++;
+  }
+
+  /** Records that the answer to a request is read again. */
+  public void resumed() {
+    beginSilence();
+    paused--;
+  }
+
   /** Records the first event of a request, which shows that its prompt tokens are processed. */
   public void prefilled(int tokens, boolean late) {
     prefillTokens -= tokens;
@@ -98,7 +115,7 @@
   }
 
   /**
-   * Records that a request has ended.
+   * Records that a request has ended, which is not paused.
    *
    * @param tokensNotPrefilled its prompt tokens; 0 if its first event was recorded
    * @param late whether it had missed its latency target when it was sent
@@ -213,9 +230,16 @@
     return Math.max(0, latePrefillTokens);
   }
 
-  /** Returns the time in milliseconds since bytes last arrived; 0 if no request is in flight. */
+  /**
+   * Returns whether no answer is read, so that nothing is known of the progress of the instance.
+   */
+  public boolean isUnread() {
+    return active == paused;
+  }
+
+  /** Returns the time in milliseconds since bytes last arrived; 0 if no answer is read. */
   public long idleMillis() {
-    return active == 0 ? 0 : readingMillis.getAsLong() - lastProgress;
+    return isUnread() ? 0 : readingMillis.getAsLong() - lastProgress;
   }
 
   private static double decay(long millis) {
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -136,7 +136,7 @@
   /** Returns whether requests of this entry or of others at an instance make no progress. */
   private static boolean isStalled(Candidate c) {
     InstanceLoad load = c.loadOfOthers();
-    boolean ownStalled = c.stats().active() > 0 && c.stats().idleMillis() > OWN_IDLE_MILLIS;
+    boolean ownStalled = c.stats().idleMillis() > OWN_IDLE_MILLIS;
     boolean othersStalled = load != null && load.stalledMillis() > OTHERS_IDLE_MILLIS;
     return ownStalled || othersStalled;
   }
