Try a stalled instance again before its group is given up

After one second one request at a time is sent there again, which shows whether it goes on. InstanceStatsTest#stalledInstanceIsTriedAgainBeforeItsGroupIsGivenUp failed before.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/InstanceStatsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/InstanceStatsTest.java
@@ -63,4 +63,50 @@
     now += 70;
     assertEquals(70, stats.idleMillis());
   }
+
+  /**
+   * Guards against a sound group that is given up as stalled after a silence of a second, because
+   * no request is sent that could show that it goes on.
+   */
+  @Test
+  void stalledInstanceIsTriedAgainBeforeItsGroupIsGivenUp() {
+    start(1);
+    stats.stalled(now);
+    stats.ended(0, false);
+    now += 999;
+    assertTrue(stats.isSuspect(now));
+    now += 1;
+    assertFalse(stats.isSuspect(now));
+    start(1);
+    now += 200;
+    stats.progressed();
+    assertEquals(0, stats.failingMillis());
+    assertFalse(stats.isSuspect(now));
+  }
+
+  /** Guards against many requests at once that are sent to a broken group to try it. */
+  @Test
+  void stalledInstanceIsTriedByOneRequestAtATime() {
+    start(1);
+    stats.stalled(now);
+    stats.ended(0, false);
+    now += 1_000;
+    start(1);
+    assertTrue(stats.isSuspect(now));
+    now += 300;
+    stats.stalled(now);
+    stats.ended(0, false);
+    assertTrue(stats.isSuspect(now));
+    assertEquals(1_300, stats.failingMillis());
+  }
+
+  /** Guards against an instance that is avoided although it goes on. */
+  @Test
+  void instanceThatGoesOnIsNotSuspectAnyMore() {
+    start(2);
+    stats.stalled(now);
+    assertTrue(stats.isSuspect(now));
+    stats.progressed();
+    assertFalse(stats.isSuspect(now));
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
@@ -8,10 +8,11 @@
   private static final long LONGEST_SUSPICION_MILLIS = 8_000;
 
   /**
-   * How long a stalled instance without requests is skipped, in milliseconds; by then its group is
-   * given up if it lost a member.
+   * How long a stalled instance without requests is skipped, in milliseconds. A sound instance may
+   * be silent for a second; the next request must find that it goes on before its group is given up
+   * as stalled, after 2.5 s.
    */
-  private static final long STALLED_MILLIS = 2_500;
+  private static final long STALLED_MILLIS = 1_000;
 
   /**
    * The time in milliseconds for which an instance is skipped after it refused a request because it
@@ -40,6 +41,7 @@
   private long suspectUntil = Long.MIN_VALUE;
   private long fullUntil = Long.MIN_VALUE;
   private long failingSince = Long.MIN_VALUE;
+  private boolean stalled;
   private long stalledUntil = Long.MIN_VALUE;
   private int failures;
   private double slowness = 1;
@@ -64,7 +66,7 @@
     if (groupEpoch != epoch) {
       epoch = groupEpoch;
       suspectUntil = Long.MIN_VALUE;
-      stalledUntil = Long.MIN_VALUE;
+      stalled = false;
       failingSince = Long.MIN_VALUE;
       failures = 0;
       slowness = 1;
@@ -129,7 +131,7 @@
   public void progressed() {
     lastProgress = readingMillis.getAsLong();
     failingSince = Long.MIN_VALUE;
-    stalledUntil = Long.MIN_VALUE;
+    stalled = false;
   }
 
   /** Records that a request ended successfully. */
@@ -157,9 +159,11 @@
 
   /**
    * Records that requests make no progress for too long. The instance is skipped until bytes arrive
-   * again, for a limited time: if no request is left there, nothing else can show that it goes on.
+   * again. If no request is left there, one at a time is sent after a while, to show whether it
+   * goes on.
    */
   public void stalled(long now) {
+    stalled = true;
     stalledUntil = now + STALLED_MILLIS;
     startFailing();
   }
@@ -197,7 +201,7 @@
 
   /** Returns whether the instance should be skipped because of recent failures. */
   public boolean isSuspect(long now) {
-    return now < suspectUntil || now < stalledUntil;
+    return now < suspectUntil || (stalled && (active > 0 || now < stalledUntil));
   }
 
   /**
