Give a group up as stalled by the time since anybody saw it progress

Cause: an entry that has a failure at a head, and no request there since, reports a failing time that grows. It is ignored while any entry sees progress, but counts in full as soon as nobody has for 0.3 s. The planner now remembers when it was last told of progress, and counts no longer than since then. OddReportsTest#groupThatWasSilentForShortTimeIsKept failed before; groupThatIsSilentForGoodIsGivenUp passed.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/OddReportsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/OddReportsTest.java
@@ -1,6 +1,8 @@
 package org.ebonypond.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -34,6 +36,42 @@
     assertEquals(List.of(), plan(all, Map.of("a", load), NOW));
   }
 
+  /**
+   * Guards against a group that is dissolved after a short silence, because an entry had a failure
+   * at its head long ago and has sent no request there since, while others saw it progress.
+   */
+  @Test
+  void groupThatWasSilentForShortTimeIsKept() {
+    planner.startTerm(2, false, 4, 0);
+    List<FleetInstance> all =
+        List.of(instance("a", member(0, MemberState.OPEN)), instance("b", member(1, null)));
+    for (long t = 0; t < 3_000; t += 100) {
+      assertFalse(isGivenUp(plan(all, Map.of("a", load(50, t)), NOW + t)));
+    }
+    for (long silent = 0; silent <= 2_400; silent += 100) {
+      Map<String, InstanceLoad> loads = Map.of("a", load(silent, 3_000 + silent));
+      assertFalse(isGivenUp(plan(all, loads, NOW + 3_000 + silent)));
+    }
+  }
+
+  /** Guards against a group that is kept although it makes no progress for good. */
+  @Test
+  void groupThatIsSilentForGoodIsGivenUp() {
+    planner.startTerm(2, false, 4, 0);
+    List<FleetInstance> all =
+        List.of(instance("a", member(0, MemberState.OPEN)), instance("b", member(1, null)));
+    plan(all, Map.of("a", load(50, 0)), NOW);
+    assertTrue(isGivenUp(plan(all, Map.of("a", load(2_600, 2_600)), NOW + 2_600)));
+  }
+
+  private static boolean isGivenUp(List<FleetOrder> orders) {
+    return orders.stream().anyMatch(o -> o.kind() == FleetOrder.Kind.LEAVE);
+  }
+
+  private static InstanceLoad load(long idleMillis, long failingMillis) {
+    return new InstanceLoad("a", epoch(), 3, 0, idleMillis, failingMillis);
+  }
+
   /**
    * Guards against a member that joins another group while its group serves, because another
    * instance reports the same place in it.
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -67,6 +67,7 @@
     state.decisions.startTerm();
     state.heads.clear();
     state.incompleteSince.clear();
+    state.progressAt.clear();
     state.staging.clear();
     state.retiring.clear();
     state.avoidUntil.clear();
@@ -123,6 +124,7 @@
     round.recordLastGroups();
     state.decisions.observe(round);
     state.incompleteSince.keySet().retainAll(round.groups.keySet());
+    state.progressAt.keySet().retainAll(round.groups.keySet());
     state.heads.keySet().retainAll(round.groups.keySet());
     state.retiring.keySet().retainAll(round.groups.keySet());
     round.reviewGroups();
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -69,6 +69,9 @@
   /** When a group was first found to lack the report of a member, by group and epoch. */
   final Map<String, Long> incompleteSince = new HashMap<>();
 
+  /** When any entry last saw progress at the head of a group, by group and epoch. */
+  final Map<String, Long> progressAt = new HashMap<>();
+
   /** Whether no earlier leader can have sent orders. */
   boolean first;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -168,7 +168,10 @@
     }
     InstanceLoad load = loadOf(g);
     boolean progressing = load != null && load.hasProgress();
-    long stalled = load == null || status != MemberState.OPEN ? 0 : load.stalledMillis();
+    if (progressing) {
+      state.progressAt.put(g.key(), now);
+    }
+    long stalled = load == null || status != MemberState.OPEN ? 0 : stalledMillis(g, load);
     if (stalled > MAX_STALL_MILLIS) {
       return GroupDecision.Cause.of(GiveUpReason.STALLED, "", stalled);
     }
@@ -187,6 +190,17 @@
         : null;
   }
 
+  /**
+   * Returns for how long a group has been stalled, in milliseconds. An entry may report a failure
+   * that is older than the progress that others saw, if it has sent no request there since.
+   */
+  private long stalledMillis(GroupView g, InstanceLoad load) {
+    Long progressAt = state.progressAt.get(g.key());
+    return progressAt == null
+        ? load.stalledMillis()
+        : Math.min(load.stalledMillis(), now - progressAt);
+  }
+
   private GroupDecision.Cause departureOf(GroupView g) {
     PlannerState.LeaveAnswer answer =
         hasHeadAnsweredLeave(g) ? state.leaveAnswers.get(state.heads.get(g.key())) : null;
