Read and drop further input until the caller has closed too

Callers saw a reset in place of the end of an answer: the connection was closed as soon as the answer was written to the socket, while the socket still held bytes of it. Input that arrived after that, such as the next request on a kept connection whose process has begun to stop, made the kernel reset the connection and discard those bytes. A malformed request behind a long answer closed the connection a second after the refusal was queued, whatever was written by then.

Only refusals were ended in order (half-closed, input dropped for up to a second). Now every connection that ends with an answer ends in that way, and the second counts from the last byte written.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -51,8 +50,8 @@
   private static final int RETRY_AFTER_SECONDS = 1;
 
   /**
-   * How long a caller whose request was refused unread may go on sending it, in milliseconds; a
-   * body of the default limit takes less at 100 Mbit/s.
+   * How long a caller may go on sending after the end of the answers, in milliseconds; a body of
+   * the default limit takes less at 100 Mbit/s.
    */
   private static final long LINGER_MILLIS = 1_000;
 
@@ -77,6 +76,9 @@
 
   private boolean refused;
 
+  /** Whether the connection ends after what is written, and further input is dropped. */
+  private boolean ending;
+
   /** The answer to a malformed request behind pipelined ones, or null if there is none. */
   private @Nullable HttpResponseStatus pendingRefusal;
 
@@ -111,7 +113,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     lastActive = timers.nowMillis();
     try {
-      if (refused) {
+      if (refused || ending) {
         return;
       }
       if (message instanceof HttpRequest r) {
@@ -190,8 +192,7 @@
   private void drop(HttpContent c) {
     dropping = !(c instanceof LastHttpContent);
     if (!dropping && closesAfterDropping) {
-      // The answer may not be written yet.
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      endOutput();
     }
   }
 
@@ -320,11 +321,29 @@
     if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
       r.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
     }
-    // Closing a connection with unread bytes resets it, and the caller would lose the answer: what
-    // it still sends is read and dropped until it has closed as well.
+    channel.writeAndFlush(r);
+    endOutput();
+  }
+
+  /**
+   * Ends the connection after what is written. Closing a connection while its caller sends resets
+   * it, and the caller would lose the end of its answer: what it still sends is read and dropped
+   * until it has closed as well.
+   */
+  private void endOutput() {
+    if (ending) {
+      return;
+    }
+    ending = true;
+    releaseRequests();
     channel.config().setAutoRead(true);
-    channel.writeAndFlush(r).addListener(f -> channel.shutdownOutput());
-    timers.after(LINGER_MILLIS, channel::close);
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> shutdownOutput());
+  }
+
+  private void shutdownOutput() {
+    channel.shutdownOutput();
+    TimerService.Subscription linger = timers.after(LINGER_MILLIS, channel::close);
+    channel.closeFuture().addListener(f -> linger.cancel());
   }
 
   private void releasePartial() {
@@ -338,13 +357,18 @@
     }
   }
 
-  @Override
-  public void channelInactive(ChannelHandlerContext ctx) {
+  /** Releases the requests that have not been handled. */
+  private void releaseRequests() {
     releasePartial();
     for (Exchange e : waiting) {
       e.release();
     }
     waiting.clear();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    releaseRequests();
     Exchange e = current;
     if (e != null) {
       current = null;
@@ -548,14 +572,14 @@
       if (last instanceof HttpResponse r) {
         setConnection(r);
       }
-      final var written = channel.writeAndFlush(last);
+      channel.writeAndFlush(last);
       current = null;
       lastActive = timers.nowMillis();
       release();
       if (close && dropping && lacksMemory) {
         closesAfterDropping = true;
       } else if (close) {
-        written.addListener(ChannelFutureListener.CLOSE);
+        endOutput();
       } else if (waiting.isEmpty() && pendingRefusal != null) {
         writeRefusal(pendingRefusal);
       } else {
