Wait at a stop until the answers are written to the sockets

A caller on a slow link lost the end of its answer when its entry was stopped: the entry counted as drained when the last answer was handed to the connection, closed the connections without a request in progress, and exited, with the bytes still in its memory.

A connection is idle now only if its answers are written. An entry is drained once its connections are idle and, for up to a second after an answer was written, closed by their callers: until then the socket may hold bytes that a reset would discard. Connections that were not used for a second do not delay the stop.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/SlowCallerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/SlowCallerTest.java
@@ -31,6 +31,9 @@
   /** More than the largest send buffer of a socket on Linux, 4 MiB, and the caller's buffer. */
   private static final int ANSWER_BYTES = 16 << 20;
 
+  /** Each of them is smaller than {@link CallerBacklog#MAX_BYTES}. */
+  private static final int CHUNKS = 8;
+
   private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
 
   /** What fits into the send buffer of a socket whose caller has read some megabytes. */
@@ -46,6 +49,7 @@
   /** Used on the event loop only. */
   private final ManualTimerService timers = new ManualTimerService();
 
+  private HttpService service = SlowCallerTest::answerWhole;
   private HttpListener listener;
   private int port;
 
@@ -58,7 +62,7 @@
         new HttpListener(
             loop,
             timers,
-            SlowCallerTest::answerWhole,
+            c -> service.handle(c),
             () -> ClientLimits.DEFAULT,
             new RequestBodyMemory(1_000));
     listener.listen(new InetSocketAddress("127.0.0.1", port));
@@ -82,6 +86,23 @@
     call.answer(ok(), content());
   }
 
+  /** Answers in chunks, as fast as the caller reads. */
+  private static void answerInChunks(HttpCall call) {
+    call.start(ok());
+    int[] left = {CHUNKS};
+    Runnable write =
+        () -> {
+          while (call.isWritable() && left[0]-- > 0) {
+            call.writeContent(Unpooled.wrappedBuffer(new byte[ANSWER_BYTES / CHUNKS]));
+          }
+          if (left[0] <= 0) {
+            call.end();
+          }
+        };
+    call.onWritable(write);
+    write.run();
+  }
+
   private <T> T onLoop(Callable<T> task) throws Exception {
     return loop.submit(task).get(10, TimeUnit.SECONDS);
   }
@@ -98,6 +119,36 @@
     TimeUnit.MILLISECONDS.sleep(REACTION_MILLIS);
   }
 
+  /** Guards against a stop that cuts an answer which its caller has not read to the end. */
+  @Test
+  void closingIdleConnectionsKeepsUnreadAnswer() throws Exception {
+    try (Caller c = new Caller()) {
+      c.send(REQUEST);
+      c.read(1);
+      listener.closeIdle();
+      awaitReaction();
+      c.read(ANSWER_BYTES - c.bytes);
+      listener.closeIdle();
+      c.assertWholeAnswer();
+    }
+  }
+
+  /** Guards against a stop that cuts the end of a stream which its caller has not read yet. */
+  @Test
+  void closingIdleConnectionsKeepsUnreadEndOfStream() throws Exception {
+    service = SlowCallerTest::answerInChunks;
+    try (Caller c = new Caller()) {
+      c.send(REQUEST);
+      c.read(ANSWER_BYTES / 2);
+      for (int i = 0; i < ANSWER_BYTES / 2 / LAST_BYTES; i++) {
+        c.read(LAST_BYTES);
+        awaitReaction();
+        listener.closeIdle();
+      }
+      c.assertWholeAnswer();
+    }
+  }
+
   /**
    * Guards against a stopping process that resets a connection, and the end of its answer, because
    * the caller has sent another request.
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.TooLongFrameException;
@@ -84,6 +85,9 @@
 
   private long lastActive;
 
+  /** When the last answer was written to the socket, in milliseconds. */
+  private long answeredAt;
+
   /**
    * Creates a connection.
    *
@@ -107,6 +111,7 @@
     this.timers = timers;
     this.draining = draining;
     this.lastActive = timers.nowMillis();
+    this.answeredAt = lastActive - LINGER_MILLIS;
   }
 
   @Override
@@ -321,7 +326,7 @@
     if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
       r.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
     }
-    channel.writeAndFlush(r);
+    channel.writeAndFlush(r).addListener(f -> answeredAt = timers.nowMillis());
     endOutput();
   }
 
@@ -393,22 +398,72 @@
         .log("connection closed");
     Exchange e = current;
     if (e != null && e.started) {
-      reset();
+      closeAbruptly();
     } else {
       ctx.close();
     }
   }
 
-  /** Closes the connection such that the caller does not take the end for that of an answer. */
-  private void reset() {
+  /**
+   * Closes the connection such that the caller does not take the end for that of an answer.
+   *
+   * @param reason why its answers are not sent to the end
+   */
+  private void reset(String reason) {
+    long bytes = unwrittenBytes();
+    if (bytes > 0) {
+      LOG.atWarn()
+          .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
+          .addKeyValue("reason", reason)
+          .addKeyValue("bytes", bytes)
+          .log("connection reset with unwritten bytes");
+    }
+    closeAbruptly();
+  }
+
+  private void closeAbruptly() {
     SocketChannelConfig c = channel.config();
     c.setSoLinger(0);
     channel.close();
   }
 
+  /** Returns the bytes of answers that the socket has not taken yet. */
+  private long unwrittenBytes() {
+    ChannelOutboundBuffer b = channel.unsafe().outboundBuffer();
+    return b == null ? 0 : b.totalPendingWriteBytes() - b.currentProgress();
+  }
+
+  /** Returns whether no request is being received or answered and all answers are written. */
+  boolean isIdle() {
+    return !isReceiving() && !isAnswering() && unwrittenBytes() == 0;
+  }
+
+  private boolean isReceiving() {
+    return head != null || dropping;
+  }
+
+  private boolean isAnswering() {
+    return current != null || !waiting.isEmpty();
+  }
+
+  /**
+   * Returns whether the process can end without a loss for the caller. Bytes of an answer may wait
+   * in the socket for a while, and are lost if the caller sends something after the end.
+   */
+  boolean isDrained(long now) {
+    return isIdle() && now - answeredAt >= LINGER_MILLIS;
+  }
+
   void closeIfIdle() {
-    if (current == null && waiting.isEmpty() && head == null && !dropping) {
-      channel.close();
+    if (isIdle()) {
+      endOutput();
+    }
+  }
+
+  /** Resets the connection if its answers are not written, since the process ends. */
+  void resetIfUnwritten() {
+    if (unwrittenBytes() > 0) {
+      reset("stopped");
     }
   }
 
@@ -525,12 +580,8 @@
         return;
       }
       channel.writeAndFlush(new DefaultHttpContent(bytes));
-      if (channel.unsafe().outboundBuffer() != null
-          && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > CallerBacklog.MAX_BYTES) {
-        LOG.atInfo()
-            .addKeyValue("peer", peer())
-            .log("caller reads its answer too slowly; closing the connection");
-        reset();
+      if (unwrittenBytes() > CallerBacklog.MAX_BYTES) {
+        reset("backlog");
       }
     }
 
@@ -562,7 +613,7 @@
     public void abort() {
       if (!done) {
         done = true;
-        reset();
+        reset("broken-off");
       }
     }
 
@@ -572,7 +623,7 @@
       if (last instanceof HttpResponse r) {
         setConnection(r);
       }
-      channel.writeAndFlush(last);
+      channel.writeAndFlush(last).addListener(f -> answeredAt = timers.nowMillis());
       current = null;
       lastActive = timers.nowMillis();
       release();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -91,11 +91,25 @@
     }
   }
 
-  /** Closes the connections that have no request in progress. */
+  /** Closes the connections that have no request in progress and no answer to write. */
   public void closeIdle() {
     loop.execute(() -> List.copyOf(connections).forEach(HttpConnection::closeIfIdle));
   }
 
+  /**
+   * Returns whether the process can end without a loss for a caller that is connected; to be called
+   * on the event loop.
+   */
+  public boolean isDrained() {
+    long now = timers.nowMillis();
+    return connections.stream().allMatch(c -> c.isDrained(now));
+  }
+
+  /** Resets the connections whose answers are not written; to be called on the event loop. */
+  public void resetUnwritten() {
+    List.copyOf(connections).forEach(HttpConnection::resetIfUnwritten);
+  }
+
   @Override
   public void close() {
     stopAccepting();
