Log frames that cannot be decoded

The connection was closed with a line at the debug level only, so nodes of two builds that could not read each other's frames looked like nodes that were cut off.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/transport/PeerNetworkTest.java
@@ -8,6 +8,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.DecoderException;
@@ -33,6 +37,7 @@
 import org.junit.jupiter.api.Test;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.slf4j.LoggerFactory;
 
 class PeerNetworkTest {
   private static final byte[] PING = {1, 2, 3};
@@ -345,4 +350,25 @@
       assertArrayEquals(PING, ask(at).join());
     }
   }
+
+  /** Guards against processes that drop each other's messages without a trace in the logs. */
+  @Test
+  void frameThatCannotBeDecodedIsLogged() throws IOException {
+    Logger logger = (Logger) LoggerFactory.getLogger(PeerNetwork.class);
+    ListAppender<ILoggingEvent> lines = new ListAppender<>();
+    lines.start();
+    logger.addAppender(lines);
+    InetSocketAddress at = freeAddress();
+    try (PeerNetwork peer = echo(at)) {
+      sendRawFrame(at, proposal(Integer.MAX_VALUE - 8));
+    } finally {
+      logger.detachAppender(lines);
+    }
+    assertTrue(
+        lines.list.stream()
+            .anyMatch(
+                l ->
+                    l.getLevel() == Level.WARN
+                        && l.getMessage().equals("frame cannot be decoded")));
+  }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -15,6 +15,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.util.AttributeKey;
@@ -33,6 +34,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * The TCP connections to the other processes: one outgoing connection per address, opened on first
@@ -391,10 +393,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      LOG.atDebug()
+      boolean undecodable = cause instanceof CodecException;
+      LOG.atLevel(undecodable ? Level.WARN : Level.DEBUG)
           .addKeyValue("peer", String.valueOf(ctx.channel().remoteAddress()))
           .setCause(cause)
-          .log("connection closed");
+          .log(undecodable ? "frame cannot be decoded" : "connection closed");
       ctx.close();
     }
   }
