--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -4,7 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -61,8 +61,14 @@
   /** The part of the caller's time that is left for an answer of unknown duration, as a divisor. */
   private static final int WAIT_DIVISOR = 2;
 
-  /** How long an interrupted stream waits for a free slot to resume, in milliseconds. */
-  private static final long RESUME_WAIT_MILLIS = 1_000;
+  /** After this many refusals by backend servers, a started answer is broken off. */
+  private static final int MAX_RESUME_REFUSALS = 8;
+
+  /**
+   * How long an interrupted stream waits for an instance to resume, in milliseconds; callers give
+   * up a stream after a pause of that length.
+   */
+  private static final long RESUME_WAIT_MILLIS = 2_000;
 
   /** Retry-After of a stopping entry, in milliseconds; the caller retries at another entry. */
   private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
@@ -75,7 +81,7 @@
   private final int bodyBytes;
   private final RequestLog log;
   private final CallerAnswer answer;
-  private final Set<String> tried = new HashSet<>();
+  private final CallAttempts attempts = new CallAttempts();
 
   private RequestTraits traits;
   private @Nullable RouteRule route;
@@ -88,11 +94,10 @@
   private String sendCause = "first";
   private TargetSelector.@Nullable Selection rejection;
   private long deadlineAt;
-  private @Nullable Attempt current;
-  private int possibleRuns;
-  private int refusals;
-  private int sends;
-  private boolean mayHaveRun;
+
+  /** Whether the next send still has to be taken from the retry allowance. */
+  private boolean owesRetry;
+
   private boolean done;
 
   ForwardCall(Forwarder forwarder, HttpCall call, CallHead head) {
@@ -233,17 +238,31 @@
       return;
     }
     if (forwarder.paths().isCutOff(service().name())) {
-      giveUp("cut-off", RETRY_AFTER_MILLIS);
+      waitOrGiveUp(mayQueue && answer.isStarted(), "cut-off", RETRY_AFTER_MILLIS);
       return;
     }
-    TargetSelector.Selection selection = choose();
-    if (selection.target() != null) {
+    TargetSelector.Selection selection = choose(false);
+    if (selection.target() == null) {
+      rejection = selection;
+      waitOrGiveUp(mayQueue, selection.reason(), selection.retryAfterMillis());
+    } else if (owesRetry && !tryRetry()) {
+      waitOrGiveUp(mayQueue, "retry-budget", RETRY_AFTER_MILLIS);
+    } else {
+      owesRetry = false;
       send(selection, cause);
-      return;
     }
-    rejection = selection;
-    if (!mayQueue || !mayWait(selection) || !waitInQueue(selection.waitingLimit())) {
-      giveUp(selection.reason(), selection.retryAfterMillis());
+  }
+
+  private void waitOrGiveUp(boolean mayQueue, String reason, long retryAfterMillis) {
+    TargetSelector.Selection selection = rejection;
+    int limit = selection == null ? 0 : selection.waitingLimit();
+    boolean waits =
+        mayQueue
+            && (answer.isStarted()
+                ? waitInQueue(Integer.MAX_VALUE)
+                : mayWait(limit) && waitInQueue(limit));
+    if (!waits) {
+      giveUp(reason, retryAfterMillis);
     }
   }
 
@@ -264,9 +283,9 @@
     return true;
   }
 
-  private boolean mayWait(TargetSelector.Selection selection) {
-    return selection.waitingLimit() > 0
-        || (sends == 0 && forwarder.queue().isDiscovering(timers.nowMillis()));
+  private boolean mayWait(int waitingLimit) {
+    return waitingLimit > 0
+        || (attempts.sends() == 0 && forwarder.queue().isDiscovering(timers.nowMillis()));
   }
 
   /**
@@ -376,7 +395,12 @@
     }
   }
 
-  private TargetSelector.Selection choose() {
+  /**
+   * Chooses an instance.
+   *
+   * @param second whether an earlier attempt is still in progress
+   */
+  private TargetSelector.Selection choose(boolean second) {
     ServiceProfile s = service();
     long now = timers.nowMillis();
     long targetMillis = route().targetMillis() - (now - receivedAt);
@@ -388,7 +412,8 @@
             deadlineAt - now,
             answer.isStarted() ? deadlineAt - now : targetMillis,
             route().targetMillis(),
-            tried);
+            second,
+            attempts.tried());
     EngineCost c = model == null ? null : cost;
     return forwarder
         .selector()
@@ -406,13 +431,9 @@
       throw new IllegalArgumentException("no instance was chosen");
     }
     stopWaiting();
-    sends++;
-    tried.add(target.id());
     long now = timers.nowMillis();
     forwarder.recordSent(target.id(), now);
     forwarder.metrics().sent(kind(), cause);
-    // The next instance resumes after the last complete event.
-    answer.dropPartialEvent();
     Dispatch d =
         new Dispatch(
             target.id(),
@@ -423,7 +444,7 @@
     ByteBuf buffer = call.body().alloc().buffer();
     String relay = forwarder.paths().relayTo(target);
     Attempt a = new Attempt(this, forwarder, answer, target, selection, relay, buffer);
-    current = a;
+    attempts.started(a);
     InstanceLoad loadOfOthers = forwarder.view().loadOfOthers(target.id());
     log.sent(cause, forwarder.view(), target, selection, relay, d, a.stats(), loadOfOthers);
     InetSocketAddress to = ReplicaDirectory.address(target.address());
@@ -443,32 +464,50 @@
                 a));
   }
 
-  /** Moves a stalled request to another instance if one can take it. */
+  /**
+   * Sends a stalled request to a second instance if one has a free slot. The stalled attempt
+   * continues, since its instance may only be silent for a while: the first one that answers ends
+   * the other.
+   */
   void checkProgress(long now) {
-    Attempt a = current;
     RouteRule r = route;
-    if (a == null || r == null || done || !a.isStalled(now)) {
+    if (done || r == null) {
       return;
     }
-    a.reportSilence();
-    if (!r.idempotent() || !mayRunElsewhere()) {
+    List<Attempt> stalled = attempts.running().stream().filter(a -> a.isStalled(now)).toList();
+    stalled.forEach(Attempt::reportSilence);
+    if (attempts.running().size() != 1 || stalled.isEmpty()) {
       return;
     }
-    TargetSelector.Selection selection = choose();
+    if (!r.idempotent()
+        || attempts.refusals() >= maxRefusals()
+        || !mayRunElsewhere()
+        || mayCrashInstances()) {
+      return;
+    }
+    TargetSelector.Selection selection = choose(true);
     if (selection.target() == null || !tryRetry()) {
       return;
     }
-    log.moved("stalled", a.target().id(), sends);
-    a.stop();
-    a.stats().failed(now);
-    mayHaveRun = true;
-    possibleRuns++;
+    Attempt a = stalled.get(0);
+    log.stalled(a.target().id(), attempts.sends(), a.silentMillis(now), a.stallLimitMillis(now));
+    a.stats().stalled(now);
     send(selection, "stalled");
   }
 
+  /** Ends the other attempt because this one has begun to answer, or has gone on. */
+  void answers(Attempt a) {
+    for (Attempt o : attempts.running()) {
+      if (o != a) {
+        log.superseded(o.target().id(), a.target().id());
+        attempts.leave(o);
+      }
+    }
+  }
+
   private boolean mayRunElsewhere() {
     return answer.isResumable()
-        && possibleRuns + 1 < route().maxInstances()
+        && attempts.possibleRuns() + 1 < route().maxInstances()
         && remaining() > MIN_REMAINING_MILLIS;
   }
 
@@ -488,6 +527,9 @@
    */
   void onNotRelayed(FleetInstance target) {
     retryOnOtherPath(target);
+    if (attempts.isRunning()) {
+      return;
+    }
     if (remaining() > MIN_REMAINING_MILLIS) {
       dispatch("relay");
     } else {
@@ -498,41 +540,65 @@
   /** Allows another attempt at an instance if it has another path than the one that has failed. */
   void retryOnOtherPath(FleetInstance target) {
     if (forwarder.paths().relayTo(target) != null) {
-      tried.remove(target.id());
+      attempts.retryAt(target.id());
     }
   }
 
   /**
-   * Retries or refuses after an attempt that certainly did not run.
+   * Retries or refuses after an attempt that certainly did not run, unless another one is in
+   * progress.
    *
+   * @param target the instance of the attempt
    * @param reachedBackend whether a backend server refused it; a retry then counts against the
    *     retry allowance
    */
-  void onNotRun(String reason, boolean reachedBackend) {
-    refusals++;
-    boolean retry =
-        refusals <= MAX_REFUSALS
-            && remaining() > MIN_REMAINING_MILLIS
-            && (!reachedBackend || tryRetry());
-    if (retry) {
-      dispatch(reason);
-    } else {
-      giveUp(reason, RETRY_AFTER_MILLIS);
+  void onNotRun(FleetInstance target, String reason, boolean reachedBackend) {
+    attempts.refused();
+    if (answer.isStarted()) {
+      // The instance may have a free slot before the caller gives up.
+      attempts.retryAt(target.id());
+    }
+    if (attempts.isRunning()) {
+      return;
     }
+    boolean retry = attempts.refusals() <= maxRefusals() && remaining() > MIN_REMAINING_MILLIS;
+    retry(retry, reachedBackend, reason);
+  }
+
+  private int maxRefusals() {
+    return answer.isStarted() ? MAX_RESUME_REFUSALS : MAX_REFUSALS;
   }
 
-  /** Retries or gives up after an attempt that may have run, or has run in part. */
+  /**
+   * Retries or gives up after an attempt that may have run, or has run in part, unless another one
+   * is in progress.
+   */
   void onPossiblyRun(String reason) {
-    mayHaveRun = true;
-    possibleRuns++;
+    attempts.possiblyRan();
+    if (attempts.isRunning()) {
+      return;
+    }
     boolean retry =
         route().idempotent()
             && answer.isResumable()
-            && possibleRuns < route().maxInstances()
+            && attempts.possibleRuns() < route().maxInstances()
             && remaining() > MIN_REMAINING_MILLIS
-            && !mayCrashInstances()
-            && tryRetry();
-    if (retry) {
+            && !mayCrashInstances();
+    retry(retry, true, reason);
+  }
+
+  /**
+   * Sends the request again or gives it up.
+   *
+   * @param counted whether the retry counts against the retry allowance; a started answer may wait
+   *     for it
+   */
+  private void retry(boolean allowed, boolean counted, String reason) {
+    owesRetry = counted;
+    if (allowed && counted && !answer.isStarted()) {
+      owesRetry = !tryRetry();
+    }
+    if (allowed && (answer.isStarted() || !owesRetry)) {
       dispatch(reason);
     } else {
       giveUp(reason, RETRY_AFTER_MILLIS);
@@ -546,11 +612,11 @@
 
   private void giveUp(String reason, long retryAfterMillis) {
     if (answer.isStarted()) {
-      log.brokenOff(route().name(), reason, sends);
+      log.brokenOff(route().name(), reason, attempts, remaining());
       forwarder.metrics().ended(kind(), "broken-off", reason, timers.nowMillis() - receivedAt);
       cleanUp();
       call.abort();
-    } else if (mayHaveRun) {
+    } else if (attempts.possibleRuns() > 0) {
       refuse(HttpResponseStatus.BAD_GATEWAY, reason, 0);
     } else {
       long maxRetryAfter = Math.max(0, remaining() / RETRY_AFTER_DIVISOR);
@@ -565,14 +631,10 @@
     if (done) {
       return;
     }
-    Attempt a = current;
-    if (a != null) {
-      a.stop();
-      mayHaveRun = true;
-    }
+    attempts.running().forEach(attempts::leave);
     if (answer.isStarted()) {
       giveUp("deadline", 0);
-    } else if (mayHaveRun) {
+    } else if (attempts.possibleRuns() > 0) {
       refuse(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", 0);
     } else {
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "deadline", 0);
@@ -580,32 +642,24 @@
   }
 
   private void onCallerWritable() {
-    Attempt a = current;
-    if (a != null && a.isPaused()) {
-      a.resume();
-    }
+    attempts.running().stream().filter(Attempt::isPaused).forEach(Attempt::resume);
   }
 
   private void onCallerClosed() {
     if (done) {
       return;
     }
-    Attempt a = current;
-    if (a != null) {
-      a.stop();
-    }
-    log.cancelled("caller-left", a == null ? "" : a.target().id(), sends);
+    List<Attempt> ended = attempts.running();
+    ended.forEach(Attempt::stop);
+    List<String> instances = ended.stream().map(a -> a.target().id()).toList();
+    log.cancelled("caller-left", instances, attempts.sends());
     forwarder.metrics().ended(kind(), "cancelled", "caller-left", timers.nowMillis() - receivedAt);
     cleanUp();
   }
 
   /** Ends the call because the process stops. */
   void shutDown() {
-    Attempt a = current;
-    if (a != null) {
-      a.stop();
-      mayHaveRun = true;
-    }
+    attempts.running().forEach(attempts::leave);
     giveUp("shutdown", 0);
   }
 
@@ -618,8 +672,7 @@
         workspace == null ? "" : workspace.name(),
         status.code(),
         reason,
-        sends,
-        tried,
+        attempts,
         forwarder.view(),
         selection == null ? 0 : (long) selection.endMillis(),
         remaining(),
@@ -643,7 +696,6 @@
   private void cleanUp() {
     done = true;
     stopWaiting();
-    current = null;
     TimerService.Subscription d = deadline;
     if (d != null) {
       d.cancel();
@@ -653,11 +705,17 @@
 
   /** Ends the call because an attempt has an answer to it. */
   void completed(Attempt a, int status) {
+    answers(a);
     long now = timers.nowMillis();
     a.stats().succeeded(now);
     long first = answer.isStarted() ? answer.firstOutputAt() : now;
     log.answered(
-        route(), a.target().id(), status, sends, first - receivedAt, answer.longestGapMillis());
+        route(),
+        a.target().id(),
+        status,
+        attempts.sends(),
+        first - receivedAt,
+        answer.longestGapMillis());
     forwarder
         .metrics()
         .ended(kind(), "answered", "status-" + status / 100 + "xx", now - receivedAt);
@@ -666,9 +724,7 @@
 
   /** Records that an attempt has ended. */
   void ended(Attempt a) {
-    if (current == a) {
-      current = null;
-    }
+    attempts.ended(a);
   }
 
   CallHead head() {
@@ -696,9 +752,9 @@
     return cost;
   }
 
-  /** Returns whether another instance could take the call now, after a failure of this one. */
-  boolean canTryAnother() {
-    return mayRunElsewhere() && choose().target() != null;
+  /** Returns whether another attempt may answer the call, after a failure of this one. */
+  boolean canBeAnsweredElsewhere() {
+    return attempts.isRunning() || (mayRunElsewhere() && choose(false).target() != null);
   }
 
   /** Returns the kind of the call as a label of metrics. */
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/RequestLog.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.List;
-import java.util.Set;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.InstanceStats;
@@ -73,13 +72,34 @@
         .log("request sent");
   }
 
-  void moved(String reason, String instance, int sends) {
+  /**
+   * Logs that an instance makes no progress with a request, which is sent to a second one as well.
+   *
+   * @param silentMillis the time since bytes last arrived from the instance, in milliseconds
+   * @param limitMillis the time after which it counts as stalled, in milliseconds
+   */
+  void stalled(String instance, int sends, long silentMillis, long limitMillis) {
     event()
-        .addKeyValue("reason", reason)
         .addKeyValue("instance", instance)
         .addKeyValue("sends", sends)
+        .addKeyValue("silent_ms", silentMillis)
+        .addKeyValue("limit_ms", limitMillis)
+        .addKeyValue("took_ms", tookMillis())
+        .log("request stalled");
+  }
+
+  /**
+   * Logs that an attempt is ended because another one answers.
+   *
+   * @param instance the instance of the ended attempt
+   * @param by the instance that answers
+   */
+  void superseded(String instance, String by) {
+    event()
+        .addKeyValue("instance", instance)
+        .addKeyValue("by", by)
         .addKeyValue("took_ms", tookMillis())
-        .log("request moved");
+        .log("attempt ended for another one");
   }
 
   void waits(String cause, long atMostMillis) {
@@ -90,10 +110,10 @@
         .log("request waits");
   }
 
-  void cancelled(String reason, String instance, int sends) {
+  void cancelled(String reason, List<String> instances, int sends) {
     event()
         .addKeyValue("reason", reason)
-        .addKeyValue("instance", instance)
+        .addKeyValue("instances", instances)
         .addKeyValue("sends", sends)
         .addKeyValue("took_ms", tookMillis())
         .log("request cancelled");
@@ -157,12 +177,20 @@
     return parts.stream().map(Long::toHexString).toList();
   }
 
-  void brokenOff(String route, String reason, int sends) {
+  /**
+   * Logs that a started answer ends incomplete.
+   *
+   * @param remainingMillis the caller's time that was left, in milliseconds
+   */
+  void brokenOff(String route, String reason, CallAttempts attempts, long remainingMillis) {
     LOG.atWarn()
         .addKeyValue("request", id)
         .addKeyValue("route", route)
         .addKeyValue("reason", reason)
-        .addKeyValue("sends", sends)
+        .addKeyValue("sends", attempts.sends())
+        .addKeyValue("left_instances", attempts.left())
+        .addKeyValue("tried", attempts.tried())
+        .addKeyValue("left_ms", remainingMillis)
         .addKeyValue("took_ms", tookMillis())
         .log("answer broken off");
   }
@@ -179,8 +207,7 @@
       String workspace,
       int status,
       String reason,
-      int sends,
-      Set<String> tried,
+      CallAttempts attempts,
       FleetView view,
       long predictedEndMillis,
       long remainingMillis,
@@ -191,8 +218,8 @@
         .addKeyValue("workspace", workspace)
         .addKeyValue("status", status)
         .addKeyValue("reason", reason)
-        .addKeyValue("sends", sends)
-        .addKeyValue("tried", tried)
+        .addKeyValue("sends", attempts.sends())
+        .addKeyValue("tried", attempts.tried())
         .addKeyValue("config", view.version())
         .addKeyValue("config_age_ms", view.configAgeMillis(timers.nowMillis()))
         .addKeyValue("config_source", view.configSource())
