--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -2,9 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.TooLongFrameException;
@@ -51,8 +51,8 @@
   private static final int RETRY_AFTER_SECONDS = 1;
 
   /**
-   * How long a caller whose request was refused unread may go on sending it, in milliseconds; a
-   * body of the default limit takes less at 100 Mbit/s.
+   * How long a caller may go on sending after the end of the answers, in milliseconds; a body of
+   * the default limit takes less at 100 Mbit/s.
    */
   private static final long LINGER_MILLIS = 1_000;
 
@@ -77,11 +77,17 @@
 
   private boolean refused;
 
+  /** Whether the connection ends after what is written, and further input is dropped. */
+  private boolean ending;
+
   /** The answer to a malformed request behind pipelined ones, or null if there is none. */
   private @Nullable HttpResponseStatus pendingRefusal;
 
   private long lastActive;
 
+  /** When the last answer was written to the socket, in milliseconds. */
+  private long answeredAt;
+
   /**
    * Creates a connection.
    *
@@ -105,13 +111,14 @@
     this.timers = timers;
     this.draining = draining;
     this.lastActive = timers.nowMillis();
+    this.answeredAt = lastActive - LINGER_MILLIS;
   }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     lastActive = timers.nowMillis();
     try {
-      if (refused) {
+      if (refused || ending) {
         return;
       }
       if (message instanceof HttpRequest r) {
@@ -190,8 +197,7 @@
   private void drop(HttpContent c) {
     dropping = !(c instanceof LastHttpContent);
     if (!dropping && closesAfterDropping) {
-      // The answer may not be written yet.
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      endOutput();
     }
   }
 
@@ -320,11 +326,29 @@
     if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
       r.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
     }
-    // Closing a connection with unread bytes resets it, and the caller would lose the answer: what
-    // it still sends is read and dropped until it has closed as well.
+    channel.writeAndFlush(r).addListener(f -> answeredAt = timers.nowMillis());
+    endOutput();
+  }
+
+  /**
+   * Ends the connection after what is written. Closing a connection while its caller sends resets
+   * it, and the caller would lose the end of its answer: what it still sends is read and dropped
+   * until it has closed as well.
+   */
+  private void endOutput() {
+    if (ending) {
+      return;
+    }
+    ending = true;
+    releaseRequests();
     channel.config().setAutoRead(true);
-    channel.writeAndFlush(r).addListener(f -> channel.shutdownOutput());
-    timers.after(LINGER_MILLIS, channel::close);
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> shutdownOutput());
+  }
+
+  private void shutdownOutput() {
+    channel.shutdownOutput();
+    TimerService.Subscription linger = timers.after(LINGER_MILLIS, channel::close);
+    channel.closeFuture().addListener(f -> linger.cancel());
   }
 
   private void releasePartial() {
@@ -338,13 +362,18 @@
     }
   }
 
-  @Override
-  public void channelInactive(ChannelHandlerContext ctx) {
+  /** Releases the requests that have not been handled. */
+  private void releaseRequests() {
     releasePartial();
     for (Exchange e : waiting) {
       e.release();
     }
     waiting.clear();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    releaseRequests();
     Exchange e = current;
     if (e != null) {
       current = null;
@@ -369,22 +398,72 @@
         .log("connection closed");
     Exchange e = current;
     if (e != null && e.started) {
-      reset();
+      closeAbruptly();
     } else {
       ctx.close();
     }
   }
 
-  /** Closes the connection such that the caller does not take the end for that of an answer. */
-  private void reset() {
+  /**
+   * Closes the connection such that the caller does not take the end for that of an answer.
+   *
+   * @param reason why its answers are not sent to the end
+   */
+  private void reset(String reason) {
+    long bytes = unwrittenBytes();
+    if (bytes > 0) {
+      LOG.atWarn()
+          .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
+          .addKeyValue("reason", reason)
+          .addKeyValue("bytes", bytes)
+          .log("connection reset with unwritten bytes");
+    }
+    closeAbruptly();
+  }
+
+  private void closeAbruptly() {
     SocketChannelConfig c = channel.config();
     c.setSoLinger(0);
     channel.close();
   }
 
+  /** Returns the bytes of answers that the socket has not taken yet. */
+  private long unwrittenBytes() {
+    ChannelOutboundBuffer b = channel.unsafe().outboundBuffer();
+    return b == null ? 0 : b.totalPendingWriteBytes() - b.currentProgress();
+  }
+
+  /** Returns whether no request is being received or answered and all answers are written. */
+  boolean isIdle() {
+    return !isReceiving() && !isAnswering() && unwrittenBytes() == 0;
+  }
+
+  private boolean isReceiving() {
+    return head != null || dropping;
+  }
+
+  private boolean isAnswering() {
+    return current != null || !waiting.isEmpty();
+  }
+
+  /**
+   * Returns whether the process can end without a loss for the caller. Bytes of an answer may wait
+   * in the socket for a while, and are lost if the caller sends something after the end.
+   */
+  boolean isDrained(long now) {
+    return isIdle() && now - answeredAt >= LINGER_MILLIS;
+  }
+
   void closeIfIdle() {
-    if (current == null && waiting.isEmpty() && head == null && !dropping) {
-      channel.close();
+    if (isIdle()) {
+      endOutput();
+    }
+  }
+
+  /** Resets the connection if its answers are not written, since the process ends. */
+  void resetIfUnwritten() {
+    if (unwrittenBytes() > 0) {
+      reset("stopped");
     }
   }
 
@@ -501,12 +580,8 @@
         return;
       }
       channel.writeAndFlush(new DefaultHttpContent(bytes));
-      if (channel.unsafe().outboundBuffer() != null
-          && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > CallerBacklog.MAX_BYTES) {
-        LOG.atInfo()
-            .addKeyValue("peer", peer())
-            .log("caller reads its answer too slowly; closing the connection");
-        reset();
+      if (unwrittenBytes() > CallerBacklog.MAX_BYTES) {
+        reset("backlog");
       }
     }
 
@@ -538,7 +613,7 @@
     public void abort() {
       if (!done) {
         done = true;
-        reset();
+        reset("broken-off");
       }
     }
 
@@ -548,14 +623,14 @@
       if (last instanceof HttpResponse r) {
         setConnection(r);
       }
-      final var written = channel.writeAndFlush(last);
+      channel.writeAndFlush(last).addListener(f -> answeredAt = timers.nowMillis());
       current = null;
       lastActive = timers.nowMillis();
       release();
       if (close && dropping && lacksMemory) {
         closesAfterDropping = true;
       } else if (close) {
-        written.addListener(ChannelFutureListener.CLOSE);
+        endOutput();
       } else if (waiting.isEmpty() && pendingRefusal != null) {
         writeRefusal(pendingRefusal);
       } else {
