--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/InstanceStatsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/InstanceStatsTest.java
@@ -86,7 +86,7 @@
 
   /** Guards against many requests at once that are sent to a broken group to try it. */
   @Test
-  void stalledInstanceIsTriedByOneRequestAtATime() {
+  void stalledInstanceIsTriedBySingleRequests() {
     start(1);
     stats.stalled(now);
     stats.ended(0, false);
