Test that answers which could be completed are not ended (failing)

CompletionCallTest#keepsSilentEngineWhileTheOtherGroupIsBusy: the product's own interface ends a silent attempt before another group has room.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -255,6 +255,22 @@
     entry.assertIdle();
   }
 
+  /** Guards against a stream that is lost because no other group has room for it. */
+  @Test
+  void keepsSilentEngineWhileTheOtherGroupIsBusy() {
+    entry.call(DEADLINE_MILLIS);
+    final FakeAttempt busy = entry.engines.last();
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    final FakeAttempt silent = entry.engines.last();
+    silent.chunk(0, false);
+    for (int i = 0; i < 6; i++) {
+      busy.chunk(i, false);
+      entry.timers.advance(1_000);
+    }
+    silent.chunk(1, true);
+    assertTrue(c.done);
+  }
+
   @Test
   void endsAtTheDeadlineWhileStreamingAndWhileWaiting() {
     final Caller a = entry.call(1_000);
