--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/OddReportsTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/OddReportsTest.java
@@ -14,6 +14,9 @@
   private static final String SERVICE = "engines";
   private static final long NOW = 100_000;
 
+  /** A sound instance may be silent for a second and go on. */
+  private static final long SILENCE_MILLIS = 1_000;
+
   private final FleetPlanner planner =
       new FleetPlanner(
           2 * FakeFleet.HEARTBEAT_MILLIS + 400,
@@ -34,6 +37,24 @@
     assertEquals(List.of(), plan(all, Map.of("a", load), NOW));
   }
 
+  /**
+   * Guards against a group that is dissolved, and ends its answers, because one of its members was
+   * silent for a second and its heartbeat is late by as much.
+   */
+  @Test
+  void groupIsKeptWhileItsMemberIsSilentForSecond() {
+    planner.startTerm(2, false, 4, 0);
+    List<InstanceUpdate> all =
+        List.of(
+            new InstanceUpdate(instance("a", member(0, MemberState.OPEN)), 100),
+            new InstanceUpdate(
+                instance("b", member(1, null)), FakeFleet.HEARTBEAT_MILLIS + SILENCE_MILLIS));
+    InstanceLoad load = new InstanceLoad("a", epoch(), 4, 0, SILENCE_MILLIS, 0);
+    assertEquals(
+        List.of(),
+        planner.plan(all, Map.of("a", load), SERVICE, FakeFleet.twoModels(), false, NOW));
+  }
+
   /**
    * Guards against a member that joins another group while its group serves, because another
    * instance reports the same place in it.
--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -90,6 +90,23 @@
     assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 0)));
   }
 
+  /**
+   * Guards against a silent stream that stays where it is although another group has a free slot,
+   * because the group with the best prediction is full.
+   */
+  @Test
+  void secondAttemptTakesTheFreeSlotOfAnyGroup() {
+    InstanceStats nearlyFull = candidate("b", 17, null).stats();
+    List<TargetSelector.Candidate> c =
+        List.of(
+            candidate("a", 18, null),
+            new TargetSelector.Candidate(head("b", "other"), nearlyFull, null, false));
+    TargetSelector.Need second =
+        new TargetSelector.Need(
+            ENGINE.model("large"), 1_400, 135, 8_000, 8_000, 500, true, Set.of());
+    assertEquals("b", chosen(selector.choose(second, c, COST, 1, 0)));
+  }
+
   /** Guards against requests that wait although they cannot end before their deadline. */
   @Test
   void refusesRequestsThatCannotEndBeforeTheirDeadline() {
