Let a stream return to an instance that this entry has left

A stream with status 200 was reset although one of its two instances was only silent: the second instance had begun to answer, so the attempt at the silent one was ended, and then the second instance broke off. The silent one counted as tried and as a possible run, so nothing was left to ask.

Cause: the limit of a route is on the instances that may run a request, but CallAttempts counted attempts, and an instance that was left was treated as one that had failed.

CallAttempts now knows the instances that run the request or may have run it. An instance whose attempt this entry ended itself may be asked again; it does not count twice. Once the limit is reached, only such instances are asked. An attempt that was refused or not relayed frees its place, as before.

SilentInstanceRandomTest runs streams and calls against scripted instances that are silent, late, full or broken, and compares what callers got with what instances did.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -267,7 +267,7 @@
     stats.failed(timers.nowMillis());
     forwarder.metrics().sendFailed(owner.kind(), reason);
     logFailure(true, detail);
-    owner.onPossiblyRun(reason);
+    owner.onPossiblyRun(target, reason);
   }
 
   private void logFailure(boolean sent, String cause) {
@@ -417,7 +417,7 @@
       if (unsignedRefusal) {
         logFailure(true, "status " + r.status() + " without a signature");
       }
-      owner.onPossiblyRun(invalidSuccess ? "invalid-success" : "failed-" + r.status());
+      owner.onPossiblyRun(target, invalidSuccess ? "invalid-success" : "failed-" + r.status());
       return;
     }
     forwarder.metrics().firstOutput(owner.kind(), now - owner.receivedAt());
@@ -448,7 +448,7 @@
     stop();
     stats.answeredFailure(timers.nowMillis());
     forwarder.metrics().sendFailed(owner.kind(), "no-request-id");
-    owner.onPossiblyRun("no-request-id");
+    owner.onPossiblyRun(target, "no-request-id");
   }
 
   private void onRefused(BackendReply r, long now) {
@@ -539,7 +539,7 @@
     if (lastEventAt == 0 && !relayLost) {
       forwarder.quarantine().crashed(target.id(), target.startMillis(), owner.traits(), now);
     }
-    owner.onPossiblyRun(reason);
+    owner.onPossiblyRun(target, reason);
   }
 
   /**
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
@@ -13,13 +13,24 @@
   private final List<Attempt> running = new ArrayList<>(2);
   private final Set<String> tried = new HashSet<>();
   private final Set<String> left = new HashSet<>();
-  private int possibleRuns;
+
+  /** The instances that run the request, or may have run it. */
+  private final Set<String> used = new HashSet<>();
+
+  /** The instances with an ended attempt that may have run. */
+  private final Set<String> ran = new HashSet<>();
+
+  /** The instances whose last attempt might have gone on when this entry ended it. */
+  private final Set<String> returnable = new HashSet<>();
+
   private int refusals;
   private int sends;
 
   void started(Attempt a) {
     sends++;
     tried.add(a.target().id());
+    used.add(a.target().id());
+    returnable.remove(a.target().id());
     running.add(a);
   }
 
@@ -27,20 +38,32 @@
     running.remove(a);
   }
 
-  /** Records that an attempt has ended that certainly did not run. */
-  void refused() {
+  /** Records that an attempt at an instance was refused, and certainly did not run. */
+  void refused(String instance) {
     refusals++;
+    notRun(instance);
+  }
+
+  /** Records that an attempt at an instance has ended that certainly did not run. */
+  void notRun(String instance) {
+    if (ran.contains(instance)) {
+      // Only an instance that might have gone on is asked again after it has run the request.
+      returnable.add(instance);
+    } else {
+      used.remove(instance);
+    }
   }
 
-  /** Records that an attempt has ended that may have run, or has run in part. */
-  void possiblyRan() {
-    possibleRuns++;
+  /** Records that an attempt at an instance has ended that may have run, or has run in part. */
+  void possiblyRan(String instance) {
+    ran.add(instance);
   }
 
   /** Ends an attempt that might have answered. */
   void leave(Attempt a) {
     left.add(a.target().id());
-    possibleRuns++;
+    returnable.add(a.target().id());
+    possiblyRan(a.target().id());
     a.stop();
   }
 
@@ -58,9 +81,28 @@
     return !running.isEmpty();
   }
 
-  /** Returns the number of attempts that may have run and have ended. */
-  int possibleRuns() {
-    return possibleRuns;
+  /** Returns whether an ended attempt may have run. */
+  boolean mayHaveRun() {
+    return !ran.isEmpty();
+  }
+
+  /**
+   * Returns whether there may be another attempt.
+   *
+   * @param maxInstances the number of instances that may run the request
+   */
+  boolean mayRunAgain(int maxInstances) {
+    return used.size() < maxInstances || !returnable.isEmpty();
+  }
+
+  /**
+   * Returns whether the next attempt may be at an instance.
+   *
+   * @param maxInstances the number of instances that may run the request
+   */
+  boolean mayRunAt(String instance, int maxInstances) {
+    return returnable.contains(instance)
+        || (used.size() < maxInstances && !tried.contains(instance));
   }
 
   int refusals() {
@@ -72,7 +114,7 @@
     return sends;
   }
 
-  /** Returns the identifiers of the instances that must not receive the request again. */
+  /** Returns the identifiers of the instances that received the request and were not full. */
   Set<String> tried() {
     return tried;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.InstanceLoad;
 import org.ebonypond.forward.EngineCost;
@@ -404,6 +405,13 @@
     ServiceProfile s = service();
     long now = timers.nowMillis();
     long targetMillis = route().targetMillis() - (now - receivedAt);
+    List<TargetSelector.Candidate> candidates =
+        forwarder.candidates(s, s.engine() == null ? null : head.model());
+    Set<String> excluded =
+        candidates.stream()
+            .map(c -> c.instance().id())
+            .filter(i -> !attempts.mayRunAt(i, route().maxInstances()))
+            .collect(Collectors.toSet());
     TargetSelector.Need need =
         new TargetSelector.Need(
             model,
@@ -413,16 +421,9 @@
             answer.isStarted() ? deadlineAt - now : targetMillis,
             route().targetMillis(),
             second,
-            attempts.tried());
+            excluded);
     EngineCost c = model == null ? null : cost;
-    return forwarder
-        .selector()
-        .choose(
-            need,
-            forwarder.candidates(s, s.engine() == null ? null : head.model()),
-            c,
-            forwarder.view().entries(),
-            now);
+    return forwarder.selector().choose(need, candidates, c, forwarder.view().entries(), now);
   }
 
   private void send(TargetSelector.Selection selection, String cause) {
@@ -507,7 +508,7 @@
 
   private boolean mayRunElsewhere() {
     return answer.isResumable()
-        && attempts.possibleRuns() + 1 < route().maxInstances()
+        && attempts.mayRunAgain(route().maxInstances())
         && remaining() > MIN_REMAINING_MILLIS;
   }
 
@@ -526,6 +527,7 @@
    * while, so there are as many of these attempts as other entries at most.
    */
   void onNotRelayed(FleetInstance target) {
+    attempts.notRun(target.id());
     retryOnOtherPath(target);
     if (attempts.isRunning()) {
       return;
@@ -553,7 +555,7 @@
    *     retry allowance
    */
   void onNotRun(FleetInstance target, String reason, boolean reachedBackend) {
-    attempts.refused();
+    attempts.refused(target.id());
     if (answer.isStarted()) {
       // The instance may have a free slot before the caller gives up.
       attempts.retryAt(target.id());
@@ -573,15 +575,15 @@
    * Retries or gives up after an attempt that may have run, or has run in part, unless another one
    * is in progress.
    */
-  void onPossiblyRun(String reason) {
-    attempts.possiblyRan();
+  void onPossiblyRun(FleetInstance target, String reason) {
+    attempts.possiblyRan(target.id());
     if (attempts.isRunning()) {
       return;
     }
     boolean retry =
         route().idempotent()
             && answer.isResumable()
-            && attempts.possibleRuns() < route().maxInstances()
+            && attempts.mayRunAgain(route().maxInstances())
             && remaining() > MIN_REMAINING_MILLIS
             && !mayCrashInstances();
     retry(retry, true, reason);
@@ -616,7 +618,7 @@
       forwarder.metrics().ended(kind(), "broken-off", reason, timers.nowMillis() - receivedAt);
       cleanUp();
       call.abort();
-    } else if (attempts.possibleRuns() > 0) {
+    } else if (attempts.mayHaveRun()) {
       refuse(HttpResponseStatus.BAD_GATEWAY, reason, 0);
     } else {
       long maxRetryAfter = Math.max(0, remaining() / RETRY_AFTER_DIVISOR);
@@ -634,7 +636,7 @@
     attempts.running().forEach(attempts::leave);
     if (answer.isStarted()) {
       giveUp("deadline", 0);
-    } else if (attempts.possibleRuns() > 0) {
+    } else if (attempts.mayHaveRun()) {
       refuse(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", 0);
     } else {
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "deadline", 0);
