Do not take a connection for idle while its caller reads

An answer that its caller had not read to the end after the idle timeout (15 s) was cut, although the caller went on reading: the time counted from when the answer was handed to the connection. It counts from the last bytes that the socket took now. A caller that reads nothing for that long is reset, with a line in the log; an idle connection is ended in order, because the caller may just be sending the next request.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/SlowCallerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/SlowCallerTest.java
@@ -1,7 +1,11 @@
 package org.ebonypond.server.http1;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -16,6 +20,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import org.ebonypond.junit.ManualTimerService;
@@ -24,6 +29,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.slf4j.LoggerFactory;
 
 /** Callers that read answers which are larger than the buffers of their connections. */
 @Timeout(60)
@@ -49,12 +55,15 @@
   /** Used on the event loop only. */
   private final ManualTimerService timers = new ManualTimerService();
 
+  private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
   private HttpService service = SlowCallerTest::answerWhole;
   private HttpListener listener;
   private int port;
 
   @BeforeEach
   void listen() throws IOException {
+    lines.start();
+    log().addAppender(lines);
     try (ServerSocket s = new ServerSocket(0)) {
       port = s.getLocalPort();
     }
@@ -70,10 +79,15 @@
 
   @AfterEach
   void stop() {
+    log().detachAppender(lines);
     listener.close();
     loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
+  private static Logger log() {
+    return (Logger) LoggerFactory.getLogger(HttpConnection.class);
+  }
+
   private static HttpResponse ok() {
     return new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
   }
@@ -119,6 +133,10 @@
     TimeUnit.MILLISECONDS.sleep(REACTION_MILLIS);
   }
 
+  private List<String> messages() {
+    return List.copyOf(lines.list).stream().map(ILoggingEvent::getMessage).toList();
+  }
+
   /** Guards against a stop that cuts an answer which its caller has not read to the end. */
   @Test
   void closingIdleConnectionsKeepsUnreadAnswer() throws Exception {
@@ -194,6 +212,35 @@
     }
   }
 
+  /** Guards against the idle timeout of a connection whose caller still reads an answer. */
+  @Test
+  void readingCallerIsNotIdle() throws Exception {
+    try (Caller c = new Caller()) {
+      c.send(REQUEST);
+      for (int i = 0; i < ANSWER_BYTES / (2 << 20); i++) {
+        c.read(2 << 20);
+        awaitReaction();
+        advance(ClientLimits.DEFAULT.idleTimeoutMillis() / 3);
+      }
+      assertEquals(ANSWER_BYTES, c.bytes);
+    }
+  }
+
+  /** Guards against answers that stay in memory because their callers have stopped reading. */
+  @Test
+  void callerThatStopsReadingIsDisconnected() throws Exception {
+    try (Caller c = new Caller()) {
+      c.send(REQUEST);
+      c.read(1);
+      awaitReaction();
+      advance(2 * ClientLimits.DEFAULT.idleTimeoutMillis());
+      awaitReaction();
+      c.readToEnd();
+      assertTrue(c.bytes < ANSWER_BYTES);
+    }
+    assertTrue(messages().contains("connection reset with unwritten bytes"), "" + messages());
+  }
+
   /** A caller with a small receive buffer. */
   private final class Caller implements AutoCloseable {
     private final Socket socket = new Socket();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -83,8 +83,11 @@
   /** The answer to a malformed request behind pipelined ones, or null if there is none. */
   private @Nullable HttpResponseStatus pendingRefusal;
 
+  /** When bytes last arrived or the caller was last seen to read, in milliseconds. */
   private long lastActive;
 
+  private long lastUnwritten;
+
   /** When the last answer was written to the socket, in milliseconds. */
   private long answeredAt;
 
@@ -468,14 +471,19 @@
   }
 
   void closeIfExpired(ClientLimits l, long now) {
-    if (current != null || !waiting.isEmpty()) {
+    long unwritten = unwrittenBytes();
+    if (unwritten < lastUnwritten) {
+      lastActive = now;
+    }
+    lastUnwritten = unwritten;
+    long limitMillis = isReceiving() ? l.headerTimeoutMillis() : l.idleTimeoutMillis();
+    if (isAnswering() || now - lastActive <= limitMillis) {
       return;
     }
-    long inactiveMillis = now - lastActive;
-    if (head != null || dropping
-        ? inactiveMillis > l.headerTimeoutMillis()
-        : inactiveMillis > l.idleTimeoutMillis()) {
-      channel.close();
+    if (unwritten > 0) {
+      reset("unread");
+    } else {
+      endOutput();
     }
   }
 
