Offer a silent stream the free slot of any group

A second attempt looked only at the group with the best prediction. If that one had no free slot, the stream stayed at its silent instance although another group had one. Groups without a free slot are left out before the choice.

--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -103,7 +103,11 @@
     boolean anyHealthy =
         accepting.stream().anyMatch(c -> isOpen(c, need, now) && isHealthy(c, engine, now));
     for (Candidate c : accepting) {
-      if (!isOpen(c, need, now) || (anyHealthy && !isHealthy(c, engine, now))) {
+      boolean healthy = isHealthy(c, engine, now);
+      if (!isOpen(c, need, now) || (anyHealthy && !healthy)) {
+        continue;
+      }
+      if (need.second() && (!healthy || c.active() >= slots(c, cost))) {
         continue;
       }
       double zoneCost = c.instance().zone().equals(zone) ? 0 : OTHER_ZONE_COST;
@@ -114,7 +118,7 @@
       }
     }
     if (best == null) {
-      if (accepting.stream().anyMatch(c -> c.stats().isFull(now))) {
+      if (need.second() || accepting.stream().anyMatch(c -> c.stats().isFull(now))) {
         return Selection.refuse("full", FULL_RETRY_MILLIS);
       }
       boolean limited = candidates.stream().anyMatch(c -> c.limited() && isOpen(c, need, now));
@@ -122,10 +126,6 @@
           ? Selection.refuse("limited", FULL_RETRY_MILLIS)
           : Selection.refuse("no-instance", NO_INSTANCE_RETRY_MILLIS);
     }
-    int slots = cost == null ? Math.max(1, best.instance().slots()) : cost.slots();
-    if (need.second() && (!anyHealthy || best.active() >= slots)) {
-      return Selection.refuse("full", FULL_RETRY_MILLIS);
-    }
     return cost == null ? admitPlain(best) : admit(need, best, cost, accepting, entries, now);
   }
 
@@ -167,9 +167,12 @@
         need.requireModel(), c.active(), c.prefillTokens(), need.promptTokens(), events);
   }
 
+  private static int slots(Candidate c, @Nullable EngineCost cost) {
+    return cost == null ? Math.max(1, c.instance().slots()) : cost.slots();
+  }
+
   private static Selection admitPlain(Candidate c) {
-    int slots = Math.max(1, c.instance().slots());
-    return c.active() < slots * PLAIN_LOAD_FACTOR
+    return c.active() < slots(c, null) * PLAIN_LOAD_FACTOR
         ? Selection.send(c.instance(), URGENCY_ON_TIME, 0)
         : Selection.refuse("full", FULL_RETRY_MILLIS);
   }
