Do not take an attempt without data for one that answers

While one instance was silent, a second one that sent only an event without data (a retry interval), or a stream without any event, ended the attempt at the first. In the second case the caller got a complete answer with the events so far; in the first one the answer was reset if the second instance then broke off.

Only an event with data or a new number lets an attempt take over, and a stream that ends without one while another attempt is in progress counts as a failure of that attempt.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -285,8 +285,9 @@
     } catch (EbonypondException e) {
       problem = String.valueOf(e.getMessage());
     }
-    // Bytes that complete no event do not count as progress.
-    if (splitter.events() > 0) {
+    // Bytes that complete no event do not count as progress, and an attempt that has only sent
+    // events without data has not begun to answer.
+    if (splitter.bringsNews() || (splitter.events() > 0 && !owner.isRunningBeside(this))) {
       writeEvents(splitter.events(), now);
     }
     if (problem != null) {
@@ -378,6 +379,14 @@
       brokenOff("unfinished-event", "the stream ended inside an event");
       return;
     }
+    if (lastEventAt == 0 && owner.isRunningBeside(this)) {
+      // Nothing shows that the stream is complete; the other attempt may have more of it.
+      close();
+      stats.answeredFailure(timers.nowMillis());
+      forwarder.metrics().sendFailed(owner.kind(), "no-event");
+      owner.onPossiblyRun(target, "no-event");
+      return;
+    }
     if (endsWithConnection && lastEventAt == 0) {
       // The end of the connection is also what the crash of an instance looks like.
       close();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -506,6 +506,11 @@
     }
   }
 
+  /** Returns whether another attempt is in progress. */
+  boolean isRunningBeside(Attempt a) {
+    return attempts.running().stream().anyMatch(o -> o != a);
+  }
+
   private boolean mayRunElsewhere() {
     return answer.isResumable()
         && attempts.mayRunAgain(route().maxInstances())
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/EventSplitter.java
@@ -45,6 +45,7 @@
   private boolean hasData;
   private boolean endsLinesWithReturn;
   private int events;
+  private boolean bringsNews;
   private int droppedBytes;
   private long lastId;
   private boolean hasId;
@@ -82,6 +83,7 @@
    */
   public int feed(byte[] bytes, ByteArrayOutputStream out) {
     events = 0;
+    bringsNews = false;
     for (int at = 0; at < bytes.length; at += STEP_BYTES) {
       append(bytes, at, Math.min(STEP_BYTES, bytes.length - at));
       emitComplete(out);
@@ -97,6 +99,14 @@
     return events;
   }
 
+  /**
+   * Returns whether the last call of {@link #feed} completed an event with data or a new number;
+   * callers ignore the others, apart from a retry interval.
+   */
+  public boolean bringsNews() {
+    return bringsNews;
+  }
+
   private void emitComplete(ByteArrayOutputStream out) {
     int eventStart = 0;
     while (scanned < length) {
@@ -268,6 +278,7 @@
         throw failure("an event after a resumption has no number");
       }
       numbered = false;
+      bringsNews = true;
       lastIdText = text == null ? lastIdText : text;
       hasEvent = true;
       return true;
@@ -310,6 +321,7 @@
     lastIdText = text;
     hasEvent = true;
     hasNewEventOfInstance = true;
+    bringsNews = true;
     return true;
   }
 
