Predict the rest of an interrupted answer, not the whole

A stream of 40 events whose instance broke off after 37 was not continued: the time of the whole answer was predicted for what was left of it, which did not fit into the caller's time. Events that were written are taken off.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallerAnswer.java
@@ -18,6 +18,7 @@
   private boolean started;
   private long firstOutputAt;
   private long lastWriteAt;
+  private int writtenEvents;
   private long longestGapMillis;
 
   /**
@@ -38,6 +39,11 @@
     return firstOutputAt;
   }
 
+  /** Returns the number of events that were written. */
+  int writtenEvents() {
+    return writtenEvents;
+  }
+
   /** Returns the longest time between two writes of a stream, in milliseconds. */
   long longestGapMillis() {
     return longestGapMillis;
@@ -84,6 +90,7 @@
    */
   void writeEvents(EventSplitter s, long now) {
     splitter = s;
+    writtenEvents += s.events();
     longestGapMillis = lastWriteAt == 0 ? 0 : Math.max(longestGapMillis, now - lastWriteAt);
     lastWriteAt = now;
     call.writeContent(Unpooled.wrappedBuffer(events.toByteArray()));
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -416,7 +416,7 @@
         new TargetSelector.Need(
             model,
             head.promptTokens(),
-            head.outputTokens(),
+            remainingTokens(),
             deadlineAt - now,
             answer.isStarted() ? deadlineAt - now : targetMillis,
             route().targetMillis(),
@@ -426,6 +426,13 @@
     return forwarder.selector().choose(need, candidates, c, forwarder.view().entries(), now);
   }
 
+  /** Returns the expected tokens of the rest of the answer. */
+  private int remainingTokens() {
+    EngineCost c = cost;
+    int written = c == null ? 0 : answer.writtenEvents() * c.tokensPerEvent();
+    return Math.max(0, head.outputTokens() - written);
+  }
+
   private void send(TargetSelector.Selection selection, String cause) {
     FleetInstance target = selection.target();
     if (target == null) {
