Bound the wait of an interrupted answer by time, and pace its requests

An answer that may wait 2 s for a slot was broken off by its ninth refusal, after 0.4 s with six full instances, or by the first one if full instances had been asked while its own was silent. And since, an instance that refused with 421 was asked nine times within 20 ms.

The wait is bounded by time now. An instance that refused the rest of an answer is not asked again for 150 ms, and after three refusals the call asks one instance in 150 ms, so that it does not use up the retry allowance of others.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
@@ -1,9 +1,12 @@
 package org.ebonypond.server.forward;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The attempts of one call: those in progress, and what is known of those that have ended. A second
@@ -23,6 +26,8 @@
   /** The instances whose last attempt might have gone on when this entry ended it. */
   private final Set<String> returnable = new HashSet<>();
 
+  private final Map<String, Long> refusedAt = new HashMap<>();
+
   private int refusals;
   private int sends;
 
@@ -39,8 +44,9 @@
   }
 
   /** Records that an attempt at an instance was refused, and certainly did not run. */
-  void refused(String instance) {
+  void refused(String instance, long now) {
     refusals++;
+    refusedAt.put(instance, now);
     notRun(instance);
   }
 
@@ -109,6 +115,14 @@
     return refusals;
   }
 
+  /** Returns the instances that refused the request within a time, in milliseconds. */
+  Set<String> refusedWithin(long millis, long now) {
+    return refusedAt.entrySet().stream()
+        .filter(e -> now - e.getValue() < millis)
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the number of attempts that were started. */
   int sends() {
     return sends;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -62,12 +62,18 @@
   /** The part of the caller's time that is left for an answer of unknown duration, as a divisor. */
   private static final int WAIT_DIVISOR = 2;
 
-  /** After this many refusals by backend servers, a started answer is broken off. */
-  private static final int MAX_RESUME_REFUSALS = 8;
+  /** After this many refusals, a silent attempt is left alone; each costs a retry. */
+  private static final int MAX_SECOND_REFUSALS = 8;
+
+  /**
+   * How long an instance that refused the rest of an answer is not asked again, in milliseconds: as
+   * long as a full one is skipped.
+   */
+  private static final long REFUSED_MILLIS = 150;
 
   /**
    * How long an interrupted stream waits for an instance to resume, in milliseconds; callers give
-   * up a stream after a pause of that length.
+   * up a stream after a pause of that length at the earliest.
    */
   private static final long RESUME_WAIT_MILLIS = 2_000;
 
@@ -99,6 +105,9 @@
   /** Whether the next send still has to be taken from the retry allowance. */
   private boolean owesRetry;
 
+  /** How long the interrupted stream may wait for an instance; 0 while it is not interrupted. */
+  private long resumeUntil;
+
   private boolean done;
 
   ForwardCall(Forwarder forwarder, HttpCall call, CallHead head) {
@@ -246,6 +255,8 @@
     if (selection.target() == null) {
       rejection = selection;
       waitOrGiveUp(mayQueue, selection.reason(), selection.retryAfterMillis());
+    } else if (isRefusedTooOften()) {
+      waitOrGiveUp(mayQueue, "refused", RETRY_AFTER_MILLIS);
     } else if (owesRetry && !tryRetry()) {
       waitOrGiveUp(mayQueue, "retry-budget", RETRY_AFTER_MILLIS);
     } else {
@@ -254,6 +265,12 @@
     }
   }
 
+  /** Returns whether the next instance is asked later, to spare the retry allowance. */
+  private boolean isRefusedTooOften() {
+    Set<String> recent = attempts.refusedWithin(REFUSED_MILLIS, timers.nowMillis());
+    return attempts.refusals() > MAX_REFUSALS && !recent.isEmpty();
+  }
+
   private void waitOrGiveUp(boolean mayQueue, String reason, long retryAfterMillis) {
     TargetSelector.Selection selection = rejection;
     int limit = selection == null ? 0 : selection.waitingLimit();
@@ -314,7 +331,7 @@
    * @param queue adds the call to a queue; returns whether there was room
    */
   private boolean startWait(long now, BooleanSupplier queue) {
-    long waitUntil = answer.isStarted() ? now + RESUME_WAIT_MILLIS : waitUntil();
+    long waitUntil = answer.isStarted() ? resumeUntil : waitUntil();
     if (waitUntil <= now || !queue.getAsBoolean()) {
       return false;
     }
@@ -407,10 +424,11 @@
     long targetMillis = route().targetMillis() - (now - receivedAt);
     List<TargetSelector.Candidate> candidates =
         forwarder.candidates(s, s.engine() == null ? null : head.model());
+    Set<String> refused = attempts.refusedWithin(REFUSED_MILLIS, now);
     Set<String> excluded =
         candidates.stream()
             .map(c -> c.instance().id())
-            .filter(i -> !attempts.mayRunAt(i, route().maxInstances()))
+            .filter(i -> !attempts.mayRunAt(i, route().maxInstances()) || refused.contains(i))
             .collect(Collectors.toSet());
     TargetSelector.Need need =
         new TargetSelector.Need(
@@ -488,7 +506,7 @@
       return;
     }
     if (!r.idempotent()
-        || attempts.refusals() >= maxRefusals()
+        || attempts.refusals() >= (answer.isStarted() ? MAX_SECOND_REFUSALS : MAX_REFUSALS)
         || !mayRunElsewhere()
         || mayCrashInstances()) {
       return;
@@ -505,6 +523,7 @@
 
   /** Ends the other attempt because this one has begun to answer, or has gone on. */
   void answers(Attempt a) {
+    resumeUntil = 0;
     for (Attempt o : attempts.running()) {
       if (o != a) {
         log.superseded(o.target().id(), a.target().id());
@@ -567,7 +586,8 @@
    *     retry allowance
    */
   void onNotRun(FleetInstance target, String reason, boolean reachedBackend) {
-    attempts.refused(target.id());
+    long now = timers.nowMillis();
+    attempts.refused(target.id(), now);
     if (answer.isStarted()) {
       // The instance may have a free slot before the caller gives up.
       attempts.retryAt(target.id());
@@ -575,12 +595,9 @@
     if (attempts.isRunning()) {
       return;
     }
-    boolean retry = attempts.refusals() <= maxRefusals() && remaining() > MIN_REMAINING_MILLIS;
-    retry(retry, reachedBackend, reason);
-  }
-
-  private int maxRefusals() {
-    return answer.isStarted() ? MAX_RESUME_REFUSALS : MAX_REFUSALS;
+    interrupted(now);
+    boolean mayAsk = answer.isStarted() ? now <= resumeUntil : attempts.refusals() <= MAX_REFUSALS;
+    retry(mayAsk && remaining() > MIN_REMAINING_MILLIS, reachedBackend, reason);
   }
 
   /**
@@ -592,6 +609,7 @@
     if (attempts.isRunning()) {
       return;
     }
+    interrupted(timers.nowMillis());
     boolean retry =
         route().idempotent()
             && answer.isResumable()
@@ -601,6 +619,13 @@
     retry(retry, true, reason);
   }
 
+  /** Begins the wait of a stream that no instance runs. */
+  private void interrupted(long now) {
+    if (resumeUntil == 0) {
+      resumeUntil = now + RESUME_WAIT_MILLIS;
+    }
+  }
+
   /**
    * Sends the request again or gives it up.
    *
