Count a silence once in the pace of an instance, and as no more than a stall

Every stream that went on after a silence recorded it as the time between two events. Two streams after 1.6 s made a sound instance look so slow that its next request was refused, because it would not end in time; the limit of a stall grew by the same factor. Only the stream that ends the silence records it now, as the gap of a stall at most.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -296,12 +296,13 @@
   }
 
   private void writeEvents(int eventCount, long now) {
+    long silentMillis = stats.idleMillis();
     observeProgress();
     owner.answers(this);
     startAnswer(now);
     long eventAt = loopTime.millis();
     if (lastEventAt > 0 && !wasPaused) {
-      observePace(eventAt - lastEventAt, eventCount);
+      observePace(eventAt - lastEventAt, eventCount, silentMillis);
     } else if (lastEventAt == 0) {
       forwarder.quarantine().began(owner.traits(), now);
     }
@@ -342,12 +343,26 @@
     }
   }
 
-  private void observePace(long gapMillis, int eventCount) {
+  /**
+   * Records the pace of the stream. A silence counts once for all streams of the instance, and as
+   * no more than a stall: it says little about the pace before and after it.
+   *
+   * @param silentMillis how long the instance had been silent, in milliseconds
+   */
+  private void observePace(long gapMillis, int eventCount, long silentMillis) {
     ModelProfile m = owner.model();
     EngineCost c = owner.cost();
-    if (m != null && c != null) {
-      double predicted = c.passMillis(m, stats.active(), owner.head().promptTokens());
-      stats.recordPace((double) gapMillis / eventCount, predicted, timers.nowMillis());
+    if (m == null || c == null) {
+      return;
+    }
+    long now = timers.nowMillis();
+    double predicted = c.passMillis(m, stats.active(), owner.head().promptTokens());
+    double pace = (double) gapMillis / eventCount;
+    long limit = stallMillis(now);
+    if (gapMillis <= limit) {
+      stats.recordPace(pace, predicted, now);
+    } else if (silentMillis > limit) {
+      stats.recordPace(Math.min(pace, STALL_PASSES * predicted), predicted, now);
     }
   }
 
