--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.GroupMembership;
 import org.ebonypond.fleet.InstanceLoad;
@@ -50,11 +51,11 @@
 
   private static TargetSelector.Candidate candidate(
       String id, int active, @Nullable InstanceLoad loadOfOthers) {
-    InstanceStats s = new InstanceStats();
+    InstanceStats s = new InstanceStats(() -> 0);
     for (int i = 0; i < active; i++) {
-      s.started(0, false, 0);
+      s.started(0, false);
     }
-    s.progressed(0);
+    s.progressed();
     return new TargetSelector.Candidate(head(id), s, loadOfOthers, false);
   }
 
@@ -90,6 +91,21 @@
     assertEquals("b", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 0)));
   }
 
+  /** Guards against groups that are avoided because a caller reads its answer slowly. */
+  @Test
+  void doesNotSkipGroupWhoseOnlyAnswerIsNotRead() {
+    AtomicLong now = new AtomicLong();
+    InstanceStats unread = new InstanceStats(now::get);
+    unread.started(0, false);
+    unread.progressed();
+    unread.paused();
+    now.set(5_000);
+    List<TargetSelector.Candidate> c =
+        List.of(
+            new TargetSelector.Candidate(head("a"), unread, null, false), candidate("b", 10, null));
+    assertEquals("a", chosen(selector.choose(need(8_000, Set.of()), c, COST, 1, 5_000)));
+  }
+
   /** Guards against requests that wait although they cannot end before their deadline. */
   @Test
   void refusesRequestsThatCannotEndBeforeTheirDeadline() {
@@ -109,7 +125,7 @@
       TargetSelector.Selection d = selector.choose(need(8_000, Set.of()), c, COST, 1, 0);
       if (d.target() != null) {
         admitted++;
-        c.get(0).stats().started(1_400, false, 0);
+        c.get(0).stats().started(1_400, false);
       }
     }
     assertTrue(admitted >= 12 && admitted <= 26, admitted + " admitted");
@@ -156,7 +172,7 @@
         if (d.target() != null) {
           c.stream()
               .filter(g -> g.instance().id().equals(chosen(d)))
-              .forEach(g -> g.stats().started(1_400, d.late(), 0));
+              .forEach(g -> g.stats().started(1_400, d.late()));
           pendingTokens += 1_400;
         } else {
           assertTrue(d.waitingLimit() > 0, "late requests wait");
@@ -185,7 +201,7 @@
   @Test
   void prefersOwnZoneUnlessItIsBusier() {
     TargetSelector.Candidate far =
-        new TargetSelector.Candidate(head("far", "y"), new InstanceStats(), null, false);
+        new TargetSelector.Candidate(head("far", "y"), new InstanceStats(() -> 0), null, false);
     TargetSelector.Candidate near = candidate("near", 3, null);
     TargetSelector.Candidate busy = candidate("near", 17, null);
     assertEquals(
@@ -202,7 +218,7 @@
   }
 
   private static TargetSelector.Candidate limited(String id) {
-    return new TargetSelector.Candidate(head(id), new InstanceStats(), null, true);
+    return new TargetSelector.Candidate(head(id), new InstanceStats(() -> 0), null, true);
   }
 
   /** Guards against requests to an instance that accepts none now, while another one has room. */
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/InstanceStats.java
@@ -1,15 +1,18 @@
 package org.ebonypond.forward;
 
+import java.util.function.LongSupplier;
+
 /** Statistics of one entry about one instance, from its own requests. Not thread-safe. */
 public final class InstanceStats {
   private static final long FIRST_SUSPICION_MILLIS = 1_000;
   private static final long LONGEST_SUSPICION_MILLIS = 8_000;
 
   /**
-   * How long a stalled instance without requests is skipped, in milliseconds; by then its group is
-   * given up if it lost a member.
+   * How long a stalled instance without requests is skipped, in milliseconds. A sound instance may
+   * be silent for a second; the next request must find that it goes on before its group is given up
+   * as stalled, after 2.5 s.
    */
-  private static final long STALLED_MILLIS = 2_500;
+  private static final long STALLED_MILLIS = 1_000;
 
   /**
    * The time in milliseconds for which an instance is skipped after it refused a request because it
@@ -28,14 +31,17 @@
   /** The half-life in milliseconds of the last observation when no new ones arrive. */
   private static final double HALF_LIFE_MILLIS = 2_500;
 
+  private final LongSupplier readingMillis;
   private long epoch;
   private int active;
+  private int paused;
   private int prefillTokens;
   private int latePrefillTokens;
   private long lastProgress = Long.MIN_VALUE;
   private long suspectUntil = Long.MIN_VALUE;
   private long fullUntil = Long.MIN_VALUE;
   private long failingSince = Long.MIN_VALUE;
+  private boolean stalled;
   private long stalledUntil = Long.MIN_VALUE;
   private int failures;
   private double slowness = 1;
@@ -43,6 +49,16 @@
   private double failureRate;
   private long failureAt;
 
+  /**
+   * Creates statistics of an instance to which nothing was sent.
+   *
+   * @param readingMillis the time in which this entry could read what arrived, in milliseconds; how
+   *     long the instance is silent or fails is measured by it
+   */
+  public InstanceStats(LongSupplier readingMillis) {
+    this.readingMillis = readingMillis;
+  }
+
   /**
    * Sets the epoch of the group whose head the instance is; resets the statistics if it changed.
    */
@@ -50,7 +66,7 @@
     if (groupEpoch != epoch) {
       epoch = groupEpoch;
       suspectUntil = Long.MIN_VALUE;
-      stalledUntil = Long.MIN_VALUE;
+      stalled = false;
       failingSince = Long.MIN_VALUE;
       failures = 0;
       slowness = 1;
@@ -69,15 +85,31 @@
    * @param tokens the number of its prompt tokens
    * @param late whether it has missed its latency target already
    */
-  public void started(int tokens, boolean late, long now) {
-    if (active == 0) {
-      lastProgress = now;
-    }
+  public void started(int tokens, boolean late) {
+    beginSilence();
     active++;
     prefillTokens += tokens;
     latePrefillTokens += late ? tokens : 0;
   }
 
+  /** Starts to measure the silence if no answer was read that could have ended it. */
+  private void beginSilence() {
+    if (isUnread()) {
+      lastProgress = readingMillis.getAsLong();
+    }
+  }
+
+  /** Records that the answer to a request is not read for now because its caller is slow. */
+  public void paused() {
+    paused++;
+  }
+
+  /** Records that the answer to a request is read again. */
+  public void resumed() {
+    beginSilence();
+    paused--;
+  }
+
   /** Records the first event of a request, which shows that its prompt tokens are processed. */
   public void prefilled(int tokens, boolean late) {
     prefillTokens -= tokens;
@@ -85,7 +117,7 @@
   }
 
   /**
-   * Records that a request has ended.
+   * Records that a request has ended, which is not paused.
    *
    * @param tokensNotPrefilled its prompt tokens; 0 if its first event was recorded
    * @param late whether it had missed its latency target when it was sent
@@ -96,10 +128,10 @@
   }
 
   /** Records that bytes arrived. */
-  public void progressed(long now) {
-    lastProgress = now;
+  public void progressed() {
+    lastProgress = readingMillis.getAsLong();
     failingSince = Long.MIN_VALUE;
-    stalledUntil = Long.MIN_VALUE;
+    stalled = false;
   }
 
   /** Records that a request ended successfully. */
@@ -115,21 +147,25 @@
     long suspicionMillis = FIRST_SUSPICION_MILLIS << Math.min(failures, 3);
     failures++;
     suspectUntil = now + Math.min(suspicionMillis, LONGEST_SUSPICION_MILLIS);
+    startFailing();
+    answeredFailure(now);
+  }
+
+  private void startFailing() {
     if (failingSince == Long.MIN_VALUE) {
-      failingSince = now;
+      failingSince = readingMillis.getAsLong();
     }
-    answeredFailure(now);
   }
 
   /**
    * Records that requests make no progress for too long. The instance is skipped until bytes arrive
-   * again, for a limited time: if no request is left there, nothing else can show that it goes on.
+   * again. If no request is left there, one at a time is sent after a while, to show whether it
+   * goes on.
    */
   public void stalled(long now) {
+    stalled = true;
     stalledUntil = now + STALLED_MILLIS;
-    if (failingSince == Long.MIN_VALUE) {
-      failingSince = now;
-    }
+    startFailing();
   }
 
   /** Records an answer with which the instance reports an internal failure. */
@@ -165,15 +201,17 @@
 
   /** Returns whether the instance should be skipped because of recent failures. */
   public boolean isSuspect(long now) {
-    return now < suspectUntil || now < stalledUntil;
+    return now < suspectUntil || (stalled && (active > 0 || now < stalledUntil));
   }
 
   /**
    * Returns the time in milliseconds since the first failure after the last progress; 0 if there is
    * none.
    */
-  public long failingMillis(long now) {
-    return failingSince == Long.MIN_VALUE ? 0 : Math.max(1, now - failingSince);
+  public long failingMillis() {
+    return failingSince == Long.MIN_VALUE
+        ? 0
+        : Math.max(1, readingMillis.getAsLong() - failingSince);
   }
 
   /** Returns whether the instance recently refused a request because it is full. */
@@ -196,9 +234,16 @@
     return Math.max(0, latePrefillTokens);
   }
 
-  /** Returns the time in milliseconds since bytes last arrived; 0 if no request is in flight. */
-  public long idleMillis(long now) {
-    return active == 0 ? 0 : now - lastProgress;
+  /**
+   * Returns whether no answer is read, so that nothing is known of the progress of the instance.
+   */
+  public boolean isUnread() {
+    return active == paused;
+  }
+
+  /** Returns the time in milliseconds since bytes last arrived; 0 if no answer is read. */
+  public long idleMillis() {
+    return isUnread() ? 0 : readingMillis.getAsLong() - lastProgress;
   }
 
   private static double decay(long millis) {
