Continue a stream at its instance once another entry reaches it

An entry that lost its links cut streams whose remaining instances it had all tried: their attempts had failed before the paths counted as lost, so the instances were not asked again through another entry, and after 2 s without an instance the caller's connection was reset. An instance that was tried on the own path only may now be tried again as soon as it has another path.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -136,6 +136,11 @@
     return target;
   }
 
+  /** Returns whether the attempt uses this entry's own path to the instance. */
+  boolean isDirect() {
+    return relay == null;
+  }
+
   InstanceStats stats() {
     return stats;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import org.ebonypond.fleet.FleetInstance;
 
 /**
  * The attempts of one call: those in progress, and what is known of those that have ended. A second
@@ -13,6 +16,10 @@
   private final List<Attempt> running = new ArrayList<>(2);
   private final Set<String> tried = new HashSet<>();
   private final Set<String> left = new HashSet<>();
+
+  /** The targets that were reached on this entry's own paths only. */
+  private final Map<String, FleetInstance> directTargets = new LinkedHashMap<>();
+
   private int possibleRuns;
   private int refusals;
   private int sends;
@@ -20,6 +27,11 @@
   void started(Attempt a) {
     sends++;
     tried.add(a.target().id());
+    if (a.isDirect()) {
+      directTargets.put(a.target().id(), a.target());
+    } else {
+      directTargets.remove(a.target().id());
+    }
     running.add(a);
   }
 
@@ -49,6 +61,11 @@
     tried.remove(instance);
   }
 
+  /** Returns the instances that were tried on this entry's own paths only. */
+  List<FleetInstance> directTargets() {
+    return List.copyOf(directTargets.values());
+  }
+
   /** Returns the attempts in progress, a copy that does not change when they end. */
   List<Attempt> running() {
     return List.copyOf(running);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -241,6 +241,10 @@
       waitOrGiveUp(mayQueue && answer.isStarted(), "cut-off", RETRY_AFTER_MILLIS);
       return;
     }
+    if (answer.isStarted()) {
+      // The paths may count as lost only since the attempts have failed.
+      attempts.directTargets().forEach(this::retryOnOtherPath);
+    }
     TargetSelector.Selection selection = choose(false);
     if (selection.target() == null) {
       rejection = selection;
