--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.ebonypond.fleet.FleetInstance;
 
 /**
  * The attempts of one call: those in progress, and what is known of those that have ended. A second
@@ -28,6 +30,9 @@
 
   private final Map<String, Long> refusedAt = new HashMap<>();
 
+  /** The targets that were reached on this entry's own paths only. */
+  private final Map<String, FleetInstance> directTargets = new LinkedHashMap<>();
+
   private int refusals;
   private int sends;
 
@@ -36,6 +41,11 @@
     tried.add(a.target().id());
     used.add(a.target().id());
     returnable.remove(a.target().id());
+    if (a.isDirect()) {
+      directTargets.put(a.target().id(), a.target());
+    } else {
+      directTargets.remove(a.target().id());
+    }
     running.add(a);
   }
 
@@ -78,6 +88,19 @@
     tried.remove(instance);
   }
 
+  /** Allows another attempt at an instance that may go on, on another path than before. */
+  void retryOnOtherPath(String instance) {
+    tried.remove(instance);
+    if (ran.contains(instance)) {
+      returnable.add(instance);
+    }
+  }
+
+  /** Returns the instances that were tried on this entry's own paths only. */
+  List<FleetInstance> directTargets() {
+    return List.copyOf(directTargets.values());
+  }
+
   /** Returns the attempts in progress, a copy that does not change when they end. */
   List<Attempt> running() {
     return List.copyOf(running);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -251,6 +251,10 @@
       waitOrGiveUp(mayQueue && answer.isStarted(), "cut-off", RETRY_AFTER_MILLIS);
       return;
     }
+    if (answer.isStarted()) {
+      // The paths may count as lost only since the attempts have failed.
+      attempts.directTargets().forEach(this::retryOnOtherPath);
+    }
     TargetSelector.Selection selection = choose(false);
     if (selection.target() == null) {
       rejection = selection;
@@ -573,7 +577,7 @@
   /** Allows another attempt at an instance if it has another path than the one that has failed. */
   void retryOnOtherPath(FleetInstance target) {
     if (forwarder.paths().relayTo(target) != null) {
-      attempts.retryAt(target.id());
+      attempts.retryOnOtherPath(target.id());
     }
   }
 
