--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/Attempt.java
@@ -301,7 +301,7 @@
   }
 
   private void writeEvents(int eventCount, long now) {
-    long silentMillis = stats.idleMillis();
+    final long silentMillis = stats.idleMillis();
     observeProgress();
     owner.answers(this);
     startAnswer(now);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
@@ -54,9 +54,8 @@
   }
 
   /** Records that an attempt at an instance was refused, and certainly did not run. */
-  void refused(String instance, long now) {
+  void refused(String instance) {
     refusals++;
-    refusedAt.put(instance, now);
     notRun(instance);
   }
 
@@ -138,6 +137,11 @@
     return refusals;
   }
 
+  /** Records that an instance should not be asked again at once. */
+  void pause(String instance, long now) {
+    refusedAt.put(instance, now);
+  }
+
   /** Returns the instances that refused the request within a time, in milliseconds. */
   Set<String> refusedWithin(long millis, long now) {
     return refusedAt.entrySet().stream()
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -591,7 +591,10 @@
    */
   void onNotRun(FleetInstance target, String reason, boolean reachedBackend) {
     long now = timers.nowMillis();
-    attempts.refused(target.id(), now);
+    attempts.refused(target.id());
+    if (reachedBackend || forwarder.paths().relayTo(target) == null) {
+      attempts.pause(target.id(), now);
+    }
     if (answer.isStarted()) {
       // The instance may have a free slot before the caller gives up.
       attempts.retryAt(target.id());
