Keep silent engines of completions until another one answers

Callers saw a started answer end with an error although its engine would have gone on: after 5 s without a chunk, CompletionCall stopped the engine and only then asked for another group. If none had room before the deadline, no retry was left, or the second engine refused the request, the answer had no attempt.

A stalled attempt now goes on while another group is asked through admission, and beside the second attempt until one of them delivers a chunk (decision 36). A refusal of admission, of the retry budget, of the view lease or of the engine leaves the first attempt; the next group is asked 5 s later. A second attempt takes a retry from the budget only once it is admitted, and never goes to a group that runs the call already. At most four attempts, as before, and at most two without output.

keepsSilentEngineWhileTheOtherGroupIsBusy was written by a reviewer.

CompletionCallRandomTest also checks that no attempt goes on after its call.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallRandomTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallRandomTest.java
@@ -17,11 +17,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-/** Guards against leaked slots, missing or repeated ends and wrong chunks under random failures. */
+/**
+ * Guards against leaked slots and attempts, missing or repeated ends and wrong chunks under random
+ * failures.
+ */
 class CompletionCallRandomTest {
   private static final int GROUPS = 3;
   private static final int LENGTH = 6;
   private static final int STEPS = 3_000;
+  private static final int MAX_ATTEMPTS = 4;
 
   static LongStream seeds() {
     return Seeds.few();
@@ -128,6 +132,14 @@
       assertTrue(
           completed > 0 && notRun > 0,
           "too few completed or refused calls: " + completed + ", " + notRun);
+      for (Caller c : callers) {
+        List<FakeAttempt> attempts =
+            entry.engines.attempts.stream()
+                .filter(a -> a.request.requestId().equals(c.id))
+                .toList();
+        assertTrue(attempts.size() <= MAX_ATTEMPTS, "too many attempts");
+        assertTrue(attempts.stream().allMatch(a -> a.ended || a.stopped), "an attempt goes on");
+      }
       entry.assertIdle();
     }
   }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -242,19 +242,179 @@
     entry.assertIdle();
   }
 
+  /** Guards against a stream that waits for a stalled engine, and against two engines' texts. */
   @Test
-  void abandonsStalledEngineAndResumes() {
+  void abandonsStalledEngineOnceAnotherOneGoesOn() {
     final Caller c = entry.call(DEADLINE_MILLIS);
     FakeAttempt first = entry.engines.last();
     first.chunk(0, false);
     entry.timers.advance(5_000);
+    FakeAttempt second = entry.engines.last();
+    assertNotEquals(first.request.address(), second.request.address());
+    assertEquals(1, second.request.resumeOffset());
+    assertFalse(first.stopped);
+    second.chunk(1, false);
     assertTrue(first.stopped);
     first.chunk(1, true);
+    first.fail(FailureKind.BROKEN);
+    second.chunk(2, true);
+    assertTrue(c.done);
+    assertEquals(3, c.chunks.size());
+    assertEquals(2, entry.engines.attempts.size());
+    entry.assertIdle();
+  }
+
+  /** Guards against a second engine that works on for nobody, and against two engines' texts. */
+  @Test
+  void stopsTheSecondEngineOnceTheStalledOneGoesOn() {
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    FakeAttempt first = entry.engines.last();
+    first.chunk(0, false);
+    entry.timers.advance(5_000);
+    FakeAttempt second = entry.engines.last();
+    second.chunk(2, false);
+    first.chunk(1, false);
+    assertTrue(second.stopped);
+    second.chunk(1, true);
+    second.fail(FailureKind.BROKEN);
+    assertFalse(c.ended());
+    first.chunk(2, true);
+    assertTrue(c.done);
+    assertFalse(first.stopped);
+    assertEquals(2, entry.engines.attempts.size());
+    assertEquals(0, entry.lost, "slots that count as lost");
+    entry.assertIdle();
+  }
+
+  /** Guards against a stream that ends with its second attempt although the first one goes on. */
+  @ParameterizedTest
+  @EnumSource(FailureKind.class)
+  void keepsStalledEngineWhenTheSecondOneFails(FailureKind kind) {
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    FakeAttempt first = entry.engines.last();
+    first.chunk(0, false);
+    entry.timers.advance(5_000);
+    FakeAttempt second = entry.engines.last();
+    assertNotEquals(first, second);
+    second.fail(kind);
+    assertFalse(first.stopped);
+    assertFalse(c.ended());
+    first.chunk(1, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+
+  /** Guards against a second attempt at the engine that is silent. */
+  @Test
+  void keepsSilentEngineOfTheOnlyGroup() {
+    EntryFixture groups = new EntryFixture(1, 2, 1);
+    final Caller c = groups.call(DEADLINE_MILLIS);
+    groups.engines.last().chunk(0, false);
+    groups.timers.advance(11_000);
+    assertEquals(1, groups.engines.attempts.size());
+    assertFalse(c.ended());
+    groups.engines.last().chunk(1, true);
+    assertTrue(c.done);
+    groups.assertIdle();
+  }
+
+  /** Guards against a stream that ends because no retry is left for its second attempt. */
+  @Test
+  void keepsSilentEngineWhileTheRetryBudgetIsExhausted() {
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    entry.engines.last().chunk(0, false);
+    entry.timers.advance(4_900);
+    exhaustBudget();
+    entry.timers.advance(200);
+    assertEquals(1, entry.engines.attempts.size());
+    assertFalse(c.ended());
     entry.engines.last().chunk(1, true);
     assertTrue(c.done);
     entry.assertIdle();
   }
 
+  /** Guards against a second attempt that leaves the queue after the first one has broken. */
+  @Test
+  void waitingSecondAttemptReplacesBrokenFirst() {
+    final Caller other = entry.call(DEADLINE_MILLIS);
+    final FakeAttempt busy = entry.engines.last();
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    final FakeAttempt silent = entry.engines.last();
+    silent.chunk(0, false);
+    busy.chunk(0, false);
+    entry.timers.advance(2_500);
+    busy.chunk(1, false);
+    entry.timers.advance(2_500);
+    assertEquals(1, entry.gate.waitingCount());
+    silent.fail(FailureKind.BROKEN);
+    assertEquals(1, entry.gate.waitingCount());
+    assertFalse(c.ended());
+    busy.chunk(2, true);
+    assertTrue(other.done);
+    entry.timers.advance(100);
+    assertEquals(3, entry.engines.attempts.size());
+    assertEquals(busy.request.address(), entry.engines.last().request.address());
+    entry.engines.last().chunk(1, true);
+    assertTrue(c.done);
+    entry.assertIdle();
+  }
+
+  /** Guards against more attempts than allowed, and against an end before the deadline. */
+  @Test
+  void asksFourGroupsAtMostWhileAllAreSilent() {
+    EntryFixture groups = new EntryFixture(6, 1, 1);
+    final Caller c = groups.call(40_000);
+    groups.engines.last().chunk(0, false);
+    for (int i = 0; i < 30; i++) {
+      groups.timers.advance(1_000);
+    }
+    assertEquals(4, groups.engines.attempts.size());
+    assertEquals(
+        4, groups.engines.attempts.stream().map(a -> a.request.address()).distinct().count());
+    assertTrue(groups.engines.attempts.stream().noneMatch(a -> a.stopped));
+    groups.timers.advance(9_999);
+    assertFalse(c.ended());
+    groups.timers.advance(1);
+    assertEquals(ErrorCode.DEADLINE_TOO_CLOSE, problem(c).code());
+    assertTrue(groups.engines.attempts.stream().allMatch(a -> a.stopped));
+    groups.assertIdle();
+  }
+
+  /** Guards against one request that stops every group of its model, one after the other. */
+  @Test
+  void requestWithoutOutputStallsTwoGroupsAtMost() {
+    EntryFixture groups = new EntryFixture(4, 1, 1);
+    final Caller c = groups.call(DEADLINE_MILLIS);
+    groups.timers.advance(19_000);
+    assertEquals(2, groups.engines.attempts.size());
+    groups.engines.attempts.get(0).chunk(0, true);
+    assertTrue(c.done);
+    groups.assertIdle();
+  }
+
+  private void exhaustBudget() {
+    boolean left = true;
+    while (left) {
+      left = entry.parts.budget().tryRetry("w", entry.timers.nowMillis());
+    }
+  }
+
+  /** Guards against a stream that is lost because no other group has room for it. */
+  @Test
+  void keepsSilentEngineWhileTheOtherGroupIsBusy() {
+    entry.call(DEADLINE_MILLIS);
+    final FakeAttempt busy = entry.engines.last();
+    final Caller c = entry.call(DEADLINE_MILLIS);
+    final FakeAttempt silent = entry.engines.last();
+    silent.chunk(0, false);
+    for (int i = 0; i < 6; i++) {
+      busy.chunk(i, false);
+      entry.timers.advance(1_000);
+    }
+    silent.chunk(1, true);
+    assertTrue(c.done);
+  }
+
   @Test
   void endsAtTheDeadlineWhileStreamingAndWhileWaiting() {
     final Caller a = entry.call(1_000);
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakeEngines.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/FakeEngines.java
@@ -37,6 +37,9 @@
     final EngineListener listener;
     boolean stopped;
 
+    /** Whether the engine has sent the end of its answer, or the attempt has failed. */
+    boolean ended;
+
     /** Whether the engine may have run the request. */
     boolean mayHaveRun;
 
@@ -55,17 +58,20 @@
     void chunk(long offset, boolean last) {
       mayHaveRun = true;
       next = offset + 1;
+      ended |= last;
       listener.onChunk(offset, json(offset, last));
     }
 
     void fail(FailureKind kind) {
       mayHaveRun |= kind != FailureKind.NOT_SENT && kind != FailureKind.NOT_RUN;
       refused |= !mayHaveRun;
+      ended = true;
       listener.onFailure(kind, "test");
     }
 
     void end() {
       mayHaveRun = true;
+      ended = true;
       listener.onDone();
     }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/entry/CompletionCall.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -47,7 +48,7 @@
    */
   private static final int MAX_BROKEN_WITHOUT_OUTPUT = 2;
 
-  /** An attempt without a chunk for this long is abandoned; tokens usually come every 53 ms. */
+  /** An attempt without a chunk for this long is stalled; tokens usually come every 53 ms. */
   private static final long STALL_MILLIS = 5_000;
 
   /** No further attempt starts if the deadline is closer than this, in milliseconds. */
@@ -65,21 +66,25 @@
   private final RouteRequest route;
   private final Set<String> tried = new HashSet<>();
   private String causeId = "";
-  private AdmissionRequest admission;
-  private @Nullable Reservation reservation;
-  private EngineClient.@Nullable Attempt attempt;
+
+  /** The running attempts by number; events of others are ignored. */
+  private final Map<Integer, EngineAttempt> running = new LinkedHashMap<>();
+
+  /** The attempt that waits for admission. */
+  private @Nullable AdmissionRequest waiting;
+
+  /**
+   * Whether the attempt that waits for admission is paid for: the first one, or a charged retry.
+   */
+  private boolean charged = true;
+
+  /** An admitted attempt that has not been dispatched. */
+  private Decision.@Nullable Admitted<Reservation> admitted;
+
   private TimerService.@Nullable Subscription timer;
   private int admissions;
   private int dispatches;
   private int brokenWithoutOutput;
-
-  /** The number of the running attempt, or 0 if there is none; events of others are ignored. */
-  private int runningAttempt;
-
-  private long dispatchedMillis;
-  private long attemptOffset;
-  private double firstTokenMillis;
-  private boolean waiting;
   private boolean ended;
 
   /**
@@ -109,7 +114,6 @@
             request.workspace(),
             Math.max(1, request.prompt().length() / CHARS_PER_TOKEN),
             PromptBlocks.of(request.prompt()));
-    this.admission = admissionRequest();
   }
 
   /** Starts the call. */
@@ -123,12 +127,9 @@
     if (ended) {
       return;
     }
-    if (!waiting) {
-      resume.onCallerDisconnected();
-    }
-    parts.gate().cancel(admission);
+    resume.onCallerDisconnected();
     emit(EventCode.REQUEST_CANCELLED, Map.of());
-    stopAttempt();
+    stopAll();
     end();
   }
 
@@ -148,18 +149,38 @@
   }
 
   private void submit() {
-    waiting = true;
-    admission = admissionRequest();
-    parts.gate().submit(admission, route.withTried(tried), this::decided);
+    AdmissionRequest a = admissionRequest();
+    waiting = a;
+    parts.gate().submit(a, route.withTried(tried), d -> decided(a, d));
   }
 
-  private synchronized void decided(Decision<Reservation> d) {
-    waiting = false;
-    if (d instanceof Decision.Admitted<Reservation> a) {
-      admitted(a.reservation());
+  private void withdraw() {
+    AdmissionRequest a = waiting;
+    waiting = null;
+    if (a != null) {
+      parts.gate().cancel(a);
+    }
+  }
+
+  private synchronized void decided(AdmissionRequest a, Decision<Reservation> d) {
+    // Another thread may deliver the decision on an attempt that was withdrawn meanwhile.
+    boolean withdrawn = ended || a != waiting;
+    if (!withdrawn) {
+      waiting = null;
+    }
+    if (d instanceof Decision.Admitted<Reservation> granted) {
+      if (withdrawn) {
+        parts.gate().released(a, granted.reservation());
+      } else {
+        admitted(granted);
+      }
       return;
     }
-    if (ended) {
+    if (withdrawn) {
+      return;
+    }
+    if (!running.isEmpty()) {
+      goOn();
       return;
     }
     Decision.Refused<Reservation> r = (Decision.Refused<Reservation>) d;
@@ -170,36 +191,56 @@
             : Problem.failed(r.code(), RequestGate.messageArguments(r, left)));
   }
 
-  private void admitted(Reservation r) {
-    if (ended) {
-      parts.gate().released(admission, r);
+  private void admitted(Decision.Admitted<Reservation> granted) {
+    admitted = granted;
+    boolean mayStart = parts.follower().mayStart();
+    if (!running.isEmpty()
+        && !(mayStart && !runsAt(granted.reservation().target()) && tryCharge())) {
+      releaseAdmitted();
+      goOn();
       return;
     }
-    if (!parts.follower().mayStart()) {
-      parts.gate().released(admission, r);
+    if (!mayStart) {
       problem(
           dispatches == 0
               ? Problem.notRun(ErrorCode.VIEW_STALE, 1)
               : Problem.failed(ErrorCode.VIEW_STALE));
       return;
     }
-    reservation = r;
-    run(
-        dispatches == 0
-            ? resume.start(parts.timers().nowMillis())
-            : resume.onFailed(
-                dispatches,
-                false,
-                new StreamResume.ResumeConditions(true, true),
-                parts.timers().nowMillis()));
+    long now = parts.timers().nowMillis();
+    run(dispatches == 0 ? resume.start(now) : resume.onAccepted(now));
+    releaseAdmitted();
+  }
+
+  private boolean runsAt(Target t) {
+    return running.values().stream().anyMatch(a -> a.reservation.target().key().equals(t.key()));
+  }
+
+  private boolean tryCharge() {
+    charged = charged || parts.budget().tryRetry(request.workspace(), parts.timers().nowMillis());
+    return charged;
+  }
+
+  /** Goes on with the running attempts, since no other group takes the request now. */
+  private void goOn() {
+    resume.onRefused(parts.timers().nowMillis());
+    schedule();
+  }
+
+  private void releaseAdmitted() {
+    Decision.Admitted<Reservation> a = admitted;
+    admitted = null;
+    if (a != null) {
+      parts.gate().released(a.request(), a.reservation());
+    }
   }
 
   private void run(List<StreamAction> actions) {
     for (StreamAction a : actions) {
       if (a instanceof StreamAction.Dispatch d) {
         dispatch(d);
-      } else if (a instanceof StreamAction.Cancel) {
-        stopAttempt();
+      } else if (a instanceof StreamAction.Cancel c) {
+        stopAttempt(c.attempt());
       } else if (a instanceof StreamAction.Fail f) {
         failed(f);
       }
@@ -208,17 +249,19 @@
   }
 
   private void dispatch(StreamAction.Dispatch d) {
-    final Target t = Objects.requireNonNull(reservation).target();
+    final Decision.Admitted<Reservation> granted = Objects.requireNonNull(admitted);
+    final Target t = granted.reservation().target();
+    admitted = null;
     dispatches = d.attempt();
-    dispatchedMillis = parts.timers().nowMillis();
-    runningAttempt = d.attempt();
-    attemptOffset = d.offset();
-    firstTokenMillis = 0;
     tried.add(t.key());
     causeId =
         emit(
             d.attempt() == 1 ? EventCode.REQUEST_DISPATCHED : EventCode.REQUEST_RESUMED,
             Map.of("target", t.key(), "boot", t.boot(), "offset", String.valueOf(d.offset())));
+    EngineAttempt a =
+        new EngineAttempt(
+            granted.request(), granted.reservation(), d, causeId, parts.timers().nowMillis());
+    running.put(d.attempt(), a);
     EngineClient.Attempt started =
         engines.start(
             new EngineRequest(
@@ -229,18 +272,19 @@
                 request.firstOffset() + d.offset(),
                 request.priority()),
             new AttemptListener(d.attempt()));
-    if (runningAttempt == d.attempt()) {
-      attempt = started;
+    if (running.containsKey(d.attempt())) {
+      a.started(started);
     }
   }
 
   private synchronized void chunk(int number, long offset, String json) {
-    if (ended || number != runningAttempt) {
+    EngineAttempt a = running.get(number);
+    if (ended || a == null) {
       return;
     }
     JsonNode n = parse(json);
     if (!isChunk(n)) {
-      stopEngine();
+      a.stopEngine();
       retry(number, FailureKind.BROKEN, "event " + offset + " is no chunk of an answer");
       return;
     }
@@ -248,9 +292,9 @@
         assembler.add(
             new Chunk(request.id(), number, offset - request.firstOffset(), json, isLast(n)));
     switch (p.kind()) {
-      case DELIVERED -> delivered(p);
+      case DELIVERED -> delivered(number, a, p);
       case NO_ROOM, CONTRADICTION -> {
-        stopEngine();
+        a.stopEngine();
         retry(number, FailureKind.BROKEN, "chunk " + offset + ": " + p.kind());
       }
       default -> {
@@ -259,16 +303,16 @@
     }
   }
 
-  private void delivered(ChunkResult p) {
+  private void delivered(int number, EngineAttempt a, ChunkResult p) {
     long now = parts.timers().nowMillis();
-    if (firstTokenMillis == 0) {
-      firstTokenMillis = Math.max(1, now - dispatchedMillis);
-    }
-    resume.onProgress(now);
-    Reservation r = reservation;
-    if (r != null) {
-      r.progress(p.deliver().size());
+    a.onChunk(now);
+    withdraw();
+    for (StreamAction s : resume.onProgress(number, now)) {
+      if (s instanceof StreamAction.Cancel c) {
+        superseded(c.attempt(), number);
+      }
     }
+    a.reservation.progress(p.deliver().size());
     for (Chunk c : p.deliver()) {
       sink.chunk(c.offset() + request.firstOffset(), c.data());
     }
@@ -277,56 +321,68 @@
       return;
     }
     if (assembler.isComplete()) {
-      completed();
+      completed(number, a);
       return;
     }
     schedule();
   }
 
-  private void completed() {
-    final Reservation r = Objects.requireNonNull(reservation);
-    reservation = null;
+  /** Stops an attempt because another one has continued the answer. */
+  private void superseded(int number, int by) {
+    if (number > by) {
+      stopAttempt(number);
+      return;
+    }
+    EngineAttempt a = running.remove(number);
+    if (a != null) {
+      a.stopEngine();
+      parts.gate().failed(a.admission, a.reservation);
+      emitFailed(FailureKind.BROKEN, "no chunk before that of attempt " + by);
+    }
+  }
+
+  private void completed(int number, EngineAttempt a) {
+    running.remove(number);
     int tokens = (int) assembler.resumeOffset();
     emit(EventCode.REQUEST_COMPLETED, Map.of("tokens", String.valueOf(tokens)));
     parts.metrics().counter("requests.completed").inc();
-    parts.metrics().timer("first.token").update((long) firstTokenMillis, TimeUnit.MILLISECONDS);
-    parts.gate().completed(admission, r, tokens, tokenMillis());
+    parts.metrics().timer("first.token").update((long) a.firstTokenMillis(), TimeUnit.MILLISECONDS);
+    parts
+        .gate()
+        .completed(
+            a.admission, a.reservation, tokens, a.tokenMillis(tokens, parts.timers().nowMillis()));
     end();
     sink.done();
   }
 
-  /** Returns the time between tokens of the last attempt, which is compared between groups. */
-  private double tokenMillis() {
-    long tokens = assembler.resumeOffset() - attemptOffset - 1;
-    double span = parts.timers().nowMillis() - dispatchedMillis - firstTokenMillis;
-    return tokens > 0 ? Math.max(0, span) / tokens : Double.NaN;
-  }
-
   private synchronized void attemptEnded(int number) {
-    if (!ended && number == runningAttempt) {
+    if (!ended && running.containsKey(number)) {
       retry(number, FailureKind.BROKEN, "the answer ended without its last chunk");
     }
   }
 
   private synchronized void attemptFailed(int number, FailureKind kind, String detail) {
-    if (!ended && number == runningAttempt) {
+    if (!ended && running.containsKey(number)) {
       retry(number, kind, detail);
     }
   }
 
   private void retry(int number, FailureKind kind, String detail) {
-    final Reservation r = reservation;
-    reservation = null;
-    attempt = null;
-    // Other threads may still deliver events of the attempt.
-    runningAttempt = 0;
-    if (r != null) {
-      release(r, kind);
+    EngineAttempt a = running.remove(number);
+    if (a == null) {
+      return;
     }
-    emit(EventCode.REQUEST_FAILED, Map.of("kind", kind.name(), "detail", detail));
+    release(a, kind);
+    emitFailed(kind, detail);
     if (kind == FailureKind.BROKEN && assembler.resumeOffset() == 0) {
       brokenWithoutOutput++;
     }
+    if (!running.isEmpty()) {
+      // An attempt beside it may still answer.
+      resume.onEnded(number, isNotRun(kind));
+      schedule();
+      return;
+    }
     if (kind == FailureKind.REJECTED || brokenWithoutOutput >= MAX_BROKEN_WITHOUT_OUTPUT) {
       problem(Problem.failed(ErrorCode.UPSTREAM_FAILED, detail));
       return;
@@ -339,41 +395,65 @@
               number, isNotRun(kind), new StreamResume.ResumeConditions(true, true), now));
       return;
     }
-    if (!parts.budget().tryRetry(request.workspace(), now)) {
+    if (waiting == null) {
+      charged = false;
+    }
+    if (!tryCharge()) {
       run(
           resume.onFailed(
               number, isNotRun(kind), new StreamResume.ResumeConditions(true, false), now));
       return;
     }
-    if (!parts.gate().hasUntried(route, tried)) {
-      // Every group was tried; one that refused or failed before may serve the next attempt.
-      tried.clear();
+    resume.onEnded(number, isNotRun(kind));
+    if (waiting == null) {
+      findUntried();
+      ask();
     }
+  }
+
+  /** Asks another group to accept the request. */
+  private void ask() {
     emit(EventCode.REQUEST_RETRIED, Map.of("offset", String.valueOf(assembler.resumeOffset())));
     submit();
   }
 
-  private void release(Reservation r, FailureKind kind) {
-    Target t = r.target();
-    long now = parts.timers().nowMillis();
+  /** Returns whether another group is in service, beside those of the running attempts. */
+  private boolean findUntried() {
+    if (parts.gate().hasUntried(route, tried)) {
+      return true;
+    }
+    // Every group was tried; one that refused or failed before may serve the next attempt.
+    tried.clear();
+    running.values().forEach(a -> tried.add(a.reservation.target().key()));
+    return parts.gate().hasUntried(route, tried);
+  }
+
+  private void release(EngineAttempt a, FailureKind kind) {
     // A broken connection often means that the process died. If the process is alive, its next
     // report ends the suspicion.
-    boolean unreachable = kind != FailureKind.NOT_RUN && kind != FailureKind.REJECTED;
-    if (unreachable && parts.routing().suspicion().suspect(t.instance(), t.boot(), now)) {
+    if (kind != FailureKind.NOT_RUN && kind != FailureKind.REJECTED) {
+      suspect(a, kind);
+    }
+    // An invalid request is no sign of a fault of the group.
+    if (isNotRun(kind) || kind == FailureKind.REJECTED) {
+      parts.gate().released(a.admission, a.reservation);
+    } else {
+      parts.gate().failed(a.admission, a.reservation);
+    }
+  }
+
+  private void suspect(EngineAttempt a, FailureKind kind) {
+    Target t = a.reservation.target();
+    long now = parts.timers().nowMillis();
+    if (parts.routing().suspicion().suspect(t.instance(), t.boot(), now)) {
       parts
           .events()
           .emit(
               EventCode.INSTANCE_SUSPECTED,
               "instance/" + t.instance(),
-              List.of(causeId),
+              List.of(a.causeId),
               Map.of("boot", t.boot(), "kind", kind.name()));
     }
-    // An invalid request is no sign of a fault of the group.
-    if (isNotRun(kind) || kind == FailureKind.REJECTED) {
-      parts.gate().released(admission, r);
-    } else {
-      parts.gate().failed(admission, r);
-    }
   }
 
   private static boolean isNotRun(FailureKind kind) {
@@ -396,32 +476,27 @@
         p.outcome() == Outcome.NOT_RUN ? EventCode.REQUEST_REFUSED : EventCode.REQUEST_FAILED,
         Map.of("code", p.code().wireName()));
     parts.metrics().counter("requests.refused").inc();
-    stopAttempt();
+    stopAll();
     end();
     sink.problem(p);
   }
 
-  private void stopEngine() {
-    EngineClient.Attempt a = attempt;
-    attempt = null;
-    runningAttempt = 0;
+  private void stopAttempt(int number) {
+    EngineAttempt a = running.remove(number);
     if (a != null) {
-      a.stop();
+      a.stopEngine();
+      parts.gate().released(a.admission, a.reservation);
     }
   }
 
-  private void stopAttempt() {
-    stopEngine();
-    Reservation r = reservation;
-    reservation = null;
-    if (r != null) {
-      parts.gate().released(admission, r);
-    }
+  private void stopAll() {
+    withdraw();
+    releaseAdmitted();
+    List.copyOf(running.keySet()).forEach(this::stopAttempt);
   }
 
   private void end() {
     ended = true;
-    runningAttempt = 0;
     cancelTimer();
   }
 
@@ -444,21 +519,38 @@
 
   private synchronized void onTimer() {
     long now = parts.timers().nowMillis();
-    if (ended || waiting) {
+    if (ended || running.isEmpty()) {
       return;
     }
-    if (now >= request.deadlineMillis()) {
-      run(resume.onTimer(new StreamResume.ResumeConditions(false, false), now));
+    if (resume.wantsAnother(now)) {
+      stalled();
       return;
     }
-    if (now >= resume.nextWakeMillis()) {
-      stopEngine();
-      retry(dispatches, FailureKind.BROKEN, "no chunk for " + STALL_MILLIS + " ms");
+    run(resume.onTimer(new StreamResume.ResumeConditions(false, false), now));
+  }
+
+  /**
+   * Asks another group while the stalled attempts go on, since the group may refuse the request.
+   */
+  private void stalled() {
+    running.values().forEach(a -> suspect(a, FailureKind.BROKEN));
+    boolean suspicious =
+        assembler.resumeOffset() == 0
+            && brokenWithoutOutput + running.size() >= MAX_BROKEN_WITHOUT_OUTPUT;
+    if (suspicious || !findUntried()) {
+      goOn();
       return;
     }
+    charged = false;
+    resume.onAsked();
+    ask();
     schedule();
   }
 
+  private void emitFailed(FailureKind kind, String detail) {
+    emit(EventCode.REQUEST_FAILED, Map.of("kind", kind.name(), "detail", detail));
+  }
+
   private String emit(EventCode code, Map<String, String> fields) {
     List<String> causes = causeId.isEmpty() ? List.of() : List.of(causeId);
     return parts.events().emit(code, "request/" + request.id(), causes, fields);
--- a/org.ebonypond/src/main/java/org/ebonypond/stream/StreamResume.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/stream/StreamResume.java
@@ -2,22 +2,28 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.ebonypond.errors.ErrorCode;
 
 /**
  * Decides whether a streaming model call resumes on another group or ends after a failed or stalled
- * attempt. The entry calls {@link #onTimer} at {@link #nextWakeMillis}. Not thread-safe.
+ * attempt. A stalled attempt goes on until another one delivers a chunk, because another group may
+ * refuse the request. The entry calls {@link #onTimer} at {@link #nextWakeMillis}. Not thread-safe.
  */
 public final class StreamResume {
   private static final int RETRY_AFTER_SECONDS = 1;
 
   private final ChunkAssembler assembler;
   private final Limits limits;
-  private int attempt;
+  private final Set<Integer> running = new TreeSet<>();
   private int dispatches;
   private boolean mayHaveRun;
   private boolean ended;
-  private long progressMillis;
+  // Whether the entry waits for another group to accept the request.
+  private boolean asking;
+  // When the stall time started: at the last chunk, dispatch or refusal.
+  private long silentSinceMillis;
 
   /**
    * The limits of a call.
@@ -58,11 +64,24 @@
     return List.of(dispatch(nowMillis));
   }
 
-  /** Records that the current attempt delivered a chunk. */
-  public void onProgress(long nowMillis) {
+  /**
+   * Records that an attempt delivered a chunk. The others are cancelled, since their chunks would
+   * not match its text.
+   */
+  public List<StreamAction> onProgress(int attempt, long nowMillis) {
     mayHaveRun = true;
-    progressMillis = nowMillis;
+    asking = false;
+    silentSinceMillis = nowMillis;
     ended |= assembler.isComplete();
+    if (running.size() == 1) {
+      return List.of();
+    }
+    List<StreamAction> actions = new ArrayList<>();
+    running.stream()
+        .filter(n -> n != attempt)
+        .forEach(n -> actions.add(new StreamAction.Cancel(n)));
+    running.retainAll(Set.of(attempt));
+    return actions;
   }
 
   /**
@@ -70,19 +89,61 @@
    *
    * @param failed the number of the attempt; ignored if it has been replaced
    * @param notRun whether the request certainly did not reach the group
-   * @param conditions the conditions for a further attempt
+   * @param conditions the conditions for a further attempt if no other one is running
    */
   public List<StreamAction> onFailed(
       int failed, boolean notRun, ResumeConditions conditions, long nowMillis) {
-    if (ended || failed != attempt) {
-      return List.of();
+    return onEnded(failed, notRun) && running.isEmpty()
+        ? resumeOrFail(conditions, nowMillis)
+        : List.of();
+  }
+
+  /**
+   * Records a failed attempt, without a decision on a further one.
+   *
+   * @param failed the number of the attempt; ignored if it has been replaced
+   * @param notRun whether the request certainly did not reach the group
+   * @return whether the attempt was running
+   */
+  public boolean onEnded(int failed, boolean notRun) {
+    if (ended || !running.remove(failed)) {
+      return false;
     }
+    assembler.dropAttempt(failed);
     mayHaveRun |= !notRun;
-    return resumeOrFail(conditions, nowMillis);
+    return true;
+  }
+
+  /** Returns whether the attempts have stalled and another group should be asked now. */
+  public boolean wantsAnother(long nowMillis) {
+    return !ended && nowMillis >= nextWakeMillis() && canDispatch(nowMillis);
+  }
+
+  /** Records that another group is asked to accept the request, beside the stalled attempts. */
+  public void onAsked() {
+    mayHaveRun = true;
+    asking = true;
+  }
+
+  /** Handles that another group has accepted the request. */
+  public List<StreamAction> onAccepted(long nowMillis) {
+    asking = false;
+    mayHaveRun = true;
+    return running.isEmpty() || canDispatch(nowMillis)
+        ? resumeOrFail(new ResumeConditions(true, true), nowMillis)
+        : List.of();
   }
 
   /**
-   * Ends the call at its deadline, and replaces a stalled attempt.
+   * Records that no other group accepts the request; the next one is asked after the stall time.
+   */
+  public void onRefused(long nowMillis) {
+    asking = false;
+    silentSinceMillis = nowMillis;
+  }
+
+  /**
+   * Ends the call at its deadline, and starts another attempt beside stalled ones.
    *
    * @param conditions the conditions for a further attempt
    */
@@ -91,10 +152,16 @@
       return List.of();
     }
     mayHaveRun = true;
-    List<StreamAction> actions = new ArrayList<>();
-    actions.add(new StreamAction.Cancel(attempt));
-    actions.addAll(resumeOrFail(conditions, nowMillis));
-    return actions;
+    if (nowMillis >= limits.deadlineMillis()) {
+      List<StreamAction> actions = cancelAll();
+      actions.addAll(fail(ErrorCode.DEADLINE_TOO_CLOSE));
+      return actions;
+    }
+    if (wantsAnother(nowMillis) && conditions.otherGroup() && conditions.budget()) {
+      return List.of(dispatch(nowMillis));
+    }
+    silentSinceMillis = nowMillis;
+    return List.of();
   }
 
   /** Handles the disconnection of the caller. */
@@ -103,7 +170,7 @@
       return List.of();
     }
     ended = true;
-    return List.of(new StreamAction.Cancel(attempt));
+    return cancelAll();
   }
 
   /**
@@ -114,7 +181,9 @@
     if (ended) {
       return Long.MAX_VALUE;
     }
-    return Math.min(limits.deadlineMillis(), progressMillis + limits.stallMillis());
+    return asking
+        ? limits.deadlineMillis()
+        : Math.min(limits.deadlineMillis(), silentSinceMillis + limits.stallMillis());
   }
 
   /** Returns whether the call is complete, has failed or was cancelled. */
@@ -122,6 +191,18 @@
     return ended;
   }
 
+  private boolean canDispatch(long nowMillis) {
+    return nowMillis + limits.minRemainingMillis() <= limits.deadlineMillis()
+        && dispatches < limits.maxDispatches();
+  }
+
+  private List<StreamAction> cancelAll() {
+    List<StreamAction> actions = new ArrayList<>();
+    running.forEach(n -> actions.add(new StreamAction.Cancel(n)));
+    running.clear();
+    return actions;
+  }
+
   private List<StreamAction> resumeOrFail(ResumeConditions conditions, long nowMillis) {
     if (nowMillis + limits.minRemainingMillis() > limits.deadlineMillis()) {
       return fail(ErrorCode.DEADLINE_TOO_CLOSE);
@@ -140,8 +221,9 @@
 
   private StreamAction dispatch(long nowMillis) {
     dispatches++;
-    progressMillis = nowMillis;
-    attempt = assembler.startAttempt();
+    silentSinceMillis = nowMillis;
+    int attempt = running.isEmpty() ? assembler.startAttempt() : assembler.addAttempt();
+    running.add(attempt);
     return new StreamAction.Dispatch(attempt, assembler.resumeOffset());
   }
 
