Test that a waiting second attempt is not sent to the silent engine

If the other group is lost while the second attempt waits for it, the gate offers every group again, also that of the silent engine. The test fails with a fifth attempt if CompletionCall does not compare the targets (trial with the check removed).

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/entry/CompletionCallTest.java
@@ -318,6 +318,41 @@
     groups.assertIdle();
   }
 
+  /** Guards against a second attempt at the silent engine once the other group is lost. */
+  @Test
+  void waitingSecondAttemptIsNotSentToTheSilentEngine() {
+    EntryFixture groups = new EntryFixture(2, 2, 1);
+    final Caller c = groups.call(DEADLINE_MILLIS);
+    final FakeAttempt silent = groups.engines.last();
+    silent.chunk(0, false);
+    for (int i = 0; i < 3; i++) {
+      groups.call(DEADLINE_MILLIS);
+    }
+    final String address = silent.request.address();
+    for (int i = 0; i < 5; i++) {
+      groups.engines.attempts.stream().skip(1).forEach(a -> a.chunk(a.next, false));
+      groups.timers.advance(1_000);
+    }
+    assertEquals(1, groups.gate.waitingCount());
+    groups.engines.attempts.stream()
+        .skip(1)
+        .filter(a -> a.request.address().equals(address))
+        .forEach(a -> a.chunk(a.next, true));
+    groups.group(address.startsWith("g0a") ? "g1" : "g0", "boot1", GroupState.DOWN);
+    groups.publish();
+    groups.timers.advance(100);
+    String engine = address.substring(0, address.indexOf(':'));
+    groups.routing.suspicion().confirmUp(engine, "boot1", groups.timers.nowMillis());
+    groups.timers.advance(100);
+    assertEquals(0, groups.gate.waitingCount());
+    assertEquals(4, groups.engines.attempts.size());
+    assertFalse(c.ended());
+    silent.chunk(1, true);
+    assertTrue(c.done);
+    groups.engines.attempts.stream().filter(a -> !a.ended).forEach(a -> a.chunk(a.next, true));
+    groups.assertIdle();
+  }
+
   /** Guards against a stream that ends because no retry is left for its second attempt. */
   @Test
   void keepsSilentEngineWhileTheRetryBudgetIsExhausted() {
