--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/relay/RelaySamples.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/relay/RelaySamples.java
@@ -36,8 +36,14 @@
     return Unpooled.wrappedBuffer(bytes);
   }
 
+  private static byte[] release(ByteBuf b) {
+    byte[] bytes = ByteBufUtil.getBytes(b);
+    b.release();
+    return bytes;
+  }
+
   private static byte[] request(String instance) {
-    return ByteBufUtil.getBytes(RelayFrames.request(UnpooledByteBufAllocator.DEFAULT, instance));
+    return release(RelayFrames.request(UnpooledByteBufAllocator.DEFAULT, instance));
   }
 
   private static Sample status(String status) {
@@ -52,6 +58,6 @@
   }
 
   private static byte[] header(int length) {
-    return ByteBufUtil.getBytes(RelayFrames.header(UnpooledByteBufAllocator.DEFAULT, length));
+    return release(RelayFrames.header(UnpooledByteBufAllocator.DEFAULT, length));
   }
 }
