--- a/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/forward/TargetSelectorTest.java
@@ -129,7 +129,7 @@
     List<TargetSelector.Candidate> c = List.of(candidate("a", 18, null));
     TargetSelector.Selection d = selector.choose(need(300, Set.of()), c, COST, 1, 0);
     assertNull(d.target());
-    assertEquals("deadline", d.reason());
+    assertEquals("no-time", d.reason());
   }
 
   /** Guards against a burst that is admitted entirely and makes every request late. */
--- a/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/forward/TargetSelector.java
@@ -185,7 +185,7 @@
     int events = need.outputTokens() / cost.tokensPerEvent();
     double end = first + slowness * events * nextPassMillis(need, c, cost);
     if (end > need.remainingMillis()) {
-      return Selection.refuse("deadline", FULL_RETRY_MILLIS).withEnd(end);
+      return Selection.refuse("no-time", FULL_RETRY_MILLIS).withEnd(end);
     }
     if (first <= need.targetMillis()) {
       return Selection.send(c.instance(), URGENCY_ON_TIME, first);
