Let a stream wait for an instance also after an entry did not relay it

A stream whose first instance had ended while its second attempt was on its way through another entry was broken off at once if that entry did not relay it and no instance was free: its wait had not begun. Found by reading.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/CallAttempts.java
@@ -17,6 +17,8 @@
 final class CallAttempts {
   private final List<Attempt> running = new ArrayList<>(2);
   private final Set<String> tried = new HashSet<>();
+
+  /** The instances whose attempts this entry has ended, for the log. */
   private final Set<String> left = new HashSet<>();
 
   /** The instances that run the request, or may have run it. */
@@ -28,6 +30,7 @@
   /** The instances whose last attempt might have gone on when this entry ended it. */
   private final Set<String> returnable = new HashSet<>();
 
+  /** When instances last refused the request or could not be reached, in milliseconds. */
   private final Map<String, Long> refusedAt = new HashMap<>();
 
   /** The targets that were reached on this entry's own paths only. */
@@ -137,7 +140,7 @@
     return refusals;
   }
 
-  /** Records that an instance should not be asked again at once. */
+  /** Records that an instance refused the request or could not be reached. */
   void pause(String instance, long now) {
     refusedAt.put(instance, now);
   }
@@ -155,7 +158,10 @@
     return sends;
   }
 
-  /** Returns the identifiers of the instances that received the request and were not full. */
+  /**
+   * Returns the identifiers of the instances that received the request, but for those that may be
+   * asked again.
+   */
   Set<String> tried() {
     return tried;
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/forward/ForwardCall.java
@@ -105,7 +105,10 @@
   /** Whether the next send still has to be taken from the retry allowance. */
   private boolean owesRetry;
 
-  /** How long the interrupted stream may wait for an instance; 0 while it is not interrupted. */
+  /**
+   * Until when an interrupted stream may wait for an instance, in milliseconds; 0 while it is not
+   * interrupted.
+   */
   private long resumeUntil;
 
   private boolean done;
@@ -567,6 +570,7 @@
     if (attempts.isRunning()) {
       return;
     }
+    interrupted(timers.nowMillis());
     if (remaining() > MIN_REMAINING_MILLIS) {
       dispatch("relay");
     } else {
@@ -626,7 +630,7 @@
     retry(retry, true, reason);
   }
 
-  /** Begins the wait of a stream that no instance runs. */
+  /** Begins the time in which a stream that no instance runs may wait for one. */
   private void interrupted(long now) {
     if (resumeUntil == 0) {
       resumeUntil = now + RESUME_WAIT_MILLIS;
