Take answers with an invalid head for none

What callers saw: a backend server in trouble sent a status of 000, or a head with a blank or a control character in the name of a field, and the caller got it as an answer, at times with another body than the server's.

Cause: Netty's decoder repairs or skips much of what RFC 9112 forbids or leaves to the reader: any three or more digits as a status, blanks before the colon, folded lines, other versions of the protocol, unknown transfer codings. Nothing checked the head before it was decoded.

Change: ResponseDecoder waits for the whole head, checks its bytes line by line (ResponseHeadCheck), and passes any other head on as a failure. A call that may have run gets 502, one that may run again goes to another instance. The pool's connections also carry health calls and orders, so an order counts as unknown on such an answer.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -63,6 +64,12 @@
     return endOfInput;
   }
 
+  /** Returns whether the request in progress asks for the head of an answer only. */
+  boolean isHeadRequested() {
+    Exchange x = current;
+    return x != null && x.head.method().equals(HttpMethod.HEAD);
+  }
+
   BackendExchange send(HttpRequest head, ByteBuf body, BackendListener listener) {
     Exchange x = new Exchange(head, body, listener, requests == 0);
     requests++;
@@ -228,8 +235,12 @@
 
     void read(Object message) {
       if (message instanceof HttpResponse r) {
-        if (r.decoderResult().isFailure() || isJoined(r)) {
-          malformed();
+        if (r.decoderResult().isFailure()) {
+          malformed("malformed answer: " + r.decoderResult().cause().getMessage());
+          return;
+        }
+        if (isJoined(r)) {
+          malformed("malformed answer: the status line of another one");
           return;
         }
         interim = r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -239,7 +250,7 @@
       }
       if (message instanceof HttpContent c && !ended) {
         if (c.decoderResult().isFailure()) {
-          malformed();
+          malformed("malformed answer: " + c.decoderResult().cause().getMessage());
           return;
         }
         readContent(c);
@@ -334,10 +345,10 @@
       listener.end();
     }
 
-    private void malformed() {
+    private void malformed(String reason) {
       broken = true;
       current = null;
-      fail(true, "malformed answer");
+      fail(true, reason);
       close();
     }
 
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/BackendPool.java
@@ -9,8 +9,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -28,10 +28,6 @@
  * and is reused only after a complete answer that left no unread bytes. Confined to one event loop.
  */
 public final class BackendPool {
-  private static final int MAX_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 65_536;
-  private static final int MAX_CHUNK_BYTES = 65_536;
-
   /** Idle timeout of connections whose backend server announces none, in milliseconds. */
   private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 4_000;
 
@@ -133,8 +129,8 @@
                     ch.pipeline()
                         .addLast(c.unsolicitedByteLimiter())
                         .addLast(c.endOfInput())
-                        .addLast(
-                            new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(new ResponseDecoder(c::isHeadRequested))
+                        .addLast(new HttpRequestEncoder())
                         .addLast(c);
                   }
                 })
