Let the tool take an answer without a valid status for none

What operators saw: an entry in trouble that answered a change with the status 000 (or 600, 999) made the tool report the change as refused, which says that it was not made.

Cause: the JDK's HTTP client accepts any three digits, and the tool took everything but 2xx and 5xx for a refusal.

Change: a status outside 200 to 599 is a failure of the protocol, so a change counts as possibly made and a read goes to the next entry.

--- a/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/EntryClient.java
+++ b/org.ebonypond.pgm/src/main/java/org/ebonypond/pgm/EntryClient.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.ConnectException;
+import java.net.ProtocolException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpConnectTimeoutException;
@@ -27,6 +28,11 @@
   /** An entry keeps 20,000 events of less than 1 KiB; other answers are smaller. In bytes. */
   private static final int MAX_ANSWER_BYTES = 32 << 20;
 
+  /** The range of final statuses in HTTP; the library also accepts others. */
+  private static final int MIN_STATUS = 200;
+
+  private static final int MAX_STATUS = 599;
+
   private final List<String> entries;
   private final Duration timeout;
   private final PrintStream err;
@@ -186,6 +192,9 @@
     try {
       // The timeout of a request ends with the head of its answer; its body gets as long again.
       HttpResponse<String> r = answer.get(2 * timeout.toMillis(), TimeUnit.MILLISECONDS);
+      if (r.statusCode() < MIN_STATUS || r.statusCode() > MAX_STATUS) {
+        throw new ProtocolException("the status " + r.statusCode() + " does not exist");
+      }
       return new Answer(entry, r.statusCode(), r.body());
     } catch (ExecutionException e) {
       if (e.getCause() instanceof IOException failure) {
