Limit the connections at each port by the descriptors of the process

What callers saw: thousands of idle connections at one port, that for metrics or readiness too, took all descriptors of a process. No caller and no backend server was connected any more.

Cause: neither a port nor a process had a limit on connections.

A new connection at a port without room takes the place of one that ends already, of the one that has been idle for the longest time, or of one with an incomplete request. Callers who wait for an answer are kept; if there are only such, the new connection is closed, and for a second answers say Connection: close, so that the places go round.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -60,9 +60,10 @@
   private final HttpService service;
   private final LimitSource limits;
   private final int decodedHeaderBytes;
-  private final RequestBodyMemory bodies;
+  private final CallerConnections connections;
   private final TimerService timers;
   private final BooleanSupplier draining;
+  private final BooleanSupplier crowded;
   private final Deque<Exchange> waiting = new ArrayDeque<>();
   private @Nullable Exchange current;
   private @Nullable HttpRequest head;
@@ -96,23 +97,27 @@
    *
    * @param limits supplies the limits in force, which may change while the connection is open
    * @param decodedHeaderBytes the limit of this connection's decoder, which does not change
-   * @param bodies the memory for the bodies of all connections
+   * @param connections all connections of the process
+   * @param draining returns whether the process stops
+   * @param crowded returns whether other callers find no place
    */
   HttpConnection(
       SocketChannel channel,
       HttpService service,
       LimitSource limits,
       int decodedHeaderBytes,
-      RequestBodyMemory bodies,
+      CallerConnections connections,
       TimerService timers,
-      BooleanSupplier draining) {
+      BooleanSupplier draining,
+      BooleanSupplier crowded) {
     this.channel = channel;
     this.service = service;
     this.limits = limits;
     this.decodedHeaderBytes = decodedHeaderBytes;
-    this.bodies = bodies;
+    this.connections = connections;
     this.timers = timers;
     this.draining = draining;
+    this.crowded = crowded;
     this.lastActive = timers.nowMillis();
     this.answeredAt = lastActive - LINGER_MILLIS;
   }
@@ -177,7 +182,7 @@
   }
 
   private boolean reserve(long bytes) {
-    boolean reserved = bodies.reserve(bytes);
+    boolean reserved = connections.bodies().reserve(bytes);
     reservedBytes += reserved ? bytes : 0;
     return reserved;
   }
@@ -358,7 +363,7 @@
     final ByteBuf b = body;
     body = null;
     head = null;
-    bodies.release(reservedBytes);
+    connections.bodies().release(reservedBytes);
     reservedBytes = 0;
     if (b != null) {
       b.release();
@@ -441,7 +446,17 @@
     return !isReceiving() && !isAnswering() && unwrittenBytes() == 0;
   }
 
-  private boolean isReceiving() {
+  boolean isEnding() {
+    return ending;
+  }
+
+  /** Returns when bytes last arrived or the caller was last seen to read, in milliseconds. */
+  long lastActive() {
+    return lastActive;
+  }
+
+  /** Returns whether the body of a request is being received. */
+  boolean isReceiving() {
     return head != null || dropping;
   }
 
@@ -487,6 +502,11 @@
     }
   }
 
+  /** Closes the connection at once, since a new one needs its place. */
+  void closeForOthers() {
+    channel.close();
+  }
+
   private final class Exchange implements HttpCall {
     private final HttpRequest request;
     private final ByteBuf content;
@@ -495,6 +515,7 @@
     private @Nullable Runnable onWritable;
     private boolean started;
     private boolean endsWithConnection;
+    private boolean leaves;
     private boolean done;
     private long contentBytes;
     private final boolean lacksMemory;
@@ -573,6 +594,7 @@
         return;
       }
       started = true;
+      leaves = isPlaceNeeded();
       head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
       // A caller of HTTP/1.0 cannot read chunks; the end of the connection ends its answer.
       endsWithConnection = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
@@ -627,6 +649,7 @@
 
     private void complete(Object last) {
       done = true;
+      leaves |= last instanceof HttpResponse && isPlaceNeeded();
       final boolean close = closesAfterAnswer();
       if (last instanceof HttpResponse r) {
         setConnection(r);
@@ -653,9 +676,15 @@
     private boolean closesAfterAnswer() {
       return !keepAlive
           || endsWithConnection
+          || leaves
           || (draining.getAsBoolean() && waiting.isEmpty() && pendingRefusal == null);
     }
 
+    /** Returns whether the connection is to end after this answer in favour of other callers. */
+    private boolean isPlaceNeeded() {
+      return crowded.getAsBoolean() && waiting.isEmpty();
+    }
+
     private void setConnection(HttpResponse r) {
       r.headers().remove(HttpHeaderNames.CONNECTION);
       if (closesAfterAnswer()) {
@@ -681,7 +710,7 @@
     }
 
     private void release() {
-      bodies.release(contentBytes);
+      connections.bodies().release(contentBytes);
       contentBytes = 0;
       if (content.refCnt() > 0) {
         content.release();
