End requests whose head or body arrives too slowly

What was seen: a connection that sent a byte of a body now and then kept its place and its memory for ever. A slow head was bounded by the idle timeout (15 s) in place of the header timeout.

Cause: only the time since the last byte was bounded.

Change: a head may take header_timeout_ms from its first byte, a body idle_timeout_ms and a second for each 1,000 bytes; then the caller gets 408, which is true, since nothing was passed on. If the memory for bodies is full, requests without progress for a second are ended for new ones.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/CallerConnections.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/CallerConnections.java
@@ -127,19 +127,35 @@
         });
   }
 
+  /**
+   * Reserves memory for a request that is being received. If there is not enough, requests that
+   * arrive too slowly are ended.
+   */
+  boolean reserveBody(long bytes, long now) {
+    while (!bodies.reserve(bytes)) {
+      HttpConnection slowest = first(all, c -> c.isSlow(now), HttpConnection::lastActive);
+      if (slowest == null) {
+        return false;
+      }
+      ended++;
+      slowest.endForOthers("memory");
+    }
+    return true;
+  }
+
   /**
    * Closes a connection in favour of a new one: one that ends already, the one that is idle for the
-   * longest time, an incomplete request, or one that was not read yet. Callers who wait for an
-   * answer are kept.
+   * longest time, a request that arrives too slowly, or one that was not read yet. Callers who wait
+   * for an answer are kept.
    *
    * @return whether there was one
    */
-  boolean makeRoom(Set<HttpConnection> among) {
+  boolean makeRoom(Set<HttpConnection> among, long now) {
     for (Predicate<HttpConnection> p :
         List.<Predicate<HttpConnection>>of(
             HttpConnection::isEnding,
             HttpConnection::isIdle,
-            HttpConnection::isIncomplete,
+            c -> c.isSlow(now),
             HttpConnection::isUnhandled)) {
       HttpConnection c = first(among, p, HttpConnection::lastActive);
       if (c != null) {
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -62,6 +62,12 @@
   /** The head of a request may be larger than its fields by a request line and separators. */
   private static final int HEAD_LIMITS = 2;
 
+  /** The rate at which the body of a request must arrive on average, in bytes per second. */
+  private static final int MIN_BODY_RATE = 1_000;
+
+  /** How long a request may make no progress while others need its memory, in milliseconds. */
+  private static final long SLOW_MILLIS = 1_000;
+
   /** Retry-After of a request over limits that may have been replaced; several polls. */
   private static final int RETRY_AFTER_SECONDS = 1;
 
@@ -90,6 +96,11 @@
   private long inputBytes;
   private long droppedBytes;
 
+  /** When the first bytes of the request arrived that is being received, in milliseconds. */
+  private long receivingSince;
+
+  private boolean receiving;
+
   /** Whether the head that was admitted last is large. */
   private boolean admittedLarge;
 
@@ -210,11 +221,15 @@
 
   @Override
   public void inputChanged() {
+    if (!receiving && (decoder.isInHead() || isReceivingBody())) {
+      receivingSince = timers.nowMillis();
+    }
+    receiving = decoder.isInHead() || isReceivingBody();
     long bytes = decoder.bufferedBytes();
     if (bytes <= inputBytes) {
       connections.bodies().release(inputBytes - bytes);
       inputBytes = bytes;
-    } else if (connections.bodies().reserve(bytes - inputBytes)) {
+    } else if (connections.reserveBody(bytes - inputBytes, timers.nowMillis())) {
       inputBytes = bytes;
     } else if (!refused && !ending) {
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -272,7 +287,7 @@
   }
 
   private boolean reserve(long bytes) {
-    boolean reserved = connections.bodies().reserve(bytes);
+    boolean reserved = connections.reserveBody(bytes, timers.nowMillis());
     reservedBytes += reserved ? bytes : 0;
     return reserved;
   }
@@ -299,6 +314,9 @@
     dropping = !(c instanceof LastHttpContent);
     droppedBytes += c.content().readableBytes();
     boolean endless = droppedBytes > limits.limits().maxBodyBytes() && !isAnswering();
+    if (!dropping) {
+      receiving = false;
+    }
     if (endless || (!dropping && closesAfterDropping)) {
       endOutput();
     }
@@ -335,6 +353,7 @@
     if (c instanceof LastHttpContent) {
       head = null;
       body = null;
+      receiving = false;
       waiting.addLast(new Exchange(r, b, reservedBytes, headBytes, false));
       reservedBytes = 0;
       headBytes = 0;
@@ -592,9 +611,15 @@
     return lastActive;
   }
 
-  /** Returns whether a request is being received. */
-  boolean isIncomplete() {
-    return !isAnswering() && (decoder.isInHead() || isReceivingBody());
+  /** Returns whether a request is being received whose caller sends nothing or very little. */
+  boolean isSlow(long now) {
+    boolean receives = !isAnswering() && !ending && (decoder.isInHead() || isReceivingBody());
+    long millis = now - receivingSince;
+    ByteBuf b = body;
+    long bytes = b == null ? 0 : b.readableBytes();
+    return receives
+        && millis >= SLOW_MILLIS
+        && (now - lastActive >= SLOW_MILLIS || bytes < MIN_BODY_RATE * millis / 1_000);
   }
 
   private boolean isAnswering() {
@@ -628,8 +653,17 @@
       lastActive = now;
     }
     lastUnwritten = unwritten;
+    if (isAnswering()) {
+      // The input may have to wait for the answer.
+      receivingSince = now;
+      return;
+    }
+    if (isTooSlow(l, now)) {
+      refuseSlow();
+      return;
+    }
     long limitMillis = isReceivingBody() ? l.headerTimeoutMillis() : l.idleTimeoutMillis();
-    if (isAnswering() || now - lastActive <= limitMillis) {
+    if (now - lastActive <= limitMillis) {
       return;
     }
     if (unwritten > 0) {
@@ -639,6 +673,41 @@
     }
   }
 
+  /** Returns whether the head or the body of a request has taken too long to arrive. */
+  private boolean isTooSlow(ClientLimits l, long now) {
+    if (ending || refused || !receiving) {
+      return false;
+    }
+    long millis = now - receivingSince;
+    if (decoder.isInHead()) {
+      return millis > l.headerTimeoutMillis();
+    }
+    ByteBuf b = body;
+    long bytes = dropping ? droppedBytes : b == null ? 0 : b.readableBytes();
+    return millis > l.idleTimeoutMillis() + bytes * 1_000 / MIN_BODY_RATE;
+  }
+
+  private void refuseSlow() {
+    LOG.atInfo()
+        .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
+        .addKeyValue("status", HttpResponseStatus.REQUEST_TIMEOUT.code())
+        .addKeyValue("millis", timers.nowMillis() - receivingSince)
+        .log("request arrives too slowly");
+    refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+  }
+
+  /** Refuses a request that is being received, since others need its memory. */
+  void endForOthers(String reason) {
+    LOG.atInfo()
+        .addKeyValue("peer", String.valueOf(channel.remoteAddress()))
+        .addKeyValue("status", HttpResponseStatus.REQUEST_TIMEOUT.code())
+        .addKeyValue("reason", reason)
+        .log("slow request ended");
+    connections.bodies().release(inputBytes);
+    inputBytes = 0;
+    refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+  }
+
   /** Closes the connection at once, since a new one needs its place. */
   void closeForOthers() {
     channel.close();
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpListener.java
@@ -57,6 +57,8 @@
   private final Set<HttpConnection> connections = new LinkedHashSet<>();
   private @Nullable Channel channel;
   private boolean draining;
+  private long sweptAt;
+  private boolean skippedSweep;
   private long turnedAwayAt = Long.MIN_VALUE / 2;
 
   /** Connections that were closed for lack of room since the last sweep. */
@@ -107,6 +109,7 @@
               }
             },
             "listen");
+    sweptAt = timers.nowMillis();
     timers.every(SWEEP_MILLIS, () -> loop.execute(this::closeExpired));
   }
 
@@ -175,7 +178,7 @@
 
   /** Closes a connection for a new one; returns false if the new one has to go. */
   private boolean makesRoom() {
-    if (all.makeRoom(connections)) {
+    if (all.makeRoom(connections, timers.nowMillis())) {
       closedForOthers++;
       return true;
     }
@@ -206,8 +209,14 @@
 
   private void closeExpired() {
     logPressure();
-    ClientLimits l = limits.limits();
     long now = timers.nowMillis();
+    // While the process stood still, it could not read what its callers sent.
+    skippedSweep = !skippedSweep && now - sweptAt > 2 * SWEEP_MILLIS;
+    sweptAt = now;
+    if (skippedSweep) {
+      return;
+    }
+    ClientLimits l = limits.limits();
     for (HttpConnection c : new ArrayList<>(connections)) {
       c.closeIfExpired(l, now);
     }
