Limit the memory of answers that callers do not read

What callers saw: 150 callers who sent small requests and never read ended an entry, out of heap.

Cause: further requests were handled until 64 KB of answers waited for a connection. An answer of 120 bytes takes five times as much in the heap, and there was no limit on the answers of all connections.

Change: a request is not decoded while an answer before it is not in the socket.

--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/CrowdedListenerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/CrowdedListenerTest.java
@@ -48,7 +48,7 @@
             timers,
             calls::add,
             () -> ClientLimits.DEFAULT,
-            new CallerConnections(timers, MEMORY_BYTES, MEMORY_BYTES),
+            new CallerConnections(timers, MEMORY_BYTES, MEMORY_BYTES, MEMORY_BYTES),
             MAX_CONNECTIONS);
     listener.listen(new InetSocketAddress("127.0.0.1", port));
   }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/RequestBodyMemoryTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/RequestBodyMemoryTest.java
@@ -54,7 +54,7 @@
             timers,
             calls::add,
             () -> ClientLimits.DEFAULT,
-            new CallerConnections(timers, MEMORY_BYTES, OTHER_BYTES),
+            new CallerConnections(timers, MEMORY_BYTES, OTHER_BYTES, OTHER_BYTES),
             MAX_CONNECTIONS);
     listener.listen(new InetSocketAddress("127.0.0.1", port));
   }
--- a/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/SlowCallerTest.java
+++ b/org.ebonypond.server.test/src/test/java/org/ebonypond/server/http1/SlowCallerTest.java
@@ -77,7 +77,7 @@
             timers,
             c -> service.handle(c),
             () -> ClientLimits.DEFAULT,
-            new CallerConnections(timers, MEMORY_BYTES, MEMORY_BYTES),
+            new CallerConnections(timers, MEMORY_BYTES, MEMORY_BYTES, MEMORY_BYTES),
             MAX_CONNECTIONS);
     listener.listen(new InetSocketAddress("127.0.0.1", port));
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/CallerConnections.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/CallerConnections.java
@@ -31,6 +31,7 @@
   private boolean largeHeadsResume;
   private final MemoryPool bodies;
   private final MemoryPool heads;
+  private final MemoryPool answers;
   private final Set<HttpConnection> all = new LinkedHashSet<>();
   private long accepted;
   private long turnedAway;
@@ -43,11 +44,13 @@
    * @param bodyBytes the direct memory for requests that are being received, and for the bodies of
    *     those that are handled; the process must have room for answers and socket buffers besides
    * @param headBytes the heap for the decoded heads of requests
+   * @param answerBytes the memory for answers that callers have not read
    */
-  public CallerConnections(TimerService timers, long bodyBytes, long headBytes) {
+  public CallerConnections(TimerService timers, long bodyBytes, long headBytes, long answerBytes) {
     this.timers = timers;
     bodies = new MemoryPool(bodyBytes);
     heads = new MemoryPool(headBytes);
+    answers = new MemoryPool(answerBytes);
   }
 
   /** Returns the number of open connections. */
@@ -78,6 +81,10 @@
     return bodies;
   }
 
+  MemoryPool answers() {
+    return answers;
+  }
+
   void add(HttpConnection c) {
     accepted++;
     all.add(c);
@@ -143,6 +150,24 @@
     return true;
   }
 
+  /**
+   * Resets connections whose callers do not read their answers, those that have not read for the
+   * longest time first, until the answers fit into their memory.
+   */
+  void limitAnswers(HttpConnection last) {
+    while (answers.isExceeded()) {
+      HttpConnection c = first(all, HttpConnection::isUnread, HttpConnection::lastRead);
+      if (c == null) {
+        return;
+      }
+      ended++;
+      c.resetUnread();
+      if (c == last) {
+        return;
+      }
+    }
+  }
+
   /**
    * Closes a connection in favour of a new one: one that ends already, the one that is idle for the
    * longest time, a request that arrives too slowly, or one that was not read yet. Callers who wait
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -94,8 +94,12 @@
   private long headBytes;
   private long lineBytes;
   private long inputBytes;
+  private long answerBytes;
   private long droppedBytes;
 
+  /** When the caller last read a part of its answers, in milliseconds. */
+  private long lastRead;
+
   /** When the first bytes of the request arrived that is being received, in milliseconds. */
   private long receivingSince;
 
@@ -192,7 +196,9 @@
   public Decision admit(HeadScanner s) {
     long size = (long) s.lines() * FIELD_BYTES + s.bytes();
     boolean large = size > LARGE_HEAD_BYTES;
-    if (!channel.isWritable() || waiting.size() >= MAX_PIPELINED || (large && isAnswering())) {
+    // The answers to small requests take more memory than their bytes while they wait.
+    boolean unread = unwrittenBytes() > 0;
+    if (unread || waiting.size() >= MAX_PIPELINED || (large && isAnswering())) {
       return Decision.WAIT;
     }
     if (large && !connections.mayDecodeLargeHead(decoder)) {
@@ -516,6 +522,8 @@
     inputBytes = 0;
     connections.heads().release(lineBytes);
     lineBytes = 0;
+    connections.answers().release(answerBytes);
+    answerBytes = 0;
     Exchange e = current;
     if (e != null) {
       current = null;
@@ -529,9 +537,6 @@
     if (e != null && channel.isWritable()) {
       e.writable();
     }
-    if (channel.isWritable()) {
-      decoder.resume();
-    }
     ctx.fireChannelWritabilityChanged();
   }
 
@@ -574,6 +579,8 @@
 
   private void written() {
     answeredAt = timers.nowMillis();
+    countAnswers();
+    decoder.resume();
   }
 
   /** Returns the bytes of answers that the socket has not taken yet. */
@@ -582,6 +589,20 @@
     return b == null ? 0 : b.totalPendingWriteBytes() - b.currentProgress();
   }
 
+  /** Records how much memory the answers take that the caller has not read. */
+  private void countAnswers() {
+    long bytes = channel.isActive() ? unwrittenBytes() : 0;
+    long grown = bytes - answerBytes;
+    if (answerBytes == 0 || grown < 0) {
+      lastRead = timers.nowMillis();
+    }
+    connections.answers().take(grown);
+    answerBytes = bytes;
+    if (grown > 0 && connections.answers().isExceeded()) {
+      connections.limitAnswers(this);
+    }
+  }
+
   /** Returns whether no request is being received or answered and all answers are written. */
   boolean isIdle() {
     return !isReceivingBody() && !decoder.hasInput() && !isAnswering() && unwrittenBytes() == 0;
@@ -611,6 +632,16 @@
     return lastActive;
   }
 
+  /** Returns when the caller last read a part of its answers, in milliseconds. */
+  long lastRead() {
+    return lastRead;
+  }
+
+  /** Returns whether the caller has answers that it does not read. */
+  boolean isUnread() {
+    return unwrittenBytes() > 0;
+  }
+
   /** Returns whether a request is being received whose caller sends nothing or very little. */
   boolean isSlow(long now) {
     boolean receives = !isAnswering() && !ending && (decoder.isInHead() || isReceivingBody());
@@ -653,6 +684,7 @@
       lastActive = now;
     }
     lastUnwritten = unwritten;
+    countAnswers();
     if (isAnswering()) {
       // The input may have to wait for the answer.
       receivingSince = now;
@@ -713,6 +745,11 @@
     channel.close();
   }
 
+  /** Resets the connection, since its answers take the memory of others. */
+  void resetUnread() {
+    reset("memory");
+  }
+
   private final class Exchange implements HttpCall {
     private final HttpRequest request;
     private final ByteBuf content;
@@ -824,6 +861,7 @@
         return;
       }
       channel.writeAndFlush(new DefaultHttpContent(bytes));
+      countAnswers();
       if (unwrittenBytes() > CallerBacklog.MAX_BYTES) {
         reset("backlog");
       }
@@ -869,6 +907,7 @@
         setConnection(r);
       }
       channel.writeAndFlush(last).addListener(f -> written());
+      countAnswers();
       current = null;
       lastActive = timers.nowMillis();
       release();
