Limit the connections at the relay port

What was seen: 600 connections to the port on which an entry relays connections of others, which send nothing, took 644 descriptors of 400.

Cause: the limit of 256 held for connections that name an instance; others were kept for 60 s, and kept an entry from ending its drain.

Change: a connection has a second to name an instance. Without room, the oldest that has not is closed. Only those that have count as relayed.

Evidence: idleConnectionsAtTheRelayPort of EntryCrowdTest failed before; CutOffEntryTest and EntryDrainTest hold.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayListener.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayListener.java
@@ -37,6 +37,12 @@
    */
   static final long IDLE_MILLIS = 60_000;
 
+  /**
+   * A connection that has not named an instance for this long is closed, in milliseconds; the other
+   * entry names it at once, and waits no longer for the answer.
+   */
+  static final long REQUEST_MILLIS = 1_000;
+
   private static final long SWEEP_MILLIS = 1_000;
 
   private final EventLoopGroup loop;
@@ -45,6 +51,11 @@
   private final Predicate<String> reaches;
   private final BooleanSupplier hasCapacity;
   private final int connectTimeoutMillis;
+  private final int maxConnections;
+
+  /** Connections that have not named an instance yet, in the order of their arrival. */
+  private final Set<RelayedConnection> unrequested = new LinkedHashSet<>();
+
   private final Set<RelayedConnection> connections = new LinkedHashSet<>();
   private long accepted;
   private boolean draining;
@@ -59,6 +70,7 @@
    * @param reaches whether this entry reaches an instance by itself, as far as it knows
    * @param hasCapacity whether this entry can take on work of others
    * @param connectTimeoutMillis the timeout for a connection to an instance, in milliseconds
+   * @param maxConnections the number of connections of other entries that may be open
    */
   public RelayListener(
       EventLoopGroup loop,
@@ -66,13 +78,15 @@
       Function<String, @Nullable InetSocketAddress> instances,
       Predicate<String> reaches,
       BooleanSupplier hasCapacity,
-      int connectTimeoutMillis) {
+      int connectTimeoutMillis,
+      int maxConnections) {
     this.loop = loop;
     this.timers = timers;
     this.instances = instances;
     this.reaches = reaches;
     this.hasCapacity = hasCapacity;
     this.connectTimeoutMillis = connectTimeoutMillis;
+    this.maxConnections = maxConnections;
   }
 
   /**
@@ -140,20 +154,34 @@
   }
 
   boolean mayRelay() {
-    return !draining && connections.size() < MAX_CONNECTIONS && hasCapacity.getAsBoolean();
+    int limit = Math.min(MAX_CONNECTIONS, maxConnections);
+    return !draining && connections.size() < limit && hasCapacity.getAsBoolean();
   }
 
+  /** Adds a connection; without room, one that has not named an instance is closed. */
   void opened(RelayedConnection c) {
+    unrequested.add(c);
+    if (connections.size() + unrequested.size() > maxConnections) {
+      RelayedConnection oldest = unrequested.iterator().next();
+      unrequested.remove(oldest);
+      oldest.close();
+    }
+  }
+
+  void requested(RelayedConnection c) {
+    unrequested.remove(c);
     accepted++;
     connections.add(c);
   }
 
   void closed(RelayedConnection c) {
+    unrequested.remove(c);
     connections.remove(c);
   }
 
   private void closeIdle() {
     long now = timers.nowMillis();
-    List.copyOf(connections).forEach(c -> c.closeIfIdle(now));
+    List.copyOf(unrequested).forEach(c -> c.closeIfIdle(now, REQUEST_MILLIS));
+    List.copyOf(connections).forEach(c -> c.closeIfIdle(now, IDLE_MILLIS));
   }
 }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayedConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/relay/RelayedConnection.java
@@ -41,8 +41,10 @@
 
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-    lastBytesAt = listener.timers().nowMillis();
     Channel to = instance;
+    if (requested) {
+      lastBytesAt = listener.timers().nowMillis();
+    }
     if (to != null) {
       to.writeAndFlush(in.readRetainedSlice(in.readableBytes()));
       return;
@@ -54,15 +56,19 @@
     String id = RelayFrames.readRequest(in);
     if (id != null) {
       requested = true;
-      connect(id);
+      lastBytesAt = listener.timers().nowMillis();
+      if (listener.mayRelay()) {
+        listener.requested(this);
+        connect(id);
+      } else {
+        refuse(id, RelayStatus.BUSY);
+      }
     }
   }
 
   private void connect(String id) {
     InetSocketAddress address = listener.address(id);
-    if (!listener.mayRelay()) {
-      refuse(id, RelayStatus.BUSY);
-    } else if (address == null) {
+    if (address == null) {
       refuse(id, RelayStatus.UNKNOWN_INSTANCE);
     } else if (!listener.reaches(id)) {
       refuse(id, RelayStatus.CUT_OFF);
@@ -127,12 +133,16 @@
     }
   }
 
-  void closeIfIdle(long now) {
-    if (now - lastBytesAt >= RelayListener.IDLE_MILLIS) {
+  void closeIfIdle(long now, long limitMillis) {
+    if (now - lastBytesAt >= limitMillis) {
       entry.close();
     }
   }
 
+  void close() {
+    entry.close();
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     Channel to = instance;
