Limit connections and unfinished messages at the port between processes

What was seen: 600 idle connections took 649 of 400 descriptors of a replica. Beside 150 connections with unfinished messages of 1 MB it answered nobody for 30 s; a message that arrives byte by byte never ended its connection.

Cause: no limit on connections, on the sum of unfinished messages (16 MB each) or on their age; a connection was read for up to 1 MB before the others, and each message was copied twice to the heap.

Change: IncomingConnections bounds all three. Who has never sent a whole message goes first; a process in touch is kept. Each read of an incoming connection ends its turn, and only the payload of a valid frame is copied.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameCodec.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/FrameCodec.java
@@ -15,6 +15,10 @@
 /** Encodes and decodes frames as MessagePack arrays of seven fields. */
 final class FrameCodec extends MessageToMessageCodec<ByteBuf, Frame> {
   private static final int FIELDS = 7;
+
+  /** More than the fields before the payload take, two names among them. */
+  private static final int MAX_HEADER_BYTES = 4 << 10;
+
   private static final FrameType[] TYPES = FrameType.values();
 
   @Override
@@ -36,7 +40,10 @@
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
       throws IOException {
-    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(ByteBufUtil.getBytes(in))) {
+    // Only the payload of a valid frame is copied as a whole: frames may be large.
+    int headerBytes = Math.min(MAX_HEADER_BYTES, in.readableBytes());
+    byte[] header = ByteBufUtil.getBytes(in, in.readerIndex(), headerBytes);
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(header)) {
       int fields = u.unpackArrayHeader();
       if (fields < FIELDS) {
         throw new EbonypondException(ErrorCode.FRAME_INVALID, fields + " fields");
@@ -55,7 +62,8 @@
         // The length comes from an untrusted sender and must not be allocated unchecked.
         throw new EbonypondException(ErrorCode.FRAME_INVALID, "payload of " + length + " bytes");
       }
-      byte[] payload = u.readPayload(length);
+      int start = in.readerIndex() + (int) u.getTotalReadBytes();
+      byte[] payload = ByteBufUtil.getBytes(in, start, length);
       out.add(new Frame(TYPES[type], from, channel, correlation, wall, counter, payload));
     }
   }
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/transport/PeerNetwork.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,12 +17,13 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.internal.PlatformDependent;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -42,8 +44,14 @@
  */
 public final class PeerNetwork implements Peers, AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(PeerNetwork.class);
-  private static final int MAX_FRAME_BYTES = 16 << 20;
-  private static final int LENGTH_BYTES = 4;
+
+  /** More connections than a process has peers, where no limit is given. */
+  private static final int DEFAULT_MAX_INCOMING = 4_096;
+
+  /** The part of the direct memory that unfinished frames of incoming connections may take. */
+  private static final int UNFINISHED_SHARE = 4;
+
+  private static final long SWEEP_MILLIS = 1_000;
   private static final byte[] NO_PAYLOAD = {};
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
@@ -104,7 +112,42 @@
    * @throws EbonypondException {@code settings-invalid} if the address cannot be bound
    */
   public void listen(InetSocketAddress address) {
-    listener = TcpListener.bind(loops, address, initializer(), "peer");
+    listen(address, DEFAULT_MAX_INCOMING);
+  }
+
+  /**
+   * Accepts a limited number of connections.
+   *
+   * @throws EbonypondException {@code settings-invalid} if the address cannot be bound
+   */
+  public void listen(InetSocketAddress address, int maxConnections) {
+    IncomingConnections incoming =
+        new IncomingConnections(
+            maxConnections, PlatformDependent.maxDirectMemory() / UNFINISHED_SHARE);
+    timers.every(SWEEP_MILLIS, () -> sweep(incoming));
+    listener = TcpListener.bind(loops, address, initializer(incoming), "peer");
+  }
+
+  private static void closeAll(List<Channel> connections, String reason) {
+    for (Channel c : connections) {
+      LOG.atDebug()
+          .addKeyValue("peer", String.valueOf(c.remoteAddress()))
+          .addKeyValue("reason", reason)
+          .log("incoming connection closed");
+      c.close();
+    }
+  }
+
+  /** Closes connections whose frames do not end, and logs in one line how many were closed. */
+  private void sweep(IncomingConnections incoming) {
+    closeAll(incoming.expire(timers.nowMillis()), "unfinished frame");
+    long closed = incoming.takeClosed();
+    if (closed > 0) {
+      LOG.atInfo()
+          .addKeyValue("closed", closed)
+          .addKeyValue("connections", incoming.size())
+          .log("incoming connections over the limits");
+    }
   }
 
   @Override
@@ -250,7 +293,7 @@
             .option(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                 new WriteBufferWaterMark(WRITE_BUFFER_BYTES / 2, WRITE_BUFFER_BYTES))
-            .handler(initializer())
+            .handler(initializer(null))
             .connect(to);
     f.addListener(
         done -> {
@@ -267,21 +310,39 @@
     return f.isDone() && !(f.isSuccess() && f.channel().isActive());
   }
 
-  private ChannelInitializer<SocketChannel> initializer() {
+  /**
+   * Returns the initializer of a connection.
+   *
+   * @param incoming the connections that others have opened; null for one to another process
+   */
+  private ChannelInitializer<SocketChannel> initializer(@Nullable IncomingConnections incoming) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel c) {
+        if (incoming != null) {
+          // After each read, the other connections have their turn.
+          c.config()
+              .setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1));
+          c.closeFuture().addListener(f -> incoming.remove(c));
+          Channel closed = incoming.add(c, timers.nowMillis());
+          closeAll(closed == null ? List.of() : List.of(closed), "too many connections");
+        }
         c.pipeline()
             .addLast(new ByteCounter())
-            .addLast(
-                new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-            .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+            .addLast(new FrameSplitter(bytes -> onUnfinished(incoming, c, bytes)))
+            .addLast(new LengthFieldPrepender(FrameSplitter.LENGTH_BYTES))
             .addLast(new FrameCodec())
-            .addLast(new Receiver());
+            .addLast(new Receiver(incoming));
       }
     };
   }
 
+  private void onUnfinished(@Nullable IncomingConnections incoming, Channel c, int bytes) {
+    if (incoming != null) {
+      closeAll(incoming.unfinished(c, bytes, timers.nowMillis()), "memory of unfinished frames");
+    }
+  }
+
   private void fail(long correlation, String reason) {
     PendingRequest request = pendingRequests.remove(correlation);
     if (request != null) {
@@ -372,9 +433,18 @@
   }
 
   private final class Receiver extends SimpleChannelInboundHandler<Frame> {
+    private final @Nullable IncomingConnections incoming;
+
+    Receiver(@Nullable IncomingConnections incoming) {
+      this.incoming = incoming;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Frame f) {
       long now = timers.nowMillis();
+      if (incoming != null) {
+        incoming.frameArrived(ctx.channel(), now);
+      }
       ctx.channel().attr(LAST_FRAME).set(now);
       SilenceLimit silence = silences.get(ctx.channel().remoteAddress());
       if (silence != null) {
