--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/HttpConnection.java
@@ -59,8 +59,8 @@
   /** A decoder keeps a buffer as long as the longest line; shorter ones are not counted. */
   private static final int COUNTED_LINE_BYTES = 1 << 10;
 
-  /** The head of a request may be larger than its fields by a request line and separators. */
-  private static final int HEAD_LIMITS = 2;
+  /** A head may be larger than its fields: by its request line and the separators of fields. */
+  private static final int MAX_HEAD_FACTOR = 2;
 
   /** The rate at which the body of a request must arrive on average, in bytes per second. */
   private static final int MIN_BODY_RATE = 1_000;
@@ -90,11 +90,23 @@
   private @Nullable Exchange current;
   private @Nullable HttpRequest head;
   private @Nullable ByteBuf body;
+
+  /** Memory for bodies that is reserved for the body being received, in bytes. */
   private long reservedBytes;
+
+  /** Memory for heads that is reserved for the request being received, in bytes. */
   private long headBytes;
+
+  /** Memory for heads that is reserved for the decoder's buffer of a line, in bytes. */
   private long lineBytes;
+
+  /** Memory for bodies that is reserved for input which is not decoded yet, in bytes. */
   private long inputBytes;
+
+  /** Memory for answers that is taken by those which the socket has not taken, in bytes. */
   private long answerBytes;
+
+  /** Bytes of the body that is dropped. */
   private long droppedBytes;
 
   /** When the caller last read a part of its answers, in milliseconds. */
@@ -189,7 +201,7 @@
 
   @Override
   public int maxHeadBytes() {
-    return (int) Math.min(maxLineBytes, (long) HEAD_LIMITS * limits.limits().maxHeaderBytes());
+    return (int) Math.min(maxLineBytes, (long) MAX_HEAD_FACTOR * limits.limits().maxHeaderBytes());
   }
 
   @Override
@@ -758,7 +770,10 @@
     private @Nullable Runnable onWritable;
     private boolean started;
     private boolean endsWithConnection;
+
+    /** Whether the connection ends after this answer, since others need its place. */
     private boolean leaves;
+
     private boolean done;
     private long contentBytes;
     private long decodedBytes;
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/RequestDecoder.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/http1/RequestDecoder.java
@@ -70,11 +70,22 @@
   private final HeadScanner scanner = new HeadScanner(RequestDecoder::unfold);
   private @Nullable ChannelHandlerContext context;
   private boolean inBody;
-  private boolean admitted;
+
+  /** Whether the next call of the base class decodes a head. */
+  private boolean headAdmitted;
+
+  /** Whether all further input is dropped. */
   private boolean failed;
+
+  /** Whether a complete head waits until the gate lets it be resumed. */
   private boolean waits;
+
+  /** Whether the other connections have their turn. */
   private boolean suspended;
+
+  /** Whether the next turn of this connection is scheduled. */
   private boolean resuming;
+
   private int headsOfTurn;
   private int partsOfTurn;
   private int emptyBytes;
@@ -213,20 +224,15 @@
     partsOfTurn++;
     int before = in.readableBytes();
     int first = out.size();
-    long startedNanos = headNanos();
+    long startedNanos = headAdmitted ? System.nanoTime() : 0;
     super.decode(ctx, in, out);
-    if (startedNanos != 0) {
-      admitted = false;
+    if (headAdmitted) {
+      headAdmitted = false;
       gate.decoded(System.nanoTime() - startedNanos);
     }
     track(in, out, first, before - in.readableBytes());
   }
 
-  /** Returns the time if a head is about to be decoded, or 0. */
-  private long headNanos() {
-    return admitted ? System.nanoTime() : 0;
-  }
-
   private boolean isHeadAdmitted(ByteBuf in, List<Object> out) {
     if (skipEmptyLines(in, out)) {
       return false;
@@ -254,7 +260,7 @@
       }
       default -> {
         headsOfTurn++;
-        admitted = true;
+        headAdmitted = true;
         inBody = true;
         emptyBytes = 0;
         bodyBytes = 0;
@@ -285,7 +291,7 @@
     return b == '\r' || b == '\n';
   }
 
-  /** Passes on a request that cannot be read. */
+  /** Drops the input and passes on a request that says why it could not be read. */
   private void refuse(ByteBuf in, List<Object> out, RuntimeException cause) {
     failed = true;
     in.skipBytes(in.readableBytes());
@@ -294,6 +300,7 @@
     out.add(m);
   }
 
+  /** Follows the state of the base class, which it does not show. */
   private void track(ByteBuf in, List<Object> out, int first, int consumed) {
     int content = 0;
     for (int i = first; i < out.size(); i++) {
