--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -85,7 +85,7 @@
             answer == null ? null : answer.outcome()));
   }
 
-  /** Names the rule by which {@link PlanningRound#isFree} holds for an instance. */
+  /** Names the rule by which {@link MemberRelease#isFree} holds for an instance. */
   private static FreeEvidence evidence(
       PlanningRound round, FleetInstance i, @Nullable LastGroup old) {
     if (old != null && old.hasLeft()) {
@@ -95,7 +95,7 @@
     if (g != null) {
       return evidence(round, i, g);
     }
-    return round.state.first || PlanningRound.isNew(i)
+    return round.state.first || MemberRelease.isNew(i)
         ? FreeEvidence.NEVER_IN_GROUP
         : FreeEvidence.WAITED_IN_TERM;
   }
@@ -104,7 +104,7 @@
     if (old.key().equals(round.state.confirmedLeft.get(old.head))) {
       return FreeEvidence.HEAD_ANSWERED_LEAVE;
     }
-    if (!round.isReleased(old)) {
+    if (!round.release.isReleased(old)) {
       return FreeEvidence.WAITED_AFTER_LEAVE;
     }
     FleetInstance h = round.instances.get(old.head);
@@ -123,8 +123,8 @@
     if (view == null || member == null || !member.id().equals(i.id())) {
       return FreeEvidence.PLACE_TAKEN;
     }
-    if (round.hasHeadLeft(view)) {
-      return round.hasHeadAnsweredLeave(view)
+    if (round.release.hasHeadLeft(view)) {
+      return round.release.hasHeadAnsweredLeave(view)
           ? FreeEvidence.HEAD_ANSWERED_LEAVE
           : FreeEvidence.HEAD_REPORTED_LEFT;
     }
@@ -136,8 +136,8 @@
   private static long waited(
       PlanningRound round, FleetInstance i, @Nullable LastGroup old, FreeEvidence evidence) {
     return switch (evidence) {
-      case WAITED_AFTER_LEAVE -> old == null ? -1 : round.waitedMillis(old);
-      case WAITED_IN_TERM -> round.unknownGroupMillis(i);
+      case WAITED_AFTER_LEAVE -> old == null ? -1 : round.release.waitedMillis(old);
+      case WAITED_IN_TERM -> round.release.unknownGroupMillis(i);
       default -> -1;
     };
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -38,9 +38,6 @@
   /** Added to that time, in milliseconds. */
   private static final long READY_TIMEOUT_MARGIN_MILLIS = 5_000;
 
-  /** In so few heartbeats an instance does not report that it joins, is ready and leaves again. */
-  private static final int MAX_MISSED_HEARTBEATS = 3;
-
   final PlannerState state;
   final EngineProfile engine;
   final Map<String, InstanceLoad> loads;
@@ -66,6 +63,9 @@
   /** The number of requests in flight at all groups of each model. */
   final Map<String, Integer> active = new HashMap<>();
 
+  /** Which instances may join another group. */
+  final MemberRelease release;
+
   private @Nullable GroupFormation formation;
 
   PlanningRound(
@@ -79,6 +79,7 @@
     this.loads = loads;
     this.beforeTraffic = beforeTraffic;
     this.now = now;
+    this.release = new MemberRelease(this);
   }
 
   void add(InstanceUpdate u) {
@@ -155,7 +156,7 @@
     if (status == MemberState.BROKEN) {
       return GroupDecision.Cause.of(GiveUpReason.BROKEN);
     }
-    if (hasHeadLeft(g)) {
+    if (release.hasHeadLeft(g)) {
       return departureOf(g);
     }
     for (FleetInstance m : g.members.values()) {
@@ -203,7 +204,7 @@
 
   private GroupDecision.Cause departureOf(GroupView g) {
     PlannerState.LeaveAnswer answer =
-        hasHeadAnsweredLeave(g) ? state.leaveAnswers.get(state.heads.get(g.key())) : null;
+        release.hasHeadAnsweredLeave(g) ? state.leaveAnswers.get(state.heads.get(g.key())) : null;
     return answer == null
         ? GroupDecision.Cause.of(GiveUpReason.HEAD_REPORTED_LEFT)
         : new GroupDecision.Cause(
@@ -238,7 +239,7 @@
    * the head confirms that it has left, the members leave, so that it finds them missing.
    */
   private void dissolve(GroupView g) {
-    if (hasHeadLeft(g) || !mayServe(g)) {
+    if (release.hasHeadLeft(g) || !release.mayServe(g)) {
       return;
     }
     g.members.values().forEach(m -> assigned.add(m.id()));
@@ -272,50 +273,6 @@
     }
   }
 
-  /**
-   * Returns whether the head of a group may serve, now or once a delayed order arrives. A head that
-   * does not report, because it has deregistered or was not heard of for long, may serve unless
-   * this leader formed the group and never opened it.
-   */
-  private boolean mayServe(GroupView g) {
-    MemberState status = g.headState();
-    if (status == MemberState.BROKEN) {
-      return false;
-    }
-    boolean mayHaveOpened =
-        status == MemberState.OPEN
-            || status == MemberState.CLOSING
-            || state.sentOrders.wasSent(FleetOrder.Kind.OPEN, g.name, g.epoch);
-    boolean wasFormedInTerm = state.sentOrders.wasSent(FleetOrder.Kind.JOIN, g.name, g.epoch);
-    // An order of an earlier leader may still reach a head that has reported that it does not
-    // serve.
-    boolean mayOpenLate = now - state.termStart < PlannerState.KEEP_ORDERS_MILLIS;
-    return mayHaveOpened || (!wasFormedInTerm && (status == null || mayOpenLate));
-  }
-
-  /**
-   * Returns whether the head has left the group, by its own report or its answer to the order. The
-   * group can no longer serve then, and its members are free.
-   */
-  boolean hasHeadLeft(GroupView g) {
-    String id = state.heads.get(g.key());
-    if (id == null) {
-      return false;
-    }
-    if (hasHeadAnsweredLeave(g)) {
-      return true;
-    }
-    FleetInstance h = instances.get(id);
-    // A deregistered instance may continue to serve for a while.
-    return h != null && h.phase() != InstancePhase.GONE && g.head() == null;
-  }
-
-  /** Returns whether the head has confirmed an order to leave. */
-  boolean hasHeadAnsweredLeave(GroupView g) {
-    String id = state.heads.get(g.key());
-    return id != null && g.key().equals(state.confirmedLeft.get(id));
-  }
-
   /**
    * Closes a group that has a draining member or makes room for another model, and dissolves it
    * once it no longer serves.
@@ -608,110 +565,7 @@
     if (now < state.avoidUntil.getOrDefault(i.id(), Long.MIN_VALUE)) {
       return false;
     }
-    LastGroup last = state.lastGroups.of(i.id());
-    if (last != null && last.hasLeft()) {
-      return isReleased(last) || hasWaitedSince(last);
-    }
-    GroupMembership g = i.group();
-    if (g != null) {
-      return !isInServingGroup(i, g);
-    }
-    return state.first || isNew(i) || hasWaitedSinceUnknownGroup(i);
-  }
-
-  /**
-   * Returns whether an instance reports a place in a group that may serve although another instance
-   * reports the same place; the members of other groups have been reviewed.
-   */
-  private boolean isInServingGroup(FleetInstance i, GroupMembership g) {
-    GroupView view = groups.get(GroupView.key(g.name(), g.epoch()));
-    FleetInstance member = view == null ? null : view.members.get(g.rank());
-    boolean isPlaceTaken = member != null && !member.id().equals(i.id());
-    return view != null && isPlaceTaken && !hasHeadLeft(view) && mayServe(view);
-  }
-
-  /**
-   * Returns whether an instance has sent so few heartbeats since its start that it was in no group.
-   */
-  static boolean isNew(FleetInstance i) {
-    return i.sequence() <= MAX_MISSED_HEARTBEATS;
-  }
-
-  /**
-   * Returns whether the head of a group that an instance may have left before this leader heard of
-   * it must have found it missing.
-   */
-  private boolean hasWaitedSinceUnknownGroup(FleetInstance i) {
-    return unknownGroupMillis(i) >= state.maxStallMillis();
-  }
-
-  /**
-   * Returns for how long the head of such a group may have missed an instance, in milliseconds. Any
-   * head in its domain that still reports that it serves, and lacks members, may be the one.
-   */
-  long unknownGroupMillis(FleetInstance i) {
-    long since = state.lastGroups.knownSince(i.id());
-    for (GroupView g : groups.values()) {
-      FleetInstance h = g.head();
-      boolean lacksMembers = h != null && !g.isComplete() && domainOf(h).equals(domainOf(i));
-      MemberState status = g.headState();
-      if (lacksMembers && (status == MemberState.OPEN || status == MemberState.CLOSING)) {
-        since = Math.max(since, now - ageOf(h));
-      }
-    }
-    return now - since;
-  }
-
-  /** Returns whether the head must have found an instance missing that left its group. */
-  boolean hasWaitedSince(LastGroup last) {
-    // The time of late orders is asked last because it takes a search of all orders sent.
-    return now - last.leftAt() >= state.maxStallMillis()
-        && waitedMillis(last) >= state.maxStallMillis();
-  }
-
-  /**
-   * Returns for how long the head of a group that an instance has left may have missed it, in
-   * milliseconds. A head that still reports that it serves may have stood still meanwhile, and one
-   * that has not reported it may execute the order to open the group later.
-   */
-  long waitedMillis(LastGroup last) {
-    long since = last.leftAt();
-    FleetInstance h = instances.get(last.head);
-    GroupMembership g = h == null ? null : h.group();
-    boolean reportsGroup = g != null && GroupView.key(g.name(), g.epoch()).equals(last.key());
-    if (reportsGroup && (g.state() == MemberState.OPEN || g.state() == MemberState.CLOSING)) {
-      since = Math.max(since, now - ageOf(h));
-    } else {
-      since = Math.max(since, lastOpening(last, reportsGroup));
-    }
-    return now - since;
-  }
-
-  /** Returns the latest time at which a group may open by an order that was not answered. */
-  private long lastOpening(LastGroup last, boolean isReported) {
-    Long unanswered = state.sentOrders.lastUnanswered(FleetOrder.Kind.OPEN, last.name, last.epoch);
-    if (unanswered != null) {
-      return unanswered + PlannerState.LATE_ORDER_MILLIS;
-    }
-    boolean wasFormedInTerm = state.sentOrders.wasSent(FleetOrder.Kind.JOIN, last.name, last.epoch);
-    return isReported && !wasFormedInTerm
-        ? state.termStart + PlannerState.LATE_ORDER_MILLIS
-        : Long.MIN_VALUE;
-  }
-
-  /** Returns whether the head of a group that an instance has left cannot serve it any more. */
-  boolean isReleased(LastGroup last) {
-    if (last.key().equals(state.confirmedLeft.get(last.head))) {
-      return true;
-    }
-    FleetInstance h = instances.get(last.head);
-    if (h == null || h.phase() == InstancePhase.GONE) {
-      return false;
-    }
-    GroupMembership g = h.group();
-    return g == null
-        || !GroupView.key(g.name(), g.epoch()).equals(last.key())
-        || g.state() == MemberState.BROKEN;
+    return release.isFree(i);
   }
 
   boolean isLost(FleetInstance i) {
