Keep the members of a group while late orders may open it again

Cause: once the head had confirmed the order to leave, or reported that it had left, its members and itself were free at once. Earlier attempts of the orders to join and to open the same group that had no answer may still be executed, up to 12 s later, and together they make the head serve the group again. SentOrders knew of these attempts; nothing asked for them once the head had left.

Change: a head that has left is believed only if it was seen outside the group after the last moment at which one of the two orders may be executed. Until then the members stay in the group, which is whole if the head opens it. Afterwards the head is asked to leave again, so that its answer ends the wait. A head that does not answer this order is asked to close the group, and its answer frees the members, too. Nothing waits unless both orders have an unanswered attempt. The leader logs "group kept for late orders".

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.ebonypond.fleet.FleetInstance;
 import org.ebonypond.fleet.FleetOrder;
 import org.ebonypond.fleet.FleetPlanner;
@@ -57,6 +58,8 @@
   private int lastPort;
   private long now;
   private long orders;
+  private Predicate<FleetOrder> unanswered = o -> false;
+  private final List<FleetOrder> withheld = new ArrayList<>();
 
   /**
    * Creates engines that have no weights staged and belong to no group.
@@ -198,6 +201,22 @@
     return engine(id).delays.containsKey(kind);
   }
 
+  /**
+   * Sets which orders get no answer and are kept until {@link #executeWithheld}.
+   *
+   * @param condition called once for each order
+   */
+  public void setUnanswered(Predicate<FleetOrder> condition) {
+    unanswered = condition;
+  }
+
+  /** Executes the orders that got no answer, were kept, and meet a condition. */
+  public void executeWithheld(Predicate<FleetOrder> condition) {
+    List<FleetOrder> late = withheld.stream().filter(condition).toList();
+    withheld.removeAll(late);
+    late.forEach(this::execute);
+  }
+
   /** Makes an engine execute an order, which an earlier leader sent, after a delay. */
   public void executeLate(FleetOrder order, long millis) {
     schedule(now + millis, () -> execute(order));
@@ -396,6 +415,11 @@
       schedule(arrival, () -> planner.answered(o, outcome, now));
       return;
     }
+    if (unanswered.test(o)) {
+      withheld.add(o);
+      schedule(now + ORDER_TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+      return;
+    }
     Long delay = e.delays.remove(o.kind());
     if (delay == null && random.nextDouble() < lostAnswerRate) {
       delay = 2_000L + random.nextInt(10_000);
--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/DecisionLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/DecisionLog.java
@@ -3,6 +3,7 @@
 import org.ebonypond.fleet.GroupDecision;
 import org.ebonypond.fleet.GroupDecision.GivenUp;
 import org.ebonypond.fleet.GroupDecision.Head;
+import org.ebonypond.fleet.GroupDecision.Held;
 import org.ebonypond.fleet.GroupDecision.Taken;
 import org.ebonypond.fleet.GroupDecision.TermStarted;
 import org.ebonypond.server.logging.LogMarkers;
@@ -25,6 +26,8 @@
       writeTerm(service, t);
     } else if (d instanceof GivenUp g) {
       writeGivenUp(g);
+    } else if (d instanceof Held h) {
+      writeHeld(h);
     } else if (d instanceof Taken t) {
       metrics.joined(t.evidence());
       writeTaken(t);
@@ -57,6 +60,17 @@
     addHead(line, g.head()).log("group given up");
   }
 
+  private static void writeHeld(Held h) {
+    LoggingEventBuilder line =
+        LOG.atInfo()
+            .addKeyValue("group", h.group())
+            .addKeyValue("epoch", h.epoch())
+            .addKeyValue("join_ms", h.joinMillis())
+            .addKeyValue("open_ms", h.openMillis())
+            .addKeyValue("left_ms", h.leftMillis());
+    addHead(line, h.head()).log("group kept for late orders");
+  }
+
   private static void writeTaken(Taken t) {
     LoggingEventBuilder line =
         LOG.atInfo()
--- /dev/null
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
@@ -0,0 +1,283 @@
+package org.ebonypond.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.ebonypond.junit.FakeFleet;
+import org.ebonypond.serving.EngineProfile;
+import org.ebonypond.serving.ModelProfile;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Orders without an answer that are executed after the group that they form has been given up. The
+ * fleet has just enough instances for another group after one has left.
+ */
+class LateOrderTest {
+  /** The longest time after which an order without an answer is executed, in milliseconds. */
+  private static final long MAX_LATE_MILLIS = 12_000;
+
+  /** Within this time the rest of a group serves again if nothing holds it back, in ms. */
+  private static final long REGROUP_MILLIS = 5_000;
+
+  private static final long STEP_MILLIS = 100;
+
+  private final FleetPlanner planner = newPlanner();
+
+  private static FleetPlanner newPlanner() {
+    return new FleetPlanner(
+        2 * FakeFleet.HEARTBEAT_MILLIS + 400,
+        FakeFleet.HEARTBEAT_MILLIS + 400,
+        FakeFleet.STALL_MILLIS,
+        new WeightLoadLimiter(5_000));
+  }
+
+  /** What ends the group. */
+  enum Ending {
+    DRAIN,
+    CRASH
+  }
+
+  static Stream<Arguments> endings() {
+    return Stream.of(Ending.values())
+        .flatMap(e -> Stream.of(2, 4).map(size -> Arguments.of(e, size)));
+  }
+
+  /** A group whose head has not answered some of the orders that formed it. */
+  private final class Group {
+    final FakeFleet fleet;
+    final List<GroupDecision> decisions = new ArrayList<>();
+    private final Set<FleetOrder.Kind> lost;
+    private List<String> members = List.of();
+    private long epoch;
+    private boolean losesLaterOrders = true;
+    private boolean hasLeft;
+    private boolean hasReopened;
+
+    /** When the first of these orders was sent, in milliseconds; -1 before. */
+    private long firstLostAt = -1;
+
+    private long lastLostAt;
+
+    Group(int size, FleetOrder.Kind... lost) {
+      this.lost = EnumSet.noneOf(FleetOrder.Kind.class);
+      this.lost.addAll(List.of(lost));
+      EngineProfile engine =
+          new EngineProfile(
+              18,
+              969_230,
+              6.07,
+              0.348,
+              0.007,
+              46_000,
+              5,
+              4,
+              300,
+              List.of(new ModelProfile("only", size, 1, 1, 1_600, 1_600)));
+      fleet = new FakeFleet(engine, 1, size + 1, 1);
+      fleet.setUnanswered(this::isLost);
+    }
+
+    /**
+     * Some of the orders that form the group are lost once; later, every order to leave but the
+     * first, and those to join another group until the head has opened this one again.
+     */
+    private boolean isLost(FleetOrder o) {
+      if (o.kind() == FleetOrder.Kind.JOIN && members.isEmpty()) {
+        members = o.members();
+        epoch = o.epoch();
+      }
+      if (members.isEmpty() || !o.instance().equals(head())) {
+        return false;
+      }
+      boolean isLost = o.epoch() == epoch && lost.remove(o.kind());
+      if (isLost) {
+        firstLostAt = firstLostAt < 0 ? fleet.now() : firstLostAt;
+        lastLostAt = fleet.now();
+      }
+      boolean isLater = hasLeft && losesLaterOrders;
+      isLost |= isLater && o.kind() == FleetOrder.Kind.LEAVE;
+      isLost |= isLater && o.kind() == FleetOrder.Kind.JOIN && !hasReopened;
+      hasLeft |= o.kind() == FleetOrder.Kind.LEAVE;
+      return isLost;
+    }
+
+    String head() {
+      return members.get(0);
+    }
+
+    void open() {
+      planner.startTerm(1, true, 4, 0);
+      run(() -> members.isEmpty() || !fleet.serves(head()));
+    }
+
+    /** Ends the group; returns once its head has left it. */
+    void end(Ending e) {
+      String last = members.get(members.size() - 1);
+      if (e == Ending.DRAIN) {
+        fleet.drain(last);
+      } else {
+        fleet.crash(last);
+      }
+      run(() -> !fleet.membersOf(head()).isEmpty());
+    }
+
+    /** Executes the late orders, so that the head opens the group again. */
+    void reopen() {
+      fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.JOIN && o.epoch() == epoch);
+      advance(300);
+      fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.OPEN);
+      advance(400);
+      assertEquals(members, fleet.membersOf(head()));
+      hasReopened = true;
+    }
+
+    void run(BooleanSupplier condition) {
+      long end = fleet.now() + 60_000;
+      while (condition.getAsBoolean()) {
+        assertTrue(fleet.now() < end, "the group does not change");
+        advance(STEP_MILLIS);
+      }
+    }
+
+    void advance(long millis) {
+      for (long left = millis; left > 0; left -= STEP_MILLIS) {
+        fleet.run(planner, STEP_MILLIS, false);
+        decisions.addAll(planner.decisions());
+      }
+    }
+
+    /** Advances the time until another group serves; returns how long that took, in ms. */
+    long awaitNextGroup() {
+      final long since = fleet.now();
+      run(
+          () -> {
+            String h = fleet.head("only");
+            return h == null || !fleet.serves(h) || epochOf(h) == epoch;
+          });
+      return fleet.now() - since;
+    }
+
+    private long epochOf(String id) {
+      FleetInstance i = fleet.table().get(id);
+      assertNotNull(i);
+      GroupMembership g = i.group();
+      return g == null ? 0 : g.epoch();
+    }
+  }
+
+  private static Group openedGroup(LateOrderTest test, int size, FleetOrder.Kind... lost) {
+    Group g = test.new Group(size, lost);
+    g.open();
+    return g;
+  }
+
+  /**
+   * Guards against members that are given away while late orders may open their group again; its
+   * head then takes the repeated order to join the next one.
+   */
+  @ParameterizedTest
+  @MethodSource("endings")
+  void membersWaitWhileLateOrdersMayReopenTheirGroup(Ending e, int size) {
+    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.end(e);
+    g.advance(1_500);
+    g.reopen();
+    g.advance(15_000);
+    assertEquals(List.of(), g.fleet.violations());
+  }
+
+  /**
+   * Guards against a first order to join the next group that is executed once late orders have
+   * opened the old group again.
+   */
+  @ParameterizedTest
+  @MethodSource("endings")
+  void lateJoinOfNextGroupIsNotExecutedInReopenedOne(Ending e, int size) {
+    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.end(e);
+    g.advance(1_500);
+    g.reopen();
+    g.fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.JOIN);
+    g.advance(15_000);
+    assertEquals(List.of(), g.fleet.violations());
+  }
+
+  /**
+   * Guards against a group whose members stay unused because its head, which has opened it again,
+   * does not answer the orders to leave.
+   */
+  @ParameterizedTest
+  @MethodSource("endings")
+  void membersOfReopenedGroupServeAgain(Ending e, int size) {
+    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.end(e);
+    g.advance(1_500);
+    g.reopen();
+    g.awaitNextGroup();
+    long late = g.fleet.now() - g.lastLostAt - MAX_LATE_MILLIS;
+    assertTrue(late <= REGROUP_MILLIS, "serves " + late + " ms after the last late order");
+    assertEquals(List.of(), g.fleet.violations());
+  }
+
+  /** Guards against members that wait for longer than the orders of their head may be late. */
+  @ParameterizedTest
+  @MethodSource("endings")
+  void membersWaitNoLongerThanOrdersMayBeLate(Ending e, int size) {
+    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.losesLaterOrders = false;
+    g.end(e);
+    g.awaitNextGroup();
+    long late = g.fleet.now() - g.firstLostAt - MAX_LATE_MILLIS;
+    assertTrue(late <= REGROUP_MILLIS, "serves " + late + " ms after the first late order");
+  }
+
+  /**
+   * Guards against members that wait although their head has answered one of the two orders that
+   * open the group again only together.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = FleetOrder.Kind.class,
+      names = {"JOIN", "OPEN"})
+  void oneUnansweredOrderHoldsNoMemberBack(FleetOrder.Kind lost) {
+    for (int size : new int[] {2, 4}) {
+      Group g = openedGroup(this, size, lost);
+      g.losesLaterOrders = false;
+      g.end(Ending.DRAIN);
+      long took = g.awaitNextGroup();
+      assertTrue(took <= REGROUP_MILLIS, "serves after " + took + " ms");
+    }
+  }
+
+  /** Guards against a log that does not tell why the rest of a group waits. */
+  @Test
+  void heldGroupIsReportedOnceWithTheAgeOfItsOrders() {
+    Group g = openedGroup(this, 4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.losesLaterOrders = false;
+    g.end(Ending.DRAIN);
+    g.advance(5_000);
+    List<GroupDecision.Held> held =
+        g.decisions.stream()
+            .filter(GroupDecision.Held.class::isInstance)
+            .map(GroupDecision.Held.class::cast)
+            .toList();
+    assertEquals(1, held.size(), held.toString());
+    GroupDecision.Held h = held.get(0);
+    assertEquals(g.epoch, h.epoch());
+    assertEquals(g.head(), h.head().id());
+    assertEquals("LEFT", h.head().state());
+    assertTrue(h.openMillis() > 0 && h.joinMillis() > h.openMillis(), h.toString());
+    assertEquals(MAX_LATE_MILLIS - h.joinMillis(), h.leftMillis());
+  }
+}
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +13,7 @@
 final class DecisionRecorder {
   private final List<GroupDecision> decisions = new ArrayList<>();
   private final Map<String, Set<GiveUpReason>> reported = new HashMap<>();
+  private final Set<String> held = new HashSet<>();
   private long reportedTerm = -1;
 
   /** Returns the decisions of the latest round. */
@@ -22,6 +24,7 @@
   /** Forgets what was known in an earlier term. */
   void startTerm() {
     reported.clear();
+    held.clear();
   }
 
   /** Starts a round. */
@@ -32,6 +35,7 @@
   /** Records the input of a round; called before anything is decided. */
   void observe(PlanningRound round) {
     reported.keySet().retainAll(round.groups.keySet());
+    held.retainAll(round.groups.keySet());
     if (reportedTerm != round.state.term) {
       reportedTerm = round.state.term;
       decisions.add(termStarted(round));
@@ -62,13 +66,28 @@
     }
   }
 
+  /** Records that a group keeps its members until its head executes no late orders any more. */
+  void held(PlanningRound round, GroupView g, LateOrders late) {
+    if (held.add(g.key())) {
+      String head = round.state.heads.getOrDefault(g.key(), "");
+      decisions.add(
+          new GroupDecision.Held(
+              g.name,
+              g.epoch,
+              headOf(round, g.name, g.epoch, head),
+              late.unansweredMillis(FleetOrder.Kind.JOIN, head, g.name, g.epoch, round.now),
+              late.unansweredMillis(FleetOrder.Kind.OPEN, head, g.name, g.epoch, round.now),
+              late.reopenableUntil(head, g.name, g.epoch) - round.now));
+    }
+  }
+
   /** Records that a free instance is to join a new group. */
   void taken(PlanningRound round, PlannedGroup p, FleetInstance i) {
     LastGroup old = round.state.lastGroups.of(i.id());
     FreeEvidence evidence = evidence(round, i, old);
     PlannerState.LeaveAnswer answer =
         evidence == FreeEvidence.HEAD_ANSWERED_LEAVE && old != null
-            ? round.state.leaveAnswers.get(old.head)
+            ? round.state.confirmedLeft.get(old.head)
             : null;
     decisions.add(
         new GroupDecision.Taken(
@@ -101,16 +120,20 @@
   }
 
   private static FreeEvidence evidence(PlanningRound round, LastGroup old) {
-    if (old.key().equals(round.state.confirmedLeft.get(old.head))) {
-      return FreeEvidence.HEAD_ANSWERED_LEAVE;
-    }
     if (!round.release.isReleased(old)) {
       return FreeEvidence.WAITED_AFTER_LEAVE;
     }
+    if (round.state.hasConfirmedLeft(old.head, old.key())) {
+      return FreeEvidence.HEAD_ANSWERED_LEAVE;
+    }
     FleetInstance h = round.instances.get(old.head);
     GroupMembership g = h == null ? null : h.group();
-    boolean broken = g != null && GroupView.key(g.name(), g.epoch()).equals(old.key());
-    return broken ? FreeEvidence.HEAD_BROKEN : FreeEvidence.HEAD_REPORTED_LEFT;
+    if (g == null || !GroupView.key(g.name(), g.epoch()).equals(old.key())) {
+      return FreeEvidence.HEAD_REPORTED_LEFT;
+    }
+    return g.state() == MemberState.BROKEN
+        ? FreeEvidence.HEAD_BROKEN
+        : FreeEvidence.HEAD_ANSWERED_CLOSE;
   }
 
   private static FreeEvidence evidence(PlanningRound round, FleetInstance i, GroupMembership g) {
@@ -128,8 +151,11 @@
           ? FreeEvidence.HEAD_ANSWERED_LEAVE
           : FreeEvidence.HEAD_REPORTED_LEFT;
     }
-    return view.headState() == MemberState.BROKEN
-        ? FreeEvidence.HEAD_BROKEN
+    if (view.headState() == MemberState.BROKEN) {
+      return FreeEvidence.HEAD_BROKEN;
+    }
+    return round.release.isClosedForGood(view)
+        ? FreeEvidence.HEAD_ANSWERED_CLOSE
         : FreeEvidence.NEVER_OPENED;
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -12,7 +12,8 @@
  * <p>A member may join another group only once the head of its old group can no longer serve: the
  * head reported so, confirmed that it left the group, or has been without this member for at least
  * the time after which a head detects a missing member. That time starts anew with each report of
- * the head that it serves, and when an unanswered order to open the group may be executed.
+ * the head that it serves, and when an unanswered order to open the group may be executed. A head
+ * that has left is not believed while unanswered orders may make it join and open the group again.
  */
 public final class FleetPlanner {
   /** How long a new leader waits for heartbeats to arrive before it plans, in milliseconds. */
@@ -63,7 +64,7 @@
     state.planned.clear();
     state.lastGroups.clear();
     state.confirmedLeft.clear();
-    state.leaveAnswers.clear();
+    state.closedAt.clear();
     state.decisions.startTerm();
     state.heads.clear();
     state.incompleteSince.clear();
@@ -120,13 +121,13 @@
         round.add(u);
       }
     }
-    state.leaveAnswers.keySet().retainAll(state.confirmedLeft.keySet());
     round.recordLastGroups();
     state.decisions.observe(round);
     state.incompleteSince.keySet().retainAll(round.groups.keySet());
     state.progressAt.keySet().retainAll(round.groups.keySet());
     state.heads.keySet().retainAll(round.groups.keySet());
     state.retiring.keySet().retainAll(round.groups.keySet());
+    state.closedAt.keySet().retainAll(round.groups.keySet());
     round.reviewGroups();
     round.reviewPlans();
     if (!beforeTraffic || hasSettled(round.instances.size(), now)) {
@@ -157,9 +158,17 @@
     boolean absent = outcome == OrderOutcome.MISDIRECTED || outcome == OrderOutcome.REFUSED;
     // Any other answer says nothing of the group: an instance that serves may refuse connections.
     if (order.kind() == FleetOrder.Kind.LEAVE && done) {
-      state.confirmedLeft.put(order.instance(), GroupView.key(order.group(), order.epoch()));
+      String key = GroupView.key(order.group(), order.epoch());
+      long sentAt = state.sentOrders.answeredAttemptAt(order, now);
+      state.confirmedLeft.put(
+          order.instance(), new PlannerState.LeaveAnswer(key, outcome, sentAt, now));
       state.lastGroups.confirmLeft(order.instance(), order.group(), order.epoch(), now);
-      state.leaveAnswers.put(order.instance(), new PlannerState.LeaveAnswer(outcome, now));
+    }
+    boolean closes = order.kind() == FleetOrder.Kind.CLOSE || order.kind() == FleetOrder.Kind.CUT;
+    if (closes && outcome == OrderOutcome.HOLDS) {
+      state.closedAt.put(
+          GroupView.key(order.group(), order.epoch()),
+          state.sentOrders.answeredAttemptAt(order, now));
     }
     if (order.kind() == FleetOrder.Kind.STAGE && !done) {
       // An unanswered order may be executed much later, or never.
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FreeEvidence.java
@@ -12,6 +12,8 @@
   HEAD_REPORTED_LEFT,
   /** The head has confirmed an order to leave. */
   HEAD_ANSWERED_LEAVE,
+  /** The head has confirmed that the group is closed, and no order can open it any more. */
+  HEAD_ANSWERED_CLOSE,
   /** The head reports that the group is broken. */
   HEAD_BROKEN,
   /** This leader formed the group and never opened it, or none can open it any more. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupDecision.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupDecision.java
@@ -29,6 +29,22 @@
    */
   record GivenUp(String group, long epoch, Head head, Cause cause) implements GroupDecision {}
 
+  /**
+   * A group that was given up keeps its members for now, because its head, which has left it, may
+   * join and open it again by orders without an answer. Reported once for each group.
+   *
+   * @param group the name of the group
+   * @param epoch its epoch
+   * @param head what is known of its head
+   * @param joinMillis the time since the last unanswered order to join was sent to the head, in
+   *     milliseconds
+   * @param openMillis the same for the order to open the group
+   * @param leftMillis how long one of the two may still be executed, in milliseconds
+   */
+  record Held(
+      String group, long epoch, Head head, long joinMillis, long openMillis, long leftMillis)
+      implements GroupDecision {}
+
   /**
    * An instance is ordered to join a new group. Reported once, also if the order is repeated.
    *
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
@@ -1,5 +1,7 @@
 package org.ebonypond.fleet;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Decides in one planning round which instances may join another group: those whose old group
  * cannot serve any more.
@@ -10,10 +12,12 @@
 
   private final PlanningRound round;
   private final PlannerState state;
+  private final LateOrders lateOrders;
 
-  MemberRelease(PlanningRound round) {
+  MemberRelease(PlanningRound round, LateOrders lateOrders) {
     this.round = round;
     this.state = round.state;
+    this.lateOrders = lateOrders;
   }
 
   /**
@@ -40,6 +44,9 @@
   boolean mayServe(GroupView g) {
     MemberState status = g.headState();
     if (status == MemberState.BROKEN) {
+      return mayReopen(state.heads.get(g.key()), g.name, g.epoch);
+    }
+    if (isClosedForGood(g)) {
       return false;
     }
     boolean mayHaveOpened =
@@ -53,10 +60,74 @@
     return mayHaveOpened || (!wasFormedInTerm && (status == null || mayOpenLate));
   }
 
+  /** Returns whether a group cannot serve any more, so that its members are free. */
+  boolean isEnded(GroupView g) {
+    return hasHeadLeft(g) ? !mayReopen(state.heads.get(g.key()), g.name, g.epoch) : !mayServe(g);
+  }
+
+  /**
+   * Returns whether a head that has left a group, or reports it as broken, may join and open it
+   * again by orders that it did not answer.
+   */
+  boolean mayReopen(String head, String group, long epoch) {
+    long until = lateOrders.reopenableUntil(head, group, epoch);
+    return until != LateOrders.NEVER && lastOutside(head, group, epoch) < until;
+  }
+
   /**
-   * Returns whether the head has left the group, by its own report or its answer to the order. The
-   * group can no longer serve then, and its members are free.
+   * Returns the latest time at which a head is known not to have been in a sound group, in
+   * milliseconds. An instance that has joined a later group rejects orders to join an earlier one.
    */
+  private long lastOutside(String head, String group, long epoch) {
+    String key = GroupView.key(group, epoch);
+    PlannerState.LeaveAnswer answer = state.confirmedLeft.get(head);
+    long at = answer != null && answer.groupKey().equals(key) ? answer.sentAt() : Long.MIN_VALUE;
+    FleetInstance h = round.instances.get(head);
+    if (h == null || h.phase() == InstancePhase.GONE) {
+      return at;
+    }
+    GroupMembership g = h.group();
+    if (g != null && g.epoch() > epoch) {
+      return Long.MAX_VALUE;
+    }
+    return isSoundIn(g, key) ? at : Math.max(at, round.now - round.ageOf(h));
+  }
+
+  private static boolean isSoundIn(@Nullable GroupMembership g, String key) {
+    return g != null
+        && GroupView.key(g.name(), g.epoch()).equals(key)
+        && g.state() != MemberState.BROKEN;
+  }
+
+  /**
+   * Returns whether a head that reports that it does not serve has confirmed this after the last
+   * time at which an order to open the group could take effect.
+   */
+  private boolean isClosedForGood(@Nullable FleetInstance h, String group, long epoch) {
+    GroupMembership g = h == null ? null : h.group();
+    Long closedAt = state.closedAt.get(GroupView.key(group, epoch));
+    return g != null
+        && closedAt != null
+        && isSoundIn(g, GroupView.key(group, epoch))
+        && g.state() != MemberState.OPEN
+        && g.state() != MemberState.CLOSING
+        && closedAt >= openedBy(h.id(), group, epoch);
+  }
+
+  /** Returns whether no order can open a group any more that its head has confirmed as closed. */
+  boolean isClosedForGood(GroupView g) {
+    return isClosedForGood(g.head(), g.name, g.epoch);
+  }
+
+  /** Returns by when the orders to open a group must have taken effect, in milliseconds. */
+  long openedBy(String head, String group, long epoch) {
+    long until = lateOrders.openableUntil(head, group, epoch);
+    Long accepted = state.sentOrders.lastAccepted(FleetOrder.Kind.OPEN, head, group, epoch);
+    long last = accepted == null ? until : Math.max(until, accepted);
+    return last == LateOrders.NEVER ? last : last + round.engine.openMillis();
+  }
+
+  /** Returns whether the head has left the group, by its own report or its answer to the order. */
   boolean hasHeadLeft(GroupView g) {
     String id = state.heads.get(g.key());
     if (id == null) {
@@ -73,7 +144,7 @@
   /** Returns whether the head has confirmed an order to leave. */
   boolean hasHeadAnsweredLeave(GroupView g) {
     String id = state.heads.get(g.key());
-    return id != null && g.key().equals(state.confirmedLeft.get(id));
+    return state.hasConfirmedLeft(id, g.key());
   }
 
   /**
@@ -84,7 +155,7 @@
     GroupView view = round.groups.get(GroupView.key(g.name(), g.epoch()));
     FleetInstance member = view == null ? null : view.members.get(g.rank());
     boolean isPlaceTaken = member != null && !member.id().equals(i.id());
-    return view != null && isPlaceTaken && !hasHeadLeft(view) && mayServe(view);
+    return view != null && isPlaceTaken && !isEnded(view);
   }
 
   /**
@@ -159,16 +230,14 @@
 
   /** Returns whether the head of a group that an instance has left cannot serve it any more. */
   boolean isReleased(LastGroup last) {
-    if (last.key().equals(state.confirmedLeft.get(last.head))) {
-      return true;
-    }
     FleetInstance h = round.instances.get(last.head);
-    if (h == null || h.phase() == InstancePhase.GONE) {
-      return false;
+    boolean reports = h != null && h.phase() != InstancePhase.GONE;
+    if (reports && isClosedForGood(h, last.name, last.epoch)) {
+      return true;
     }
-    GroupMembership g = h.group();
-    return g == null
-        || !GroupView.key(g.name(), g.epoch()).equals(last.key())
-        || g.state() == MemberState.BROKEN;
+    boolean hasLeft =
+        state.hasConfirmedLeft(last.head, last.key())
+            || (reports && !isSoundIn(h.group(), last.key()));
+    return hasLeft && !mayReopen(last.head, last.name, last.epoch);
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The state that a planner keeps between rounds. What concerns instances and groups is cleared at
@@ -48,11 +49,11 @@
   /** The time until which an instance is not used, because it did not answer orders. */
   final Map<String, Long> avoidUntil = new HashMap<>();
 
-  /** The group and epoch that each instance confirmed it has left. */
-  final Map<String, String> confirmedLeft = new HashMap<>();
+  /** The answer by which each instance confirmed that it has left a group. */
+  final Map<String, LeaveAnswer> confirmedLeft = new HashMap<>();
 
-  /** The answers by which instances count as having left a group; for the log only. */
-  final Map<String, LeaveAnswer> leaveAnswers = new HashMap<>();
+  /** When heads were last ordered to close a group that was closed then, by group and epoch. */
+  final Map<String, Long> closedAt = new HashMap<>();
 
   /** The decisions of the latest round. */
   final DecisionRecorder decisions = new DecisionRecorder();
@@ -97,13 +98,21 @@
     return stallMillis + STALL_MARGIN_MILLIS;
   }
 
+  /** Returns whether an instance has confirmed that it left a group. */
+  boolean hasConfirmedLeft(@Nullable String instance, String groupKey) {
+    LeaveAnswer a = instance == null ? null : confirmedLeft.get(instance);
+    return a != null && a.groupKey().equals(groupKey);
+  }
+
   /**
    * An answer to {@link FleetOrder.Kind#LEAVE}.
    *
+   * @param groupKey the group and epoch
    * @param outcome the outcome
+   * @param sentAt the time at which the order was sent, in milliseconds
    * @param at the time of the answer, in milliseconds
    */
-  record LeaveAnswer(OrderOutcome outcome, long at) {}
+  record LeaveAnswer(String groupKey, OrderOutcome outcome, long sentAt, long at) {}
 
   /**
    * An ordered load that stages a model on a host.
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -66,6 +66,8 @@
   /** Which instances may join another group. */
   final MemberRelease release;
 
+  private final LateOrders lateOrders;
+
   private @Nullable GroupFormation formation;
 
   PlanningRound(
@@ -79,7 +81,8 @@
     this.loads = loads;
     this.beforeTraffic = beforeTraffic;
     this.now = now;
-    this.release = new MemberRelease(this);
+    this.lateOrders = new LateOrders(state);
+    this.release = new MemberRelease(this, lateOrders);
   }
 
   void add(InstanceUpdate u) {
@@ -95,8 +98,7 @@
     if (g.rank() == 0) {
       state.heads.put(GroupView.key(g.name(), g.epoch()), i.id());
     }
-    if (parsedName == null
-        || GroupView.key(g.name(), g.epoch()).equals(state.confirmedLeft.get(i.id()))) {
+    if (parsedName == null || state.hasConfirmedLeft(i.id(), GroupView.key(g.name(), g.epoch()))) {
       return;
     }
     groups
@@ -204,7 +206,7 @@
 
   private GroupDecision.Cause departureOf(GroupView g) {
     PlannerState.LeaveAnswer answer =
-        release.hasHeadAnsweredLeave(g) ? state.leaveAnswers.get(state.heads.get(g.key())) : null;
+        release.hasHeadAnsweredLeave(g) ? state.confirmedLeft.get(state.heads.get(g.key())) : null;
     return answer == null
         ? GroupDecision.Cause.of(GiveUpReason.HEAD_REPORTED_LEFT)
         : new GroupDecision.Cause(
@@ -239,10 +241,13 @@
    * the head confirms that it has left, the members leave, so that it finds them missing.
    */
   private void dissolve(GroupView g) {
-    if (release.hasHeadLeft(g) || !release.mayServe(g)) {
+    if (release.isEnded(g)) {
       return;
     }
     g.members.values().forEach(m -> assigned.add(m.id()));
+    if (release.hasHeadLeft(g) && keepUntilOrdersExpire(g)) {
+      return;
+    }
     FleetInstance head = g.head();
     if (head != null && !isLost(head)) {
       FleetOrder o = leave(head, g);
@@ -251,6 +256,11 @@
       if (latest == null || latest == OrderOutcome.FENCED) {
         return;
       }
+      boolean serves = g.headState() == MemberState.OPEN || g.headState() == MemberState.CLOSING;
+      if (!serves && now >= release.openedBy(head.id(), g.name, g.epoch)) {
+        // The answer frees the members although the head has not confirmed that it left.
+        order(FleetOrder.Kind.CLOSE, head, g.name, g.epoch, "", List.of());
+      }
     }
     withdrawOpenOrder(g);
     for (FleetInstance m : g.members.values()) {
@@ -260,6 +270,26 @@
     }
   }
 
+  /**
+   * Keeps the members of a group in place, whose head has left and may open it again by late
+   * orders: the group is whole then, and is given up in the same way as before. Once no order can
+   * be executed any more, the head is asked to leave again, so that its answer ends the wait.
+   *
+   * @return whether the head can still be heard
+   */
+  private boolean keepUntilOrdersExpire(GroupView g) {
+    String id = state.heads.getOrDefault(g.key(), "");
+    FleetInstance head = instances.get(id);
+    if (head == null || isLost(head)) {
+      return false;
+    }
+    state.decisions.held(this, g, lateOrders);
+    if (now >= lateOrders.reopenableUntil(id, g.name, g.epoch)) {
+      sendIfDue(leave(head, g));
+    }
+    return true;
+  }
+
   /**
    * Makes a deregistered head leave its group if it has not confirmed the order to open it, which
    * it may execute much later.
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
@@ -23,6 +23,8 @@
     Sent next = new Sent(o, now);
     next.attempts = s == null ? 1 : s.attempts + 1;
     next.earlierUnanswered = s == null ? null : s.lastUnanswered();
+    next.acceptedAt = s == null ? null : s.acceptedAt;
+    next.answerableSince = s == null || s.outcome != null ? now : s.answerableSince;
     sent.put(key(o), next);
     return true;
   }
@@ -32,6 +34,7 @@
     Sent s = sent.get(key(o));
     if (s != null) {
       s.outcome = outcome;
+      s.acceptedAt = outcome == OrderOutcome.ACCEPTED ? (Long) now : s.acceptedAt;
       s.repeatAt = now + (outcome == OrderOutcome.CONFLICT ? REPEAT_MILLIS / 5 : REPEAT_MILLIS);
     }
   }
@@ -42,6 +45,15 @@
     return s == null ? null : s.outcome;
   }
 
+  /**
+   * Returns when an order was sent that has just been answered, in milliseconds; an answer may be
+   * to an attempt before the latest one.
+   */
+  long answeredAttemptAt(FleetOrder o, long now) {
+    Sent s = sent.get(key(o));
+    return s == null ? now : s.answerableSince;
+  }
+
   /** Returns how often an order was sent. */
   int attempts(FleetOrder o) {
     Sent s = sent.get(key(o));
@@ -65,6 +77,21 @@
                     && (s.outcome == null || s.outcome == OrderOutcome.UNKNOWN));
   }
 
+  /**
+   * Returns when an order of a kind was last sent to an instance without an answer, or {@code null}
+   * if all were answered. An earlier attempt may be executed although a later one was answered.
+   */
+  @Nullable Long lastUnanswered(FleetOrder.Kind kind, String instance, String group, long epoch) {
+    Sent s = sent.get(key(kind, instance, group, epoch));
+    return s == null ? null : s.lastUnanswered();
+  }
+
+  /** Returns when an order of a kind was last accepted by an instance, or null. */
+  @Nullable Long lastAccepted(FleetOrder.Kind kind, String instance, String group, long epoch) {
+    Sent s = sent.get(key(kind, instance, group, epoch));
+    return s == null ? null : s.acceptedAt;
+  }
+
   /**
    * Returns when an order of a kind was last sent to a member of a group without an answer, or
    * {@code null} if all were answered. An earlier attempt may be executed although a later one was
@@ -106,7 +133,11 @@
 
   private static String key(FleetOrder o) {
     String subject = o.kind() == FleetOrder.Kind.STAGE ? o.model() : o.group();
-    return o.kind() + "/" + o.instance() + "/" + subject + "/" + o.epoch();
+    return key(o.kind(), o.instance(), subject, o.epoch());
+  }
+
+  private static String key(FleetOrder.Kind kind, String instance, String subject, long epoch) {
+    return kind + "/" + instance + "/" + subject + "/" + epoch;
   }
 
   private static final class Sent {
@@ -116,6 +147,12 @@
     @Nullable OrderOutcome outcome;
     long repeatAt;
 
+    /** When the earliest attempt was sent that the next answer may be to. */
+    long answerableSince;
+
+    /** When an attempt was last accepted, or null. */
+    @Nullable Long acceptedAt;
+
     /** When the last earlier attempt without an answer was sent, or null. */
     @Nullable Long earlierUnanswered;
 
