Believe a head that reports a group again after it has confirmed that it left

Callers saw requests hang at a head that served again while the leader planned with it as a free instance.

Cause: a report of the group that an instance had confirmed to have left was always taken for a heartbeat that is older than the answer. One that comes from an instance which has joined the group again looks the same, and was dropped for as long as the instance reported it.

Change: the two are told apart by time. An instance that gets no acknowledgement within a second sends another heartbeat, so a report that arrives later than that after the answer was sent after it. The sequence numbers cannot tell them apart: the leader does not know the number at which the instance left. The earlier answer no longer holds then, and the order to leave is sent anew. The leader logs "instance returned to a group that it had left" with the age of the unanswered orders.

--- a/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/DecisionLog.java
+++ b/org.ebonypond.server/src/main/java/org/ebonypond/server/fleet/DecisionLog.java
@@ -4,6 +4,7 @@
 import org.ebonypond.fleet.GroupDecision.GivenUp;
 import org.ebonypond.fleet.GroupDecision.Head;
 import org.ebonypond.fleet.GroupDecision.Held;
+import org.ebonypond.fleet.GroupDecision.Returned;
 import org.ebonypond.fleet.GroupDecision.Taken;
 import org.ebonypond.fleet.GroupDecision.TermStarted;
 import org.ebonypond.server.logging.LogMarkers;
@@ -28,6 +29,8 @@
       writeGivenUp(g);
     } else if (d instanceof Held h) {
       writeHeld(h);
+    } else if (d instanceof Returned r) {
+      writeReturned(r);
     } else if (d instanceof Taken t) {
       metrics.joined(t.evidence());
       writeTaken(t);
@@ -71,6 +74,17 @@
     addHead(line, h.head()).log("group kept for late orders");
   }
 
+  private static void writeReturned(Returned r) {
+    LOG.atInfo()
+        .addKeyValue("instance", r.instance())
+        .addKeyValue("group", r.group())
+        .addKeyValue("epoch", r.epoch())
+        .addKeyValue("left_ms", r.leftMillis())
+        .addKeyValue("join_ms", r.joinMillis())
+        .addKeyValue("open_ms", r.openMillis())
+        .log("instance returned to a group that it had left");
+  }
+
   private static void writeTaken(Taken t) {
     LoggingEventBuilder line =
         LOG.atInfo()
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
@@ -56,7 +56,7 @@
   /** A group whose head has not answered some of the orders that formed it. */
   private final class Group {
     final FakeFleet fleet;
-    final List<GroupDecision> decisions = new ArrayList<>();
+    private final List<GroupDecision> decisions = new ArrayList<>();
     private final Set<FleetOrder.Kind> lost;
     private List<String> members = List.of();
     private long epoch;
@@ -150,6 +150,10 @@
       }
     }
 
+    <T extends GroupDecision> List<T> decisions(Class<T> type) {
+      return decisions.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
     void advance(long millis) {
       for (long left = millis; left > 0; left -= STEP_MILLIS) {
         fleet.run(planner, STEP_MILLIS, false);
@@ -267,11 +271,7 @@
     g.losesLaterOrders = false;
     g.end(Ending.DRAIN);
     g.advance(5_000);
-    List<GroupDecision.Held> held =
-        g.decisions.stream()
-            .filter(GroupDecision.Held.class::isInstance)
-            .map(GroupDecision.Held.class::cast)
-            .toList();
+    List<GroupDecision.Held> held = g.decisions(GroupDecision.Held.class);
     assertEquals(1, held.size(), held.toString());
     GroupDecision.Held h = held.get(0);
     assertEquals(g.epoch, h.epoch());
@@ -280,4 +280,20 @@
     assertTrue(h.openMillis() > 0 && h.joinMillis() > h.openMillis(), h.toString());
     assertEquals(MAX_LATE_MILLIS - h.joinMillis(), h.leftMillis());
   }
+
+  /** Guards against a log that does not tell which order was executed late. */
+  @Test
+  void returnOfHeadIsReportedWithTheAgeOfItsOrders() {
+    Group g = openedGroup(this, 4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.end(Ending.DRAIN);
+    g.advance(1_500);
+    g.reopen();
+    List<GroupDecision.Returned> returned = g.decisions(GroupDecision.Returned.class);
+    assertEquals(1, returned.size(), returned.toString());
+    GroupDecision.Returned r = returned.get(0);
+    assertEquals(g.head(), r.instance());
+    assertEquals(g.epoch, r.epoch());
+    assertTrue(r.leftMillis() >= 1_400, r.toString());
+    assertTrue(r.openMillis() > r.leftMillis() && r.joinMillis() > r.openMillis(), r.toString());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/DecisionRecorder.java
@@ -66,6 +66,18 @@
     }
   }
 
+  /** Records that an instance has joined a group again that it had left. */
+  void returned(FleetInstance i, LastGroup g, LateOrders late, long now) {
+    decisions.add(
+        new GroupDecision.Returned(
+            i.id(),
+            g.name,
+            g.epoch,
+            now - g.leftAt(),
+            late.unansweredMillis(FleetOrder.Kind.JOIN, i.id(), g.name, g.epoch, now),
+            late.unansweredMillis(FleetOrder.Kind.OPEN, i.id(), g.name, g.epoch, now)));
+  }
+
   /** Records that a group keeps its members until its head executes no late orders any more. */
   void held(PlanningRound round, GroupView g, LateOrders late) {
     if (held.add(g.key())) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupDecision.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupDecision.java
@@ -45,6 +45,21 @@
       String group, long epoch, Head head, long joinMillis, long openMillis, long leftMillis)
       implements GroupDecision {}
 
+  /**
+   * An instance has joined a group again that it had left: it has executed an order late.
+   *
+   * @param instance the identifier of the instance
+   * @param group the name of the group
+   * @param epoch its epoch
+   * @param leftMillis the time since it was first known outside the group, in milliseconds
+   * @param joinMillis the time since this leader last sent it an unanswered order to join, in
+   *     milliseconds; -1 if there is none
+   * @param openMillis the same for the order to open the group
+   */
+  record Returned(
+      String instance, String group, long epoch, long leftMillis, long joinMillis, long openMillis)
+      implements GroupDecision {}
+
   /**
    * An instance is ordered to join a new group. Reported once, also if the order is repeated.
    *
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
@@ -20,8 +20,9 @@
    *
    * @param i the instance
    * @param now the time in milliseconds
+   * @return the earlier membership in the same group, if the instance has joined it again
    */
-  void report(FleetInstance i, long now) {
+  @Nullable LastGroup report(FleetInstance i, long now) {
     knownSince.putIfAbsent(i.id(), now);
     LastGroup last = groups.get(i.id());
     if (last != null && last.startMillis != i.startMillis()) {
@@ -33,13 +34,24 @@
       if (last != null) {
         last.reportOutside(now);
       }
-      return;
+      return null;
     }
+    LastGroup before = null;
     if (last == null || !last.isOf(i, g)) {
+      before = last != null && last.key().equals(GroupView.key(g.name(), g.epoch())) ? last : null;
       last = new LastGroup(g.name(), g.epoch(), i.startMillis());
       groups.put(i.id(), last);
     }
     last.lastReported = now;
+    return before;
+  }
+
+  /** Records that a membership has ended; a later report of the same group is another one. */
+  void end(String instance, long now) {
+    LastGroup last = groups.get(instance);
+    if (last != null) {
+      last.reportOutside(now);
+    }
   }
 
   /**
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -13,6 +13,12 @@
   /** The margin for late messages, added to the time after which a head detects a lost member. */
   static final long STALL_MARGIN_MILLIS = 500;
 
+  /**
+   * How long a heartbeat may be on its way, in milliseconds; instances send another one if it has
+   * not been acknowledged by then.
+   */
+  static final long MAX_HEARTBEAT_DELAY_MILLIS = 1_000;
+
   /** The low bits of an epoch count within a term; the high bits hold the term. */
   static final int EPOCH_BITS = 24;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -98,7 +98,7 @@
     if (g.rank() == 0) {
       state.heads.put(GroupView.key(g.name(), g.epoch()), i.id());
     }
-    if (parsedName == null || state.hasConfirmedLeft(i.id(), GroupView.key(g.name(), g.epoch()))) {
+    if (parsedName == null || (hasConfirmedLeft(i, g) && !hasReturned(u))) {
       return;
     }
     groups
@@ -109,15 +109,54 @@
     state.highestEpoch = Math.max(state.highestEpoch, g.epoch());
   }
 
+  private boolean hasConfirmedLeft(FleetInstance i, GroupMembership g) {
+    return state.hasConfirmedLeft(i.id(), GroupView.key(g.name(), g.epoch()));
+  }
+
+  /**
+   * Returns whether an instance that has confirmed that it left the group that it reports has
+   * joined it again since: its heartbeat is too recent to have been sent before the answer.
+   */
+  private boolean hasReturned(InstanceUpdate u) {
+    String id = u.instance().id();
+    PlannerState.LeaveAnswer answer = state.confirmedLeft.get(id);
+    boolean isLater =
+        answer != null
+            && now - u.ageMillis() > answer.at() + PlannerState.MAX_HEARTBEAT_DELAY_MILLIS;
+    if (isLater) {
+      state.confirmedLeft.remove(id);
+      state.lastGroups.end(id, now);
+    }
+    return isLater;
+  }
+
   /** Records the groups of this round; called once all instances have been added. */
   void recordLastGroups() {
     state.lastGroups.retain(instances.keySet());
     for (FleetInstance i : instances.values()) {
-      state.lastGroups.report(i, now);
+      LastGroup before = state.lastGroups.report(i, now);
+      if (before != null) {
+        recordReturn(i, before);
+      }
     }
     state.lastGroups.nameHeads(state.heads);
   }
 
+  private void recordReturn(FleetInstance i, LastGroup g) {
+    state.decisions.returned(i, g, lateOrders, now);
+    // The earlier answer no longer holds.
+    state.sentOrders.forget(
+        new FleetOrder(
+            FleetOrder.Kind.LEAVE,
+            i.id(),
+            i.address(),
+            g.name,
+            g.epoch,
+            "",
+            List.of(),
+            state.term));
+  }
+
   /**
    * Opens groups that are ready, closes those that drain or make room for another model, and
    * dissolves those that can no longer serve.
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
@@ -122,6 +122,11 @@
     }
   }
 
+  /** Forgets an order and its answers. */
+  void forget(FleetOrder o) {
+    sent.remove(key(o));
+  }
+
   /** Removes orders that were sent longer ago than {@code keepMillis}. */
   void prune(long now, long keepMillis) {
     sent.values().removeIf(s -> now - s.at > keepMillis);
