Abandon a planned group whose member may serve in another one

Cause: an order to join that had no answer was repeated whatever the instance reported meanwhile. It was free when the group was planned, and could have opened its old group again since.

An instance of which no group is known stays free: its number of heartbeats tells only at the first order that it is new.

Evidence: LateOrderTest#joinIsNotRepeatedToHeadThatServesAgain failed in 4 of 4 cases before, with orders that are executed later than the planner waits for.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateJoinTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateJoinTest.java
@@ -62,6 +62,25 @@
     assertEquals(List.of(), opens);
   }
 
+  /**
+   * Guards against a group that is abandoned because a member has sent too many heartbeats by the
+   * time of the repeated order to count as new.
+   */
+  @Test
+  void joinIsRepeatedToInstanceThatWasNew() {
+    planner.startTerm(2, false, 4, 0);
+    List<FleetOrder> joins = joins(List.of(instance("a", 2), instance("b", 2)), 2_000);
+    assertEquals(2, joins.size());
+    planner.answered(joins.get(0), OrderOutcome.UNKNOWN, 3_200);
+    planner.answered(joins.get(1), OrderOutcome.ACCEPTED, 2_010);
+    FleetInstance member = instance("b", member(joins.get(1), 1, MemberState.JOINING));
+    List<FleetOrder> repeated = new ArrayList<>();
+    for (long t = 3_300; t < 5_000; t += 100) {
+      repeated.addAll(joins(List.of(instance("a", 4), member), t));
+    }
+    assertEquals(List.of(joins.get(0)), repeated);
+  }
+
   private List<FleetOrder> joins(List<FleetInstance> all, long now) {
     return plan(all, now).stream().filter(o -> o.kind() == FleetOrder.Kind.JOIN).toList();
   }
@@ -75,11 +94,19 @@
     return new GroupMembership(join.group(), join.epoch(), rank, state);
   }
 
+  private static FleetInstance instance(String id, long sequence) {
+    return instance(id, sequence, null);
+  }
+
   private static FleetInstance instance(String id, @Nullable GroupMembership g) {
+    return instance(id, 80, g);
+  }
+
+  private static FleetInstance instance(String id, long sequence, @Nullable GroupMembership g) {
     return new FleetInstance(
         id,
         1,
-        80,
+        sequence,
         SERVICE,
         "10.0.0.1:" + (1_000 + id.charAt(0)),
         "zone",
--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
@@ -63,6 +63,7 @@
     private boolean losesLaterOrders = true;
     private boolean hasLeft;
     private boolean hasReopened;
+    private boolean isNextJoinLost;
 
     /** When the first of these orders was sent, in milliseconds; -1 before. */
     private long firstLostAt = -1;
@@ -107,7 +108,10 @@
       }
       boolean isLater = hasLeft && losesLaterOrders;
       isLost |= isLater && o.kind() == FleetOrder.Kind.LEAVE;
-      isLost |= isLater && o.kind() == FleetOrder.Kind.JOIN && !hasReopened;
+      if (isLater && o.kind() == FleetOrder.Kind.JOIN && !hasReopened) {
+        isLost = true;
+        isNextJoinLost = true;
+      }
       hasLeft |= o.kind() == FleetOrder.Kind.LEAVE;
       return isLost;
     }
@@ -296,4 +300,19 @@
     assertTrue(r.leftMillis() >= 1_400, r.toString());
     assertTrue(r.openMillis() > r.leftMillis() && r.joinMillis() > r.openMillis(), r.toString());
   }
+
+  /**
+   * Guards against an order to join another group that is repeated to a head which has opened its
+   * old group again, here by orders that are later than any that are waited for.
+   */
+  @ParameterizedTest
+  @MethodSource("endings")
+  void joinIsNotRepeatedToHeadThatServesAgain(Ending e, int size) {
+    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.end(e);
+    g.run(() -> !g.isNextJoinLost);
+    g.reopen();
+    g.advance(15_000);
+    assertEquals(List.of(), g.fleet.violations());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
@@ -36,6 +36,16 @@
     return state.first || isNew(i) || hasWaitedSinceUnknownGroup(i);
   }
 
+  /**
+   * Returns whether an instance that was free when its group was planned may still join it; whether
+   * it counts as new may have changed since.
+   */
+  boolean mayStillJoin(FleetInstance i) {
+    LastGroup last = state.lastGroups.of(i.id());
+    boolean wasInNone = i.group() == null && (last == null || !last.hasLeft());
+    return wasInNone || isFree(i);
+  }
+
   /**
    * Returns whether the head of a group may serve, now or once a delayed order arrives. A head that
    * does not report, because it has deregistered or was not heard of for long, may serve unless
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -366,7 +366,10 @@
     dissolve(g);
   }
 
-  /** Repeats unconfirmed join orders and abandons groups that do not become ready in time. */
+  /**
+   * Repeats unconfirmed join orders, and abandons groups that do not become ready in time or a
+   * member of which may be in a group that serves.
+   */
   void reviewPlans() {
     List<PlannedGroup> plans = new ArrayList<>(state.planned.values());
     for (PlannedGroup p : plans) {
@@ -374,6 +377,9 @@
       for (String id : p.members()) {
         FleetInstance m = instances.get(id);
         failed |= m == null || isLost(m) || m.phase() != InstancePhase.READY;
+        // The order to join would be repeated.
+        failed |=
+            m != null && !hasJoined(p, m) && (assigned.contains(id) || !release.mayStillJoin(m));
       }
       if (failed) {
         state.planned.remove(GroupView.key(p.name(), p.epoch()));
@@ -385,17 +391,22 @@
       }
       for (String id : p.members()) {
         FleetInstance m = instances.get(id);
-        GroupMembership g = m.group();
-        boolean joined = g != null && g.name().equals(p.name()) && g.epoch() == p.epoch();
-        FleetOrder o = join(p, m);
-        OrderOutcome latest = state.sentOrders.outcome(o);
-        if (!joined && latest != OrderOutcome.ACCEPTED && latest != OrderOutcome.HOLDS) {
-          sendIfDue(o);
+        if (!hasJoined(p, m)) {
+          sendIfDue(join(p, m));
         }
       }
     }
   }
 
+  /** Returns whether a member reports a planned group, or has confirmed the order to join it. */
+  private boolean hasJoined(PlannedGroup p, FleetInstance m) {
+    GroupMembership g = m.group();
+    OrderOutcome latest = state.sentOrders.outcome(join(p, m));
+    return latest == OrderOutcome.ACCEPTED
+        || latest == OrderOutcome.HOLDS
+        || (g != null && g.name().equals(p.name()) && g.epoch() == p.epoch());
+  }
+
   /** Returns the group formation of this round; must be called after {@link #reviewGroups}. */
   GroupFormation formation() {
     GroupFormation f = formation;
