Wait for late orders of an earlier leader until a head has answered the present one

Cause: a new leader knows of no unanswered order of the one before it. It believed a head of an earlier group that reported that it had left, and gave the members away. A head that has not seen the number of the new term still executes late orders of the earlier leader to join and to open the group.

It is asked to leave at once, so that in calm one answer ends the wait.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
@@ -32,7 +32,7 @@
 
   private static final long STEP_MILLIS = 100;
 
-  private final FleetPlanner planner = newPlanner();
+  private FleetPlanner planner = newPlanner();
 
   private static FleetPlanner newPlanner() {
     return new FleetPlanner(
@@ -61,6 +61,7 @@
     private List<String> members = List.of();
     private long epoch;
     private boolean losesLaterOrders = true;
+    private boolean losesFirstLeave;
     private boolean hasLeft;
     private boolean hasReopened;
     private boolean isNextJoinLost;
@@ -112,7 +113,10 @@
         isLost = true;
         isNextJoinLost = true;
       }
-      hasLeft |= o.kind() == FleetOrder.Kind.LEAVE;
+      if (o.kind() == FleetOrder.Kind.LEAVE && !hasLeft) {
+        hasLeft = true;
+        isLost = losesFirstLeave;
+      }
       return isLost;
     }
 
@@ -127,13 +131,36 @@
 
     /** Ends the group; returns once its head has left it. */
     void end(Ending e) {
+      loseMember(e);
+      run(() -> !fleet.membersOf(head()).isEmpty());
+    }
+
+    private void loseMember(Ending e) {
       String last = members.get(members.size() - 1);
       if (e == Ending.DRAIN) {
         fleet.drain(last);
       } else {
         fleet.crash(last);
       }
-      run(() -> !fleet.membersOf(head()).isEmpty());
+    }
+
+    /**
+     * Ends the group by an order of a leader that has been replaced when it is executed.
+     *
+     * @param e what makes the leader give up the group
+     */
+    void endByReplacedLeader(Ending e) {
+      losesFirstLeave = true;
+      loseMember(e);
+      run(() -> !hasLeft);
+      // A new leader lets instances wait that it first hears of, unless they have just started.
+      fleet.ids().stream().filter(id -> !members.contains(id)).forEach(fleet::restart);
+      planner = newPlanner();
+      planner.startTerm(2, false, 4, fleet.now());
+      advance(1_000);
+      fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.LEAVE && o.fencing() == 1);
+      advance(300);
+      assertEquals(List.of(), fleet.membersOf(head()));
     }
 
     /** Executes the late orders, so that the head opens the group again. */
@@ -315,4 +342,36 @@
     g.advance(15_000);
     assertEquals(List.of(), g.fleet.violations());
   }
+
+  /**
+   * Guards against members that are given away while the head may execute the orders of an earlier
+   * leader, which the present one does not know of.
+   */
+  @ParameterizedTest
+  @MethodSource("endings")
+  void membersWaitWhileOrdersOfAnEarlierLeaderMayReopenTheirGroup(Ending e, int size) {
+    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.endByReplacedLeader(e);
+    g.reopen();
+    g.fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.JOIN);
+    g.advance(15_000);
+    assertEquals(List.of(), g.fleet.violations());
+  }
+
+  /**
+   * Guards against members that wait after a change of the leader although their head has answered
+   * the new one, and rejects the orders of earlier ones since.
+   */
+  @ParameterizedTest
+  @MethodSource("endings")
+  void membersServeAgainOnceTheirHeadHasAnsweredTheNewLeader(Ending e, int size) {
+    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    g.endByReplacedLeader(e);
+    g.losesLaterOrders = false;
+    long took = g.awaitNextGroup();
+    assertTrue(took <= REGROUP_MILLIS, "serves after " + took + " ms");
+    g.fleet.executeWithheld(o -> true);
+    g.advance(15_000);
+    assertEquals(List.of(), g.fleet.violations());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -65,6 +65,7 @@
     state.lastGroups.clear();
     state.confirmedLeft.clear();
     state.closedAt.clear();
+    state.fencedSince.clear();
     state.decisions.startTerm();
     state.heads.clear();
     state.incompleteSince.clear();
@@ -128,6 +129,7 @@
     state.heads.keySet().retainAll(round.groups.keySet());
     state.retiring.keySet().retainAll(round.groups.keySet());
     state.closedAt.keySet().retainAll(round.groups.keySet());
+    state.fencedSince.keySet().retainAll(round.instances.keySet());
     round.reviewGroups();
     round.reviewPlans();
     if (!beforeTraffic || hasSettled(round.instances.size(), now)) {
@@ -156,19 +158,20 @@
     state.sentOrders.answered(order, outcome, now);
     boolean done = outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.HOLDS;
     boolean absent = outcome == OrderOutcome.MISDIRECTED || outcome == OrderOutcome.REFUSED;
+    String key = GroupView.key(order.group(), order.epoch());
+    long sentAt = state.sentOrders.answeredAttemptAt(order, now);
+    if (done) {
+      state.fencedSince.putIfAbsent(order.instance(), sentAt);
+    }
     // Any other answer says nothing of the group: an instance that serves may refuse connections.
     if (order.kind() == FleetOrder.Kind.LEAVE && done) {
-      String key = GroupView.key(order.group(), order.epoch());
-      long sentAt = state.sentOrders.answeredAttemptAt(order, now);
       state.confirmedLeft.put(
           order.instance(), new PlannerState.LeaveAnswer(key, outcome, sentAt, now));
       state.lastGroups.confirmLeft(order.instance(), order.group(), order.epoch(), now);
     }
     boolean closes = order.kind() == FleetOrder.Kind.CLOSE || order.kind() == FleetOrder.Kind.CUT;
     if (closes && outcome == OrderOutcome.HOLDS) {
-      state.closedAt.put(
-          GroupView.key(order.group(), order.epoch()),
-          state.sentOrders.answeredAttemptAt(order, now));
+      state.closedAt.put(key, sentAt);
     }
     if (order.kind() == FleetOrder.Kind.STAGE && !done) {
       // An unanswered order may be executed much later, or never.
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupDecision.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/GroupDecision.java
@@ -36,10 +36,11 @@
    * @param group the name of the group
    * @param epoch its epoch
    * @param head what is known of its head
-   * @param joinMillis the time since the last unanswered order to join was sent to the head, in
-   *     milliseconds
+   * @param joinMillis the time since this leader last sent the head an unanswered order to join, in
+   *     milliseconds; -1 if there is none, and only orders of earlier leaders may be late
    * @param openMillis the same for the order to open the group
-   * @param leftMillis how long one of the two may still be executed, in milliseconds
+   * @param leftMillis how long one of the two may still be executed, in milliseconds; an answer to
+   *     this leader ends it for the orders of earlier ones
    */
   record Held(
       String group, long epoch, Head head, long joinMillis, long openMillis, long leftMillis)
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/LateOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LateOrders.java
@@ -34,8 +34,29 @@
     return at == null ? -1 : now - at;
   }
 
+  /**
+   * Returns whether an instance may still execute orders of earlier leaders on a group. This leader
+   * does not know which of them were answered.
+   */
+  boolean mayExecuteEarlier(String instance, long epoch) {
+    return isOfEarlierTerm(epoch) && !state.fencedSince.containsKey(instance);
+  }
+
+  /** Returns whether an earlier leader formed a group. */
+  boolean isOfEarlierTerm(long epoch) {
+    return !state.first && epoch >> PlannerState.EPOCH_BITS < state.term;
+  }
+
   private long until(FleetOrder.Kind kind, String instance, String group, long epoch) {
     Long at = state.sentOrders.lastUnanswered(kind, instance, group, epoch);
-    return at == null ? NEVER : at + PlannerState.LATE_ORDER_MILLIS;
+    long own = at == null ? NEVER : at + PlannerState.LATE_ORDER_MILLIS;
+    return isOfEarlierTerm(epoch) ? Math.max(own, earlierUntil(instance)) : own;
+  }
+
+  /** Returns until when an instance may execute orders of earlier leaders, in milliseconds. */
+  private long earlierUntil(String instance) {
+    long until = state.termStart + PlannerState.LATE_ORDER_MILLIS;
+    Long fencedSince = state.fencedSince.get(instance);
+    return fencedSince == null ? until : Math.min(until, fencedSince);
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
@@ -100,13 +100,23 @@
     if (g != null && g.epoch() > epoch) {
       return Long.MAX_VALUE;
     }
+    if (isBrokenIn(g, key) && lateOrders.isOfEarlierTerm(epoch)) {
+      // It would have to execute three orders of earlier leaders: to leave, to join and to open.
+      return Long.MAX_VALUE;
+    }
     return isSoundIn(g, key) ? at : Math.max(at, round.now - round.ageOf(h));
   }
 
   private static boolean isSoundIn(@Nullable GroupMembership g, String key) {
-    return g != null
-        && GroupView.key(g.name(), g.epoch()).equals(key)
-        && g.state() != MemberState.BROKEN;
+    return isIn(g, key) && g.state() != MemberState.BROKEN;
+  }
+
+  private static boolean isBrokenIn(@Nullable GroupMembership g, String key) {
+    return isIn(g, key) && g.state() == MemberState.BROKEN;
+  }
+
+  private static boolean isIn(@Nullable GroupMembership g, String key) {
+    return g != null && GroupView.key(g.name(), g.epoch()).equals(key);
   }
 
   /**
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -58,6 +58,12 @@
   /** The answer by which each instance confirmed that it has left a group. */
   final Map<String, LeaveAnswer> confirmedLeft = new HashMap<>();
 
+  /**
+   * When each instance was first sent an order of this term that it has executed, in milliseconds.
+   * It rejects the orders of earlier leaders since.
+   */
+  final Map<String, Long> fencedSince = new HashMap<>();
+
   /** When heads were last ordered to close a group that was closed then, by group and epoch. */
   final Map<String, Long> closedAt = new HashMap<>();
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -312,7 +312,8 @@
   /**
    * Keeps the members of a group in place, whose head has left and may open it again by late
    * orders: the group is whole then, and is given up in the same way as before. Once no order can
-   * be executed any more, the head is asked to leave again, so that its answer ends the wait.
+   * be executed any more, the head is asked to leave again, so that its answer ends the wait. An
+   * answer also ends that for orders of earlier leaders.
    *
    * @return whether the head can still be heard
    */
@@ -323,7 +324,8 @@
       return false;
     }
     state.decisions.held(this, g, lateOrders);
-    if (now >= lateOrders.reopenableUntil(id, g.name, g.epoch)) {
+    boolean mayExecuteEarlier = lateOrders.mayExecuteEarlier(id, g.epoch);
+    if (mayExecuteEarlier || now >= lateOrders.reopenableUntil(id, g.name, g.epoch)) {
       sendIfDue(leave(head, g));
     }
     return true;
