Hold a member back while a late order may make it rejoin a group that serves

Cause: only the head's own late orders were asked for. A member that has left, or has restarted since, may be put back into its group by the order that formed it.

Change: such a member waits for as long as that order may be late, unless the head can no longer serve.

Evidence: LateOrderTest#restartedMemberWaitsWhileItMayJoinItsGroupAgain failed before.

--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
@@ -62,6 +62,11 @@
     private long epoch;
     private boolean losesLaterOrders = true;
     private boolean losesFirstLeave;
+
+    /** Whether orders to the last member are lost in place of those to the head. */
+    private boolean losesFirstJoinOfLast;
+
+    private boolean isOrderedAway;
     private boolean hasLeft;
     private boolean hasReopened;
     private boolean isNextJoinLost;
@@ -99,8 +104,12 @@
         members = o.members();
         epoch = o.epoch();
       }
-      if (members.isEmpty() || !o.instance().equals(head())) {
-        return false;
+      isOrderedAway |=
+          o.kind() == FleetOrder.Kind.JOIN
+              && o.epoch() != epoch
+              && o.instance().equals(lastMember());
+      if (members.isEmpty() || !o.instance().equals(losesFirstJoinOfLast ? lastMember() : head())) {
+        return !members.isEmpty() && losesFirstJoinOfLast && o.kind() == FleetOrder.Kind.LEAVE;
       }
       boolean isLost = o.epoch() == epoch && lost.remove(o.kind());
       if (isLost) {
@@ -124,6 +133,10 @@
       return members.get(0);
     }
 
+    String lastMember() {
+      return members.get(members.size() - 1);
+    }
+
     void open() {
       planner.startTerm(1, true, 4, 0);
       run(() -> members.isEmpty() || !fleet.serves(head()));
@@ -136,11 +149,10 @@
     }
 
     private void loseMember(Ending e) {
-      String last = members.get(members.size() - 1);
       if (e == Ending.DRAIN) {
-        fleet.drain(last);
+        fleet.drain(lastMember());
       } else {
-        fleet.crash(last);
+        fleet.crash(lastMember());
       }
     }
 
@@ -374,4 +386,22 @@
     g.advance(15_000);
     assertEquals(List.of(), g.fleet.violations());
   }
+
+  /**
+   * Guards against a member that is ordered into another group after a restart, although a late
+   * order may make it join the one whose head still serves.
+   */
+  @Test
+  void restartedMemberWaitsWhileItMayJoinItsGroupAgain() {
+    Group g = new Group(2, FleetOrder.Kind.JOIN);
+    g.losesFirstJoinOfLast = true;
+    g.open();
+    g.fleet.restart(g.lastMember());
+    for (int i = 0; i < 30 && !g.isOrderedAway; i++) {
+      g.advance(STEP_MILLIS);
+    }
+    g.fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.JOIN);
+    g.advance(5_000);
+    assertEquals(List.of(), g.fleet.violations());
+  }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
@@ -1,5 +1,6 @@
 package org.ebonypond.fleet;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +26,9 @@
    * must have been reviewed.
    */
   boolean isFree(FleetInstance i) {
+    if (mayRejoinServingGroup(i)) {
+      return false;
+    }
     LastGroup last = state.lastGroups.of(i.id());
     if (last != null && last.hasLeft()) {
       return isReleased(last) || hasWaitedSince(last);
@@ -36,6 +40,28 @@
     return state.first || isNew(i) || hasWaitedSinceUnknownGroup(i);
   }
 
+  /**
+   * Returns whether an instance that has left a group, or has restarted since, may join it again by
+   * an unanswered order while the head still serves. The head would then not miss it any more.
+   */
+  private boolean mayRejoinServingGroup(FleetInstance i) {
+    for (SentOrders.UnansweredOrder u : round.unansweredJoins.getOrDefault(i.id(), List.of())) {
+      FleetOrder o = u.order();
+      GroupMembership g = i.group();
+      boolean isOutside = g == null || g.epoch() < o.epoch();
+      boolean wasLate = round.now - round.ageOf(i) >= u.at() + PlannerState.LATE_ORDER_MILLIS;
+      String head = o.members().get(0);
+      if (isOutside
+          && !wasLate
+          && !head.equals(i.id())
+          && state.sentOrders.wasSent(FleetOrder.Kind.OPEN, o.group(), o.epoch())
+          && !isReleased(head, o.group(), o.epoch())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Returns whether an instance that was free when its group was planned may still join it; whether
    * it counts as new may have changed since.
@@ -250,14 +276,17 @@
 
   /** Returns whether the head of a group that an instance has left cannot serve it any more. */
   boolean isReleased(LastGroup last) {
-    FleetInstance h = round.instances.get(last.head);
+    return isReleased(last.head, last.name, last.epoch);
+  }
+
+  private boolean isReleased(String head, String group, long epoch) {
+    FleetInstance h = round.instances.get(head);
     boolean reports = h != null && h.phase() != InstancePhase.GONE;
-    if (reports && isClosedForGood(h, last.name, last.epoch)) {
+    if (reports && isClosedForGood(h, group, epoch)) {
       return true;
     }
-    boolean hasLeft =
-        state.hasConfirmedLeft(last.head, last.key())
-            || (reports && !isSoundIn(h.group(), last.key()));
-    return hasLeft && !mayReopen(last.head, last.name, last.epoch);
+    String key = GroupView.key(group, epoch);
+    boolean hasLeft = state.hasConfirmedLeft(head, key) || (reports && !isSoundIn(h.group(), key));
+    return hasLeft && !mayReopen(head, group, epoch);
   }
 }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -57,6 +57,12 @@
   /** The highest epoch of the groups that each instance may join by an order already sent. */
   private final Map<String, Long> laterEpochs = new HashMap<>();
 
+  /**
+   * The orders to join a group that each instance may execute late, or may have executed since its
+   * last heartbeat.
+   */
+  final Map<String, List<SentOrders.UnansweredOrder>> unansweredJoins = new HashMap<>();
+
   /** The number of usable and planned groups of each model. */
   final Map<String, Integer> counts = new HashMap<>();
 
@@ -165,7 +171,14 @@
     for (PlannedGroup p : state.planned.values()) {
       p.members().forEach(id -> laterEpochs.merge(id, p.epoch(), Math::max));
     }
-    state.sentOrders.addUnansweredJoins(now - PlannerState.LATE_ORDER_MILLIS, laterEpochs);
+    long sinceLate = now - PlannerState.LATE_ORDER_MILLIS;
+    for (SentOrders.UnansweredOrder u :
+        state.sentOrders.unansweredJoins(sinceLate - state.silentMillis)) {
+      unansweredJoins.computeIfAbsent(u.order().instance(), k -> new ArrayList<>()).add(u);
+      if (u.at() >= sinceLate) {
+        laterEpochs.merge(u.order().instance(), u.order().epoch(), Math::max);
+      }
+    }
     for (GroupView g : groups.values()) {
       FleetInstance head = g.head();
       GroupDecision.Cause lost = lossOf(g);
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
@@ -1,6 +1,8 @@
 package org.ebonypond.fleet;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -107,19 +109,19 @@
   }
 
   /**
-   * Adds the highest epoch of the groups that each instance may still join, because it did not
-   * answer the order.
+   * Returns the orders to join a group that have an unanswered attempt.
    *
-   * @param since the time of the earliest order that may still be executed, in milliseconds
-   * @param epochs the epochs by instance
+   * @param since the time of the earliest attempt of interest, in milliseconds
    */
-  void addUnansweredJoins(long since, Map<String, Long> epochs) {
+  List<UnansweredOrder> unansweredJoins(long since) {
+    List<UnansweredOrder> out = new ArrayList<>();
     for (Sent s : sent.values()) {
       Long at = s.order.kind() == FleetOrder.Kind.JOIN ? s.lastUnanswered() : null;
       if (at != null && at >= since) {
-        epochs.merge(s.order.instance(), s.order.epoch(), Math::max);
+        out.add(new UnansweredOrder(s.order, at));
       }
     }
+    return out;
   }
 
   /** Forgets an order and its answers. */
@@ -145,6 +147,14 @@
     return kind + "/" + instance + "/" + subject + "/" + epoch;
   }
 
+  /**
+   * An order with an unanswered attempt.
+   *
+   * @param order the order
+   * @param at when it was last sent without an answer, in milliseconds
+   */
+  record UnansweredOrder(FleetOrder order, long at) {}
+
   private static final class Sent {
     final FleetOrder order;
     final long at;
