Count late orders from their arrival, and reports from when they were sent

Cause: the time in which an unanswered order may be executed was counted from its sending, but an order may be on its way until its sender gives it up, 1.2 s later. A report of the head that arrived after that time was believed, although a heartbeat may be sent up to a second before it arrives.

Change: the time of late orders includes that of their transport, and a report counts from the earliest time at which it can have been sent. An answer to an order that was sent after the last late one is not subject to this, so that it still ends the wait at once; it outlives the report that follows it. The timeout of orders is now a constant of FleetOrder.

Evidence: LateOrderTest#membersWaitForOrderThatArrivedLate and #heartbeatSentBeforeTheLateOrderDoesNotEndTheWait failed without the two parts of the change.

--- a/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
+++ b/org.ebonypond.junit/src/main/java/org/ebonypond/junit/FakeFleet.java
@@ -41,9 +41,6 @@
   private static final String SERVICE = "engines";
   private static final long REJOIN_MILLIS = 200;
 
-  /** The time after which an order without an answer is given up, in milliseconds. */
-  private static final long ORDER_TIMEOUT_MILLIS = 1_200;
-
   private final EngineProfile engine;
   private final Random random;
   private InstanceTable table = new InstanceTable(service -> true);
@@ -406,7 +403,8 @@
     long arrival = now + 5;
     Engine e = engines.get(o.instance());
     if (e == null || e.cutOff) {
-      schedule(now + ORDER_TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+      schedule(
+          now + FleetOrder.TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
       return;
     }
     if (!e.alive || e.misdirected || e.refusesOrders(now)) {
@@ -417,7 +415,8 @@
     }
     if (unanswered.test(o)) {
       withheld.add(o);
-      schedule(now + ORDER_TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+      schedule(
+          now + FleetOrder.TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
       return;
     }
     Long delay = e.delays.remove(o.kind());
@@ -426,7 +425,8 @@
     }
     if (delay != null || e.isFrozen()) {
       schedule(arrival + (delay == null ? 0 : delay), () -> execute(o));
-      schedule(now + ORDER_TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
+      schedule(
+          now + FleetOrder.TIMEOUT_MILLIS, () -> planner.answered(o, OrderOutcome.UNKNOWN, now));
     } else {
       schedule(
           arrival,
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetOrder.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetOrder.java
@@ -23,6 +23,12 @@
     String model,
     List<String> members,
     long fencing) {
+  /**
+   * The time after which a sender gives up an order without an answer and closes the connection, in
+   * milliseconds; about the interval of heartbeats, which show its effect.
+   */
+  public static final long TIMEOUT_MILLIS = 1_200;
+
   /** The kinds of orders. */
   public enum Kind {
     /** Joins a group: loads the model's weights and connects to the other members. */
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -165,9 +165,8 @@
     }
     // Any other answer says nothing of the group: an instance that serves may refuse connections.
     if (order.kind() == FleetOrder.Kind.LEAVE && done) {
-      state.confirmedLeft.put(
-          order.instance(), new PlannerState.LeaveAnswer(key, outcome, sentAt, now));
-      state.lastGroups.confirmLeft(order.instance(), order.group(), order.epoch(), now);
+      state.confirmedLeft.put(order.instance(), new PlannerState.LeaveAnswer(key, outcome, now));
+      state.lastGroups.confirmLeft(order.instance(), order.group(), order.epoch(), sentAt, now);
     }
     boolean closes = order.kind() == FleetOrder.Kind.CLOSE || order.kind() == FleetOrder.Kind.CUT;
     if (closes && outcome == OrderOutcome.HOLDS) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroup.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroup.java
@@ -1,5 +1,7 @@
 package org.ebonypond.fleet;
 
+import org.jspecify.annotations.Nullable;
+
 /** The group that an instance was last known in, and since when it is not in it any more. */
 final class LastGroup {
   private static final long NOT_LEFT = -1;
@@ -16,6 +18,9 @@
   /** The time of the last round in which the instance reported the group, in milliseconds. */
   long lastReported;
 
+  /** When the instance was sent the latest order to leave that it has confirmed, or null. */
+  @Nullable Long confirmedOrderAt;
+
   private long leftAt = NOT_LEFT;
   private boolean isReported;
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/LastGroups.java
@@ -67,11 +67,17 @@
     }
   }
 
-  /** Records that an instance has confirmed an order to leave a group. */
-  void confirmLeft(String instance, String group, long epoch, long now) {
+  /**
+   * Records that an instance has confirmed an order to leave a group.
+   *
+   * @param sentAt when the order was sent, in milliseconds
+   * @param now the time in milliseconds
+   */
+  void confirmLeft(String instance, String group, long epoch, long sentAt, long now) {
     LastGroup last = groups.get(instance);
     if (last != null && last.key().equals(GroupView.key(group, epoch))) {
       last.leave(now);
+      last.confirmedOrderAt = sentAt;
     }
   }
 
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
@@ -49,7 +49,7 @@
       FleetOrder o = u.order();
       GroupMembership g = i.group();
       boolean isOutside = g == null || g.epoch() < o.epoch();
-      boolean wasLate = round.now - round.ageOf(i) >= u.at() + PlannerState.LATE_ORDER_MILLIS;
+      boolean wasLate = round.lastHeartbeatSentAt(i) >= u.at() + PlannerState.LATE_ORDER_MILLIS;
       String head = o.members().get(0);
       if (isOutside
           && !wasLate
@@ -116,8 +116,9 @@
    */
   private long lastOutside(String head, String group, long epoch) {
     String key = GroupView.key(group, epoch);
-    PlannerState.LeaveAnswer answer = state.confirmedLeft.get(head);
-    long at = answer != null && answer.groupKey().equals(key) ? answer.sentAt() : Long.MIN_VALUE;
+    LastGroup last = state.lastGroups.of(head);
+    Long confirmed = last != null && last.key().equals(key) ? last.confirmedOrderAt : null;
+    long at = confirmed == null ? Long.MIN_VALUE : confirmed;
     FleetInstance h = round.instances.get(head);
     if (h == null || h.phase() == InstancePhase.GONE) {
       return at;
@@ -130,7 +131,7 @@
       // It would have to execute three orders of earlier leaders: to leave, to join and to open.
       return Long.MAX_VALUE;
     }
-    return isSoundIn(g, key) ? at : Math.max(at, round.now - round.ageOf(h));
+    return isSoundIn(g, key) ? at : Math.max(at, round.lastHeartbeatSentAt(h));
   }
 
   private static boolean isSoundIn(@Nullable GroupMembership g, String key) {
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlannerState.java
@@ -26,10 +26,13 @@
   static final long KEEP_ORDERS_MILLIS = 120_000;
 
   /**
-   * How late an instance may execute an order that it did not answer, in milliseconds; the longest
-   * delay in the users' trials of late orders.
+   * The longest delay with which an instance executes an order that it did not answer, in
+   * milliseconds; from the users' trials of late orders.
    */
-  static final long LATE_ORDER_MILLIS = 12_000;
+  private static final long MAX_EXECUTION_DELAY_MILLIS = 12_000;
+
+  /** How long after it was sent an unanswered order may be executed, in milliseconds. */
+  static final long LATE_ORDER_MILLIS = FleetOrder.TIMEOUT_MILLIS + MAX_EXECUTION_DELAY_MILLIS;
 
   /** The time without a heartbeat after which an instance counts as lost, in milliseconds. */
   final long silentMillis;
@@ -121,10 +124,9 @@
    *
    * @param groupKey the group and epoch
    * @param outcome the outcome
-   * @param sentAt the time at which the order was sent, in milliseconds
    * @param at the time of the answer, in milliseconds
    */
-  record LeaveAnswer(String groupKey, OrderOutcome outcome, long sentAt, long at) {}
+  record LeaveAnswer(String groupKey, OrderOutcome outcome, long at) {}
 
   /**
    * An ordered load that stages a model on a host.
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/PlanningRound.java
@@ -173,7 +173,8 @@
     }
     long sinceLate = now - PlannerState.LATE_ORDER_MILLIS;
     for (SentOrders.UnansweredOrder u :
-        state.sentOrders.unansweredJoins(sinceLate - state.silentMillis)) {
+        state.sentOrders.unansweredJoins(
+            sinceLate - state.silentMillis - PlannerState.MAX_HEARTBEAT_DELAY_MILLIS)) {
       unansweredJoins.computeIfAbsent(u.order().instance(), k -> new ArrayList<>()).add(u);
       if (u.at() >= sinceLate) {
         laterEpochs.merge(u.order().instance(), u.order().epoch(), Math::max);
@@ -672,6 +673,14 @@
     return ages.getOrDefault(i.id(), 0L);
   }
 
+  /**
+   * Returns the earliest time at which an instance can have sent its last heartbeat, in
+   * milliseconds.
+   */
+  long lastHeartbeatSentAt(FleetInstance i) {
+    return now - ageOf(i) - PlannerState.MAX_HEARTBEAT_DELAY_MILLIS;
+  }
+
   private int activeAt(String head) {
     InstanceLoad l = loads.get(head);
     return l == null ? 0 : l.active();
