--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/FleetPlanner.java
@@ -157,7 +157,6 @@
   public void answered(FleetOrder order, OrderOutcome outcome, long now) {
     state.sentOrders.answered(order, outcome, now);
     boolean done = outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.HOLDS;
-    boolean absent = outcome == OrderOutcome.MISDIRECTED || outcome == OrderOutcome.REFUSED;
     String key = GroupView.key(order.group(), order.epoch());
     long sentAt = state.sentOrders.answeredAttemptAt(order, now);
     if (done) {
@@ -176,6 +175,7 @@
       // An unanswered order may be executed much later, or never.
       state.staging.remove(order.instance());
     }
+    boolean absent = outcome == OrderOutcome.MISDIRECTED || outcome == OrderOutcome.REFUSED;
     if (absent && order.kind() != FleetOrder.Kind.LEAVE) {
       state.avoidUntil.put(order.instance(), now + AVOID_MILLIS);
     }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
@@ -105,7 +105,7 @@
    * Returns whether a head that has left a group, or reports it as broken, may join and open it
    * again by orders that it did not answer.
    */
-  boolean mayReopen(String head, String group, long epoch) {
+  private boolean mayReopen(String head, String group, long epoch) {
     long until = lateOrders.reopenableUntil(head, group, epoch);
     return until != LateOrders.NEVER && lastOutside(head, group, epoch) < until;
   }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
@@ -88,12 +88,6 @@
     return s == null ? null : s.lastUnanswered();
   }
 
-  /** Returns when an order of a kind was last accepted by an instance, or null. */
-  @Nullable Long lastAccepted(FleetOrder.Kind kind, String instance, String group, long epoch) {
-    Sent s = sent.get(key(kind, instance, group, epoch));
-    return s == null ? null : s.acceptedAt;
-  }
-
   /**
    * Returns when an order of a kind was last sent to a member of a group without an answer, or
    * {@code null} if all were answered. An earlier attempt may be executed although a later one was
@@ -108,6 +102,12 @@
     return latest;
   }
 
+  /** Returns when an order of a kind was last accepted by an instance, or null. */
+  @Nullable Long lastAccepted(FleetOrder.Kind kind, String instance, String group, long epoch) {
+    Sent s = sent.get(key(kind, instance, group, epoch));
+    return s == null ? null : s.acceptedAt;
+  }
+
   /**
    * Returns the orders to join a group that have an unanswered attempt.
    *
