--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/MemberRelease.java
@@ -54,7 +54,7 @@
       if (isOutside
           && !wasLate
           && !head.equals(i.id())
-          && state.sentOrders.wasSent(FleetOrder.Kind.OPEN, o.group(), o.epoch())
+          && state.sentOrders.wasSentTo(FleetOrder.Kind.OPEN, head, o.group(), o.epoch())
           && !isReleased(head, o.group(), o.epoch())) {
         return true;
       }
--- a/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
+++ b/org.ebonypond/src/main/java/org/ebonypond/fleet/SentOrders.java
@@ -70,6 +70,11 @@
     return sent.values().stream().anyMatch(s -> s.isOf(kind, group, epoch));
   }
 
+  /** Returns whether an order of a kind was sent to an instance, and is still kept. */
+  boolean wasSentTo(FleetOrder.Kind kind, String instance, String group, long epoch) {
+    return sent.containsKey(key(kind, instance, group, epoch));
+  }
+
   /** Returns whether an order of a kind was sent to any member of a group and not answered. */
   boolean isUnconfirmed(FleetOrder.Kind kind, String group, long epoch) {
     return sent.values().stream()
