--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/FleetPlannerTest.java
@@ -609,6 +609,17 @@
     assertTrue(fleet.maxLoads(WINDOW_MILLIS) <= 20, "loads " + fleet.maxLoads(WINDOW_MILLIS));
   }
 
+  /** Guards against loads ordered earlier that start late, beside those of the present window. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void loadsStayWithinTheLimitWhileOrdersAreLate(long seed) {
+    FakeFleet f = new FakeFleet(FakeFleet.twoModels(), 6, 8, seed);
+    planner.startTerm(1, true, 4, 0);
+    f.setLostAnswerRate(0.5);
+    f.run(planner, 60_000, false);
+    assertTrue(f.maxLoads(WINDOW_MILLIS) <= 20, "loads " + f.maxLoads(WINDOW_MILLIS));
+  }
+
   /** Guards against a model without groups because all cold hosts stage the largest model. */
   @Test
   void coldStartUnderTrafficServesEveryModel() {
