--- a/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
+++ b/org.ebonypond.test/src/test/java/org/ebonypond/fleet/LateOrderTest.java
@@ -60,23 +60,29 @@
   private final class Group {
     final FakeFleet fleet;
     private final List<GroupDecision> decisions = new ArrayList<>();
+
+    /** The kinds of orders of which the first one that forms the group is still to be lost. */
     private final Set<FleetOrder.Kind> lost;
+
     private List<String> members = List.of();
     private long epoch;
-    private boolean losesLaterOrders = true;
     private boolean losesFirstLeave;
+    private boolean losesLaterOrders = true;
 
-    /** Whether orders to the last member are lost in place of those to the head. */
-    private boolean losesFirstJoinOfLast;
+    /** Whether the last member loses orders in place of the head. */
+    private boolean losesOrdersOfLast;
 
-    private boolean isOrderedAway;
+    /** Whether the head was ordered to leave. */
     private boolean hasLeft;
+
     private boolean hasReopened;
     private boolean isNextJoinLost;
+    private boolean isLastOrderedAway;
 
-    /** When the first of these orders was sent, in milliseconds; -1 before. */
+    /** When the first of the lost orders was sent, in milliseconds; -1 before. */
     private long firstLostAt = -1;
 
+    /** The same for the last of those that form the group. */
     private long lastLostAt;
 
     Group(int size, FleetOrder.Kind... lost) {
@@ -98,37 +104,56 @@
       fleet.setUnanswered(this::isLost);
     }
 
-    /**
-     * Some of the orders that form the group are lost once; later, every order to leave but the
-     * first, and those to join another group until the head has opened this one again.
-     */
     private boolean isLost(FleetOrder o) {
       if (o.kind() == FleetOrder.Kind.JOIN && members.isEmpty()) {
         members = o.members();
         epoch = o.epoch();
       }
-      isOrderedAway |=
+      if (members.isEmpty()) {
+        return false;
+      }
+      isLastOrderedAway |=
           o.kind() == FleetOrder.Kind.JOIN
               && o.epoch() != epoch
               && o.instance().equals(lastMember());
-      if (members.isEmpty() || !o.instance().equals(losesFirstJoinOfLast ? lastMember() : head())) {
-        return !members.isEmpty() && losesFirstJoinOfLast && o.kind() == FleetOrder.Kind.LEAVE;
+      return losesOrdersOfLast ? isLostAtLast(o) : o.instance().equals(head()) && isLostAtHead(o);
+    }
+
+    /** The first join of the last member is lost, and every order to leave. */
+    private boolean isLostAtLast(FleetOrder o) {
+      return o.kind() == FleetOrder.Kind.LEAVE
+          || (o.instance().equals(lastMember()) && isLostWhenFormed(o));
+    }
+
+    /**
+     * Some of the orders that form the group are lost; later, every order to leave but the first,
+     * and those to join another group until the head has opened this one again.
+     */
+    private boolean isLostAtHead(FleetOrder o) {
+      boolean isLater = hasLeft && losesLaterOrders;
+      switch (o.kind()) {
+        case LEAVE -> {
+          boolean isFirst = !hasLeft;
+          hasLeft = true;
+          return isFirst ? losesFirstLeave : isLater;
+        }
+        case JOIN -> {
+          boolean isNext = isLater && !hasReopened;
+          isNextJoinLost |= isNext;
+          return isNext || isLostWhenFormed(o);
+        }
+        default -> {
+          return isLostWhenFormed(o);
+        }
       }
+    }
+
+    private boolean isLostWhenFormed(FleetOrder o) {
       boolean isLost = o.epoch() == epoch && lost.remove(o.kind());
       if (isLost) {
         firstLostAt = firstLostAt < 0 ? fleet.now() : firstLostAt;
         lastLostAt = fleet.now();
       }
-      boolean isLater = hasLeft && losesLaterOrders;
-      isLost |= isLater && o.kind() == FleetOrder.Kind.LEAVE;
-      if (isLater && o.kind() == FleetOrder.Kind.JOIN && !hasReopened) {
-        isLost = true;
-        isNextJoinLost = true;
-      }
-      if (o.kind() == FleetOrder.Kind.LEAVE && !hasLeft) {
-        hasLeft = true;
-        isLost = losesFirstLeave;
-      }
       return isLost;
     }
 
@@ -226,8 +251,8 @@
     }
   }
 
-  private static Group openedGroup(LateOrderTest test, int size, FleetOrder.Kind... lost) {
-    Group g = test.new Group(size, lost);
+  private Group openedGroup(int size, FleetOrder.Kind... lost) {
+    Group g = new Group(size, lost);
     g.open();
     return g;
   }
@@ -239,7 +264,7 @@
   @ParameterizedTest
   @MethodSource("endings")
   void membersWaitWhileLateOrdersMayReopenTheirGroup(Ending e, int size) {
-    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.end(e);
     g.advance(1_500);
     g.reopen();
@@ -254,7 +279,7 @@
   @ParameterizedTest
   @MethodSource("endings")
   void lateJoinOfNextGroupIsNotExecutedInReopenedOne(Ending e, int size) {
-    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.end(e);
     g.advance(1_500);
     g.reopen();
@@ -270,7 +295,7 @@
   @ParameterizedTest
   @MethodSource("endings")
   void membersOfReopenedGroupServeAgain(Ending e, int size) {
-    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.end(e);
     g.advance(1_500);
     g.reopen();
@@ -284,7 +309,7 @@
   @ParameterizedTest
   @MethodSource("endings")
   void membersWaitNoLongerThanOrdersMayBeLate(Ending e, int size) {
-    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.losesLaterOrders = false;
     g.end(e);
     g.awaitNextGroup();
@@ -302,7 +327,7 @@
       names = {"JOIN", "OPEN"})
   void oneUnansweredOrderHoldsNoMemberBack(FleetOrder.Kind lost) {
     for (int size : new int[] {2, 4}) {
-      Group g = openedGroup(this, size, lost);
+      Group g = openedGroup(size, lost);
       g.losesLaterOrders = false;
       g.end(Ending.DRAIN);
       long took = g.awaitNextGroup();
@@ -313,7 +338,7 @@
   /** Guards against a log that does not tell why the rest of a group waits. */
   @Test
   void heldGroupIsReportedOnceWithTheAgeOfItsOrders() {
-    Group g = openedGroup(this, 4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.losesLaterOrders = false;
     g.end(Ending.DRAIN);
     g.advance(5_000);
@@ -330,7 +355,7 @@
   /** Guards against a log that does not tell which order was executed late. */
   @Test
   void returnOfHeadIsReportedWithTheAgeOfItsOrders() {
-    Group g = openedGroup(this, 4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.end(Ending.DRAIN);
     g.advance(1_500);
     g.reopen();
@@ -350,7 +375,7 @@
   @ParameterizedTest
   @MethodSource("endings")
   void joinIsNotRepeatedToHeadThatServesAgain(Ending e, int size) {
-    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.end(e);
     g.run(() -> !g.isNextJoinLost);
     g.reopen();
@@ -365,7 +390,7 @@
   @ParameterizedTest
   @MethodSource("endings")
   void membersWaitWhileOrdersOfAnEarlierLeaderMayReopenTheirGroup(Ending e, int size) {
-    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.endByReplacedLeader(e);
     g.reopen();
     g.fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.JOIN);
@@ -380,7 +405,7 @@
   @ParameterizedTest
   @MethodSource("endings")
   void membersServeAgainOnceTheirHeadHasAnsweredTheNewLeader(Ending e, int size) {
-    Group g = openedGroup(this, size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(size, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.endByReplacedLeader(e);
     g.losesLaterOrders = false;
     long took = g.awaitNextGroup();
@@ -397,10 +422,10 @@
   @Test
   void restartedMemberWaitsWhileItMayJoinItsGroupAgain() {
     Group g = new Group(2, FleetOrder.Kind.JOIN);
-    g.losesFirstJoinOfLast = true;
+    g.losesOrdersOfLast = true;
     g.open();
     g.fleet.restart(g.lastMember());
-    for (int i = 0; i < 30 && !g.isOrderedAway; i++) {
+    for (int i = 0; i < 30 && !g.isLastOrderedAway; i++) {
       g.advance(STEP_MILLIS);
     }
     g.fleet.executeWithheld(o -> o.kind() == FleetOrder.Kind.JOIN);
@@ -414,7 +439,7 @@
    */
   @Test
   void membersWaitForOrderThatArrivedLate() {
-    Group g = openedGroup(this, 4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.end(Ending.DRAIN);
     g.advance(g.firstLostAt + MAX_LATE_MILLIS - STEP_MILLIS - g.fleet.now());
     g.reopen();
@@ -429,7 +454,7 @@
    */
   @Test
   void heartbeatSentBeforeTheLateOrderDoesNotEndTheWait() {
-    Group g = openedGroup(this, 4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
+    Group g = openedGroup(4, FleetOrder.Kind.JOIN, FleetOrder.Kind.OPEN);
     g.end(Ending.DRAIN);
     g.advance(g.firstLostAt + MAX_LATE_MILLIS - 2 * STEP_MILLIS - g.fleet.now());
     FleetInstance outside = g.fleet.table().get(g.head());
